--- /dev/null
+++ b/src/sesamefold/defaults.py
@@ -0,0 +1,60 @@
+"""Constants with their units."""
+
+# Largest difference between the clocks of two hosts, seconds.
+CLOCK_SKEW = 0.5
+
+# Bounds of a caller's request.
+MAX_BODY_BYTES = 1024 * 1024
+MAX_HEADER_BYTES = 16 * 1024
+MAX_PROMPT_TOKENS = 32_768
+IDLE_CONNECTION_SECONDS = 75.0
+SLOW_READER_SECONDS = 30.0
+MAX_BUFFERED_EVENTS = 256
+# Time that a request may take when its caller states no deadline, seconds.
+REQUEST_SECONDS = 120.0
+
+# Tokens in one block of cached context.
+BLOCK_TOKENS = 1000
+
+# Heartbeats between the controls of a data centre, seconds.
+HEARTBEAT_INTERVAL = 1.0
+HEARTBEAT_TIMEOUT = 4.0
+HOST_LIST_INTERVAL = 2.0
+
+# Polling of backend servers by their owner, seconds.
+LOAD_INTERVAL = 0.5
+STATE_TIMEOUT = 3.0
+COLD_SECONDS = 10.0
+
+# Admission to cold backend servers, seconds.
+PERMIT_SECONDS = 5.0
+PERMIT_RENEWAL_INTERVAL = 1.5
+
+# Journal of non-idempotent calls.
+JOURNAL_SHARDS = 8
+JOURNAL_WRITE_INTERVAL = 0.04
+JOURNAL_BODY_BYTES = 4096
+JOURNAL_KEY_SECONDS = 24 * 3600.0
+JOURNAL_FUTURE_SECONDS = 60.0
+JOURNAL_BUCKET_SECONDS = 25 * 3600.0
+
+# Configuration and audit trail.
+MAX_VALUE_BYTES = 1024 * 1024
+MAX_TEXT_BYTES = 8 * 1024 * 1024
+AUDIT_HEAD_ENTRIES = 64
+AUDIT_PAGES = 128
+AUDIT_ENTRY_BYTES = 4096
+RELAY_SILENCE_SECONDS = 5.0
+
+# Retry of the key-value service after an outage, seconds.
+PLATFORM_BACKOFF = 0.5
+PLATFORM_BACKOFF_LIMIT = 5.0
+PLATFORM_TIMEOUT = 2.0
+
+# Block directory.
+DIRECTORY_ENTRIES = 50_000
+DIRECTORY_LOOKUP_SECONDS = 0.02
+DIRECTORY_RESYNC_INTERVAL = 10.0
+
+# Share of successful requests that may be retried.
+RETRY_BUDGET = 0.1
--- /dev/null
+++ b/src/sesamefold/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated gRPC code; `make wire` writes it from proto/."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of sesamefold."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs of the development environment."""
