--- /dev/null
+++ b/src/sesamefold/peers.py
@@ -0,0 +1,23 @@
+"""Entry hosts that a control daemon can reach."""
+
+import typing as t
+
+from sesamefold.wire import control_pb2_grpc
+
+
+class Peers(t.Protocol):
+    """What the journal, permits and directory need of other entry hosts."""
+
+    name: str  # of this entry host
+
+    def list_members(self) -> t.List[str]:
+        """Return the live entry hosts of this data centre, this one too."""
+
+    def list_entry_hosts(self) -> t.List[str]:
+        """Return the live entry hosts of all data centres, this one too."""
+
+    def get_stub(self, name: str) -> control_pb2_grpc.ControlStub:
+        """Return the stub of an entry host's control daemon.
+
+        Raises `exceptions.ControlUnavailable` when its address is not known.
+        """
