Add the gateway daemon with completions and routing

Cause: callers need an entry point that finds a backend server for each completion and hides failures of engines. Change: gateway daemon that follows its control daemon, HTTP handlers, authentication, resume handles, routing by estimated time to first token, permits for cold servers, and completions that continue on another engine. Conclusion: a stream survives each failure in the test's table without a lost or repeated token. Plain service calls and exports are not there yet.

--- /dev/null
+++ b/src/sesamefold/gateway.py
@@ -0,0 +1,284 @@
+"""The gateway daemon."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import typing as t
+
+import aiohttp
+from aiohttp import web
+import grpc
+import logbook
+import mode
+
+from sesamefold import api
+from sesamefold import authentication
+from sesamefold import defaults
+from sesamefold import engines
+from sesamefold import revisions
+from sesamefold import settings as settings_module
+from sesamefold import state as states
+from sesamefold.wire import control_pb2
+from sesamefold.wire import control_pb2_grpc
+
+_log = logbook.Logger("gateway")
+
+# Reconnection to the own control daemon, seconds; it doubles.
+_BACKOFF = 0.1
+_BACKOFF_LIMIT = 2.0
+_STATUS_INTERVAL = 3.0
+# Connections to one backend server and in total.
+_MAX_CONNECTIONS = 4096
+# Messages hold up to all chunks of a configuration.
+_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+
+def run(settings: settings_module.Settings) -> int:
+    """Serve until SIGTERM; return the exit code."""
+    return asyncio.run(_serve(settings))
+
+
+async def _serve(settings: settings_module.Settings) -> int:
+    gateway = Gateway(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, gateway.handle_signal)
+    await gateway.start()
+    print(json.dumps({"gateway_address": gateway.address}), flush=True)
+    await gateway.wait_until_stopped()
+    if gateway.stopping is None:
+        await gateway.stop()
+        return 1
+    await gateway.stopping
+    return 0
+
+
+class Gateway(mode.Service):
+    """Serves callers, and follows the control daemon of its entry host."""
+
+    address: str = ""
+    gateway_state: states.State
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        make_engine: t.Optional[
+            t.Callable[[aiohttp.ClientSession, str], engines.Engine]
+        ] = None,
+        **options: t.Any,
+    ) -> None:
+        super().__init__(**options)
+        self._settings = settings
+        self._make_engine = make_engine
+        self._chunks: t.Dict[str, bytes] = {}
+        self._runner: t.Optional[web.AppRunner] = None
+        self.stopping: t.Optional["asyncio.Task[None]"] = None
+
+    async def on_start(self) -> None:
+        """Connect to the control and listen for callers."""
+        self._channel = grpc.aio.insecure_channel(
+            self._settings.control_address,
+            options=[
+                ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
+                ("grpc.initial_reconnect_backoff_ms", 100),
+                ("grpc.max_reconnect_backoff_ms", 1000),
+            ],
+        )
+        self.gateway_state = states.State(
+            settings=self._settings,
+            session=build_session(),
+            stub=control_pb2_grpc.ControlStub(self._channel),
+            make_engine=self._make_engine or engines.HttpEngine,
+        )
+        application = api.Api(self.gateway_state).build_application()
+        self._runner = web.AppRunner(
+            application,
+            handler_cancellation=True,
+            keepalive_timeout=defaults.IDLE_CONNECTION_SECONDS,
+            shutdown_timeout=self._settings.drain_time,
+            max_line_size=defaults.MAX_HEADER_BYTES,
+            max_field_size=defaults.MAX_HEADER_BYTES,
+            access_log=None,
+        )
+        await self._runner.setup()
+        host, _, port = self._settings.gateway_address.rpartition(":")
+        site = web.TCPSite(self._runner, host, int(port))
+        await site.start()
+        bound = self._runner.addresses[0]
+        self.address = f"{bound[0]}:{bound[1]}"
+
+    async def on_stop(self) -> None:
+        """Close connections, then cancel what is left."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        for task in list(self.gateway_state.tasks):
+            task.cancel()
+        await asyncio.gather(*self.gateway_state.tasks, return_exceptions=True)
+        await self.gateway_state.session.close()
+        await self._channel.close()
+
+    def handle_signal(self) -> None:
+        """Begin the graceful shutdown; a second signal exits at once."""
+        if self.gateway_state.leaving:
+            _log.warning("second signal, exiting without a drain")
+            sys.stdout.flush()
+            os._exit(1)
+        self.gateway_state.leaving = True
+        self.stopping = asyncio.get_running_loop().create_task(self.drain())
+
+    async def drain(self) -> None:
+        """Leave: not ready, no new connections, streams finish, stop.
+
+        Callers get `drain_delay` to notice before connections are refused,
+        and streams `drain_time` to finish.
+        """
+        self.gateway_state.leaving = True
+        await asyncio.sleep(self._settings.drain_delay)
+        await self.stop()
+
+    @mode.Service.task
+    async def follow_configuration(self) -> None:
+        """Keep the configuration in force."""
+        await self._follow(self._read_configuration)
+
+    @mode.Service.task
+    async def follow_backends(self) -> None:
+        """Keep the states of backend servers."""
+        await self._follow(self._read_backends)
+
+    @mode.Service.task
+    async def poll_status(self) -> None:
+        """Keep the gateways of other data centres."""
+        while not self.should_stop:
+            status = await self.gateway_state.call_quietly(
+                self.gateway_state.stub.GetStatus,
+                control_pb2.GetStatusRequest(whole=True),
+                _STATUS_INTERVAL,
+            )
+            if status is not None:
+                self._apply_status(status)
+            await self.sleep(
+                _STATUS_INTERVAL
+                * self.gateway_state.generator.uniform(0.8, 1.2)
+            )
+
+    async def _follow(
+        self, read: t.Callable[[], t.Coroutine[t.Any, t.Any, bool]]
+    ) -> None:
+        """Call `read` again and again; the last state stays in force.
+
+        `read` tells whether it got anything, which resets the backoff.
+        """
+        backoff = _BACKOFF
+        while not self.should_stop:
+            if await read():
+                backoff = _BACKOFF
+            await self.sleep(
+                backoff * self.gateway_state.generator.uniform(0.5, 1.0)
+            )
+            backoff = min(2 * backoff, _BACKOFF_LIMIT)
+
+    async def _read_configuration(self) -> bool:
+        received = False
+        try:
+            stream = self.gateway_state.stub.WatchConfiguration(
+                control_pb2.WatchConfigurationRequest(
+                    known_digests=list(self._chunks)
+                )
+            )
+            async for message in stream:
+                received = True
+                self._apply_configuration(message)
+        except grpc.RpcError as error:
+            _log.info("configuration watch ended: {}", error.code().name)
+        except (KeyError, ValueError, TypeError) as error:
+            _log.error("configuration not readable: {}", error)
+            # Without known digests, the next watch brings all chunks.
+            self._chunks = {}
+        return received
+
+    def _apply_configuration(self, message: control_pb2.Configuration) -> None:
+        """Put a higher revision in force; others are ignored."""
+        self._chunks.update(
+            {chunk.digest: chunk.data for chunk in message.chunks}
+        )
+        if message.revision <= self.gateway_state.configuration.revision:
+            return
+        head = revisions.Head.decode(message.head)
+        built = revisions.build_configuration(head, self._chunks, True)
+        needed = set(head.list_digests(True))
+        self._chunks = {
+            digest: data
+            for digest, data in self._chunks.items()
+            if digest in needed
+        }
+        self.gateway_state.authenticator = authentication.Authenticator(
+            built.customers.values()
+        )
+        self.gateway_state.configuration = built
+        self.gateway_state.metrics.revision.set(built.revision)
+        _log.info("configuration {} in force", built.revision)
+
+    async def _read_backends(self) -> bool:
+        received = False
+        try:
+            stream = self.gateway_state.stub.WatchBackends(
+                control_pb2.WatchBackendsRequest()
+            )
+            async for message in stream:
+                received = True
+                self._apply_backends(message)
+        except grpc.RpcError as error:
+            _log.info("backend watch ended: {}", error.code().name)
+        return received
+
+    def _apply_backends(self, message: control_pb2.BackendStates) -> None:
+        if message.full:
+            self.gateway_state.backends.clear()
+        for backend in message.states:
+            self.gateway_state.backends[backend.name] = backend
+        for name in message.removed:
+            self.gateway_state.backends.pop(name, None)
+            self.gateway_state.failures.pop(name, None)
+
+    def _apply_status(self, status: control_pb2.Status) -> None:
+        own = self._settings.data_centre
+        self.gateway_state.remote = status
+        self.gateway_state.gateways = tuple(
+            host.member.gateway_address
+            for centre in status.data_centres
+            if centre.name != own
+            and self.gateway_state.configuration.is_in_service(centre.name)
+            for host in centre.hosts
+            if host.reachable
+            and host.member.gateway_address
+            and not host.member.leaving
+        )
+        self.gateway_state.members = max(
+            1,
+            sum(
+                host.reachable
+                for centre in status.data_centres
+                if centre.name == own
+                for host in centre.hosts
+            ),
+        )
+
+
+def build_session() -> aiohttp.ClientSession:
+    """Return the session towards backend servers."""
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=_MAX_CONNECTIONS, limit_per_host=0
+        ),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=2.0),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+    )
+    # By default aiohttp repeats a PUT or DELETE whose connection broke. Such
+    # a call may have run, and calls must run at most once. There is no
+    # public option for this.
+    session._retry_connection = False
+    return session
--- /dev/null
+++ b/src/sesamefold/state.py
@@ -0,0 +1,182 @@
+"""State that the parts of one gateway share."""
+
+import asyncio
+import collections
+import random
+import time
+import typing as t
+
+import aiohttp
+import attrs
+import grpc
+
+from sesamefold import authentication
+from sesamefold import configuration as configurations
+from sesamefold import deadline as deadlines
+from sesamefold import defaults
+from sesamefold import engines
+from sesamefold import exceptions
+from sesamefold import metrics as metrics_module
+from sesamefold import routing
+from sesamefold import settings as settings_module
+from sesamefold.wire import control_pb2
+from sesamefold.wire import control_pb2_grpc
+
+# A server that failed gets no request for this long, seconds. Until its next
+# report it then counts as cold, because it may have restarted.
+_AVOID_SECONDS = 1.0
+
+
+@attrs.frozen
+class Failure:
+    """A failure that the gateway saw itself, at an instant in Unix seconds."""
+
+    epoch: str
+    at: float
+
+
+@attrs.define(eq=False)
+class State:
+    """What one gateway knows; owned by the gateway's event loop.
+
+    `gateways` holds the addresses of gateways of other data centres that are
+    in service, `members` the entry hosts of this data centre.
+    """
+
+    settings: settings_module.Settings
+    session: aiohttp.ClientSession
+    stub: control_pb2_grpc.ControlStub
+    make_engine: t.Callable[[aiohttp.ClientSession, str], engines.Engine]
+    generator: random.Random = attrs.field(factory=random.Random)
+    metrics: metrics_module.GatewayMetrics = attrs.field(
+        factory=metrics_module.GatewayMetrics
+    )
+    configuration: configurations.Configuration = attrs.field(
+        factory=configurations.Configuration
+    )
+    authenticator: authentication.Authenticator = attrs.field(
+        factory=authentication.Authenticator
+    )
+    backends: t.Dict[str, control_pb2.BackendState] = attrs.field(factory=dict)
+    failures: t.Dict[str, Failure] = attrs.field(factory=dict)
+    in_flight: t.Counter[str] = attrs.field(factory=collections.Counter)
+    rates: t.Dict[str, routing.Rates] = attrs.field(factory=dict)
+    gateways: t.Tuple[str, ...] = ()
+    remote: t.Optional[control_pb2.Status] = None
+    members: int = 1
+    leaving: bool = False
+    draining: bool = False
+    tasks: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
+
+    def is_in_service(self) -> bool:
+        """Tell whether this data centre takes new work."""
+        return self.configuration.is_in_service(self.settings.data_centre)
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should send new requests here."""
+        return (
+            not self.leaving
+            and self.configuration.revision > 0
+            and self.is_in_service()
+        )
+
+    def list_backends(
+        self, names: t.Container[str]
+    ) -> t.List[control_pb2.BackendState]:
+        """Return the servers of the named groups.
+
+        A failure that the gateway saw itself takes precedence over reports
+        that are older.
+        """
+        return [
+            self._apply_failure(backend)
+            for backend in self.backends.values()
+            if backend.group in names
+        ]
+
+    def _apply_failure(
+        self, backend: control_pb2.BackendState
+    ) -> control_pb2.BackendState:
+        failure = self.failures.get(backend.name)
+        if failure is None or backend.state not in routing.USABLE:
+            return backend
+        if backend.measured_at > failure.at + defaults.CLOCK_SKEW:
+            del self.failures[backend.name]
+            return backend
+        changed = control_pb2.BackendState()
+        changed.CopyFrom(backend)
+        avoid = time.time() < failure.at + _AVOID_SECONDS
+        changed.state = "down" if avoid else "unknown"
+        return changed
+
+    def record_failure(
+        self, backend: control_pb2.BackendState, request: str, reason: str
+    ) -> None:
+        """Avoid a server that failed, and tell the control."""
+        self.failures[backend.name] = Failure(backend.epoch, time.time())
+        report = control_pb2.ReportFailureRequest(
+            backend=backend.name,
+            epoch=backend.epoch,
+            request=request,
+            reason=reason[:200],
+        )
+        self.spawn(self.call_quietly(self.stub.ReportFailure, report, 1.0))
+
+    async def call_control(
+        self, method: t.Any, request: t.Any, seconds: float
+    ) -> t.Any:
+        """Call the control daemon.
+
+        Raises `exceptions.ControlUnavailable` for a call that failed.
+        """
+        try:
+            return await method(request, timeout=max(0.001, seconds))
+        except grpc.RpcError as error:
+            raise exceptions.ControlUnavailable(
+                f"the control daemon failed: {error.code().name}"
+            ) from error
+
+    async def call_quietly(
+        self, method: t.Any, request: t.Any, seconds: float
+    ) -> t.Any:
+        """Call the control daemon; return None when the call fails."""
+        try:
+            return await self.call_control(method, request, seconds)
+        except exceptions.ControlUnavailable:
+            return None
+
+    def spawn(
+        self, coroutine: t.Coroutine[t.Any, t.Any, t.Any]
+    ) -> "asyncio.Task[t.Any]":
+        """Run a coroutine in the background until the gateway stops."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def get_rates(self, model: str) -> routing.Rates:
+        """Return the measured rates of a model."""
+        return self.rates.get(model, routing.Rates())
+
+    def list_stores(self) -> t.Dict[str, routing.StoreSite]:
+        """Return all store hosts, as seen from this data centre."""
+        own = self.configuration.data_centres.get(self.settings.data_centre)
+        region = own.region if own else ""
+        return {
+            store.name: routing.StoreSite(
+                f"http://{store.address}", store.region == region
+            )
+            for store in self.configuration.stores.values()
+        }
+
+    def compute_limit(self, group: str) -> int:
+        """Return how many runs this gateway may have on a warm server."""
+        found = self.configuration.groups.get(group)
+        return max(1, found.warm_limit // max(1, self.members)) if found else 1
+
+    async def cancel_run(self, engine: engines.Engine, request: str) -> None:
+        """Cancel a run; a failure leaves it to the engine's deadline."""
+        try:
+            await engine.cancel(request, deadlines.Deadline.after(2.0))
+        except exceptions.RoutingError:
+            pass
--- /dev/null
+++ b/tests/test_completions.py
@@ -0,0 +1,79 @@
+"""Tests of the lifecycle of a completion."""
+
+import json
+import unittest
+
+from tests import fakes
+
+EXPECTED = "".join(fakes.compute_text(index) for index in range(1, 7))
+
+
+def read_texts(stream: str):
+    """Return the texts and ids of the SSE events of a response."""
+    events = [
+        dict(line.split(": ", 1) for line in block.splitlines())
+        for block in stream.split("\n\n")
+        if block and not block.startswith(":")
+    ]
+    chunks = [
+        (int(event["id"]), json.loads(event["data"])["choices"][0]["text"])
+        for event in events
+        if "id" in event
+    ]
+    return [chunk for chunk in chunks if chunk[1]]
+
+
+class CompletionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.bench = fakes.Bench()
+        await self.bench.start()
+        self.addAsyncCleanup(self.bench.stop)
+
+    async def test_failures_during_a_stream(self):
+        """Guards against lost, repeated or foreign tokens."""
+        fault = fakes.Fault
+        table = [
+            ("none", []),
+            ("refused", [fault("refuse")]),
+            ("unreachable", [fault("unreachable")]),
+            *((f"dies at {n}", [fault("die", n)]) for n in range(1, 7)),
+            (
+                "connection breaks twice",
+                [fault("break", 2), fault("break", 4)],
+            ),
+            ("wrong request", [fault("wrong request", 3)]),
+            ("wrong version", [fault("wrong version", 3)]),
+            ("duplicate", [fault("duplicate", 3)]),
+            ("missing event", [fault("skip", 3)]),
+            ("missing last event", [fault("skip", 6)]),
+        ]
+        for name, faults in table:
+            with self.subTest(name):
+                for engine in self.bench.engines.values():
+                    engine.dead = False
+                    engine.faults = []
+                self.bench.state.failures.clear()
+                self.bench.engines["a:1"].faults = list(faults)
+                self.bench.control.backends["b"].queued = 100
+                self.bench.control.publish()
+                await fakes.wait_until(
+                    lambda: self.bench.state.backends["b"].queued == 100
+                )
+                async with self.bench.post({"stream": True}) as response:
+                    self.assertEqual(200, response.status)
+                    texts = read_texts(await response.text())
+                self.assertEqual(
+                    [(n, fakes.compute_text(n)) for n in range(1, 7)], texts
+                )
+                self.assertEqual([], self.bench.engines["a:1"].faults)
+
+    async def test_whole_answer_names_its_origin(self):
+        """Guards against answers whose context sources are not told."""
+        async with self.bench.post() as response:
+            body = await response.json()
+        self.assertEqual(EXPECTED, body["choices"][0]["text"])
+        self.assertEqual(5, body["usage"]["prompt_tokens"])
+        origin = body["usage"]["sesamefold"]
+        self.assertEqual("dc-1", origin["data_centre"])
+        self.assertEqual(5, origin["recomputed_tokens"])
+        self.assertIn(origin["backend"], ("a:1", "b:1"))
