Add plain service calls and exports of new blocks

Cause: callers reach plain services through the gateway, and non-idempotent calls must run at most once; blocks of finished runs should be importable.

--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -13,13 +13,16 @@
 import logbook
 
 from sesamefold import admission
+from sesamefold import calls
 from sesamefold import completions
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import engines
 from sesamefold import exceptions
+from sesamefold import exports
 from sesamefold import forwarding
 from sesamefold import prompts
+from sesamefold import services
 from sesamefold import state as states
 from sesamefold import streams
 
@@ -39,6 +42,8 @@
     def __init__(self, state: states.State) -> None:
         self._state = state
         self._places = admission.Admission(state)
+        self._exports = exports.Exports(state)
+        self._calls = calls.Calls(state)
 
     def build_application(self) -> web.Application:
         """Return the application with all routes."""
@@ -50,6 +55,7 @@
             [
                 web.post("/v1/completions", self.complete),
                 web.post("/v1/chat/completions", self.complete),
+                web.route("*", "/v1/services/{service}/{path:.*}", self.call),
                 web.get("/v1/models", self.list_models),
                 web.get("/metrics", self.show_metrics),
                 web.get("/healthz", self.show_health),
@@ -159,6 +165,43 @@
                 self._state, request, body, deadline, error
             )
 
+    async def call(self, request: web.Request) -> web.StreamResponse:
+        """Answer a call of a plain service."""
+        request[_HANDLED] = "call"
+        customer = self._authenticate(request)
+        service = services.find_plain(
+            self._state, request.match_info["service"]
+        )
+        body = await read_body(request)
+        raw, _, query = request.raw_path.partition("?")
+        call = calls.Call(
+            customer=customer.name,
+            service=service,
+            method=request.method,
+            path="/" + raw.split("/", 4)[4],
+            query=query,
+            headers=tuple(request.headers.items()),
+            body=body,
+            request_id=request[_REQUEST_ID],
+            deadline=parse_deadline(request),
+            key=request.headers.get("Idempotency-Key", ""),
+        )
+        try:
+            if not self._state.is_in_service():
+                raise self._build_out()
+            answer = await self._calls.run(call)
+        except (exceptions.NoBackend, exceptions.DataCentreOut) as error:
+            return await forwarding.forward(
+                self._state, request, body, call.deadline, error
+            )
+        response = web.Response(status=answer.status, body=answer.body)
+        for name, value in answer.headers:
+            response.headers.add(name, value)
+        response.headers["Content-Type"] = answer.content_type
+        response.headers["Sesamefold-Request"] = call.request_id
+        response.headers["Sesamefold-Executed"] = exceptions.YES
+        return response
+
     def _build_out(self) -> exceptions.DataCentreOut:
         name = self._state.settings.data_centre
         return exceptions.DataCentreOut(
@@ -179,9 +222,18 @@
                 completion.prompt.chat,
             )
             answer = _Answer(self._state, completion, form, begun)
-            if completion.prompt.stream:
-                return await answer.send_stream(request, first, events)
-            return await answer.send_whole(first, events)
+            response = (
+                await answer.send_stream(request, first, events)
+                if completion.prompt.stream
+                else await answer.send_whole(first, events)
+            )
+        if completion.finished:
+            self._exports.schedule(
+                completion.engine_address,
+                completion.block_names,
+                completion.holders,
+            )
+        return response
 
 
 class _Answer:
--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -68,6 +68,7 @@
     output: t.List[str] = attrs.field(factory=list)
     excluded: t.Set[str] = attrs.field(factory=set)
     sent: bool = False
+    finished: bool = False
     runs: int = 0
     refusals: int = 0
     engine_address: str = ""
@@ -344,6 +345,8 @@
         elif event.kind == "started":
             self.prompt_tokens = event.prompt_tokens or len(self.prompt.tokens)
             self.origin.record(event, self.engine_address)
+        else:
+            self.finished = True
 
     def _record_refusal(
         self, place: admission.Place, error: exceptions.RoutingError
--- a/src/sesamefold/gateway.py
+++ b/src/sesamefold/gateway.py
@@ -15,6 +15,7 @@
 
 from sesamefold import api
 from sesamefold import authentication
+from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import engines
 from sesamefold import revisions
@@ -73,7 +74,6 @@
         self._settings = settings
         self._make_engine = make_engine
         self._chunks: t.Dict[str, bytes] = {}
-        self._runner: t.Optional[web.AppRunner] = None
         self.stopping: t.Optional["asyncio.Task[None]"] = None
 
     async def on_start(self) -> None:
@@ -111,11 +111,11 @@
 
     async def on_stop(self) -> None:
         """Close connections, then cancel what is left."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-        for task in list(self.gateway_state.tasks):
+        await self._runner.cleanup()
+        left = [*self.gateway_state.tasks, *self.gateway_state.calls]
+        for task in left:
             task.cancel()
-        await asyncio.gather(*self.gateway_state.tasks, return_exceptions=True)
+        await asyncio.gather(*left, return_exceptions=True)
         await self.gateway_state.session.close()
         await self._channel.close()
 
@@ -136,6 +136,13 @@
         """
         self.gateway_state.leaving = True
         await asyncio.sleep(self._settings.drain_delay)
+        limit = deadlines.Deadline.after(self._settings.drain_time)
+        # The state is still followed, so that runs can continue elsewhere.
+        await self._runner.cleanup()
+        while self.gateway_state.calls and not limit.has_passed():
+            await asyncio.wait(
+                self.gateway_state.calls, timeout=limit.remaining()
+            )
         await self.stop()
 
     @mode.Service.task
--- a/src/sesamefold/state.py
+++ b/src/sesamefold/state.py
@@ -9,6 +9,7 @@
 import aiohttp
 import attrs
 import grpc
+import logbook
 
 from sesamefold import authentication
 from sesamefold import configuration as configurations
@@ -22,6 +23,8 @@
 from sesamefold.wire import control_pb2
 from sesamefold.wire import control_pb2_grpc
 
+_log = logbook.Logger("gateway")
+
 # A server that failed gets no request for this long, seconds. Until its next
 # report it then counts as cold, because it may have restarted.
 _AVOID_SECONDS = 1.0
@@ -65,8 +68,8 @@
     remote: t.Optional[control_pb2.Status] = None
     members: int = 1
     leaving: bool = False
-    draining: bool = False
     tasks: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
+    calls: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
 
     def is_in_service(self) -> bool:
         """Tell whether this data centre takes new work."""
@@ -127,14 +130,13 @@
     ) -> t.Any:
         """Call the control daemon.
 
-        Raises `exceptions.ControlUnavailable` for a call that failed.
+        Raises `exceptions.CallError` for a refusal with such a code, and
+        `exceptions.ControlUnavailable` for any other failure.
         """
         try:
             return await method(request, timeout=max(0.001, seconds))
         except grpc.RpcError as error:
-            raise exceptions.ControlUnavailable(
-                f"the control daemon failed: {error.code().name}"
-            ) from error
+            raise _convert_error(error) from error
 
     async def call_quietly(
         self, method: t.Any, request: t.Any, seconds: float
@@ -142,17 +144,20 @@
         """Call the control daemon; return None when the call fails."""
         try:
             return await self.call_control(method, request, seconds)
-        except exceptions.ControlUnavailable:
+        except exceptions.SesamefoldError:
             return None
 
     def spawn(
         self, coroutine: t.Coroutine[t.Any, t.Any, t.Any]
     ) -> "asyncio.Task[t.Any]":
         """Run a coroutine in the background until the gateway stops."""
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
+        return _spawn(coroutine, self.tasks)
+
+    def spawn_call(
+        self, coroutine: t.Coroutine[t.Any, t.Any, t.Any]
+    ) -> "asyncio.Task[t.Any]":
+        """Run a coroutine that a graceful shutdown waits for."""
+        return _spawn(coroutine, self.calls)
 
     def get_rates(self, model: str) -> routing.Rates:
         """Return the measured rates of a model."""
@@ -180,3 +185,39 @@
             await engine.cancel(request, deadlines.Deadline.after(2.0))
         except exceptions.RoutingError:
             pass
+
+
+def _spawn(
+    coroutine: t.Coroutine[t.Any, t.Any, t.Any],
+    tasks: t.Set["asyncio.Task[t.Any]"],
+) -> "asyncio.Task[t.Any]":
+    task = asyncio.get_running_loop().create_task(coroutine)
+    tasks.add(task)
+
+    def finish(done: "asyncio.Task[t.Any]") -> None:
+        tasks.discard(done)
+        if not done.cancelled() and done.exception() is not None:
+            error = done.exception()
+            if not isinstance(error, exceptions.SesamefoldError):
+                _log.error("a background task failed: {}", type(error))
+
+    task.add_done_callback(finish)
+    return task
+
+
+def _convert_error(error: grpc.RpcError) -> exceptions.SesamefoldError:
+    """Return the error of a status whose details hold "1303: message"."""
+    code, _, message = (error.details() or "").partition(": ")
+    found = next(
+        (
+            cls
+            for cls in exceptions.CallError.__subclasses__()
+            if str(cls.code) == code
+        ),
+        None,
+    )
+    if found is not None:
+        return found(message)
+    return exceptions.ControlUnavailable(
+        f"the control daemon failed: {error.code().name}"
+    )
