Test the gateway's refusals, resumes and shutdown

Cause: failures outside of a stream had no tests, and three of them were handled badly. Change: an error after the head of a stream now ends the response regularly, so that its event is not discarded with the connection; malformed HTTP leaves no traceback in the log; the engine adapter is looked up on first use. Conclusion: 24 tests of requests, refusals, resumes and signals pass.

--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -306,7 +306,7 @@
             await response.write_eof()
         except exceptions.SesamefoldError as error:
             await self._write(response, self._render_error(error))
-            forwarding.close_connection(request)
+            await response.write_eof()
         except (TimeoutError, ConnectionError):
             # The caller reads too slowly or is gone.
             forwarding.close_connection(request)
--- a/src/sesamefold/gateway.py
+++ b/src/sesamefold/gateway.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+import logging
 import os
 import signal
 import sys
 import typing as t
 
 import aiohttp
+from aiohttp import http_exceptions
 from aiohttp import web
 import grpc
 import logbook
@@ -90,7 +92,7 @@
             settings=self._settings,
             session=build_session(),
             stub=control_pb2_grpc.ControlStub(self._channel),
-            make_engine=self._make_engine or engines.HttpEngine,
+            make_engine=self._make_engine or _connect_engine,
         )
         application = api.Api(self.gateway_state).build_application()
         self._runner = web.AppRunner(
@@ -101,6 +103,7 @@
             max_line_size=defaults.MAX_HEADER_BYTES,
             max_field_size=defaults.MAX_HEADER_BYTES,
             access_log=None,
+            logger=_build_http_logger(),
         )
         await self._runner.setup()
         host, _, port = self._settings.gateway_address.rpartition(":")
@@ -274,6 +277,27 @@
         )
 
 
+def _connect_engine(
+    session: aiohttp.ClientSession, address: str
+) -> engines.Engine:
+    return engines.HttpEngine(session, address)
+
+
+def _build_http_logger() -> logging.Logger:
+    """Return a logger that leaves out malformed requests.
+
+    aiohttp logs them with a traceback that shows parts of the request.
+    """
+
+    def keep(record: logging.LogRecord) -> bool:
+        error = record.exc_info[1] if record.exc_info else None
+        return not isinstance(error, http_exceptions.HttpProcessingError)
+
+    logger = logging.getLogger("sesamefold.http")
+    logger.filters[:] = [keep]
+    return logger
+
+
 def build_session() -> aiohttp.ClientSession:
     """Return the session towards backend servers."""
     session = aiohttp.ClientSession(
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,508 @@
+"""Tests of the gateway daemon and its HTTP handlers."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import unittest
+
+import aiohttp
+
+from sesamefold import configuration
+from sesamefold import defaults
+from sesamefold import exceptions
+from sesamefold.wire import control_pb2
+from tests import fakes
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    options = {}
+
+    async def asyncSetUp(self):
+        self.bench = fakes.Bench()
+        await self.bench.start(**self.options)
+        self.addAsyncCleanup(self.bench.stop)
+
+    async def get_error(self, response):
+        """Return code and `executed` of an error in the documented form."""
+        error = (await response.json())["error"]
+        self.assertEqual(
+            {"code", "type", "message", "retryable", "executed", "request"},
+            set(error),
+        )
+        return error["code"], error["executed"]
+
+    async def publish(self, **values):
+        """Put a configuration in force."""
+        revision = self.bench.state.configuration.revision + 1
+        self.bench.control.configuration = fakes.build_message(
+            fakes.build_configuration(revision=revision, **values)
+        )
+        self.bench.control.publish()
+        await fakes.wait_until(
+            lambda: self.bench.state.configuration.revision == revision
+        )
+
+
+class RequestTest(GatewayCase):
+    async def test_malformed_requests(self):
+        """Guards against tracebacks and unnumbered errors."""
+        long = "w " * (defaults.MAX_PROMPT_TOKENS + 1)
+        deep = b"[" * 100_000
+        base = {"model": "draft", "prompt": "a"}
+        table = [
+            (b"", 400, 1101),
+            (b"\xff\xfe", 400, 1101),
+            (deep, 400, 1101),
+            (b"[]", 400, 1101),
+            (b'{"model": "draft", "prompt": "\\ud800"}', 400, 1101),
+            ({**base, "model": 1}, 400, 1101),
+            ({**base, "prompt": ["a", "b"]}, 400, 1101),
+            ({**base, "prompt": ""}, 400, 1101),
+            ({**base, "max_tokens": 0}, 400, 1101),
+            ({**base, "max_tokens": True}, 400, 1101),
+            ({**base, "stream": "yes"}, 400, 1101),
+            ({**base, "seed": 2**70}, 400, 1101),
+            ({**base, "n": 2}, 400, 1101),
+            ({**base, "stop": ["x"]}, 400, 1101),
+            ({**base, "prompt": long}, 413, 1102),
+            (b" " * (defaults.MAX_BODY_BYTES + 1), 413, 1102),
+            ({**base, "model": "none"}, 404, 1104),
+            ({**base, "model": "ledger"}, 404, 1104),
+        ]
+        for body, status, code in table:
+            data = body if isinstance(body, bytes) else json.dumps(body)
+            with self.subTest(data[:60]):
+                async with self.bench.session.post(
+                    "/v1/completions",
+                    data=data,
+                    headers={"Authorization": "Bearer token-acme"},
+                ) as response:
+                    self.assertEqual(status, response.status)
+                    self.assertEqual(
+                        (code, "no"), await self.get_error(response)
+                    )
+
+    async def test_malformed_chats(self):
+        """Guards against tracebacks on messages of another form."""
+        good = {"role": "user", "content": "hello"}
+        parts = {"role": "user", "content": [{"type": "text", "text": "a"}]}
+        image = {"role": "user", "content": [{"type": "image_url"}]}
+        table = [
+            ([good], 200),
+            ([parts, good], 200),
+            ([], 400),
+            (None, 400),
+            (["hello"], 400),
+            ([{"role": "user"}], 400),
+            ([image], 400),
+        ]
+        for messages, status in table:
+            with self.subTest(messages=messages):
+                async with self.bench.session.post(
+                    "/v1/chat/completions",
+                    json={
+                        "model": "model-a",
+                        "messages": messages,
+                        "max_completion_tokens": 2,
+                    },
+                    headers={"Authorization": "Bearer token-acme"},
+                ) as response:
+                    self.assertEqual(status, response.status)
+                    body = await response.json()
+                    if status == 200:
+                        message = body["choices"][0]["message"]
+                        self.assertEqual("w1 w2 ", message["content"])
+
+    async def test_refused_headers(self):
+        """Guards against requests that pass without a valid header."""
+        token = "Bearer token-acme"
+        table = [
+            ({}, 1103),
+            ({"Authorization": "token-acme"}, 1103),
+            ({"Authorization": "Bearer "}, 1103),
+            ({"Authorization": "Bearer token-acme2"}, 1103),
+            ({"Authorization": "Basic token-acme"}, 1103),
+            ({"Sesamefold-Deadline": "soon"}, 1101),
+            ({"Sesamefold-Deadline": "nan"}, 1101),
+            ({"Sesamefold-Deadline": "1"}, 1106),
+            ({"Sesamefold-Resume": "x", "Last-Event-ID": "-1"}, 1101),
+            ({"X-Large": "x" * 9000, "X-More": "x" * 9000}, 1102),
+        ]
+        for headers, code in table:
+            if code != 1103:
+                headers = {"Authorization": token, **headers}
+            with self.subTest(code=code, headers=list(headers)):
+                async with self.bench.session.post(
+                    "/v1/completions",
+                    json={"model": "draft", "prompt": "a"},
+                    headers=headers,
+                ) as response:
+                    self.assertEqual(
+                        (code, "no"), await self.get_error(response)
+                    )
+
+    async def test_unknown_paths(self):
+        """Guards against answers without a numbered code."""
+        for method, path in (
+            ("GET", "/nothing"),
+            ("GET", "/v1/completions"),
+            ("PATCH", "/healthz"),
+        ):
+            async with self.bench.session.request(method, path) as response:
+                self.assertEqual((1105, "no"), await self.get_error(response))
+
+    async def test_broken_http(self):
+        """Guards against tracebacks in the log on broken HTTP."""
+        host, port = self.bench.gateway.address.split(":")
+        with self.assertNoLogs(level="ERROR"):
+            for data in (b"\x00\x01\r\n\r\n", b"GET / HTTP/9\r\n\r\n"):
+                reader, writer = await asyncio.open_connection(host, port)
+                writer.write(data)
+                self.assertIn(b"400", await reader.readline())
+                writer.close()
+
+    async def test_labels_of_metrics(self):
+        """Guards against customers and paths as labels."""
+        async with self.bench.post() as response:
+            request = response.headers["Sesamefold-Request"]
+        async with self.bench.session.get("/metrics") as response:
+            text = await response.text()
+        for secret in ("acme", request, "three four"):
+            self.assertNotIn(secret, text)
+        self.assertIn('code="0",kind="completion"', text)
+
+    async def test_equal_prompts_of_two_customers(self):
+        """Guards against context that two customers share."""
+        for customer in fakes.TOKENS:
+            async with self.bench.post(customer=customer) as response:
+                self.assertEqual(200, response.status)
+        salts = {request.cache_salt for request in self.bench.sent}
+        self.assertEqual(2, len(salts))
+        first, second = self.bench.control.lookups
+        self.assertFalse(set(first) & set(second))
+
+    async def test_export_of_new_blocks(self):
+        """Guards against blocks that the store never gets."""
+        async with self.bench.post() as response:
+            self.assertEqual(200, response.status)
+        await fakes.wait_until(lambda: self.bench.control.stored)
+        names = self.bench.control.lookups[0]
+        self.assertEqual(list(names), self.bench.control.stored)
+
+
+class RefusalTest(GatewayCase):
+    async def test_dependency_down(self):
+        """Guards against work whose dependency cannot answer."""
+        self.bench.control.backends["ledger-1"].state = "down"
+        self.bench.control.publish()
+        await fakes.wait_until(
+            lambda: self.bench.state.backends["ledger-1"].state == "down"
+        )
+        for model in ("draft", "model-a"):
+            async with self.bench.post({"model": model}) as response:
+                body = await response.json()
+                self.assertEqual(1207, body["error"]["code"])
+                self.assertIn("'ledger'", body["error"]["message"])
+                self.assertEqual("no", body["error"]["executed"])
+        self.bench.control.backends["ledger-1"].state = "warm"
+        self.bench.control.publish()
+        await fakes.wait_until(
+            lambda: self.bench.state.backends["ledger-1"].state == "warm"
+        )
+        async with self.bench.post() as response:
+            self.assertEqual(200, response.status)
+
+    async def test_data_centre_out(self):
+        """Guards against new work in a data centre that is out."""
+        other = fakes.Bench(["a"])
+        await other.start(data_centre="dc-1", host="h2")
+        self.addAsyncCleanup(other.stop)
+        await self.publish(in_service=False)
+        async with self.bench.session.get("/readyz") as response:
+            self.assertEqual(503, response.status)
+        async with self.bench.post() as response:
+            self.assertEqual((1203, "no"), await self.get_error(response))
+        self.bench.state.gateways = ("127.0.0.1:1", other.gateway.address)
+        for stream in (False, True):
+            async with self.bench.post({"stream": stream}) as response:
+                self.assertEqual(200, response.status)
+                self.assertIn("w6 ", await response.text())
+        self.assertEqual([], self.bench.sent)
+        async with self.bench.post(Sesamefold_Forwarded="1") as response:
+            self.assertEqual((1203, "no"), await self.get_error(response))
+        await self.publish(in_service=True)
+        async with self.bench.post() as response:
+            self.assertEqual(200, response.status)
+        self.assertEqual(1, len(self.bench.sent))
+
+    async def test_gateways_of_other_data_centres(self):
+        """Guards against forwarding to gateways that are out or leaving."""
+        kinds = [
+            ("dc-1", "own", True, False),
+            ("dc-2", "good", True, False),
+            ("dc-2", "leaving", True, True),
+            ("dc-2", "lost", False, False),
+            ("dc-3", "out", True, False),
+        ]
+        self.bench.gateway._apply_status(
+            control_pb2.Status(
+                data_centres=[
+                    control_pb2.DataCentreStatus(
+                        name=centre,
+                        reachable=True,
+                        hosts=[
+                            control_pb2.HostStatus(
+                                reachable=reachable,
+                                member=control_pb2.Member(
+                                    gateway_address=address, leaving=leaving
+                                ),
+                            )
+                        ],
+                    )
+                    for centre, address, reachable, leaving in kinds
+                ]
+            )
+        )
+        self.assertEqual(("good",), self.bench.state.gateways)
+
+    async def test_unusable_servers(self):
+        """Guards against work for leaving, down, cold or swapped servers."""
+        table = [
+            ({"state": "leaving"}, 1201),
+            ({"state": "down"}, 1201),
+            ({"versions": ["model-a@v2"]}, 1201),
+            ({"state": "cold"}, 1202),
+            ({"state": "unknown"}, 1202),
+        ]
+        for fields, code in table:
+            with self.subTest(fields=fields):
+                for name in ("a", "b"):
+                    self.bench.control.backends[name] = fakes.build_backend(
+                        name, **fields
+                    )
+                self.bench.control.publish()
+                await asyncio.sleep(0.05)
+                deadline = str(time.time() + 0.3)
+                async with self.bench.post(
+                    Sesamefold_Deadline=deadline
+                ) as response:
+                    self.assertEqual(
+                        (code, "no"), await self.get_error(response)
+                    )
+        self.assertEqual([], self.bench.sent)
+
+    async def test_permits_of_a_cold_server(self):
+        """Guards against more runs on a cold server than permits."""
+        for name in ("a", "b"):
+            self.bench.control.backends[name].state = "cold"
+            self.bench.engines[f"{name}:1"].pause = 0.01
+        self.bench.control.permits = 1
+        self.bench.control.publish()
+        await asyncio.sleep(0.05)
+
+        async def send():
+            async with self.bench.post() as response:
+                return response.status
+
+        statuses = await asyncio.gather(*(send() for _ in range(3)))
+        self.assertEqual([200] * 3, statuses)
+        await fakes.wait_until(lambda: len(self.bench.control.released) == 3)
+
+    async def test_control_down(self):
+        """Guards against refusals while the last state can serve."""
+        await self.bench.control.server.stop(None)
+        async with self.bench.post() as response:
+            self.assertEqual(200, response.status)
+
+    async def test_older_configuration(self):
+        """Guards against a return to an older revision."""
+        await self.publish(in_service=False)
+        self.bench.control.configuration = fakes.build_message(
+            fakes.build_configuration(revision=1)
+        )
+        self.bench.control.publish()
+        await asyncio.sleep(0.1)
+        self.assertFalse(self.bench.state.is_in_service())
+
+
+class ResumeTest(GatewayCase):
+    async def start_stream(self, count=2, **body):
+        """Read some tokens of a stream, leave, and return its handle."""
+        for engine in self.bench.engines.values():
+            engine.pause = 0.01
+        async with self.bench.post({"stream": True, **body}) as response:
+            handle = response.headers["Sesamefold-Handle"]
+            while count:
+                line = await response.content.readline()
+                count -= line.startswith(b"id: ")
+            request = response.headers["Sesamefold-Request"]
+            response.close()
+        return handle, request
+
+    async def test_caller_leaves(self):
+        """Guards against runs that nobody reads."""
+        _, request = await self.start_stream(max_tokens=1000)
+        cancelled = [e.cancelled for e in self.bench.engines.values()]
+        await fakes.wait_until(lambda: [request] in cancelled)
+        await fakes.wait_until(lambda: not +self.bench.state.in_flight)
+
+    async def test_resume_by_handle(self):
+        """Guards against gaps and foreign answers after a reconnect."""
+        handle, request = await self.start_stream()
+        for name, headers, code in (
+            ("other offset", {"Last-Event-ID": "2"}, None),
+            ("past the end", {"Last-Event-ID": "7"}, 1107),
+            ("no offset", {}, None),
+        ):
+            with self.subTest(name):
+                async with self.bench.post(
+                    {"stream": True},
+                    **{"Sesamefold-Resume": handle, **headers},
+                ) as response:
+                    if code:
+                        found, _ = await self.get_error(response)
+                        self.assertEqual(code, found)
+                        continue
+                    text = await response.text()
+                    first = int(headers.get("Last-Event-ID", "0")) + 1
+                    for index in range(1, 7):
+                        self.assertEqual(
+                            index >= first, f'"w{index} "' in text
+                        )
+                    self.assertIn("[DONE]", text)
+                    self.assertEqual(
+                        request, response.headers["Sesamefold-Request"]
+                    )
+        table = [
+            ("other customer", {}, "other", handle, 1108),
+            ("forged", {}, "acme", handle[:-2] + "xx", 1108),
+            ("not a handle", {}, "acme", "nonsense", 1108),
+            ("other body", {"max_tokens": 5}, "acme", handle, 1107),
+        ]
+        for name, body, customer, text, code in table:
+            with self.subTest(name):
+                async with self.bench.post(
+                    {"stream": True, **body},
+                    customer,
+                    Sesamefold_Resume=text,
+                ) as response:
+                    found, _ = await self.get_error(response)
+                    self.assertEqual(code, found)
+
+    async def test_resume_of_a_run_that_goes_on(self):
+        """Guards against a second run while the first still exists."""
+        handle, request = await self.start_stream()
+        for engine in self.bench.engines.values():
+            await fakes.wait_until(
+                lambda e=engine: not e.requests or e.cancelled
+            )
+            engine.cancelled.clear()
+        async with self.bench.post(
+            {"stream": True}, Sesamefold_Resume=handle, Last_Event_ID="2"
+        ) as response:
+            self.assertIn("w6 ", await response.text())
+        self.assertEqual(1, len(self.bench.sent))
+
+    async def test_answer_after_cancel(self):
+        """Guards against late events that reach another request."""
+        await self.start_stream()
+        async with self.bench.post({"max_tokens": 3}) as response:
+            body = await response.json()
+        self.assertEqual("w1 w2 w3 ", body["choices"][0]["text"])
+
+    async def test_both_servers_die(self):
+        """Guards against a silent end of a stream that is lost."""
+        for engine in self.bench.engines.values():
+            engine.faults = [fakes.Fault("die", 3)]
+        async with self.bench.post({"stream": True}) as response:
+            text = await response.text()
+        self.assertNotIn("[DONE]", text)
+        self.assertIn('"code": 1205', text)
+        self.assertIn('"executed": "unknown"', text)
+        await fakes.wait_until(
+            lambda: {"a", "b"} == set(self.bench.control.failures)
+        )
+
+    async def test_version_of_a_continued_run(self):
+        """Guards against a response of two weight versions."""
+        for engine in self.bench.engines.values():
+            engine.pause = 0.01
+            engine.faults = [fakes.Fault("die", 4)]
+        async with self.bench.post({"stream": True}) as response:
+            await response.content.readline()
+            await self.publish(model=configuration.Model("model-a", "v2", 4))
+            for backend in self.bench.control.backends.values():
+                backend.versions[:] = ["model-a@v2"]
+            self.bench.control.publish()
+            text = await response.text()
+        self.assertIn('"code": 1205', text)
+        self.assertEqual(1, len(self.bench.sent))
+
+
+class ShutdownTest(GatewayCase):
+    options = {"drain_delay": 0.2}
+
+    async def test_streams_finish(self):
+        """Guards against a shutdown that interrupts a stream."""
+        for engine in self.bench.engines.values():
+            engine.pause = 0.1
+        async with self.bench.post({"stream": True}) as response:
+            await response.content.readline()
+            self.bench.gateway.handle_signal()
+            async with self.bench.session.get("/readyz") as ready:
+                self.assertEqual(503, ready.status)
+            async with self.bench.post() as other:
+                # Still served during the delay.
+                self.assertEqual(200, other.status)
+            await asyncio.sleep(0.3)
+            with self.assertRaises(aiohttp.ClientConnectorError):
+                async with self.bench.session.get("/healthz"):
+                    pass
+            self.assertIn("[DONE]", await response.text())
+        await asyncio.wait_for(self.bench.gateway.stopping, 5)
+
+
+class ProcessTest(unittest.TestCase):
+    def test_signals(self):
+        """Guards against a drain that a second signal cannot end."""
+        program = (
+            "import sys; from sesamefold import gateway, settings;"
+            "sys.exit(gateway.run(settings.Settings('h', 'dc', '', '',"
+            " control_address='127.0.0.1:1', drain_delay=float(sys.argv[1]),"
+            " drain_time=1.0)))"
+        )
+        for signals, delay, code in ((1, "0.1", 0), (2, "60", 1)):
+            with self.subTest(signals=signals):
+                process = subprocess.Popen(
+                    [sys.executable, "-c", program, delay],
+                    stdout=subprocess.PIPE,
+                    stderr=subprocess.PIPE,
+                    env={**os.environ, "GRPC_VERBOSITY": "NONE"},
+                )
+                self.addCleanup(process.stderr.close)
+                self.addCleanup(process.stdout.close)
+                self.addCleanup(process.kill)
+                line = json.loads(process.stdout.readline())
+                self.assertIn("gateway_address", line)
+                for _ in range(signals):
+                    process.send_signal(signal.SIGTERM)
+                    time.sleep(0.2)
+                self.assertEqual(code, process.wait(10))
+                self.assertNotIn(b"Traceback", process.stderr.read())
+
+
+class ErrorTableTest(unittest.TestCase):
+    def test_codes_are_unique(self):
+        """Guards against two errors that callers cannot tell apart."""
+        pending = [exceptions.SesamefoldError]
+        codes = []
+        while pending:
+            cls = pending.pop()
+            codes.append(cls.__dict__.get("code"))
+            pending.extend(cls.__subclasses__())
+        codes = [code for code in codes if code is not None]
+        self.assertEqual(len(codes), len(set(codes)))
