Add key-value service and host list, adapters and stand-ins

Cause: control, gateway and command line need the platform's key-value service and host list, whose real protocols come later.

Writes use POST, because aiohttp sends GET, PUT and DELETE again when a kept connection closes without a response.

Conclusion: a lost answer to a write is reported as OutcomeUnknown, and an outage as PlatformUnavailable.

--- a/src/sesamefold/hostlist.py
+++ b/src/sesamefold/hostlist.py
@@ -2,9 +2,12 @@
 
 import typing as t
 
+import aiohttp
 import attrs
 
 from sesamefold import deadline as deadlines
+from sesamefold import exceptions
+from sesamefold import transport
 
 
 @attrs.frozen
@@ -46,3 +49,46 @@
         Returns None when revision `known` is still current. Raises
         `exceptions.PlatformUnavailable`.
         """
+
+
+class HttpHostList:
+    """Host list over HTTP: `GET /hosts?data_centre=D&known=N`.
+
+    The response is 204 when revision N is still current, otherwise JSON with
+    `revision` and `hosts`.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+
+    async def fetch(
+        self,
+        data_centre: str,
+        known: int,
+        deadline: deadlines.Deadline,
+    ) -> t.Optional[Listing]:
+        """Return the hosts, None when revision `known` is current."""
+        try:
+            async with self._session.get(
+                f"{self._url}/hosts",
+                params={"data_centre": data_centre, "known": str(known)},
+                timeout=transport.make_timeout(deadline),
+            ) as response:
+                if response.status == 204:
+                    return None
+                response.raise_for_status()
+                body = await response.json()
+                return Listing(
+                    int(body["revision"]),
+                    tuple(_decode(host) for host in body["hosts"]),
+                )
+        except transport.CALL_ERRORS as error:
+            raise exceptions.PlatformUnavailable(
+                f"host list: {transport.describe(error)}"
+            ) from error
+
+
+def _decode(host: t.Mapping[str, t.Any]) -> Host:
+    known = {field.name for field in attrs.fields(Host)}
+    return Host(**{key: host[key] for key in known & host.keys()})
--- a/src/sesamefold/keyvalue.py
+++ b/src/sesamefold/keyvalue.py
@@ -1,10 +1,19 @@
 """The platform's key-value service."""
 
+import base64
+import json
 import typing as t
+import urllib.parse
 
+import aiohttp
 import attrs
 
 from sesamefold import deadline as deadlines
+from sesamefold import exceptions
+from sesamefold import transport
+
+# Time for the response of a watch to arrive after its deadline, seconds.
+WATCH_MARGIN = 0.5
 
 
 @attrs.frozen
@@ -12,6 +21,7 @@
     """A value with its version.
 
     Versions of a key are 1, 2, 3 ...; 0 stands for a key that does not exist.
+    A key that was removed may start again at 1.
     """
 
     key: str
@@ -90,3 +100,172 @@
         self, lease: str, deadline: deadlines.Deadline
     ) -> None:
         """End a lease and remove its keys."""
+
+
+class HttpKeyValue:
+    """Key-value service over HTTP with JSON bodies, values in base64.
+
+    Writes use POST: aiohttp silently sends GET, PUT and DELETE again when a
+    kept connection closes without a response, and a write that took effect
+    would then be reported as a conflict.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+
+    async def get(
+        self, key: str, deadline: deadlines.Deadline
+    ) -> t.Optional[Entry]:
+        """Return the entry of `key`, None when it does not exist."""
+        status, body = await self._read(f"keys/{_quote(key)}", {}, deadline)
+        return None if status == 404 else _decode(body)
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        expected: t.Optional[int],
+        deadline: deadlines.Deadline,
+        lease: t.Optional[str] = None,
+    ) -> int:
+        """Write `value` and return the new version."""
+        status, body = await self._write(
+            f"keys/{_quote(key)}",
+            {
+                "value": base64.b64encode(value).decode(),
+                "expected": expected,
+                "lease": lease,
+            },
+            deadline,
+        )
+        _raise_conflict(status, body, key, expected)
+        return body["version"]
+
+    async def delete(
+        self,
+        key: str,
+        expected: t.Optional[int],
+        deadline: deadlines.Deadline,
+    ) -> None:
+        """Remove `key`."""
+        status, body = await self._write(
+            f"delete/{_quote(key)}", {"expected": expected}, deadline
+        )
+        _raise_conflict(status, body, key, expected)
+
+    async def list_keys(
+        self, prefix: str, deadline: deadlines.Deadline
+    ) -> t.List[str]:
+        """Return the keys that start with `prefix`, sorted."""
+        _, body = await self._read("keys", {"prefix": prefix}, deadline)
+        return body["keys"]
+
+    async def watch(
+        self, key: str, after: int, deadline: deadlines.Deadline
+    ) -> t.Optional[Entry]:
+        """Wait until the version of `key` differs from `after`."""
+        status, body = await self._read(
+            f"watch/{_quote(key)}",
+            {"after": str(after), "timeout": f"{deadline.remaining():.3f}"},
+            deadlines.Deadline(deadline.at + WATCH_MARGIN),
+        )
+        return None if status in (204, 404) else _decode(body)
+
+    async def grant_lease(
+        self, seconds: float, deadline: deadlines.Deadline
+    ) -> Lease:
+        """Return a new lease that lapses `seconds` from now."""
+        _, body = await self._write("leases", {"seconds": seconds}, deadline)
+        return _decode_lease(body)
+
+    async def renew_lease(
+        self, lease: str, deadline: deadlines.Deadline
+    ) -> Lease:
+        """Extend a lease."""
+        _, body = await self._write(f"leases/{lease}/renew", {}, deadline)
+        return _decode_lease(body)
+
+    async def revoke_lease(
+        self, lease: str, deadline: deadlines.Deadline
+    ) -> None:
+        """End a lease and remove its keys."""
+        await self._write(f"leases/{lease}/revoke", {}, deadline)
+
+    async def _read(
+        self,
+        path: str,
+        params: t.Mapping[str, str],
+        deadline: deadlines.Deadline,
+    ) -> t.Tuple[int, t.Any]:
+        try:
+            async with self._session.get(
+                f"{self._url}/{path}",
+                params=params,
+                timeout=transport.make_timeout(deadline),
+            ) as response:
+                if response.status in (204, 404):
+                    return response.status, None
+                response.raise_for_status()
+                return response.status, json.loads(await response.read())
+        except transport.CALL_ERRORS as error:
+            raise exceptions.PlatformUnavailable(
+                f"key-value service: {transport.describe(error)}"
+            ) from error
+
+    async def _write(
+        self,
+        path: str,
+        body: t.Mapping[str, t.Any],
+        deadline: deadlines.Deadline,
+    ) -> t.Tuple[int, t.Any]:
+        if deadline.has_passed():
+            raise exceptions.PlatformUnavailable(
+                "key-value service: the deadline has passed"
+            )
+        try:
+            async with self._session.post(
+                f"{self._url}/{path}",
+                json=body,
+                timeout=transport.make_timeout(deadline),
+            ) as response:
+                status = response.status
+                # A response without valid JSON comes from something else
+                # than the service, so it does not tell the outcome.
+                answer = json.loads(await response.read())
+        except transport.CALL_ERRORS as error:
+            message = f"key-value service: {transport.describe(error)}"
+            if transport.is_unsent(error):
+                raise exceptions.PlatformUnavailable(message) from error
+            raise exceptions.OutcomeUnknown(message) from error
+        if status == 410:
+            raise exceptions.LeaseExpired("the lease does not exist any more")
+        if status in (200, 409):
+            return status, answer
+        message = f"key-value service: status {status}, {answer}"
+        # The service defines 413 and 503 as refusals without effect.
+        if status in (413, 503):
+            raise exceptions.PlatformUnavailable(message)
+        raise exceptions.OutcomeUnknown(message)
+
+
+def _quote(key: str) -> str:
+    return urllib.parse.quote(key)
+
+
+def _decode(body: t.Mapping[str, t.Any]) -> Entry:
+    return Entry(body["key"], base64.b64decode(body["value"]), body["version"])
+
+
+def _decode_lease(body: t.Mapping[str, t.Any]) -> Lease:
+    return Lease(body["id"], deadlines.Deadline(body["expires_at"]))
+
+
+def _raise_conflict(
+    status: int,
+    body: t.Mapping[str, t.Any],
+    key: str,
+    expected: t.Optional[int],
+) -> None:
+    if status == 409:
+        raise exceptions.VersionConflict(key, expected or 0, body["version"])
--- /dev/null
+++ b/standins/server.py
@@ -0,0 +1,220 @@
+"""HTTP server, faults and options that all stand-ins share."""
+
+import asyncio
+import collections
+import json
+import signal
+import time
+import typing as t
+
+from aiohttp import web
+import attrs
+
+POLL_SECONDS = 0.02
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class RateLimit:
+    """Spaces units of work evenly over time; a rate of 0 is unlimited."""
+
+    def __init__(self, per_second: float) -> None:
+        self.per_second = per_second
+        self._free_at = 0.0
+
+    async def take(self, units: float = 1.0) -> None:
+        """Wait until `units` more units fit the rate."""
+        if not self.per_second:
+            return
+        now = time.monotonic()
+        self._free_at = max(now, self._free_at) + units / self.per_second
+        await asyncio.sleep(self._free_at - now)
+
+
+@attrs.define
+class Options:
+    """Options of a stand-in without any of its own."""
+
+
+class Server:
+    """A stand-in's HTTP server.
+
+    Each route has a name, which is the kind of call that `GET /counters`
+    counts. `POST /faults` takes a JSON object; each key names a method
+    `fault_<key>` that gets the value. The faults of all stand-ins are:
+
+    - `outage`: "503" answers all calls with status 503, "silent" never
+      answers, "" ends the outage.
+    - `delay`: seconds before each call takes effect.
+    - `lose_answers`: the next N calls of kinds in `writes` take effect, and
+      their connections are closed without an answer.
+    """
+
+    options_class: t.ClassVar[type] = Options
+    writes: t.ClassVar[t.FrozenSet[str]] = frozenset()
+
+    def __init__(self, options: t.Any = None) -> None:
+        self.options = options or self.options_class()
+        self.counters: t.Counter[str] = collections.Counter()
+        self.address = ""
+        self.outage = ""
+        self.delay = 0.0
+        self.lost_answers = 0
+        self._runner: t.Optional[web.AppRunner] = None
+        self._tasks: t.Set[asyncio.Task] = set()
+
+    @property
+    def url(self) -> str:
+        """The base URL, without a slash at the end."""
+        return f"http://{self.address}"
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Register the routes of the stand-in."""
+        raise NotImplementedError
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen and return the address as ip:port."""
+        app = web.Application(
+            middlewares=[self._inject], client_max_size=MAX_BODY_BYTES
+        )
+        app.router.add_post("/faults", self._post_faults)
+        app.router.add_get("/counters", self._get_counters)
+        self.add_routes(app.router)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, port)
+        await site.start()
+        bound = self._runner.addresses[0]
+        self.address = f"{bound[0]}:{bound[1]}"
+        return self.address
+
+    async def stop(self) -> None:
+        """Close all connections and stop listening."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.drop_connections()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def __aenter__(self) -> "t.Self":
+        await self.start()
+        return self
+
+    async def __aexit__(self, *exc_info: t.Any) -> None:
+        await self.stop()
+
+    def spawn(self, coroutine: t.Coroutine) -> asyncio.Task:
+        """Run a coroutine until it ends or the stand-in stops."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def drop_connections(
+        self, keep: t.Optional[asyncio.Transport] = None
+    ) -> None:
+        """Reset all connections but `keep`."""
+        server = self._runner.server if self._runner else None
+        for connection in server.connections if server else ():
+            transport = connection.transport
+            if transport is not None and transport is not keep:
+                transport.abort()
+
+    def inject(self, **faults: t.Any) -> None:
+        """Set faults as `POST /faults` does; raises ValueError."""
+        for name, value in faults.items():
+            method = getattr(self, f"fault_{name}", None)
+            if method is None:
+                raise ValueError(f"unknown fault {name!r}")
+            method(value)
+
+    def fault_outage(self, value: str) -> None:
+        """Start or end an outage."""
+        self.outage = value
+
+    def fault_delay(self, value: float) -> None:
+        """Set the delay of every call."""
+        self.delay = value
+
+    def fault_lose_answers(self, value: int) -> None:
+        """Lose the answers of the next `value` writes."""
+        self.lost_answers = value
+
+    async def _post_faults(self, request: web.Request) -> web.Response:
+        try:
+            self.inject(**await request.json())
+        except ValueError as error:
+            return refuse(400, str(error))
+        return web.json_response({})
+
+    async def _get_counters(self, request: web.Request) -> web.Response:
+        return web.json_response(dict(self.counters))
+
+    async def break_off(self, request: web.Request) -> web.Response:
+        """Reset the connection of a request."""
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response()
+
+    async def check_outage(
+        self, request: web.Request
+    ) -> t.Optional[web.Response]:
+        """Return how an outage answers, None when there is none.
+
+        A silent outage holds the call until it ends, and then resets the
+        connection.
+        """
+        if self.outage == "503":
+            return refuse(503, "outage")
+        if self.outage != "silent":
+            return None
+        while self.outage == "silent" and request.transport is not None:
+            await asyncio.sleep(POLL_SECONDS)
+        return await self.break_off(request)
+
+    @web.middleware
+    async def _inject(
+        self, request: web.Request, handler: t.Any
+    ) -> web.StreamResponse:
+        kind = request.match_info.route.name
+        if kind is None:
+            return await handler(request)
+        self.counters[kind] += 1
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        refused = await self.check_outage(request)
+        if refused is not None:
+            return refused
+        response = await handler(request)
+        if kind in self.writes and self.lost_answers > 0:
+            self.lost_answers -= 1
+            return await self.break_off(request)
+        return response
+
+
+def refuse(
+    status: int, message: str, executed: str = "", **details: t.Any
+) -> web.Response:
+    """Return an error response.
+
+    `executed` "no" defines the refusal as before execution.
+    """
+    return web.json_response(
+        {"error": message, **details},
+        status=status,
+        headers={"Sesamefold-Executed": executed} if executed else None,
+    )
+
+
+async def run(server: Server, host: str, port: int) -> None:
+    """Serve until SIGTERM or SIGINT; print the address once listening."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await server.start(host, port)
+    print(json.dumps({"address": server.address}), flush=True)
+    await stopped.wait()
+    await server.stop()
