Let delayed calls of stand-ins take effect after a timeout

Cause: a call whose caller closed the connection during the injected delay failed with a reset connection and had no effect.

Change: stand-ins read the body before the delay.

Conclusion: the test of late writes passes.

--- a/standins/server.py
+++ b/standins/server.py
@@ -182,6 +182,9 @@
         if kind is None:
             return await handler(request)
         self.counters[kind] += 1
+        # Read first, so that a call takes effect although its caller closes
+        # the connection during the delay.
+        await request.read()
         if self.delay:
             await asyncio.sleep(self.delay)
         refused = await self.check_outage(request)
