Add engine and store adapters and the engine stand-in

Cause: gateway and control need engines that cache prefixes, stream, resume, follow orders and crash in cold start, and answers whose correctness a test can check.

Conclusion: an answer can be checked token by token with compute_token. The store adapter has no stand-in yet.

--- a/src/sesamefold/engines.py
+++ b/src/sesamefold/engines.py
@@ -1,10 +1,19 @@
 """Model engines as the gateway and the control see them."""
 
+import asyncio
+import contextlib
+import json
 import typing as t
 
+import aiohttp
 import attrs
 
 from sesamefold import deadline as deadlines
+from sesamefold import exceptions
+from sesamefold import transport
+
+# Time that closing a stream may take to cancel its run, seconds.
+CANCEL_SECONDS = 1.0
 
 
 @attrs.frozen
@@ -148,3 +157,241 @@
 
     async def fetch_order(self, deadline: deadlines.Deadline) -> Order:
         """Return the order that the engine follows."""
+
+
+class HttpEngine:
+    """Engine over HTTP; docs/design.md section 5 lists the calls.
+
+    Streams are server-sent events whose data is a JSON object. A stream that
+    is silent for `idle_seconds` fails; engines send comment lines while a
+    run is queued or in prefill. 0 disables the limit.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        idle_seconds: float = 0.0,
+    ) -> None:
+        self._session = session
+        self.address = address
+        self._idle_seconds = idle_seconds
+
+    async def complete(
+        self, request: CompletionRequest
+    ) -> t.AsyncIterator[TokenEvent]:
+        """Run a prompt and yield its events; closing the iterator cancels."""
+        body = {**attrs.asdict(request), "deadline": request.deadline.at}
+        ended = False
+        try:
+            async with contextlib.aclosing(
+                self._stream(
+                    "POST", "v1/completions", request.deadline, json=body
+                )
+            ) as events:
+                async for event in events:
+                    ended = event.kind == "finished"
+                    yield event
+        except (GeneratorExit, asyncio.CancelledError):
+            if not ended:
+                with contextlib.suppress(exceptions.SesamefoldError):
+                    await self.cancel(
+                        request.request_id,
+                        deadlines.Deadline.after(CANCEL_SECONDS),
+                    )
+            raise
+
+    async def resume(
+        self,
+        request_id: str,
+        offset: int,
+        deadline: deadlines.Deadline,
+    ) -> t.AsyncIterator[TokenEvent]:
+        """Yield the events of a run after `offset`.
+
+        Closing the iterator does not cancel the run.
+        """
+        async with contextlib.aclosing(
+            self._stream(
+                "GET",
+                f"v1/requests/{request_id}",
+                deadline,
+                params={"offset": str(offset)},
+            )
+        ) as events:
+            async for event in events:
+                yield event
+
+    async def cancel(
+        self, request_id: str, deadline: deadlines.Deadline
+    ) -> None:
+        """Cancel a run; unknown runs are ignored."""
+        await self._call(
+            "DELETE", f"v1/requests/{request_id}", deadline, missing_ok=True
+        )
+
+    async def fetch_load(self, deadline: deadlines.Deadline) -> Load:
+        """Return the latest load report."""
+        return await self._call(
+            "GET", "load", deadline, decode=lambda body: _build(Load, body)
+        )
+
+    async def fetch_events(
+        self, after: int, deadline: deadlines.Deadline
+    ) -> t.List[CacheEvent]:
+        """Return cache events after a sequence number; gaps are possible.
+
+        Sequence numbers at or below `after` show that the engine restarted.
+        """
+        return await self._call(
+            "GET",
+            "events",
+            deadline,
+            decode=lambda body: [
+                _build(CacheEvent, event) for event in body["events"]
+            ],
+            params={"after": str(after)},
+        )
+
+    async def list_blocks(self, deadline: deadlines.Deadline) -> t.List[str]:
+        """Return the names of the blocks that the engine holds."""
+        return await self._call(
+            "GET", "blocks", deadline, decode=lambda body: body["blocks"]
+        )
+
+    async def export_blocks(
+        self,
+        blocks: t.Sequence[str],
+        store: str,
+        deadline: deadlines.Deadline,
+    ) -> t.List[ImportBlock]:
+        """Copy blocks to a store; returns the sealed entries."""
+        return await self._call(
+            "POST",
+            "context/export",
+            deadline,
+            decode=lambda body: [
+                _build(ImportBlock, entry) for entry in body["entries"]
+            ],
+            json={
+                "blocks": list(blocks),
+                "store": store,
+                "deadline": deadline.at,
+            },
+        )
+
+    async def send_order(
+        self, order: Order, deadline: deadlines.Deadline
+    ) -> None:
+        """Send the desired state; raises `exceptions.FencingRefused`."""
+        await self._call("POST", "orders", deadline, json=attrs.asdict(order))
+
+    async def fetch_order(self, deadline: deadlines.Deadline) -> Order:
+        """Return the order that the engine follows."""
+        return await self._call(
+            "GET", "orders", deadline, decode=lambda body: _build(Order, body)
+        )
+
+    async def _stream(
+        self,
+        method: str,
+        path: str,
+        deadline: deadlines.Deadline,
+        **options: t.Any,
+    ) -> t.AsyncIterator[TokenEvent]:
+        self._check_deadline(deadline)
+        try:
+            async with self._session.request(
+                method,
+                f"http://{self.address}/{path}",
+                timeout=transport.make_timeout(deadline, self._idle_seconds),
+                **options,
+            ) as response:
+                if method == "GET" and response.status == 404:
+                    # The run may have been executed and forgotten.
+                    raise exceptions.BackendRefused(
+                        f"engine {self.address} has no such run",
+                        executed=exceptions.UNKNOWN,
+                    )
+                await self._check(response)
+                async for line in response.content:
+                    if not line.startswith(b"data:"):
+                        continue
+                    event = self._decode(json.loads(line[len(b"data:") :]))
+                    yield event
+                    if event.kind == "finished":
+                        return
+        except transport.CALL_ERRORS as error:
+            raise self._wrap(error) from error
+        raise exceptions.BackendFailed(
+            f"engine {self.address}: the stream ended early"
+        )
+
+    def _decode(self, body: t.Mapping[str, t.Any]) -> TokenEvent:
+        if body["kind"] != "error":
+            return _build(TokenEvent, body)
+        message = f"engine {self.address}: {body['error']}"
+        if body["error"] == "not_admitted":
+            raise exceptions.BackendRefused(message)
+        raise exceptions.BackendFailed(message)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        deadline: deadlines.Deadline,
+        decode: t.Callable[[t.Any], t.Any] = lambda body: None,
+        missing_ok: bool = False,
+        **options: t.Any,
+    ) -> t.Any:
+        self._check_deadline(deadline)
+        try:
+            async with self._session.request(
+                method,
+                f"http://{self.address}/{path}",
+                timeout=transport.make_timeout(deadline),
+                **options,
+            ) as response:
+                if missing_ok and response.status == 404:
+                    return None
+                await self._check(response)
+                return decode(await response.json())
+        except transport.CALL_ERRORS as error:
+            raise self._wrap(error) from error
+
+    def _check_deadline(self, deadline: deadlines.Deadline) -> None:
+        if deadline.has_passed():
+            raise exceptions.BackendUnreachable(
+                f"engine {self.address}: the deadline has passed"
+            )
+
+    async def _check(self, response: aiohttp.ClientResponse) -> None:
+        if response.status == 200:
+            return
+        reason = (await transport.read_error(response)).get("error")
+        message = f"engine {self.address}: status {response.status}, {reason}"
+        if (
+            response.status in (429, 503)
+            and response.headers.get("Sesamefold-Executed") == "no"
+        ):
+            raise exceptions.BackendRefused(message)
+        if response.status == 409 and reason == "fencing":
+            raise exceptions.FencingRefused(message)
+        raise exceptions.BackendFailed(message)
+
+    def _wrap(self, error: BaseException) -> exceptions.RoutingError:
+        message = f"engine {self.address}: {transport.describe(error)}"
+        if transport.is_unsent(error):
+            return exceptions.BackendUnreachable(message)
+        return exceptions.BackendFailed(message)
+
+
+def _build(cls: type, body: t.Mapping[str, t.Any]) -> t.Any:
+    """Return an attrs object; fields that are not known are ignored."""
+    known = {field.name for field in attrs.fields(cls)} & body.keys()
+    return cls(
+        **{
+            key: tuple(body[key]) if isinstance(body[key], list) else body[key]
+            for key in known
+        }
+    )
--- a/src/sesamefold/stores.py
+++ b/src/sesamefold/stores.py
@@ -1,10 +1,17 @@
 """Store hosts that keep exported blocks in memory and on disk."""
 
+import hashlib
 import typing as t
 
+import aiohttp
 import attrs
 
 from sesamefold import deadline as deadlines
+from sesamefold import exceptions
+from sesamefold import transport
+
+# Bytes of one part of a write; a lost part costs at most this much again.
+PART_BYTES = 256 * 1024
 
 
 @attrs.frozen
@@ -46,3 +53,128 @@
         self, block: str, deadline: deadlines.Deadline
     ) -> None:
         """Remove a block; its generation stays unusable."""
+
+
+class HttpBlockStore:
+    """Store host over HTTP.
+
+    `POST /blocks/{block}/begin` returns a new generation, `POST
+    /blocks/{block}/{generation}/parts?offset=N` appends bytes, and `POST
+    /blocks/{block}/{generation}/seal` with length and SHA-256 makes the block
+    readable. `GET /blocks/{block}` returns the bytes, with generation and
+    tier in headers.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self.url = url.rstrip("/")
+
+    async def list_blocks(
+        self, after: str, deadline: deadlines.Deadline
+    ) -> t.List[StoredBlock]:
+        """Return up to 1,000 sealed entries with names after `after`."""
+        body = await self._call("GET", "blocks", deadline, {"after": after})
+        try:
+            return [StoredBlock(**entry) for entry in body["entries"]]
+        except (KeyError, TypeError) as error:
+            raise exceptions.StoreUnavailable(
+                f"store {self.url}: malformed list"
+            ) from error
+
+    async def read_block(
+        self, entry: StoredBlock, deadline: deadlines.Deadline
+    ) -> bytes:
+        """Return the verified bytes of an entry."""
+        data, _ = await self.read_block_and_tier(entry, deadline)
+        return data
+
+    async def read_block_and_tier(
+        self, entry: StoredBlock, deadline: deadlines.Deadline
+    ) -> t.Tuple[bytes, str]:
+        """Return the verified bytes of an entry, and the tier they were in."""
+        try:
+            async with self._session.get(
+                f"{self.url}/blocks/{entry.block}",
+                params={"generation": entry.generation},
+                timeout=transport.make_timeout(deadline),
+            ) as response:
+                if response.status in (404, 410):
+                    raise exceptions.BlockInvalid(
+                        f"block {entry.block}: generation "
+                        f"{entry.generation} does not exist"
+                    )
+                response.raise_for_status()
+                data = await response.read()
+                headers = response.headers
+        except transport.CALL_ERRORS as error:
+            raise self._wrap(error) from error
+        checks = {
+            "name": headers.get("Block") == entry.block,
+            "generation": headers.get("Generation") == entry.generation,
+            "length": len(data) == entry.length,
+            "SHA-256": hashlib.sha256(data).hexdigest() == entry.sha256,
+        }
+        wrong = [name for name, passed in checks.items() if not passed]
+        if wrong:
+            raise exceptions.BlockInvalid(
+                f"block {entry.block}: {', '.join(wrong)} differ"
+            )
+        return data, headers.get("Tier", "")
+
+    async def write_block(
+        self, block: str, data: bytes, deadline: deadlines.Deadline
+    ) -> StoredBlock:
+        """Write and seal a block under a new generation."""
+        body = await self._call("POST", f"blocks/{block}/begin", deadline)
+        generation = body.get("generation", "")
+        path = f"blocks/{block}/{generation}"
+        for offset in range(0, len(data), PART_BYTES):
+            await self._call(
+                "POST",
+                f"{path}/parts",
+                deadline,
+                {"offset": str(offset)},
+                data=data[offset : offset + PART_BYTES],
+            )
+        sha256 = hashlib.sha256(data).hexdigest()
+        body = await self._call(
+            "POST",
+            f"{path}/seal",
+            deadline,
+            json={"length": len(data), "sha256": sha256},
+        )
+        return StoredBlock(
+            block, generation, len(data), sha256, body.get("tier", "")
+        )
+
+    async def remove_block(
+        self, block: str, deadline: deadlines.Deadline
+    ) -> None:
+        """Remove a block; its generation stays unusable."""
+        await self._call("POST", f"blocks/{block}/remove", deadline)
+
+    def _wrap(self, error: BaseException) -> exceptions.StoreUnavailable:
+        return exceptions.StoreUnavailable(
+            f"store {self.url}: {transport.describe(error)}"
+        )
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        deadline: deadlines.Deadline,
+        params: t.Optional[t.Mapping[str, str]] = None,
+        **body: t.Any,
+    ) -> t.Dict[str, t.Any]:
+        try:
+            async with self._session.request(
+                method,
+                f"{self.url}/{path}",
+                params=params,
+                timeout=transport.make_timeout(deadline),
+                **body,
+            ) as response:
+                response.raise_for_status()
+                return await response.json()
+        except transport.CALL_ERRORS as error:
+            raise self._wrap(error) from error
--- a/src/sesamefold/transport.py
+++ b/src/sesamefold/transport.py
@@ -22,12 +22,20 @@
 )
 
 
-def make_timeout(deadline: deadlines.Deadline) -> aiohttp.ClientTimeout:
-    """Return the timeout of a call that must end by `deadline`."""
+def make_timeout(
+    deadline: deadlines.Deadline, idle_seconds: float = 0.0
+) -> aiohttp.ClientTimeout:
+    """Return the timeout of a call that must end by `deadline`.
+
+    The call also fails when no byte arrives for `idle_seconds`; 0 disables
+    this limit.
+    """
     # A total of 0 would mean no timeout to aiohttp.
     remaining = max(deadline.remaining(), 0.001)
     return aiohttp.ClientTimeout(
-        total=remaining, connect=remaining * CONNECT_SHARE
+        total=remaining,
+        connect=remaining * CONNECT_SHARE,
+        sock_read=idle_seconds or None,
     )
 
 
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -13,6 +13,7 @@
 CLASSES = {
     "keyvalue": "KeyValueServer",
     "hostlist": "HostListServer",
+    "engine": "EngineServer",
 }
 
 
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,880 @@
+"""Stand-in of a model engine."""
+
+import asyncio
+import collections
+import functools
+import hashlib
+import heapq
+import itertools
+import json
+import time
+import typing as t
+import uuid
+
+import aiohttp
+from aiohttp import web
+import attrs
+
+from sesamefold import blocks
+from sesamefold import deadline as deadlines
+from sesamefold import exceptions
+from sesamefold import stores
+from standins import server
+
+EVENTS_PER_CALL = 1000
+# Pause before the weights are fetched again after a failure, seconds.
+WEIGHTS_RETRY_SECONDS = 0.2
+IMPORT_SECONDS = 30.0
+
+
+@attrs.define
+class Options:
+    """Options of an engine; times are in seconds.
+
+    `versions` are the weight versions of `model` that are loaded at the
+    start and after a crash. `limit` is the number of requests that run at
+    once; further ones wait. A cold engine crashes when it gets more than
+    `cold_limit` requests at once, and becomes warm after `warm_up`. Weights
+    are fetched from the URL `weights`, or take `load_seconds` without one.
+    Every `lose_event_every`th cache event is lost; 0 loses none. Exported
+    blocks have at least `block_bytes` bytes.
+    """
+
+    model: str = "drafting-7b"
+    versions: t.Tuple[str, ...] = ("v1",)
+    block_tokens: int = 1000
+    block_bytes: int = 0
+    prefill_seconds: float = 0.0  # per token
+    token_seconds: float = 0.0  # per token
+    memory_blocks: int = 64
+    limit: int = 16
+    queue_limit: int = 64
+    cold_limit: int = 2
+    warm_up: float = 0.0
+    restart_seconds: float = 0.0
+    load_lag: float = 0.0
+    event_lag: float = 0.0
+    lose_event_every: int = 0
+    kept_events: int = 1000
+    kept_runs: int = 1000
+    keep_alive: float = 1.0
+    checks_fencing: bool = True
+    load_seconds: float = 0.0
+    weights: str = ""
+    verifies_imports: bool = True
+    crash_words: t.Tuple[str, ...] = ()
+
+
+class Context:
+    """The content that the tokens of a run depend on.
+
+    The digest does not depend on how the content is split into blocks.
+    """
+
+    def __init__(self) -> None:
+        self._hash = hashlib.sha256()
+        self._identity: t.Tuple[str, ...] = ()
+
+    def add(
+        self,
+        salt: str,
+        model: str,
+        version: str,
+        tokens: t.Sequence[str],
+        before: t.Optional[str] = None,
+    ) -> None:
+        """Append tokens that were computed for a customer and version.
+
+        `before` is the digest of the context that they were computed after.
+        """
+        if before not in (None, self.digest()):
+            self._hash.update(f"\1after {before}\0".encode())
+        if self._identity != (salt, model, version):
+            self._identity = (salt, model, version)
+            self._hash.update(f"\1{salt}\0{model}\0{version}\0".encode())
+        self._hash.update("".join(f"{token}\0" for token in tokens).encode())
+
+    def digest(self) -> str:
+        """Return the SHA-256 of the content, in hex."""
+        return self._hash.hexdigest()
+
+    def compute_token(self, position: int) -> str:
+        """Return the token of the answer at a position, from 1 on."""
+        text = f"{self.digest()}\0{position}"
+        return " " + hashlib.sha256(text.encode()).hexdigest()[:8]
+
+
+@functools.lru_cache(maxsize=64)
+def _read_prompt(salt: str, model: str, version: str, prompt: str) -> Context:
+    context = Context()
+    context.add(salt, model, version, blocks.split_tokens(prompt))
+    return context
+
+
+def compute_token(
+    salt: str, model: str, version: str, prompt: str, position: int
+) -> str:
+    """Return the right token of an answer.
+
+    `position` is the offset of the token's event, so the first is 1. Tokens
+    start with a space; a text of tokens splits into them again.
+    """
+    return _read_prompt(salt, model, version, prompt).compute_token(position)
+
+
+@attrs.frozen
+class Content:
+    """What a cached block holds."""
+
+    salt: str
+    model: str
+    version: str
+    tokens: t.Tuple[str, ...]
+    before: str  # digest of the context before the block
+
+    def encode(self, length: int = 0) -> bytes:
+        """Return the content as JSON, padded to at least `length` bytes."""
+        return json.dumps(attrs.asdict(self)).encode().ljust(length)
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Content":
+        """Return the content from the bytes that `encode` returned."""
+        body = json.loads(data)
+        return cls(**{**body, "tokens": tuple(body["tokens"])})
+
+    def add_to(self, context: Context) -> None:
+        """Append the block to a context."""
+        context.add(
+            self.salt, self.model, self.version, self.tokens, self.before
+        )
+
+
+@attrs.define(eq=False)
+class Run:
+    """A request from its admission to the end of its answer."""
+
+    body: t.Mapping[str, t.Any]
+    task: t.Optional[asyncio.Task] = None
+    started: t.Optional[t.Dict[str, int]] = None
+    tokens: t.List[str] = attrs.field(factory=list)
+    finish_reason: str = ""
+    error: str = ""
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def request_id(self) -> str:
+        """The id that the caller gave the request."""
+        return self.body["request_id"]
+
+    @property
+    def version(self) -> str:
+        """The weight version that the request asks for."""
+        return self.body["weight_version"]
+
+    @property
+    def ended(self) -> bool:
+        """Whether no further token will follow."""
+        return bool(self.finish_reason or self.error)
+
+    def notify(self) -> None:
+        """Wake the streams that wait for a change."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def end(self, finish_reason: str = "", error: str = "") -> None:
+        """End the run unless it has ended."""
+        if not self.ended:
+            self.finish_reason, self.error = finish_reason, error
+            self.notify()
+
+
+class EngineServer(server.Server):
+    """An engine whose answers depend on the blocks that it really used.
+
+    A request whose `request_id` is known gets the stream of the existing
+    run; a run goes on when its connection breaks. `max_tokens` counts all
+    tokens of the answer, also those in `output`. Higher priorities run
+    first. A crash loses runs, blocks, orders and loaded versions, and cache
+    events start again at sequence number 1.
+
+    Further faults:
+
+    - `crash`: crash now. `cold`: true empties the cache and turns cold
+      without a restart, false turns warm.
+    - `leaving`: the load report says so; new runs are still accepted, and
+      counted as `runs_leaving`.
+    - `refuse`: the next N completions are refused with status 429 before
+      execution. `fail`: the next N get status 500.
+    - `stream`: {"kind": K, "after": A, "count": N} acts on the next N
+      streams after A token events. K is "break" (reset), "stall" (nothing
+      more is sent), "other_id" (events of another request), "wrong_version",
+      "repeat" (the event is sent twice) or "skip" (the event is missing).
+    - `skip_events`, `repeat_events`: the next N cache events.
+    - `hide_load`: load reports get status 500 while true.
+    - `load_lag`, `event_lag`, `prefill_seconds`, `token_seconds`,
+      `crash_words`: as the options.
+    """
+
+    options_class = Options
+    writes = frozenset(("order", "export", "cancel"))
+
+    def __init__(self, options: t.Optional[Options] = None) -> None:
+        super().__init__(options)
+        self.runs: t.Dict[str, Run] = {}
+        self.cache: t.Dict[str, Content] = {}
+        self.leaving = False
+        self.refusals = 0
+        self.failures = 0
+        self.skipped_events = 0
+        self.repeated_events = 0
+        self.load_hidden = False
+        self._stream_faults: t.Deque[t.Dict[str, t.Any]] = collections.deque()
+        self._numbers = itertools.count()
+        self._down_until = 0.0
+        self._warming: t.Optional[asyncio.Task] = None
+        self._loading: t.Optional[asyncio.Task] = None
+        self._session: t.Optional[aiohttp.ClientSession] = None
+        self._reset()
+
+    def _reset(self) -> None:
+        self.epoch = uuid.uuid4().hex
+        self.cold = self.options.warm_up > 0
+        self.role = "serve"
+        self.versions = {
+            f"{self.options.model}@{version}"
+            for version in self.options.versions
+        }
+        self.order: t.Dict[str, t.Any] = {
+            "revision": 0,
+            "fencing": 0,
+            "versions": sorted(self.versions),
+            "role": self.role,
+        }
+        self.runs.clear()
+        self.cache.clear()
+        self._running: t.Set[Run] = set()
+        self._queue: t.List[t.Tuple[int, int, Run]] = []
+        self._sequence = 0
+        self._events: t.Deque[t.Tuple[float, t.Dict[str, t.Any]]] = (
+            collections.deque(maxlen=self.options.kept_events)
+        )
+        self._reports: t.Deque[t.Tuple[float, t.Dict[str, t.Any]]] = (
+            collections.deque()
+        )
+        self._report_load()
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Register the routes."""
+        router.add_post("/v1/completions", self._complete, name="complete")
+        router.add_get("/v1/requests/{id}", self._resume, name="resume")
+        router.add_delete("/v1/requests/{id}", self._cancel, name="cancel")
+        router.add_get("/load", self._get_load, name="load")
+        router.add_get("/events", self._get_events, name="events")
+        router.add_get("/blocks", self._list_blocks, name="blocks")
+        router.add_post("/context/export", self._export, name="export")
+        router.add_post("/orders", self._post_order, name="order")
+        router.add_get("/orders", self._get_order, name="get_order")
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen and begin to warm up."""
+        self._session = aiohttp.ClientSession()
+        address = await super().start(host, port)
+        self._warm_up()
+        return address
+
+    async def stop(self) -> None:
+        """End all runs and close all connections."""
+        await super().stop()
+        if self._session is not None:
+            await self._session.close()
+
+    async def check_outage(
+        self, request: web.Request
+    ) -> t.Optional[web.Response]:
+        """Reset connections while the engine restarts after a crash."""
+        if time.monotonic() < self._down_until:
+            return await self.break_off(request)
+        return await super().check_outage(request)
+
+    # Faults
+
+    def fault_crash(self, value: bool) -> None:
+        """Crash now."""
+        if value:
+            self.crash()
+
+    def fault_cold(self, value: bool) -> None:
+        """Turn cold, or warm, without a restart."""
+        if value:
+            for block in list(self.cache):
+                self._free(block)
+        self._set_cold(value)
+        if value:
+            self._warm_up()
+
+    def fault_leaving(self, value: bool) -> None:
+        """Announce that the engine leaves."""
+        self.leaving = value
+        self._report_load()
+
+    def fault_refuse(self, value: int) -> None:
+        """Refuse the next completions before execution."""
+        self.refusals = value
+
+    def fault_fail(self, value: int) -> None:
+        """Answer the next completions with status 500."""
+        self.failures = value
+
+    def fault_stream(self, value: t.Mapping[str, t.Any]) -> None:
+        """Disturb the next streams."""
+        if value["kind"] not in STREAM_FAULTS:
+            raise ValueError(f"unknown stream fault {value['kind']!r}")
+        fault = {"kind": value["kind"], "after": value.get("after", 0)}
+        self._stream_faults.extend([fault] * value.get("count", 1))
+
+    def fault_skip_events(self, value: int) -> None:
+        """Lose the next cache events."""
+        self.skipped_events = value
+
+    def fault_repeat_events(self, value: int) -> None:
+        """Publish the next cache events twice."""
+        self.repeated_events = value
+
+    def fault_hide_load(self, value: bool) -> None:
+        """Answer load requests with an error."""
+        self.load_hidden = value
+
+    def fault_load_lag(self, value: float) -> None:
+        """Set the lag of load reports."""
+        self.options.load_lag = value
+
+    def fault_event_lag(self, value: float) -> None:
+        """Set the lag of later cache events."""
+        self.options.event_lag = value
+
+    def fault_prefill_seconds(self, value: float) -> None:
+        """Set the prefill time of a token."""
+        self.options.prefill_seconds = value
+
+    def fault_token_seconds(self, value: float) -> None:
+        """Set the time of a token of the answer."""
+        self.options.token_seconds = value
+
+    def fault_crash_words(self, value: t.Sequence[str]) -> None:
+        """Crash on prompts that contain one of the words."""
+        self.options.crash_words = tuple(value)
+
+    def crash(self) -> None:
+        """Drop all connections and start again cold and empty."""
+        self.counters["crashes"] += 1
+        for run in self.runs.values():
+            if run.task is not None:
+                run.task.cancel()
+            run.end(error="crash")
+        if self._loading is not None:
+            self._loading.cancel()
+        self._down_until = time.monotonic() + self.options.restart_seconds
+        self._reset()
+        self._warm_up()
+        self.drop_connections()
+
+    # Load
+
+    def _set_cold(self, cold: bool) -> None:
+        self.cold = cold
+        self._report_load()
+
+    def _warm_up(self) -> None:
+        if self._warming is not None:
+            self._warming.cancel()
+            self._warming = None
+        if self.cold and self.options.warm_up:
+            self._warming = self.spawn(self._become_warm())
+
+    async def _become_warm(self) -> None:
+        await asyncio.sleep(self.options.warm_up)
+        self._set_cold(False)
+
+    def _report_load(self) -> None:
+        report = {
+            "epoch": self.epoch,
+            "cold": self.cold,
+            "leaving": self.leaving,
+            "running": len(self._running),
+            "queued": len(self._queue),
+            "limit": (
+                self.options.cold_limit if self.cold else self.options.limit
+            ),
+            "versions": sorted(self.versions),
+            "role": self.role,
+        }
+        self._reports.append((time.time(), report))
+
+    async def _get_load(self, request: web.Request) -> web.Response:
+        if self.load_hidden:
+            return server.refuse(500, "no load report")
+        as_of = time.time() - self.options.load_lag
+        while len(self._reports) > 1 and self._reports[1][0] <= as_of:
+            self._reports.popleft()
+        at, report = self._reports[0]
+        return web.json_response({**report, "measured_at": max(at, as_of)})
+
+    # Cache
+
+    def _publish(self, kind: str, block: str) -> None:
+        self._sequence += 1
+        every = self.options.lose_event_every
+        if self.skipped_events > 0:
+            self.skipped_events -= 1
+            return
+        if every and self._sequence % every == 0:
+            return
+        event = {"sequence": self._sequence, "kind": kind, "block": block}
+        entry = (time.monotonic() + self.options.event_lag, event)
+        self._events.append(entry)
+        if self.repeated_events > 0:
+            self.repeated_events -= 1
+            self._events.append(entry)
+
+    def _use(self, block: str) -> t.Optional[Content]:
+        content = self.cache.pop(block, None)
+        if content is not None:
+            self.cache[block] = content
+        return content
+
+    def _store(self, block: str, content: Content) -> None:
+        if self.options.memory_blocks <= 0 or self._use(block) is not None:
+            return
+        while len(self.cache) >= self.options.memory_blocks:
+            self._free(next(iter(self.cache)))
+        self.cache[block] = content
+        self._publish("stored", block)
+
+    def _free(self, block: str) -> None:
+        del self.cache[block]
+        self._publish("freed", block)
+
+    async def _get_events(self, request: web.Request) -> web.Response:
+        after = int(request.query.get("after", 0))
+        # A number beyond the last one is from before a restart.
+        after = 0 if after > self._sequence else after
+        now = time.monotonic()
+        shown = itertools.takewhile(lambda e: e[0] <= now, self._events)
+        events = [e for _, e in shown if e["sequence"] > after]
+        return web.json_response({"events": events[:EVENTS_PER_CALL]})
+
+    async def _list_blocks(self, request: web.Request) -> web.Response:
+        return web.json_response({"blocks": list(self.cache)})
+
+    async def _export(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        store = stores.HttpBlockStore(self._session, body["store"])
+        entries = []
+        for block in body["blocks"]:
+            content = self._use(block)
+            if content is None:
+                continue
+            data = content.encode(self.options.block_bytes)
+            try:
+                entry = await store.write_block(
+                    block, data, deadlines.Deadline(body["deadline"])
+                )
+            except exceptions.StoreUnavailable:
+                self.counters["exports_failed"] += 1
+                break
+            self.counters["bytes_exported"] += len(data)
+            entries.append(
+                {
+                    "block": block,
+                    "store": body["store"],
+                    "generation": entry.generation,
+                    "length": entry.length,
+                    "sha256": entry.sha256,
+                }
+            )
+        return web.json_response({"entries": entries})
+
+    # Runs
+
+    def _refuse(self, status: int, reason: str) -> web.Response:
+        self.counters["refused"] += 1
+        return server.refuse(status, reason, executed="no")
+
+    def _check_request(
+        self, body: t.Mapping[str, t.Any]
+    ) -> t.Optional[web.Response]:
+        if self.refusals > 0:
+            self.refusals -= 1
+            return self._refuse(429, "refused")
+        if self.failures > 0:
+            self.failures -= 1
+            return server.refuse(500, "failed")
+        if self.role != "serve":
+            return self._refuse(503, f"role is {self.role}")
+        if f"{body['model']}@{body['weight_version']}" not in self.versions:
+            return self._refuse(503, "version is not loaded")
+        if len(self._queue) >= self.options.queue_limit:
+            return self._refuse(503, "queue is full")
+        return None
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        offset = body.get("offset", 0)
+        known = self.runs.get(body["request_id"])
+        if known is not None and not known.error:
+            same = ("prompt", "cache_salt", "model", "weight_version")
+            if any(known.body[key] != body[key] for key in same):
+                return server.refuse(409, "request id is in use")
+            return await self._stream(request, known, offset)
+        refused = self._check_request(body)
+        if refused is not None:
+            return refused
+        active = len(self._running) + len(self._queue)
+        if self.cold and active + 1 > self.options.cold_limit:
+            self.counters["cold_crashes"] += 1
+            self.crash()
+            return await self.break_off(request)
+        run = Run(body)
+        self.runs[run.request_id] = run
+        self._forget_runs()
+        priority = -body.get("priority", 0)
+        heapq.heappush(self._queue, (priority, next(self._numbers), run))
+        self._start_runs()
+        return await self._stream(request, run, offset)
+
+    def _forget_runs(self) -> None:
+        surplus = len(self.runs) - self.options.kept_runs
+        ended = (key for key, run in self.runs.items() if run.ended)
+        for key in list(itertools.islice(ended, max(0, surplus))):
+            del self.runs[key]
+
+    def _start_runs(self) -> None:
+        while self._queue and len(self._running) < self.options.limit:
+            run = heapq.heappop(self._queue)[2]
+            if run.ended:
+                continue
+            if run.body["deadline"] <= time.time():
+                run.end(error="not_admitted")
+                continue
+            self._running.add(run)
+            run.task = self.spawn(self._run(run))
+        self.counters["most_running"] = max(
+            self.counters["most_running"], len(self._running)
+        )
+        self._report_load()
+
+    async def _run(self, run: Run) -> None:
+        self.counters["runs"] += 1
+        self.counters["runs_cold"] += self.cold
+        self.counters["runs_leaving"] += self.leaving
+        prompt = run.body["prompt"]
+        try:
+            if any(word in prompt for word in self.options.crash_words):
+                self.counters["crashes_by_word"] += 1
+                asyncio.get_running_loop().call_soon(self.crash)
+                await asyncio.sleep(3600)
+            remaining = run.body["deadline"] - time.time()
+            async with asyncio.timeout(remaining):
+                await self._generate(run)
+            run.end(finish_reason="length")
+        except TimeoutError:
+            run.end(error="deadline")
+        finally:
+            run.end(error="cancelled")
+            if run in self._running:
+                self._running.remove(run)
+                self._start_runs()
+
+    async def _generate(self, run: Run) -> None:
+        body = run.body
+        identity = (body["cache_salt"], body["model"], run.version)
+        tokens = blocks.split_tokens(body["prompt"])
+        context, started = await self._prepare(run, identity, tokens)
+        output = list(body.get("output", ()))
+        expected = [
+            context.compute_token(position)
+            for position in range(1, len(output) + 1)
+        ]
+        if output != expected:
+            context.add("output", "", "", output)
+        await asyncio.sleep(self.options.prefill_seconds * len(output))
+        run.tokens = output
+        run.started = started
+        run.notify()
+        while len(run.tokens) < body["max_tokens"]:
+            await asyncio.sleep(self.options.token_seconds)
+            run.tokens.append(context.compute_token(len(run.tokens) + 1))
+            self.counters["tokens_generated"] += 1
+            run.notify()
+        answer = [token.strip() for token in run.tokens]
+        self._store_blocks(identity, tokens + answer)
+
+    async def _prepare(
+        self, run: Run, identity: t.Tuple[str, str, str], tokens: t.List[str]
+    ) -> t.Tuple[Context, t.Dict[str, int]]:
+        """Obtain the context of a prompt from cache, imports or prefill."""
+        size = self.options.block_tokens
+        names = blocks.name_blocks(*identity, tokens, size)
+        imports = {i["block"]: i for i in run.body.get("imports", ())}
+        context = Context()
+        counts = {
+            "prompt_tokens": len(tokens),
+            "cached_tokens": 0,
+            "imported_memory_tokens": 0,
+            "imported_disk_tokens": 0,
+        }
+        used = 0
+        for name in names:
+            content, source = self._use(name), "cached_tokens"
+            if content is None and name in imports:
+                content, source = await self._import(imports[name])
+            if content is None:
+                break
+            content.add_to(context)
+            counts[source] += size
+            used += size
+        rest = tokens[used:]
+        await asyncio.sleep(self.options.prefill_seconds * len(rest))
+        context.add(*identity, rest)
+        self._store_blocks(identity, tokens)
+        self.counters["tokens_prefilled"] += len(rest)
+        for key, count in counts.items():
+            if key != "prompt_tokens":
+                self.counters[f"tokens_{key.removesuffix('_tokens')}"] += count
+        return context, counts
+
+    def _store_blocks(
+        self, identity: t.Tuple[str, str, str], tokens: t.List[str]
+    ) -> None:
+        """Store the full blocks that are not in the cache yet."""
+        size = self.options.block_tokens
+        context = Context()
+        names = blocks.name_blocks(*identity, tokens, size)
+        names = names[: self.options.memory_blocks]
+        for index, name in enumerate(names):
+            part = tuple(tokens[index * size : (index + 1) * size])
+            before = context.digest()
+            context.add(*identity, part)
+            self._store(name, Content(*identity, part, before))
+        # The end of a chain is evicted first; it is useless without the rest.
+        for name in reversed(names):
+            self._use(name)
+
+    async def _import(
+        self, entry: t.Mapping[str, t.Any]
+    ) -> t.Tuple[t.Optional[Content], str]:
+        """Return a block from a store, and the count that it belongs to."""
+        store = stores.HttpBlockStore(self._session, entry["store"])
+        stored = stores.StoredBlock(
+            entry["block"],
+            entry["generation"],
+            entry["length"],
+            entry["sha256"],
+            "",
+        )
+        deadline = deadlines.Deadline.after(IMPORT_SECONDS)
+        try:
+            if self.options.verifies_imports:
+                data, tier = await store.read_block_and_tier(stored, deadline)
+            else:
+                data, tier = await self._read_unverified(entry), "memory"
+            content = Content.decode(data)
+        except (exceptions.SesamefoldError, ValueError, TypeError):
+            self.counters["imports_failed"] += 1
+            return None, ""
+        self.counters["bytes_imported"] += len(data)
+        self._store(entry["block"], content)
+        return content, f"imported_{tier}_tokens"
+
+    async def _read_unverified(self, entry: t.Mapping[str, t.Any]) -> bytes:
+        url = f"{entry['store']}/blocks/{entry['block']}"
+        async with self._session.get(url) as response:
+            return await response.read()
+
+    # Streams
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        run = self.runs.get(request.match_info["id"])
+        if run is None:
+            return server.refuse(404, "no such run")
+        return await self._stream(
+            request, run, int(request.query.get("offset", 0))
+        )
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        run = self.runs.pop(request.match_info["id"], None)
+        if run is None:
+            return server.refuse(404, "no such run")
+        if not run.ended:
+            self.counters["cancelled"] += 1
+            run.end(error="cancelled")
+        if run.task is not None:
+            run.task.cancel()
+        self._queue = [item for item in self._queue if item[2] is not run]
+        heapq.heapify(self._queue)
+        self._report_load()
+        return web.json_response({})
+
+    async def _stream(
+        self, request: web.Request, run: Run, offset: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "Sesamefold-Request": run.request_id,
+            }
+        )
+        await response.prepare(request)
+        stream = _Stream(
+            response,
+            self._stream_faults.popleft() if self._stream_faults else {},
+            next((r for r in self.runs.values() if r is not run), None),
+        )
+        started = False
+        while True:
+            changed = run.changed
+            if run.started is not None and not started:
+                started = True
+                await stream.send(run, "started", offset, **run.started)
+            while started and offset < len(run.tokens):
+                offset += 1
+                text = run.tokens[offset - 1]
+                await stream.send_token(run, offset, text)
+                if stream.stopped:
+                    return await self._stop_stream(request, response, stream)
+            if run.ended:
+                break
+            try:
+                async with asyncio.timeout(self.options.keep_alive):
+                    await changed.wait()
+            except TimeoutError:
+                await response.write(b": keep-alive\n\n")
+        if run.error:
+            await stream.send(run, "error", offset, error=run.error)
+        else:
+            await stream.send(
+                run, "finished", offset, finish_reason=run.finish_reason
+            )
+        await response.write_eof()
+        return response
+
+    async def _stop_stream(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        stream: "_Stream",
+    ) -> web.StreamResponse:
+        while stream.stopped == "stall" and request.transport is not None:
+            await asyncio.sleep(server.POLL_SECONDS)
+        await self.break_off(request)
+        return response
+
+    # Orders
+
+    async def _post_order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if (
+            self.options.checks_fencing
+            and order["fencing"] < self.order["fencing"]
+        ):
+            self.counters["orders_refused"] += 1
+            return server.refuse(409, "fencing", fencing=self.order["fencing"])
+        self.counters["orders_accepted"] += 1
+        if order != self.order:
+            self.order = order
+            if self._loading is not None:
+                self._loading.cancel()
+            self._loading = self.spawn(self._follow(order))
+        return web.json_response({})
+
+    async def _get_order(self, request: web.Request) -> web.Response:
+        return web.json_response(self.order)
+
+    async def _follow(self, order: t.Mapping[str, t.Any]) -> None:
+        self.role = order["role"]
+        self._report_load()
+        for version in order["versions"]:
+            if version not in self.versions:
+                await self._load(version)
+                self.versions.add(version)
+                self.counters["versions_loaded"] += 1
+                self._report_load()
+        # Old versions serve until all ordered ones are loaded.
+        self.versions = set(order["versions"])
+        self._report_load()
+
+    async def _load(self, version: str) -> None:
+        if not self.options.weights:
+            await asyncio.sleep(self.options.load_seconds)
+            return
+        url = f"{self.options.weights}/weights/{version}"
+        while True:
+            try:
+                async with self._session.get(url) as response:
+                    response.raise_for_status()
+                    async for chunk in response.content.iter_any():
+                        self.counters["weight_bytes"] += len(chunk)
+                    return
+            except aiohttp.ClientError:
+                self.counters["weights_failed"] += 1
+                await asyncio.sleep(WEIGHTS_RETRY_SECONDS)
+
+
+STREAM_FAULTS = frozenset(
+    ("break", "stall", "other_id", "wrong_version", "repeat", "skip")
+)
+
+
+class _Stream:
+    """Writes the events of one stream, with at most one fault."""
+
+    def __init__(
+        self,
+        response: web.StreamResponse,
+        fault: t.Mapping[str, t.Any],
+        other: t.Optional[Run],
+    ) -> None:
+        self._response = response
+        self._kind = fault.get("kind", "")
+        self._after = fault.get("after", 0)
+        self._other = other
+        self._sent = 0
+        self.stopped = ""
+
+    async def send(
+        self, run: Run, kind: str, offset: int, **fields: t.Any
+    ) -> None:
+        """Send one event."""
+        event = {
+            "kind": kind,
+            "request_id": run.request_id,
+            "weight_version": run.version,
+            "offset": offset,
+            **fields,
+        }
+        if self._sent >= self._after and self._kind == "wrong_version":
+            event["weight_version"] += "-other"
+        if self._sent >= self._after and self._kind == "other_id":
+            other = self._other
+            event["request_id"] = other.request_id if other else "other"
+            if kind == "token":
+                event["text"] = (
+                    other.tokens[offset - 1]
+                    if other and offset <= len(other.tokens)
+                    else " other"
+                )
+        await self._response.write(
+            f"id: {offset}\ndata: {json.dumps(event)}\n\n".encode()
+        )
+
+    async def send_token(self, run: Run, offset: int, text: str) -> None:
+        """Send a token, unless the fault applies at this point."""
+        now = self._sent == self._after
+        if now and self._kind in ("break", "stall"):
+            self.stopped = self._kind
+            return
+        if not (now and self._kind == "skip"):
+            await self.send(run, "token", offset, text=text)
+        if now and self._kind == "repeat":
+            await self.send(run, "token", offset, text=text)
+        self._sent += 1
