--- /dev/null
+++ b/src/sesamefold/documents.py
@@ -0,0 +1,552 @@
+"""YAML documents as nodes with positions, and checks of their content."""
+
+import enum
+import ipaddress
+import re
+import typing as t
+import urllib.parse
+
+import attrs
+import yaml
+
+# A text of 19,000 customers has about 115,000 nodes.
+MAX_NODES = 500_000
+MAX_DEPTH = 16
+MAX_ALIASES = 1000
+# An alias makes one node count several times when the content is read.
+MAX_VISITS = 2 * MAX_NODES
+MAX_PROBLEMS = 1000
+
+_INTEGER = re.compile(r"[-+]?(0|[1-9][0-9]{0,17})")
+_NUMBER = re.compile(r"[-+]?(\.[0-9]+|[0-9]+(\.[0-9]*)?)([eE][-+]?[0-9]+)?")
+_CONSTANTS: t.Dict[str, t.Tuple[str, t.Any]] = {
+    **dict.fromkeys(("true", "True", "TRUE"), ("boolean", True)),
+    **dict.fromkeys(("false", "False", "FALSE"), ("boolean", False)),
+    **dict.fromkeys(("", "~", "null", "Null", "NULL"), ("null", None)),
+}
+_SHOWN_CHARACTERS = 60
+
+
+class Kind(enum.Enum):
+    """Kinds of problems; each user of this module gives them codes."""
+
+    EMPTY = "the text is empty"
+    TOO_LARGE = "size, depth, nodes or aliases exceed their bound"
+    MALFORMED = "not well-formed YAML"
+    UNSUPPORTED = "a YAML feature that is not supported"
+    UNKNOWN_KEY = "unknown key"
+    DUPLICATE_KEY = "a key or name appears twice"
+    WRONG_TYPE = "a value of the wrong type"
+    MISSING_KEY = "a required key is missing"
+    OUT_OF_RANGE = "a value out of its range"
+    BAD_VALUE = "a value of the wrong form"
+    BAD_ADDRESS = "an address or URL of the wrong form"
+    BAD_NAME = "a name of the wrong form"
+    MISSING_REFERENCE = "a reference to something that does not exist"
+    CYCLE = "services depend on each other in a cycle"
+    TOKEN_REUSED = "two customers have the same token hash"
+    ADDRESS_REUSED = "two stores have the same address"
+    KIND_MISMATCH = "a key is missing for the kind, or does not belong to it"
+    MORE = "further problems are not shown"
+
+
+@attrs.frozen
+class Problem:
+    """A problem at a position; lines and columns count from 1.
+
+    `line` is 0 when the problem is not in a file.
+    """
+
+    line: int
+    column: int
+    path: str
+    code: int
+    message: str
+
+    def __str__(self) -> str:
+        """Return one line with position, path, message and code."""
+        position = (
+            f"line {self.line}, column {self.column}: " if self.line else ""
+        )
+        path = f"{self.path}: " if self.path else ""
+        return f"{position}{path}{self.message} ({self.code})"
+
+
+@attrs.define(eq=False)
+class Node:
+    """A node of a document.
+
+    `value` holds (key, value) pairs of a "mapping", the nodes of a
+    "sequence", and the value of a "text", "integer", "number", "boolean" or
+    "null". `start` and `end` are character offsets; `raw` is a scalar as
+    written, without quotes.
+    """
+
+    kind: str
+    value: t.Any
+    line: int
+    column: int
+    start: int
+    end: int
+    raw: str = ""
+    flow: bool = False
+
+
+class TooManyProblems(Exception):
+    """The reader stopped because a bound was exceeded."""
+
+
+def _show(text: str) -> str:
+    """Return `text` quoted and shortened for a message."""
+    shown = text[:_SHOWN_CHARACTERS]
+    return repr(shown) + ("..." if len(text) > _SHOWN_CHARACTERS else "")
+
+
+def _resolve(text: str) -> t.Tuple[str, t.Any]:
+    """Return kind and value of a plain scalar (YAML 1.2 core schema).
+
+    `yes`, `on` and numbers with a leading zero are text, so that they are
+    refused where a boolean or an integer is expected, instead of being read
+    differently by different tools.
+    """
+    if text in _CONSTANTS:
+        return _CONSTANTS[text]
+    if _INTEGER.fullmatch(text):
+        return "integer", int(text)
+    # float() has no limit on digits, int() has; a longer integer is a number.
+    if _NUMBER.fullmatch(text) and not re.match(r"[-+]?0[0-9]", text):
+        return "number", float(text)
+    return "text", text
+
+
+class Reader:
+    """Reads nodes and collects the problems found.
+
+    `codes` maps each kind of problem to its numbered code.
+    """
+
+    def __init__(self, codes: t.Mapping[Kind, int]) -> None:
+        self.problems: t.List[Problem] = []
+        self._codes = codes
+        self._visits = 0
+
+    def report(
+        self,
+        node: t.Optional[Node],
+        path: str,
+        kind: Kind,
+        message: str,
+    ) -> None:
+        """Add a problem; raises `TooManyProblems` when there are too many."""
+        line, column = (node.line, node.column) if node else (0, 0)
+        self.add(line, column, path, kind, message)
+
+    def add(
+        self, line: int, column: int, path: str, kind: Kind, message: str
+    ) -> None:
+        """Add a problem at a position."""
+        if len(self.problems) >= MAX_PROBLEMS and kind is not Kind.MORE:
+            self.add(0, 0, "", Kind.MORE, Kind.MORE.value)
+            raise TooManyProblems
+        self.problems.append(
+            Problem(line, column, path[:200], self._codes[kind], message)
+        )
+
+    def compose(self, text: str) -> t.Optional[Node]:
+        """Return the root node of a text, None after a fatal problem.
+
+        The nodes are built from the parser's events and not by PyYAML's
+        composer, because the composer recurses on the C stack and has no
+        bound on depth, nodes or aliases.
+        """
+        loader = None
+        try:
+            loader = yaml.CSafeLoader(text)
+            return self._compose(loader)
+        except yaml.MarkedYAMLError as error:
+            mark = error.problem_mark or error.context_mark
+            self.add(
+                mark.line + 1 if mark else 1,
+                mark.column + 1 if mark else 1,
+                "",
+                Kind.MALFORMED,
+                str(error.problem or error.context or "malformed YAML"),
+            )
+        except (yaml.YAMLError, UnicodeError) as error:
+            reason = getattr(error, "reason", "malformed YAML")
+            position = getattr(error, "position", getattr(error, "start", 0))
+            before = text[: position if isinstance(position, int) else 0]
+            self.add(
+                before.count("\n") + 1,
+                len(before) - before.rfind("\n"),
+                "",
+                Kind.MALFORMED,
+                str(reason),
+            )
+        finally:
+            if loader is not None:
+                loader.dispose()
+        return None
+
+    def _compose(self, loader: t.Any) -> t.Optional[Node]:
+        root: t.Optional[Node] = None
+        stack: t.List[Node] = []
+        anchors: t.Dict[str, Node] = {}
+        nodes = aliases = 0
+        while True:
+            event = loader.get_event()
+            kind = type(event)
+            if kind is yaml.StreamEndEvent:
+                break
+            if kind in (yaml.MappingEndEvent, yaml.SequenceEndEvent):
+                node = stack.pop()
+                node.end = event.end_mark.index
+                if kind is yaml.MappingEndEvent:
+                    node.value = list(zip(node.value[::2], node.value[1::2]))
+                continue
+            mark = event.start_mark
+            position = (mark.line + 1, mark.column + 1)
+            if kind is yaml.DocumentStartEvent and root is not None:
+                self.add(
+                    *position,
+                    "",
+                    Kind.UNSUPPORTED,
+                    "more than one document",
+                )
+                return None
+            if not isinstance(event, yaml.NodeEvent):
+                continue
+            nodes += 1
+            excess = ""
+            if nodes > MAX_NODES:
+                excess = f"more than {MAX_NODES} nodes"
+            if kind is yaml.AliasEvent:
+                aliases += 1
+                if aliases > MAX_ALIASES:
+                    excess = f"more than {MAX_ALIASES} aliases"
+            elif len(stack) >= MAX_DEPTH:
+                excess = f"nested deeper than {MAX_DEPTH}"
+            if excess:
+                self.add(*position, "", Kind.TOO_LARGE, excess)
+                return None
+            if kind is yaml.AliasEvent:
+                found = anchors.get(event.anchor)
+                if found is None or found in stack:
+                    self.add(
+                        *position,
+                        "",
+                        Kind.MALFORMED,
+                        f"alias {_show(event.anchor)} has no anchor"
+                        + (" that ended before it" if found else ""),
+                    )
+                    return None
+                node = found
+            else:
+                node = self._build(event, mark, position)
+                if event.anchor is not None:
+                    anchors[event.anchor] = node
+            if stack:
+                stack[-1].value.append(node)
+            else:
+                root = node
+            if kind in (yaml.MappingStartEvent, yaml.SequenceStartEvent):
+                stack.append(node)
+        if root is None:
+            self.add(1, 1, "", Kind.EMPTY, Kind.EMPTY.value)
+        return root
+
+    def _build(
+        self, event: t.Any, mark: t.Any, position: t.Tuple[int, int]
+    ) -> Node:
+        if event.tag is not None:
+            self.add(
+                *position,
+                "",
+                Kind.UNSUPPORTED,
+                f"tag {_show(event.tag)} is not supported",
+            )
+        extent = (*position, mark.index, event.end_mark.index)
+        if isinstance(event, yaml.ScalarEvent):
+            kind, value = "text", event.value
+            if event.implicit[0]:
+                kind, value = _resolve(event.value)
+            return Node(kind, value, *extent, raw=event.value)
+        kind = (
+            "mapping"
+            if isinstance(event, yaml.MappingStartEvent)
+            else "sequence"
+        )
+        return Node(kind, [], *extent, flow=bool(event.flow_style))
+
+    def expect(self, node: Node, path: str, *kinds: str) -> bool:
+        """Report a node that is of none of `kinds`."""
+        if node.kind in kinds:
+            return True
+        quote = node.kind in ("integer", "number", "boolean")
+        self.report(
+            node,
+            path,
+            Kind.WRONG_TYPE,
+            f"expected {kinds[0]}, found {node.kind}"
+            + ("; quote the value" if kinds[0] == "text" and quote else ""),
+        )
+        return False
+
+    def read_pairs(
+        self, node: Node, path: str
+    ) -> t.List[t.Tuple[str, Node, Node]]:
+        """Return (name, key node, value node) of a mapping without repeats.
+
+        Keys are taken as written, so a customer may be called `no` or `7`.
+        """
+        if not self.expect(node, path, "mapping"):
+            return []
+        self._count(len(node.value))
+        first: t.Dict[str, Node] = {}
+        pairs = []
+        for key, value in node.value:
+            if key.kind in ("mapping", "sequence"):
+                self.report(
+                    key, path, Kind.WRONG_TYPE, f"a key is a {key.kind}"
+                )
+            elif key.raw in first:
+                self.report(
+                    key,
+                    join(path, key.raw),
+                    Kind.DUPLICATE_KEY,
+                    f"{_show(key.raw)} is also in line "
+                    f"{first[key.raw].line}",
+                )
+            else:
+                first[key.raw] = key
+                pairs.append((key.raw, key, value))
+        return pairs
+
+    def read_items(self, node: Node, path: str) -> t.List[Node]:
+        """Return the nodes of a sequence."""
+        if not self.expect(node, path, "sequence"):
+            return []
+        self._count(len(node.value))
+        return node.value
+
+    def read_fields(
+        self, node: Node, path: str, fields: t.Mapping[str, "Field"]
+    ) -> t.Tuple[t.Dict[str, t.Any], t.Dict[str, Node]]:
+        """Return the valid values and the nodes of a mapping, by key."""
+        values, nodes = {}, {}
+        for name, key, value in self.read_pairs(node, path):
+            if name not in fields:
+                self.report(
+                    key,
+                    join(path, name),
+                    Kind.UNKNOWN_KEY,
+                    f"unknown key {_show(name)}; known: "
+                    + ", ".join(sorted(fields)),
+                )
+                continue
+            nodes[name] = value
+            result = fields[name].check(self, value, join(path, name))
+            if result is not None:
+                values[name] = result
+        if node.kind == "mapping":
+            for name, field in fields.items():
+                if field.required and name not in nodes:
+                    self.report(
+                        node,
+                        path,
+                        Kind.MISSING_KEY,
+                        f"key {name!r} is required",
+                    )
+        return values, nodes
+
+    def _count(self, visits: int) -> None:
+        self._visits += visits
+        if self._visits > MAX_VISITS:
+            self.add(
+                0,
+                0,
+                "",
+                Kind.TOO_LARGE,
+                f"more than {MAX_VISITS} nodes after aliases",
+            )
+            raise TooManyProblems
+
+
+# Returns the value, or None after it reported a problem.
+Check = t.Callable[[Reader, Node, str], t.Any]
+
+
+@attrs.frozen
+class Field:
+    """A key of a mapping."""
+
+    check: Check
+    required: bool = False
+
+
+def matches(pattern: str, text: str) -> bool:
+    """Tell whether a text matches a pattern as a whole."""
+    return re.fullmatch(pattern, text) is not None
+
+
+def join(path: str, name: str) -> str:
+    """Return the path of a key below `path`."""
+    name = name[:_SHOWN_CHARACTERS]
+    return f"{path}.{name}" if path else name
+
+
+def check_text(pattern: str, meaning: str, secret: bool = False) -> "Check":
+    """Return a check for text that matches `pattern` as a whole.
+
+    A `secret` value never appears in a message.
+    """
+    compiled = re.compile(pattern)
+
+    def check(reader: Reader, node: Node, path: str) -> t.Any:
+        if not reader.expect(node, path, "text"):
+            return None
+        if compiled.fullmatch(node.value):
+            return node.value
+        shown = "" if secret else f"{_show(node.value)} is "
+        reader.report(node, path, Kind.BAD_VALUE, f"{shown}not {meaning}")
+        return None
+
+    return check
+
+
+def check_choice(*choices: str) -> "Check":
+    """Return a check for one of several words."""
+    return check_text(
+        "|".join(map(re.escape, choices)), "one of " + ", ".join(choices)
+    )
+
+
+def check_boolean(reader: Reader, node: Node, path: str) -> t.Any:
+    """Check for `true` or `false`."""
+    return node.value if reader.expect(node, path, "boolean") else None
+
+
+def _check_range(low: float, high: float, kinds: t.Sequence[str]) -> "Check":
+    def check(reader: Reader, node: Node, path: str) -> t.Any:
+        if not reader.expect(node, path, *kinds):
+            return None
+        if low <= node.value <= high:
+            return node.value
+        reader.report(
+            node,
+            path,
+            Kind.OUT_OF_RANGE,
+            f"{_show(node.raw)} is not between {low} and {high}",
+        )
+        return None
+
+    return check
+
+
+def check_integer(low: int, high: int) -> "Check":
+    """Return a check for an integer from `low` to `high`."""
+    return _check_range(low, high, ["integer"])
+
+
+def check_number(low: float, high: float) -> "Check":
+    """Return a check for a number from `low` to `high`."""
+    check = _check_range(low, high, ["number", "integer"])
+
+    def convert(reader: Reader, node: Node, path: str) -> t.Any:
+        value = check(reader, node, path)
+        return None if value is None else float(value)
+
+    return convert
+
+
+def is_address(text: str, lowest_port: int = 1) -> bool:
+    """Tell whether a text is ip:port, with brackets around IPv6."""
+    host, _, port = text.rpartition(":")
+    if not re.fullmatch(r"0|[1-9][0-9]{0,4}", port):
+        return False
+    bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        version = ipaddress.ip_address(host[1:-1] if bracketed else host)
+    except ValueError:
+        return False
+    return (
+        lowest_port <= int(port) <= 65535
+        and (version.version == 6) == bracketed
+    )
+
+
+def check_address(lowest_port: int = 1) -> "Check":
+    """Return a check for ip:port; port 0 lets the kernel choose."""
+
+    def check(reader: Reader, node: Node, path: str) -> t.Any:
+        if not reader.expect(node, path, "text"):
+            return None
+        if is_address(node.value, lowest_port):
+            return node.value
+        reader.report(
+            node,
+            path,
+            Kind.BAD_ADDRESS,
+            f"{_show(node.value)} is not ip:port with a port between "
+            f"{lowest_port} and 65535",
+        )
+        return None
+
+    return check
+
+
+def is_url(text: str) -> bool:
+    """Tell whether a text is an http or https URL with a host."""
+    try:
+        parts = urllib.parse.urlsplit(text)
+        return (
+            parts.scheme in ("http", "https")
+            and bool(parts.hostname)
+            and parts.port != 0
+            and not (parts.query or parts.fragment or parts.username)
+            and not re.search(r"\s", text)
+        )
+    except ValueError:
+        return False
+
+
+def check_url(reader: Reader, node: Node, path: str) -> t.Any:
+    """Check for an http or https URL."""
+    if not reader.expect(node, path, "text"):
+        return None
+    if is_url(node.value):
+        return node.value
+    # The value may contain a password, so it is not shown.
+    reader.report(node, path, Kind.BAD_ADDRESS, "not an http or https URL")
+    return None
+
+
+def check_items(check: "Check", limit: int) -> "Check":
+    """Return a check for a list of at most `limit` different items."""
+
+    def check_all(reader: Reader, node: Node, path: str) -> t.Any:
+        items = reader.read_items(node, path)
+        if len(items) > limit:
+            reader.report(
+                node,
+                path,
+                Kind.OUT_OF_RANGE,
+                f"{len(items)} items, at most {limit} are allowed",
+            )
+            return None
+        values: t.Dict[t.Any, None] = {}
+        for index, item in enumerate(items):
+            below = f"{path}[{index}]"
+            value = check(reader, item, below)
+            if value in values:
+                reader.report(
+                    item,
+                    below,
+                    Kind.DUPLICATE_KEY,
+                    "the item is in the list already",
+                )
+            elif value is not None:
+                values[value] = None
+        return tuple(values) if node.kind == "sequence" else None
+
+    return check_all
