--- a/src/sesamefold/revisions.py
+++ b/src/sesamefold/revisions.py
@@ -1,17 +1,41 @@
 """Revisions of the configuration in the key-value service."""
 
+import asyncio
+import contextlib
+import functools
+import hashlib
 import itertools
 import json
+import operator
+import random
+import time
 import typing as t
+import uuid
 import zlib
 
 import attrs
 
+from sesamefold import audit
 from sesamefold import configuration
+from sesamefold import deadline as deadlines
+from sesamefold import defaults
+from sesamefold import exceptions
+from sesamefold import keyvalue
 
 HEAD_KEY = "config/head"
 CHUNK_PREFIX = "config/chunk/"
 
+# Average number of records in a chunk of a section, and its bound.
+RECORDS_PER_CHUNK = 64
+MAX_RECORDS = 2048
+# Average number of lines in a chunk of the text, and its bound in bytes.
+LINES_PER_CHUNK = 256
+MAX_TEXT_RUN_BYTES = 256 * 1024
+MAX_CONTENT_BYTES = defaults.MAX_TEXT_BYTES
+# Chunks read or written at once. The key-value service handles several
+# hundred writes a second for all its users.
+PARALLEL_CALLS = 4
+
 
 @attrs.frozen
 class Head:
@@ -43,6 +67,10 @@
     def decode(cls, data: bytes) -> "Head":
         """Return the head that `encode` wrote."""
         raw = json.loads(data)
+        raw["sections"] = {
+            section: tuple(digests)
+            for section, digests in raw["sections"].items()
+        }
         known = {field.name for field in attrs.fields(cls)}
         return cls(
             **{
@@ -63,29 +91,553 @@
         )
 
 
+class RecordCache:
+    """Decoded records by digest of their chunk.
+
+    With it a host decodes the changed chunks of an edit only.
+    """
+
+    def __init__(self) -> None:
+        self._records: t.Dict[str, t.Tuple[t.Any, ...]] = {}
+
+    def __contains__(self, digest: str) -> bool:
+        return digest in self._records
+
+    def decode(
+        self, section: str, digest: str, chunks: t.Mapping[str, bytes]
+    ) -> t.Tuple[t.Any, ...]:
+        """Return the records of a chunk.
+
+        A digest that is neither cached nor in `chunks` raises KeyError.
+        """
+        records = self._records.get(digest)
+        if records is None:
+            records = tuple(
+                configuration.decode_records(
+                    section, decompress(chunks[digest])
+                )
+            )
+            self._records[digest] = records
+        return records
+
+    def retain(self, digests: t.Iterable[str]) -> None:
+        """Drop the records of all other chunks."""
+        self._records = {
+            digest: self._records[digest]
+            for digest in digests
+            if digest in self._records
+        }
+
+
+def decompress(data: bytes) -> bytes:
+    """Return the content of a chunk; its size is bounded.
+
+    Raises `exceptions.InternalError` when the chunk is damaged.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        content = decompressor.decompress(data, MAX_CONTENT_BYTES)
+    except zlib.error as error:
+        raise exceptions.InternalError(f"damaged chunk: {error}") from None
+    if not decompressor.eof:
+        raise exceptions.InternalError("truncated or oversized chunk")
+    return content
+
+
 def build_configuration(
-    head: Head, chunks: t.Mapping[str, bytes], customers: bool
+    head: Head,
+    chunks: t.Mapping[str, bytes],
+    customers: bool,
+    cache: t.Optional[RecordCache] = None,
 ) -> configuration.Configuration:
     """Return the configuration of `head`.
 
-    `chunks` maps digests to the zlib-compressed JSON records as stored; a
-    digest that is missing raises KeyError.
+    `chunks` maps digests to the zlib-compressed JSON records as stored. A
+    digest that is missing there and in `cache` raises KeyError. The cache
+    then holds the chunks of `head` only.
     """
+    records = RecordCache() if cache is None else cache
     sections = {
         section: {
             record.name: record
             for digest in digests
-            for record in configuration.decode_records(
-                section, zlib.decompress(chunks[digest])
-            )
+            for record in records.decode(section, digest, chunks)
         }
         for section, digests in head.sections.items()
         if section in configuration.SECTIONS
         and (customers or section != "customers")
     }
+    records.retain(head.list_digests(customers))
+    known = {field.name for field in attrs.fields(configuration.Policy)}
     return configuration.Configuration(
         revision=head.revision,
         regions=head.regions,
-        policy=configuration.Policy(**head.policy),
+        policy=configuration.Policy(
+            **{k: v for k, v in head.policy.items() if k in known}
+        ),
         **sections,
     )
+
+
+def _hash_name(name: str) -> int:
+    return int.from_bytes(
+        hashlib.blake2b(name.encode(), digest_size=4).digest(), "big"
+    )
+
+
+def _pack(content: bytes) -> t.Tuple[str, bytes]:
+    """Return digest and compressed bytes of a chunk."""
+    data = zlib.compress(content, 6)
+    return hashlib.sha256(data).hexdigest(), data
+
+
+def split_records(records: t.Iterable[t.Any]) -> t.Iterator[t.List[t.Any]]:
+    """Yield records by name in runs that end where a name's hash says so.
+
+    Adding or removing a record therefore changes one or two runs.
+    """
+    run: t.List[t.Any] = []
+    for record in sorted(records, key=operator.attrgetter("name")):
+        run.append(record)
+        boundary = _hash_name(record.name) % RECORDS_PER_CHUNK == 0
+        if boundary or len(run) >= MAX_RECORDS:
+            yield run
+            run = []
+    if run:
+        yield run
+
+
+def split_text(text: str) -> t.Iterator[bytes]:
+    """Yield the UTF-8 of a text in runs of lines, cut by their hash."""
+    run: t.List[bytes] = []
+    size = 0
+    for line in text.encode().splitlines(keepends=True):
+        for start in range(0, len(line), MAX_TEXT_RUN_BYTES):
+            part = line[start : start + MAX_TEXT_RUN_BYTES]
+            run.append(part)
+            size += len(part)
+            boundary = zlib.crc32(part) % LINES_PER_CHUNK == 0
+            if boundary or size >= MAX_TEXT_RUN_BYTES:
+                yield b"".join(run)
+                run, size = [], 0
+    if run:
+        yield b"".join(run)
+
+
+@attrs.frozen
+class Compiled:
+    """A configuration as chunks, by digest, and their order by section."""
+
+    sections: t.Mapping[str, t.Tuple[str, ...]]
+    text: t.Tuple[str, ...]
+    manifest: str  # digest of the JSON list of the text's digests
+    chunks: t.Mapping[str, bytes]
+
+
+def compile_chunks(parsed: configuration.Configuration, text: str) -> Compiled:
+    """Return the chunks of a configuration and of its text."""
+    chunks: t.Dict[str, bytes] = {}
+
+    def add(content: bytes) -> str:
+        digest, data = _pack(content)
+        chunks[digest] = data
+        return digest
+
+    sections = {
+        section: tuple(
+            add(configuration.encode_records(run))
+            for run in split_records(getattr(parsed, section).values())
+        )
+        for section in configuration.SECTIONS
+    }
+    pieces = tuple(add(piece) for piece in split_text(text))
+    manifest = add(json.dumps(pieces).encode())
+    return Compiled(sections, pieces, manifest, chunks)
+
+
+async def _retry(
+    call: t.Callable[[], t.Awaitable[t.Any]],
+    deadline: deadlines.Deadline,
+    errors: t.Tuple[t.Type[Exception], ...],
+) -> t.Any:
+    """Repeat a call that fails with one of `errors` until the deadline."""
+    pause = defaults.PLATFORM_BACKOFF
+    while True:
+        try:
+            return await call()
+        except errors:
+            wait = random.uniform(0, pause)  # noqa: S311
+            if deadline.remaining() <= wait:
+                raise
+            await asyncio.sleep(wait)
+            pause = min(2 * pause, defaults.PLATFORM_BACKOFF_LIMIT)
+
+
+_UNAVAILABLE = (exceptions.PlatformUnavailable,)
+_LOST = (exceptions.PlatformUnavailable, exceptions.OutcomeUnknown)
+
+
+async def _get(
+    store: keyvalue.KeyValue, key: str, deadline: deadlines.Deadline
+) -> t.Optional[keyvalue.Entry]:
+    return await _retry(
+        lambda: store.get(key, deadline.cap(defaults.PLATFORM_TIMEOUT)),
+        deadline,
+        _UNAVAILABLE,
+    )
+
+
+async def _read_entry(
+    store: keyvalue.KeyValue, deadline: deadlines.Deadline
+) -> t.Tuple[int, t.Optional[Head]]:
+    """Return version and head, (0, None) before the first edit."""
+    entry = await _get(store, HEAD_KEY, deadline)
+    if entry is None:
+        return 0, None
+    return entry.version, Head.decode(entry.value)
+
+
+async def read_head(
+    store: keyvalue.KeyValue, deadline: deadlines.Deadline
+) -> t.Optional[Head]:
+    """Return the latest head, None before the first edit."""
+    return (await _read_entry(store, deadline))[1]
+
+
+async def _gather(
+    calls: t.Iterable[t.Callable[[], t.Awaitable[t.Any]]],
+) -> t.List[t.Any]:
+    """Run calls, at most `PARALLEL_CALLS` at once; results in order."""
+    slots = asyncio.Semaphore(PARALLEL_CALLS)
+
+    async def run(call: t.Callable[[], t.Awaitable[t.Any]]) -> t.Any:
+        async with slots:
+            return await call()
+
+    async with asyncio.TaskGroup() as group:
+        tasks = [group.create_task(run(call)) for call in calls]
+    return [task.result() for task in tasks]
+
+
+async def read_chunks(
+    store: keyvalue.KeyValue,
+    digests: t.Iterable[str],
+    deadline: deadlines.Deadline,
+) -> t.Dict[str, bytes]:
+    """Return chunks by digest, verified against it.
+
+    Raises `exceptions.RevisionUnknown` for a chunk that does not exist and
+    `exceptions.InternalError` for a damaged one.
+    """
+
+    async def read(digest: str) -> t.Tuple[str, bytes]:
+        entry = await _get(store, CHUNK_PREFIX + digest, deadline)
+        if entry is None:
+            raise exceptions.RevisionUnknown(f"chunk {digest} is not kept")
+        if hashlib.sha256(entry.value).hexdigest() != digest:
+            raise exceptions.InternalError(f"chunk {digest} is damaged")
+        return digest, entry.value
+
+    return dict(
+        await _unwrap(
+            _gather(
+                functools.partial(read, digest)
+                for digest in dict.fromkeys(digests)
+            )
+        )
+    )
+
+
+async def _unwrap(work: t.Awaitable[t.Any]) -> t.Any:
+    """Raise the first error of a task group instead of the group."""
+    try:
+        return await work
+    except BaseExceptionGroup as group:
+        error: BaseException = group
+        while isinstance(error, BaseExceptionGroup):
+            error = error.exceptions[0]
+        raise error from None
+
+
+async def _read_pieces(
+    store: keyvalue.KeyValue,
+    digests: t.Sequence[str],
+    deadline: deadlines.Deadline,
+) -> str:
+    chunks = await read_chunks(store, digests, deadline)
+    return b"".join(decompress(chunks[d]) for d in digests).decode()
+
+
+async def read_text(
+    store: keyvalue.KeyValue,
+    deadline: deadlines.Deadline,
+    revision: t.Optional[int] = None,
+) -> t.Tuple[int, str]:
+    """Return revision and operator's text, by default the latest.
+
+    Raises `exceptions.RevisionUnknown` when the revision is not kept or no
+    edit was accepted yet.
+    """
+    head = await read_head(store, deadline)
+    if head is None:
+        raise exceptions.RevisionUnknown("no configuration was accepted yet")
+    if revision is None or revision == head.revision:
+        return head.revision, await _read_pieces(store, head.text, deadline)
+    async for entry in read_history(store, head, deadline):
+        if entry["revision"] == revision:
+            manifest = entry["text"]
+            chunks = await read_chunks(store, [manifest], deadline)
+            digests = json.loads(decompress(chunks[manifest]))
+            return revision, await _read_pieces(store, digests, deadline)
+        if entry["revision"] < revision:
+            break
+    raise exceptions.RevisionUnknown(
+        f"revision {revision} is not kept; the latest is {head.revision}"
+    )
+
+
+async def read_history(
+    store: keyvalue.KeyValue, head: Head, deadline: deadlines.Deadline
+) -> t.AsyncIterator[t.Mapping[str, t.Any]]:
+    """Yield audit entries, latest first; pages are read when needed.
+
+    A page that was deleted meanwhile ends the history.
+    """
+    for entry in reversed(head.audit):
+        yield entry
+    for digest in reversed(head.pages):
+        page = await _get(store, audit.PAGE_PREFIX + digest, deadline)
+        if page is None:
+            return
+        for entry in reversed(audit.decode(page.value)):
+            yield entry
+
+
+async def _write(
+    store: keyvalue.KeyValue,
+    values: t.Mapping[str, bytes],
+    deadline: deadlines.Deadline,
+) -> None:
+    """Write immutable values; a repeated write changes nothing."""
+
+    async def put(key: str, value: bytes) -> None:
+        await _retry(
+            lambda: store.put(
+                key, value, None, deadline.cap(defaults.PLATFORM_TIMEOUT)
+            ),
+            deadline,
+            _LOST,
+        )
+
+    await _unwrap(
+        _gather(
+            functools.partial(put, key, value) for key, value in values.items()
+        )
+    )
+
+
+async def _list_changes(
+    store: keyvalue.KeyValue,
+    base: t.Optional[Head],
+    compiled: Compiled,
+    parsed: configuration.Configuration,
+    deadline: deadlines.Deadline,
+) -> t.List[audit.Change]:
+    """Return the differences from `base`; reads its changed chunks only."""
+    old_sections = base.sections if base else {}
+    removed = {
+        section: [
+            digest
+            for digest in old_sections.get(section, ())
+            if digest not in compiled.chunks
+        ]
+        for section in configuration.SECTIONS
+    }
+    added = {
+        section: set(digests).difference(old_sections.get(section, ()))
+        for section, digests in compiled.sections.items()
+    }
+    chunks = {
+        **compiled.chunks,
+        **await read_chunks(
+            store, itertools.chain.from_iterable(removed.values()), deadline
+        ),
+    }
+
+    def collect(
+        digests: t.Mapping[str, t.Iterable[str]],
+    ) -> t.Dict[str, t.Dict[str, t.Any]]:
+        cache = RecordCache()
+        return {
+            section: {
+                record.name: record
+                for digest in names
+                for record in cache.decode(section, digest, chunks)
+            }
+            for section, names in digests.items()
+        }
+
+    return [
+        *audit.list_other_changes(
+            base.regions if base else (),
+            parsed.regions,
+            base.policy if base else {},
+            attrs.asdict(parsed.policy),
+        ),
+        *audit.list_changes(collect(removed), collect(added)),
+    ]
+
+
+def _conflict(head: t.Optional[Head], what: str) -> exceptions.EditConflict:
+    revision, author = (head.revision, head.author) if head else (0, "nobody")
+    return exceptions.EditConflict(
+        f"{what}: revision {revision} by {author!r} is in force"
+    )
+
+
+async def _find_edit(
+    store: keyvalue.KeyValue,
+    head: t.Optional[Head],
+    edit: Head,
+    deadline: deadlines.Deadline,
+) -> bool:
+    """Tell whether `edit` is `head` or one of the edits before it."""
+    if head is None or head.revision < edit.revision:
+        return False
+    async for entry in read_history(store, head, deadline):
+        if entry["revision"] <= edit.revision:
+            return entry["edit_id"] == edit.edit_id
+    return False
+
+
+async def _swap_head(
+    store: keyvalue.KeyValue,
+    version: int,
+    head: Head,
+    deadline: deadlines.Deadline,
+) -> None:
+    """Write the head if it still has `version`.
+
+    A lost answer is settled by reading back. When the edit is not there, the
+    write is repeated with the same expected version: if the first one takes
+    effect late, the repetition conflicts and the edit id is found.
+    """
+    lost = False
+    value = head.encode()
+
+    async def attempt() -> None:
+        nonlocal lost
+        try:
+            await store.put(
+                HEAD_KEY,
+                value,
+                version,
+                deadline.cap(defaults.PLATFORM_TIMEOUT),
+            )
+        except exceptions.OutcomeUnknown:
+            lost = True
+            raise
+        except exceptions.VersionConflict:
+            current = await read_head(store, deadline)
+            if not await _find_edit(store, current, head, deadline):
+                raise _conflict(
+                    current, "another edit was accepted first"
+                ) from None
+
+    try:
+        await _retry(attempt, deadline, _LOST)
+    except exceptions.PlatformError as error:
+        if not lost:
+            raise
+        raise exceptions.OutcomeUnknown(
+            f"the answer to edit {head.edit_id} (revision {head.revision}) "
+            f"was lost and could not be settled: {error}; 'history' shows "
+            "whether it took effect",
+            executed=exceptions.UNKNOWN,
+        ) from None
+
+
+async def apply_text(
+    store: keyvalue.KeyValue,
+    text: str,
+    author: str,
+    deadline: deadlines.Deadline,
+    expected_revision: t.Optional[int] = None,
+) -> Head:
+    """Make a text the latest revision and return its head.
+
+    A text equal to the latest one makes no revision; the head is returned as
+    it is. `expected_revision` is the revision that the author edited (0:
+    none), None stands for the latest one.
+
+    Raises `exceptions.InvalidText`; `exceptions.EditConflict` when another
+    edit won or the latest revision is not the expected one;
+    `exceptions.PlatformUnavailable` when the edit did not take effect, and
+    `exceptions.OutcomeUnknown` when it may have.
+    """
+    # Daemons import this module and have no memory for the validation.
+    from sesamefold import validation
+
+    parsed = validation.parse_text(text)
+    compiled = compile_chunks(parsed, text)
+    version, base = await _read_entry(store, deadline)
+    revision = base.revision if base else 0
+    if expected_revision not in (None, revision):
+        raise _conflict(
+            base, f"the edit is based on revision {expected_revision}"
+        )
+    if base is not None and base.text == compiled.text:
+        return base
+    edit_id = str(uuid.uuid4())
+    now = time.time()
+    entry = audit.build_entry(
+        revision + 1,
+        edit_id,
+        author,
+        now,
+        await _list_changes(store, base, compiled, parsed, deadline),
+        compiled.manifest,
+    )
+    entries = base.audit if base else ()
+    pages = base.pages if base else ()
+    values: t.Dict[str, bytes] = {}
+    if len(entries) >= defaults.AUDIT_HEAD_ENTRIES:
+        page = audit.encode(entries)
+        digest = hashlib.sha256(page).hexdigest()
+        values[audit.PAGE_PREFIX + digest] = page
+        pages, entries = (*pages, digest), ()
+    head = Head(
+        revision=revision + 1,
+        edit_id=edit_id,
+        author=author[: audit.MAX_AUTHOR_CHARACTERS],
+        changed_at=now,
+        sections=compiled.sections,
+        regions=parsed.regions,
+        policy=attrs.asdict(parsed.policy),
+        text=compiled.text,
+        audit=(*entries, entry),
+        pages=pages[-defaults.AUDIT_PAGES :],
+    )
+    held = {*base.list_digests(True), *base.text} if base else set()
+    values.update(
+        (CHUNK_PREFIX + digest, data)
+        for digest, data in compiled.chunks.items()
+        if digest not in held
+    )
+    largest = max(map(len, (*values.values(), head.encode())))
+    if largest > defaults.MAX_VALUE_BYTES:
+        raise exceptions.ConfigurationError(
+            f"the configuration needs a value of {largest} bytes; the "
+            f"key-value service holds {defaults.MAX_VALUE_BYTES}"
+        )
+    await _write(store, values, deadline)
+    await _swap_head(store, version, head, deadline)
+    for digest in pages[: -defaults.AUDIT_PAGES]:
+        # The edit is accepted; a page that stays is only unused space.
+        with contextlib.suppress(exceptions.PlatformError):
+            await store.delete(
+                audit.PAGE_PREFIX + digest,
+                None,
+                deadline.cap(defaults.PLATFORM_TIMEOUT),
+            )
+    return head
