--- a/src/sesamefold/documents.py
+++ b/src/sesamefold/documents.py
@@ -19,6 +19,9 @@
 
 _INTEGER = re.compile(r"[-+]?(0|[1-9][0-9]{0,17})")
 _NUMBER = re.compile(r"[-+]?(\.[0-9]+|[0-9]+(\.[0-9]*)?)([eE][-+]?[0-9]+)?")
+# The parser compares each %TAG directive with all earlier ones, so that
+# hundreds of thousands of them would take minutes.
+_DIRECTIVE = re.compile(r"^%", re.MULTILINE)
 _CONSTANTS: t.Dict[str, t.Tuple[str, t.Any]] = {
     **dict.fromkeys(("true", "True", "TRUE"), ("boolean", True)),
     **dict.fromkeys(("false", "False", "FALSE"), ("boolean", False)),
@@ -159,6 +162,16 @@
         composer, because the composer recurses on the C stack and has no
         bound on depth, nodes or aliases.
         """
+        directive = _DIRECTIVE.search(text)
+        if directive is not None:
+            self.add(
+                text.count("\n", 0, directive.start()) + 1,
+                1,
+                "",
+                Kind.UNSUPPORTED,
+                "directives (lines that start with '%') are not supported",
+            )
+            return None
         loader = None
         try:
             loader = yaml.CSafeLoader(text)
@@ -251,8 +264,9 @@
                 root = node
             if kind in (yaml.MappingStartEvent, yaml.SequenceStartEvent):
                 stack.append(node)
-        if root is None:
+        if root is None or root.kind == "null":
             self.add(1, 1, "", Kind.EMPTY, Kind.EMPTY.value)
+            return None
         return root
 
     def _build(
@@ -268,7 +282,7 @@
         extent = (*position, mark.index, event.end_mark.index)
         if isinstance(event, yaml.ScalarEvent):
             kind, value = "text", event.value
-            if event.implicit[0]:
+            if not event.style:  # plain, neither quoted nor a block
                 kind, value = _resolve(event.value)
             return Node(kind, value, *extent, raw=event.value)
         kind = (
--- a/src/sesamefold/validation.py
+++ b/src/sesamefold/validation.py
@@ -317,7 +317,7 @@
                     following = next(trail[last], None)
                     if following is None:
                         finished.add(last)
-                        del trail[last]
+                        trail.popitem()
                 elif following in trail:
                     names = list(trail)
                     cycle = names[names.index(following) :] + [following]
