Add the control daemon with configuration and backend states

Cause: gateways need the configuration in force and the states of their backend servers from one local process.

Change: a grpc.aio server with membership by heartbeats, the relay of the configuration, polling of owned engines, status and a client library.

Conclusion: a gateway gets the head, the chunks that it lacks and the states of its backend servers from its control.

--- /dev/null
+++ b/src/sesamefold/control.py
@@ -0,0 +1,425 @@
+"""The control daemon."""
+
+import asyncio
+import functools
+import importlib
+import json
+import os
+import signal
+import types
+import typing as t
+
+import aiohttp
+from aiohttp import web
+import grpc
+import logbook
+import mode
+import prometheus_client
+
+from sesamefold import backends as backend_states
+from sesamefold import client
+from sesamefold import engines
+from sesamefold import exceptions
+from sesamefold import hostlist
+from sesamefold import keyvalue
+from sesamefold import membership as memberships
+from sesamefold import relay as relays
+from sesamefold import settings as process_settings
+from sesamefold import status
+from sesamefold.wire import control_pb2
+from sesamefold.wire import control_pb2_grpc
+
+_log = logbook.Logger("control")
+
+_calls = prometheus_client.Counter(
+    "sesamefold_control_calls", "Calls served, by method", ["method"]
+)
+_errors = prometheus_client.Counter(
+    "sesamefold_control_errors", "Calls that failed", ["method", "code"]
+)
+
+# Time that calls in progress get when the server stops, seconds.
+_STOP_SECONDS = 1.0
+
+_STATUS_CODES = {
+    400: grpc.StatusCode.INVALID_ARGUMENT,
+    401: grpc.StatusCode.UNAUTHENTICATED,
+    404: grpc.StatusCode.NOT_FOUND,
+    409: grpc.StatusCode.ABORTED,
+    413: grpc.StatusCode.INVALID_ARGUMENT,
+    422: grpc.StatusCode.FAILED_PRECONDITION,
+    429: grpc.StatusCode.RESOURCE_EXHAUSTED,
+    503: grpc.StatusCode.UNAVAILABLE,
+    504: grpc.StatusCode.DEADLINE_EXCEEDED,
+}
+
+
+async def _abort(
+    context: grpc.aio.ServicerContext, method: str, error: Exception
+) -> None:
+    """End a call with the status of an error; always raises."""
+    if isinstance(error, grpc.RpcError):
+        error = client.convert_error(error)
+    if not isinstance(error, exceptions.SesamefoldError):
+        _log.exception("{} failed", method)
+        error = exceptions.InternalError(f"{type(error).__name__} in {method}")
+    _errors.labels(method, error.code).inc()
+    await context.abort(
+        _STATUS_CODES.get(error.status, grpc.StatusCode.INTERNAL),
+        f"{error.code}: {error}",
+        ((client.EXECUTED_KEY, error.executed),),
+    )
+
+
+def _serve(method: t.Callable[..., t.Any]) -> t.Callable[..., t.Any]:
+    """Count a unary method and answer its errors with a status."""
+    name = method.__name__
+
+    @functools.wraps(method)
+    async def answer(
+        self: t.Any, request: t.Any, context: grpc.aio.ServicerContext
+    ) -> t.Any:
+        _calls.labels(name).inc()
+        try:
+            return await method(self, request, context)
+        except grpc.aio.AbortError:
+            raise
+        except Exception as error:
+            await _abort(context, name, error)
+
+    return answer
+
+
+class _Servicer(control_pb2_grpc.ControlServicer):
+    def __init__(self, control: "Control") -> None:
+        self._control = control
+
+    async def WatchConfiguration(self, request, context):
+        _calls.labels("WatchConfiguration").inc()
+        with self._control.count_stream():
+            async for message in self._control.relay.watch(
+                request.known_digests
+            ):
+                yield message
+
+    async def WatchBackends(self, request, context):
+        _calls.labels("WatchBackends").inc()
+        with self._control.count_stream():
+            async for message in self._control.backends.watch():
+                yield message
+
+    @_serve
+    async def Heartbeat(self, request, context):
+        return self._control.membership.receive(request)
+
+    @_serve
+    async def FetchConfiguration(self, request, context):
+        relay = self._control.relay
+        if relay.revision <= request.revision:
+            return control_pb2.Configuration(revision=relay.revision)
+        return relay.export(frozenset(request.known_digests))
+
+    @_serve
+    async def GetStatus(self, request, context):
+        return await self._control.status.build(request.whole)
+
+    @_serve
+    async def ReportFailure(self, request, context):
+        metadata = dict(context.invocation_metadata() or ())
+        await self._control.backends.report_failure(
+            request, client.FORWARDED_KEY in metadata
+        )
+        return control_pb2.Empty()
+
+    async def _delegate(self, part, method, request, context):
+        target = self._control.parts.get(part)
+        if target is None:
+            await context.abort(
+                grpc.StatusCode.UNIMPLEMENTED,
+                f"this control daemon has no {part}",
+            )
+        return await getattr(target, method)(request)
+
+    @_serve
+    async def AcquirePermit(self, request, context):
+        return await self._delegate("permits", "acquire", request, context)
+
+    @_serve
+    async def RenewPermit(self, request, context):
+        return await self._delegate("permits", "renew", request, context)
+
+    @_serve
+    async def ReleasePermit(self, request, context):
+        reply = await self._delegate("permits", "release", request, context)
+        return reply or control_pb2.Empty()
+
+    @_serve
+    async def BeginCall(self, request, context):
+        return await self._delegate("journal", "begin", request, context)
+
+    @_serve
+    async def FinishCall(self, request, context):
+        reply = await self._delegate("journal", "finish", request, context)
+        return reply or control_pb2.Empty()
+
+    @_serve
+    async def LookupBlocks(self, request, context):
+        return await self._delegate("directory", "lookup", request, context)
+
+    @_serve
+    async def ReportBlocks(self, request, context):
+        reply = await self._delegate("directory", "report", request, context)
+        return reply or control_pb2.Empty()
+
+
+class Control(mode.Service):
+    """Serves the gateway of its host and other controls.
+
+    It offers configuration, membership, backend states, permits, journal and
+    block directory.
+    """
+
+    mundane_level = "debug"
+
+    def __init__(
+        self, settings: process_settings.Settings, **kwargs: t.Any
+    ) -> None:
+        super().__init__(**kwargs)
+        self.settings = settings
+        self.parts: t.Dict[str, t.Any] = {}
+        self.control_address = ""
+        self.metrics_address = ""
+        self.leaving = False
+        self._streams = 0
+        self._streams_ended = asyncio.Event()
+
+    # What tests replace by fakes.
+
+    def open_key_value(self) -> keyvalue.KeyValue:
+        """Return the adapter of the key-value service."""
+        return keyvalue.HttpKeyValue(self.session, self.settings.key_value_url)
+
+    def open_host_list(self) -> hostlist.HostList:
+        """Return the adapter of the host list."""
+        return hostlist.HttpHostList(self.session, self.settings.host_list_url)
+
+    def open_engine(self, address: str) -> engines.Engine:
+        """Return the adapter of an engine."""
+        return engines.HttpEngine(self.session, address)
+
+    # Life cycle.
+
+    async def on_start(self) -> None:
+        """Bind the ports and set up the components."""
+        self.session = aiohttp.ClientSession()
+        self._server = grpc.aio.server(
+            options=(*client.CHANNEL_OPTIONS, ("grpc.so_reuseport", 0))
+        )
+        control_pb2_grpc.add_ControlServicer_to_server(
+            _Servicer(self), self._server
+        )
+        self.control_address = self._bind(self.settings.control_address)
+        await self._open_http()
+        self._build()
+        await self._server.start()
+
+    def _bind(self, address: str) -> str:
+        host, _, _ = address.rpartition(":")
+        return f"{host}:{self._server.add_insecure_port(address)}"
+
+    def _build(self) -> None:
+        settings = self.settings
+        self.key_value = self.open_key_value()
+        self.membership = memberships.Membership(
+            control_pb2.Member(
+                name=settings.host,
+                data_centre=settings.data_centre,
+                control_address=self.control_address,
+                gateway_address=settings.gateway_address,
+            ),
+            self.open_host_list(),
+        )
+        self.relay = relays.Relay(self.key_value, self.membership)
+        self._open_parts()
+        directory = self.parts.get("directory")
+        self.backends = backend_states.Backends(
+            self.membership,
+            self.open_engine,
+            lambda: self.relay.configuration,
+            report_blocks=None if directory is None else directory.report,
+        )
+        self.status = status.Reporter(
+            self.membership, self.relay, self.backends
+        )
+        self.membership.reports = self.backends
+        self.membership.get_revision = lambda: self.relay.revision
+        self.membership.on_revision = self.relay.learn
+        self.membership.is_platform_down = self.relay.is_platform_down
+        services = (self.membership, self.relay, self.backends)
+        for service in services:
+            self.add_dependency(service)
+        for part in self.parts.values():
+            if isinstance(part, mode.Service):
+                self.add_dependency(part)
+
+    def _open_parts(self) -> None:
+        journal = _find_module("journal")
+        if journal is not None:
+            self.parts["journal"] = journal.Journal(
+                self.key_value, self.membership
+            )
+        permits = _find_module("permits")
+        if permits is not None:
+            self.parts["permits"] = permits.Permits(
+                self.membership, self.get_cold_limit
+            )
+        directory = _find_module("directory")
+        if directory is not None:
+            self.parts["directory"] = directory.Directory(self.membership)
+
+    def get_cold_limit(self, backend: str) -> int:
+        """Return how many requests a cold backend server may run.
+
+        It is 0 when the server or its group is not known.
+        """
+        state = self.backends.get_state(backend)
+        group = self.relay.configuration.groups.get(
+            "" if state is None else state.group
+        )
+        return 0 if group is None else group.cold_limit
+
+    async def on_started(self) -> None:
+        """Print the addresses."""
+        addresses = {
+            "control_address": self.control_address,
+            "metrics_address": self.metrics_address,
+        }
+        print(json.dumps(addresses), flush=True)
+
+    async def drain(self) -> None:
+        """Leave the membership, then wait for the gateway.
+
+        Requests that the gateway still runs need the journal and the permits,
+        so the daemon serves on until the gateway's streams end, at most as
+        long as the gateway itself may drain.
+        """
+        self.leaving = True
+        await self.membership.leave()
+        seconds = self.settings.drain_delay + self.settings.drain_time
+        try:
+            async with asyncio.timeout(seconds):
+                while self._streams:
+                    self._streams_ended.clear()
+                    await self._streams_ended.wait()
+        except TimeoutError:
+            _log.warning("the gateway is still connected after {} s", seconds)
+
+    async def on_stop(self) -> None:
+        """Stop serving."""
+        await self._server.stop(_STOP_SECONDS)
+
+    async def on_shutdown(self) -> None:
+        """Close what the components have used."""
+        await self._runner.cleanup()
+        await self.session.close()
+
+    def count_stream(self) -> "_StreamCount":
+        """Return a context in which a gateway's stream counts as open."""
+        return _StreamCount(self)
+
+    # Metrics and health.
+
+    async def _open_http(self) -> None:
+        app = web.Application()
+        app.router.add_get("/metrics", self._get_metrics)
+        app.router.add_get("/healthz", self._get_health)
+        app.router.add_get("/readyz", self._get_readiness)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        host, _, port = self.settings.metrics_address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        address = self._runner.addresses[0]
+        self.metrics_address = f"{host}:{address[1]}"
+
+    async def _get_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=prometheus_client.generate_latest(),
+            headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
+        )
+
+    async def _get_health(self, request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok"})
+
+    async def _get_readiness(self, request: web.Request) -> web.Response:
+        missing = [
+            reason
+            for reason, applies in (
+                ("leaving", self.leaving),
+                ("configuration", not self.relay.settled),
+            )
+            if applies
+        ]
+        return web.json_response(
+            {"ready": not missing, "missing": missing},
+            status=503 if missing else 200,
+        )
+
+
+class _StreamCount:
+    def __init__(self, control: Control) -> None:
+        self._control = control
+
+    def __enter__(self) -> None:
+        self._control._streams += 1
+
+    def __exit__(self, *exc_info: t.Any) -> None:
+        self._control._streams -= 1
+        self._control._streams_ended.set()
+
+
+def _find_module(name: str) -> t.Optional[types.ModuleType]:
+    """Return a module of the package, None when it does not exist."""
+    full = f"{__package__}.{name}"
+    try:
+        return importlib.import_module(full)
+    except ModuleNotFoundError as error:
+        if error.name != full:
+            raise
+        _log.warning("module {} does not exist", full)
+        return None
+
+
+async def _run(settings: process_settings.Settings) -> int:
+    control = Control(settings)
+    asked = asyncio.Event()
+
+    def end() -> None:
+        if asked.is_set():
+            _log.warning("second signal, exit at once")
+            os._exit(1)
+        asked.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, end)
+    try:
+        await control.start()
+    except (OSError, RuntimeError) as error:
+        _log.error("the control daemon cannot start: {}", error)
+        return 1
+    await control.wait_first(asked)
+    if control.crashed:
+        _log.error("the control daemon failed: {!r}", control.crash_reason)
+    else:
+        await control.drain()
+    await control.stop()
+    return 1 if control.crashed else 0
+
+
+def run(settings: process_settings.Settings) -> int:
+    """Run the control daemon until SIGTERM; returns the exit code.
+
+    The first signal lets the gateway finish, the second one ends at once.
+    Log handlers are set up by the caller.
+    """
+    return asyncio.run(_run(settings))
--- a/src/sesamefold/defaults.py
+++ b/src/sesamefold/defaults.py
@@ -21,10 +21,17 @@
 HEARTBEAT_TIMEOUT = 4.0
 HOST_LIST_INTERVAL = 2.0
 
+# Calls of a control daemon whose caller states no deadline, seconds.
+CONTROL_TIMEOUT = 2.0
+
 # Polling of backend servers by their owner, seconds.
 LOAD_INTERVAL = 0.5
 STATE_TIMEOUT = 3.0
 COLD_SECONDS = 10.0
+# Cache events are hints, so they are polled less often than the load.
+EVENTS_INTERVAL = 1.0
+# How long a reported failure of a backend server counts.
+FAILURE_SECONDS = 5.0
 
 # Admission to cold backend servers, seconds.
 PERMIT_SECONDS = 5.0
@@ -45,6 +52,11 @@
 AUDIT_PAGES = 128
 AUDIT_ENTRY_BYTES = 4096
 RELAY_SILENCE_SECONDS = 5.0
+# Length of one watch of the configuration head.
+WATCH_SECONDS = 5.0
+# How long a control that failed to reach the key-value service leaves the
+# watch to others.
+WATCH_PENALTY_SECONDS = 30.0
 
 # Retry of the key-value service after an outage, seconds.
 PLATFORM_BACKOFF = 0.5
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,100 @@
+"""Tests of the control daemon as a whole, over real gRPC connections."""
+
+import unittest
+
+import aiohttp
+
+from sesamefold import client
+from sesamefold import exceptions
+from sesamefold import revisions
+from sesamefold.wire import control_pb2
+from tests import control_fakes
+
+
+class ControlTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, name, key_value, host_list, engines=None):
+        daemon = control_fakes.Control(name, key_value, host_list, engines)
+        await daemon.start()
+        self.addAsyncCleanup(daemon.stop)
+        return daemon
+
+    async def open(self, daemon):
+        found = client.ControlClient(daemon.control_address)
+        self.addAsyncCleanup(found.close)
+        return found
+
+    async def test_gateway_gets_configuration_and_states(self):
+        """Guards against a gateway without configuration or backends."""
+        key_value = control_fakes.KeyValue()
+        control_fakes.store_revision(key_value, 1)
+        hosts = control_fakes.HostList(
+            control_fakes.make_backend("b1"),
+            control_fakes.make_backend("s1", group="p"),
+        )
+        engines = {"127.0.0.1:2": control_fakes.Engine()}
+        daemon = await self.start("h1", key_value, hosts, engines)
+        gateway = await self.open(daemon)
+
+        watch = gateway.watch_configuration()
+        first = await anext(watch)
+        while first.revision == 0:
+            first = await anext(watch)
+        chunks = {chunk.digest: chunk.data for chunk in first.chunks}
+        built = revisions.build_configuration(
+            revisions.Head.decode(first.head), chunks, customers=True
+        )
+        self.assertEqual(["acme"], list(built.customers))
+        control_fakes.store_revision(key_value, 2, version="v2")
+        second = await anext(watch)
+        self.assertEqual((2, 1), (second.revision, len(second.chunks)))
+        await watch.aclose()
+
+        states = {}
+        watch = gateway.watch_backends()
+        async for message in watch:
+            states.update({s.name: s.state for s in message.states})
+            if states == {"b1": "warm", "s1": "warm"}:
+                break
+        await watch.aclose()
+
+    async def test_errors_keep_class_and_executed(self):
+        """Guards against errors that lose their code between processes."""
+        daemon = await self.start(
+            "h1", control_fakes.KeyValue(), control_fakes.HostList()
+        )
+        gateway = await self.open(daemon)
+
+        class Journal:
+            error = None
+
+            async def begin(self, request):
+                raise self.error
+
+        for error in (
+            exceptions.JournalUnavailable("no quorum: 7"),
+            exceptions.KeyExpired("too old", executed=exceptions.UNKNOWN),
+            exceptions.VersionConflict("k", 1, 2),
+        ):
+            with self.subTest(error=error):
+                daemon.parts["journal"] = Journal()
+                Journal.error = error
+                with self.assertRaises(type(error)) as caught:
+                    await gateway.begin_call(control_pb2.BeginCallRequest())
+                self.assertEqual(str(error), str(caught.exception))
+                self.assertEqual(error.executed, caught.exception.executed)
+        daemon.parts.clear()
+        with self.assertRaises(exceptions.ControlUnavailable):
+            await gateway.begin_call(control_pb2.BeginCallRequest())
+
+    async def test_metrics_and_readiness(self):
+        """Guards against a daemon that is ready before it can answer."""
+        key_value = control_fakes.KeyValue()
+        key_value.down = True
+        daemon = await self.start("h1", key_value, control_fakes.HostList())
+        url = f"http://{daemon.metrics_address}"
+        async with aiohttp.ClientSession() as session:
+            for path, status in (("/healthz", 200), ("/readyz", 503)):
+                async with session.get(url + path) as response:
+                    self.assertEqual(status, response.status)
+            async with session.get(url + "/metrics") as response:
+                self.assertIn("sesamefold_members", await response.text())
