--- a/src/sesamefold/control.py
+++ b/src/sesamefold/control.py
@@ -23,6 +23,7 @@
 from sesamefold import hostlist
 from sesamefold import keyvalue
 from sesamefold import membership as memberships
+from sesamefold import orders
 from sesamefold import relay as relays
 from sesamefold import settings as process_settings
 from sesamefold import status
@@ -248,6 +249,14 @@
             lambda: self.relay.configuration,
             report_blocks=None if directory is None else directory.report,
         )
+        self.orderer = orders.Orderer(
+            self.key_value,
+            self.membership,
+            self.backends,
+            self.open_engine,
+            lambda: self.relay.configuration,
+            is_platform_up=lambda: self.relay.platform_available,
+        )
         self.status = status.Reporter(
             self.membership, self.relay, self.backends
         )
@@ -255,7 +264,12 @@
         self.membership.get_revision = lambda: self.relay.revision
         self.membership.on_revision = self.relay.learn
         self.membership.is_platform_down = self.relay.is_platform_down
-        services = (self.membership, self.relay, self.backends)
+        services = (
+            self.membership,
+            self.relay,
+            self.backends,
+            self.orderer,
+        )
         for service in services:
             self.add_dependency(service)
         for part in self.parts.values():
--- a/src/sesamefold/defaults.py
+++ b/src/sesamefold/defaults.py
@@ -33,6 +33,9 @@
 # How long a reported failure of a backend server counts.
 FAILURE_SECONDS = 5.0
 
+# Lease of the control that orders the engines of a data centre, seconds.
+ORDERER_LEASE_SECONDS = 10.0
+
 # Admission to cold backend servers, seconds.
 PERMIT_SECONDS = 5.0
 PERMIT_RENEWAL_INTERVAL = 1.5
--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -19,6 +19,7 @@
 from sesamefold import exceptions
 from sesamefold import hostlist
 from sesamefold import notification
+from sesamefold import rendezvous
 from sesamefold.wire import control_pb2
 from sesamefold.wire import control_pb2_grpc
 
@@ -136,6 +137,20 @@
         own = [] if self.member.leaving else [self.name]
         return sorted(own + live)
 
+    def is_first(self, key: str) -> bool:
+        """Tell whether this host is first in rank for a duty.
+
+        Members that cannot reach the key-value service come last.
+        """
+
+        def is_down(name: str) -> bool:
+            if name == self.name:
+                return self.is_platform_down()
+            return self._peers[name].platform_down
+
+        ranked = rendezvous.rank_owners(key, self.list_members())
+        return next(iter(sorted(ranked, key=is_down)), None) == self.name
+
     def list_entry_hosts(self) -> t.List[str]:
         """Return the live entry hosts of all data centres, this one too."""
         others = (
--- a/src/sesamefold/relay.py
+++ b/src/sesamefold/relay.py
@@ -19,7 +19,6 @@
 from sesamefold import keyvalue as keyvalues
 from sesamefold import membership as memberships
 from sesamefold import notification
-from sesamefold import rendezvous
 from sesamefold import revisions
 from sesamefold.wire import control_pb2
 
@@ -84,7 +83,6 @@
         self.head: t.Optional[revisions.Head] = None
         self.configuration = configuration.Configuration()
         self.changed = notification.Notification()
-        self.platform_available = False
         # True once the key-value service or a member has answered.
         self.settled = False
         self._keyvalue = keyvalue
@@ -95,6 +93,7 @@
         # Chunks of a head that could not be read completely.
         self._spare: t.Dict[str, bytes] = {}
         self._failures = 0
+        self._reached = False  # the last call of the watch succeeded
         self._yielded_until = 0.0
         self._learned_at = time.monotonic()
         self._offers: t.Dict[str, int] = {}
@@ -105,27 +104,25 @@
         """The revision in force, 0 when there is none yet."""
         return 0 if self.head is None else self.head.revision
 
+    @property
+    def platform_available(self) -> bool:
+        """Whether the watcher reaches the key-value service."""
+        if self.is_watcher():
+            return self._reached
+        peers = self._membership.list_peers()
+        return any(
+            not peers[name].platform_down
+            for name in self._membership.list_members()
+            if name in peers and peers[name].heard
+        )
+
     def is_platform_down(self) -> bool:
         """Tell whether this host leaves the watch to others."""
         return time.monotonic() < self._yielded_until
 
     def is_watcher(self) -> bool:
-        """Tell whether this control is first in rank for the watch.
-
-        Members that cannot reach the key-value service come last.
-        """
-        peers = self._membership.list_peers()
-
-        def is_down(name: str) -> bool:
-            if name == self._membership.name:
-                return self.is_platform_down()
-            return name in peers and peers[name].platform_down
-
-        ranked = rendezvous.rank_owners(
-            "configuration", self._membership.list_members()
-        )
-        first = next(iter(sorted(ranked, key=is_down)), None)
-        return first == self._membership.name
+        """Tell whether this control is first in rank for the watch."""
+        return self._membership.is_first("configuration")
 
     # What gateways and other controls get.
 
@@ -307,18 +304,11 @@
                 > defaults.RELAY_SILENCE_SECONDS
             )
             choice = sorted(members - {self._membership.name})
-            if self._failures and self.is_first() and others:
+            if self._failures and self.is_watcher() and others:
                 await self._try_fetch(self._random.choice(sorted(others)))
             elif silent and choice:
                 await self._try_fetch(self._random.choice(choice))
 
-    def is_first(self) -> bool:
-        """Tell whether this control is first in rank, reachability aside."""
-        first = rendezvous.choose_owner(
-            "configuration", self._membership.list_members()
-        )
-        return first == self._membership.name
-
     # From the key-value service.
 
     @mode.Service.task
@@ -345,7 +335,7 @@
 
     def _note_failure(self, error: Exception) -> None:
         self._failures += 1
-        self.platform_available = False
+        self._reached = False
         _platform_up.set(0)
         _log.warning("the key-value service did not answer: {}", error)
         if self._failures >= _FAILURES_TO_YIELD:
@@ -356,7 +346,7 @@
     def _note_success(self) -> None:
         self._failures = 0
         self._yielded_until = 0.0
-        self.platform_available = True
+        self._reached = True
         self.settled = True
         self._learned_at = time.monotonic()
         _platform_up.set(1)
