Add limits of a gateway

Cause: overload, retries and requests that crash servers must be bounded in each gateway without messages between hosts. Change: ConcurrencyLimit, FairQueue, RetryBudget and Quarantine.

--- /dev/null
+++ b/src/sesamefold/limits.py
@@ -0,0 +1,528 @@
+"""Limits that one gateway applies to its requests."""
+
+import asyncio
+import collections
+import hashlib
+import heapq
+import time
+import typing as t
+
+import attrs
+
+from sesamefold import deadline as deadlines
+from sesamefold import defaults
+from sesamefold import exceptions
+
+# Queueing delay at a backend server above which its limit is lowered,
+# seconds. The target for the first token is 0.72 s, and computing the prompt
+# takes most of it.
+TARGET_DELAY = 0.1
+DECREASE_FACTOR = 0.7
+# Time between two decreases, seconds; the requests of one burst report the
+# same congestion.
+DECREASE_INTERVAL = 0.5
+
+# Waiting requests of one gateway, and of one customer.
+QUEUE_REQUESTS = 1000
+CUSTOMER_REQUESTS = 250
+# Requests that are offered a slot in vain before a dispatch ends.
+DISPATCH_ATTEMPTS = 16
+# Weight of the latest interval in the mean time between two dispatches.
+RATE_WEIGHT = 0.1
+
+# Retries that are allowed without any success, and the most that successes
+# can save up.
+RETRY_RESERVE = 3.0
+RETRY_SAVINGS = 20.0
+
+# Time that a suspicion or a verdict lasts, seconds.
+QUARANTINE_SECONDS = 600.0
+QUARANTINE_REQUESTS = 10_000
+
+Slot = t.TypeVar("Slot")
+
+
+class ConcurrencyLimit:
+    """Adaptive number of requests that one gateway runs on a backend server.
+
+    The limit grows by one after each `limit` requests that were not delayed
+    while it was reached, and shrinks by a factor when a request waited for
+    longer than `target_delay` or was refused. It stays between 1 and `upper`.
+    """
+
+    def __init__(
+        self,
+        upper: int,
+        *,
+        target_delay: float = TARGET_DELAY,
+        clock: t.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._upper = max(1, upper)
+        self._target_delay = target_delay
+        self._clock = clock
+        # Starts low, because all gateways may start at the same time.
+        self._limit = float(max(1, self._upper // 2))
+        self._last_decrease = float("-inf")
+        self.running = 0
+
+    @property
+    def limit(self) -> int:
+        """Return the number of requests that may run now."""
+        return int(self._limit)
+
+    def set_upper(self, upper: int) -> None:
+        """Change the upper bound, for example after a membership change."""
+        self._upper = max(1, upper)
+        self._limit = min(self._limit, float(self._upper))
+
+    def try_acquire(self) -> bool:
+        """Take a place if one is free."""
+        if self.running >= self.limit:
+            return False
+        self.running += 1
+        return True
+
+    def release(
+        self, delay: t.Optional[float] = None, refused: bool = False
+    ) -> None:
+        """Give a place back.
+
+        `delay` is the time in seconds that the request waited on the server,
+        None when it is not known; `refused` tells that the server refused it
+        for lack of capacity.
+        """
+        reached = self.running >= self.limit
+        self.running -= 1
+        if refused or (delay is not None and delay > self._target_delay):
+            now = self._clock()
+            if now - self._last_decrease >= DECREASE_INTERVAL:
+                self._last_decrease = now
+                self._limit = max(1.0, self._limit * DECREASE_FACTOR)
+        elif delay is not None and reached:
+            self._limit = min(
+                float(self._upper), self._limit + 1.0 / self._limit
+            )
+
+
+@attrs.define(eq=False)
+class _Waiter(t.Generic[Slot]):
+    take: t.Callable[[], t.Optional[Slot]]
+    result: "asyncio.Future[Slot]"
+    latest_start: float  # Unix seconds
+
+
+@attrs.define(eq=False)
+class _Line:
+    """Waiting requests of one customer, oldest first."""
+
+    customer: str
+    share: float
+    virtual: float  # virtual time at which its next request is due
+    waiters: t.Deque[_Waiter] = attrs.field(factory=collections.deque)
+
+
+class FairQueue:
+    """Requests that wait for a backend server, by the share of customers.
+
+    The queue serves the customer with the least virtual time, which advances
+    by 1 / share for each request (start-time fair queueing). All requests of
+    one queue should be able to use the same servers: one queue for each model
+    or plain service.
+
+    The bounds are `capacity` in total and `customer_capacity` for a customer.
+    When the queue is full, a request takes the place of the latest request of
+    the customer with the most requests for its share, unless that is its own.
+
+    `clock` returns Unix seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        capacity: int = QUEUE_REQUESTS,
+        customer_capacity: int = CUSTOMER_REQUESTS,
+        clock: t.Callable[[], float] = time.time,
+    ) -> None:
+        self._capacity = capacity
+        self._customer_capacity = customer_capacity
+        self._clock = clock
+        # Customers that wait, and those whose virtual time is still ahead.
+        self._lines: t.Dict[str, _Line] = {}
+        self._virtual = 0.0
+        self._interval: t.Optional[float] = None  # seconds, mean
+        self._last_dispatch = 0.0
+        self.waiting = 0
+
+    async def wait(
+        self,
+        customer: str,
+        share: float,
+        deadline: deadlines.Deadline,
+        take: t.Callable[[], t.Optional[Slot]],
+        give_back: t.Callable[[Slot], None],
+        run_seconds: float = 0.0,
+    ) -> Slot:
+        """Wait until `take` returns a slot, and return it.
+
+        `take` returns None while no server has a free place. `give_back`
+        gets a slot that was taken for a request that ended meanwhile.
+        `run_seconds` is the time that the request needs once it has a slot.
+
+        Raises `exceptions.Overloaded` when a bound is reached and
+        `exceptions.DeadlineUnreachable` as soon as the expected wait ends
+        after the deadline.
+        """
+        now = self._clock()
+        latest_start = deadline.at - run_seconds
+        line = self._find_line(customer, share)
+        if now + self._estimate_wait(line, now) > latest_start:
+            raise exceptions.DeadlineUnreachable(
+                f"{self.waiting} requests wait; the deadline cannot be met"
+            )
+        if len(line.waiters) >= self._customer_capacity:
+            raise exceptions.Overloaded(
+                f"{len(line.waiters)} requests of the customer wait already"
+            )
+        if self.waiting >= self._capacity:
+            self._make_room(line)
+        waiter = _Waiter(
+            take, asyncio.get_running_loop().create_future(), latest_start
+        )
+        if not self.waiting:
+            self._last_dispatch = now
+        line.waiters.append(waiter)
+        self.waiting += 1
+        self.dispatch()
+        try:
+            async with asyncio.timeout(max(0.0, latest_start - now)):
+                return await waiter.result
+        except TimeoutError:
+            self._leave(line, waiter, give_back)
+            raise exceptions.DeadlineUnreachable(
+                "no server had a free place before the deadline"
+            ) from None
+        except asyncio.CancelledError:
+            self._leave(line, waiter, give_back)
+            raise
+
+    def dispatch(self) -> None:
+        """Offer free places to waiting requests.
+
+        To be called whenever a place may have become free.
+        """
+        lines = [
+            (line.virtual, index, line)
+            for index, line in enumerate(self._lines.values())
+            if line.waiters
+        ]
+        heapq.heapify(lines)
+        failed = 0
+        while lines and failed < DISPATCH_ATTEMPTS:
+            _, index, line = heapq.heappop(lines)
+            waiter = line.waiters[0]
+            now = self._clock()
+            if waiter.result.done():
+                # Cancelled; its task has not run since.
+                self._remove(line, waiter)
+            elif now > waiter.latest_start:
+                self._refuse(
+                    line,
+                    waiter,
+                    exceptions.DeadlineUnreachable(
+                        "no server had a free place before the deadline"
+                    ),
+                )
+            else:
+                slot = waiter.take()
+                if slot is None:
+                    failed += 1
+                    continue
+                self._remove(line, waiter)
+                self._virtual = max(self._virtual, line.virtual)
+                line.virtual += 1.0 / line.share
+                self._count_dispatch(now)
+                waiter.result.set_result(slot)
+            if line.waiters:
+                heapq.heappush(lines, (line.virtual, index, line))
+
+    def _find_line(self, customer: str, share: float) -> _Line:
+        line = self._lines.get(customer)
+        if line is None:
+            if len(self._lines) > 2 * self._capacity:
+                self._forget_idle()
+            line = _Line(customer, share, self._virtual)
+            self._lines[customer] = line
+        line.share = max(share, 1e-6)
+        if not line.waiters:
+            # An idle customer saves up no claim for later.
+            line.virtual = max(line.virtual, self._virtual)
+        return line
+
+    def _forget_idle(self) -> None:
+        self._lines = {
+            name: line
+            for name, line in self._lines.items()
+            if line.waiters or line.virtual > self._virtual
+        }
+
+    def _estimate_wait(self, line: _Line, now: float) -> float:
+        """Return the expected wait in seconds, 0.0 while nothing waits."""
+        if self._interval is None or not self.waiting:
+            return 0.0
+        # The time since the last dispatch counts, since servers may stall.
+        interval = self._average(now)
+        shares = sum(
+            other.share
+            for other in self._lines.values()
+            if other.waiters and other is not line
+        )
+        ahead = (len(line.waiters) + 1) * (shares + line.share) / line.share
+        return interval * min(ahead, self.waiting + 1)
+
+    def _average(self, now: float) -> float:
+        latest = now - self._last_dispatch
+        if self._interval is None:
+            return latest
+        return self._interval + RATE_WEIGHT * (latest - self._interval)
+
+    def _count_dispatch(self, now: float) -> None:
+        # Intervals count only while requests wait; else they would measure
+        # the arrivals instead of the servers.
+        if self.waiting:
+            self._interval = self._average(now)
+        self._last_dispatch = now
+
+    def _make_room(self, line: _Line) -> None:
+        """Refuse the latest request of the customer most above its share."""
+
+        def measure(other: _Line) -> float:
+            own = 1 if other is line else 0
+            return (len(other.waiters) + own) / other.share
+
+        longest = max(self._lines.values(), key=measure)
+        if longest is line or measure(longest) <= measure(line):
+            raise exceptions.Overloaded(f"{self.waiting} requests wait")
+        self._refuse(
+            longest,
+            longest.waiters[-1],
+            exceptions.Overloaded(
+                "the queue is full and other customers wait for their share"
+            ),
+        )
+
+    def _refuse(
+        self, line: _Line, waiter: _Waiter, error: exceptions.SesamefoldError
+    ) -> None:
+        self._remove(line, waiter)
+        if not waiter.result.done():
+            waiter.result.set_exception(error)
+
+    def _remove(self, line: _Line, waiter: _Waiter) -> None:
+        line.waiters.remove(waiter)
+        self.waiting -= 1
+
+    def _leave(
+        self,
+        line: _Line,
+        waiter: _Waiter,
+        give_back: t.Callable[[t.Any], None],
+    ) -> None:
+        """Remove a request that ended before it used a slot."""
+        if waiter in line.waiters:
+            self._remove(line, waiter)
+        result = waiter.result
+        if result.done() and not result.cancelled() and not result.exception():
+            give_back(result.result())
+
+
+class RetryBudget:
+    """Limits retries to a share of the successful requests.
+
+    A small reserve allows retries before the first success.
+    """
+
+    def __init__(
+        self,
+        ratio: float = defaults.RETRY_BUDGET,
+        reserve: float = RETRY_RESERVE,
+        savings: float = RETRY_SAVINGS,
+    ) -> None:
+        self._ratio = ratio
+        self._savings = max(savings, reserve)
+        self._tokens = reserve
+
+    def record_success(self) -> None:
+        """Count a successful request."""
+        self._tokens = min(self._savings, self._tokens + self._ratio)
+
+    def try_spend(self) -> bool:
+        """Take one retry if the budget allows it."""
+        # Ten times 0.1 is less than 1.0 in binary.
+        if self._tokens < 1.0 - 1e-9:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+# A request as (customer, SHA-256 of its content).
+Identity = t.Tuple[str, bytes]
+
+
+def identify_request(customer: str, content: bytes) -> Identity:
+    """Return the identity by which a repeated request is recognised."""
+    return customer, hashlib.sha256(content).digest()
+
+
+@attrs.define(eq=False)
+class Run:
+    """A request in flight on a backend server."""
+
+    identity: Identity
+    server: str
+    alone: bool = False
+    ended: bool = False
+
+
+@attrs.define
+class _Suspicion:
+    crashes: int
+    until: float  # Unix seconds
+
+
+class Quarantine:
+    """Keeps a request that crashes backend servers away from them.
+
+    The requests in flight on a server that crashed become suspects. A suspect
+    runs alone on a server, and one suspect at a time, as far as this gateway
+    can tell; so the next crash points at one request. A suspect that
+    completes is cleared. A request that was in flight at two crashes is
+    refused until its verdict expires.
+
+    `clock` returns Unix seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        seconds: float = QUARANTINE_SECONDS,
+        capacity: int = QUARANTINE_REQUESTS,
+        clock: t.Callable[[], float] = time.time,
+    ) -> None:
+        self._seconds = seconds
+        self._capacity = capacity
+        self._clock = clock
+        self._suspicions: "collections.OrderedDict[Identity, _Suspicion]" = (
+            collections.OrderedDict()
+        )
+        self._runs: t.Dict[str, t.Set[Run]] = {}
+        # Servers that a suspect uses or waits for.
+        self._reserved: t.Set[str] = set()
+        self._turn = asyncio.Lock()
+        self._changed = asyncio.Event()
+
+    def count_crashes(self, identity: Identity) -> int:
+        """Return at how many crashes a request was in flight."""
+        suspicion = self._suspicions.get(identity)
+        if suspicion is None:
+            return 0
+        if suspicion.until <= self._clock():
+            del self._suspicions[identity]
+            return 0
+        return suspicion.crashes
+
+    def check(self, identity: Identity) -> None:
+        """Raise `exceptions.RequestQuarantined` for a refused request."""
+        if self.count_crashes(identity) >= 2:
+            raise exceptions.RequestQuarantined(
+                "the request was running at two crashes of backend servers"
+            )
+
+    async def start(
+        self,
+        identity: Identity,
+        server: str,
+        deadline: deadlines.Deadline,
+    ) -> t.Optional[Run]:
+        """Register a run; return None while a suspect has the server.
+
+        A suspect waits until no other request of this gateway runs on the
+        server. Raises `exceptions.RequestQuarantined`, and
+        `exceptions.DeadlineUnreachable` when a suspect waits too long.
+        """
+        self.check(identity)
+        if self.count_crashes(identity):
+            return await self._start_alone(identity, server, deadline)
+        if server in self._reserved:
+            return None
+        return self._add_run(Run(identity, server))
+
+    def finish(self, run: Run, completed: bool) -> None:
+        """End a run; a suspect that completed is cleared."""
+        if run.ended:
+            return
+        if completed:
+            self._suspicions.pop(run.identity, None)
+        self._end(run)
+
+    def report_crash(self, run: Run) -> None:
+        """Report that the server of a run crashed during it.
+
+        Each run of the server may report the same crash; it counts once.
+        """
+        if not run.ended:
+            self.report_restart(run.server)
+
+    def report_restart(self, server: str) -> None:
+        """Report that a server crashed with all runs that are on it."""
+        runs = list(self._runs.get(server, ()))
+        until = self._clock() + self._seconds
+        for identity in {run.identity for run in runs}:
+            crashes = self.count_crashes(identity) + 1
+            self._suspicions[identity] = _Suspicion(crashes, until)
+            self._suspicions.move_to_end(identity)
+        while len(self._suspicions) > self._capacity:
+            self._suspicions.popitem(last=False)
+        for run in runs:
+            self._end(run)
+
+    async def _start_alone(
+        self,
+        identity: Identity,
+        server: str,
+        deadline: deadlines.Deadline,
+    ) -> Run:
+        try:
+            async with asyncio.timeout(deadline.remaining(self._clock())):
+                await self._turn.acquire()
+                try:
+                    self._reserved.add(server)
+                    while self._runs.get(server):
+                        self._changed.clear()
+                        await self._changed.wait()
+                    # Another copy of the request may have crashed a server
+                    # while this one waited.
+                    self.check(identity)
+                    return self._add_run(Run(identity, server, alone=True))
+                except BaseException:
+                    self._reserved.discard(server)
+                    self._turn.release()
+                    raise
+        except TimeoutError:
+            raise exceptions.DeadlineUnreachable(
+                "no server was free for a request that runs alone"
+            ) from None
+
+    def _add_run(self, run: Run) -> Run:
+        self._runs.setdefault(run.server, set()).add(run)
+        return run
+
+    def _end(self, run: Run) -> None:
+        run.ended = True
+        runs = self._runs[run.server]
+        runs.discard(run)
+        if not runs:
+            del self._runs[run.server]
+        if run.alone:
+            self._reserved.discard(run.server)
+            self._turn.release()
+        self._changed.set()
