Share servers by customer and keep crashing requests apart

Cause: places were given in the order of arrival, a request that crashes servers could be tried on all of them, and retries had no budget. A response that has begun is continued even when the retry budget is spent.

--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -214,19 +214,12 @@
         completion: completions.Completion,
         begun: float,
     ) -> web.StreamResponse:
-        async with contextlib.aclosing(completion.run()) as events:
-            first = await anext(events)
-            form = streams.Format(
-                completion.request_id,
-                completion.prompt.name,
-                completion.prompt.chat,
-            )
-            answer = _Answer(self._state, completion, form, begun)
-            response = (
-                await answer.send_stream(request, first, events)
-                if completion.prompt.stream
-                else await answer.send_whole(first, events)
-            )
+        answer = _Answer(self._state, completion, begun)
+        try:
+            async with asyncio.timeout(completion.deadline.remaining()):
+                response = await answer.send(request)
+        except TimeoutError:
+            raise completion.build_timeout() from None
         if completion.finished:
             self._exports.schedule(
                 completion.engine_address,
@@ -243,14 +236,29 @@
         self,
         state: states.State,
         completion: completions.Completion,
-        form: streams.Format,
         begun: float,
     ) -> None:
         self._state = state
         self._completion = completion
-        self._form = form
+        self._form = streams.Format(
+            completion.request_id,
+            completion.prompt.name,
+            completion.prompt.chat,
+        )
         self._begun = begun
         self._first_token = 0.0
+        self._unsent = 0
+
+    async def send(self, request: web.Request) -> web.StreamResponse:
+        """Run the completion and write the response.
+
+        Errors before the first event are raised. The caller limits the time.
+        """
+        async with contextlib.aclosing(self._completion.run()) as events:
+            first = await anext(events)
+            if self._completion.prompt.stream:
+                return await self.send_stream(request, first, events)
+            return await self.send_whole(first, events)
 
     def _build_headers(self) -> t.Dict[str, str]:
         return {
@@ -296,27 +304,80 @@
         response.headers["Cache-Control"] = "no-store"
         if self._state.leaving:
             response.force_close()
-        await response.prepare(request)
+        await self._prepare(request, response)
         try:
-            if first.kind != "started":
-                await self._write(response, self._render_origin())
-            await self._write(response, self._render(first))
-            async for event in events:
-                await self._write(response, self._render(event))
-            await response.write_eof()
+            await self._send_events(request, response, first, events)
         except exceptions.SesamefoldError as error:
-            await self._write(response, self._render_error(error))
-            await response.write_eof()
+            await self._send_error(request, response, error)
         except (TimeoutError, ConnectionError):
             # The caller reads too slowly or is gone.
             forwarding.close_connection(request)
+        except asyncio.CancelledError:
+            if self._completion.deadline.has_passed():
+                error = self._completion.build_timeout()
+                await self._send_error(request, response, error)
+            raise
         self._count()
         return response
 
-    async def _write(self, response: web.StreamResponse, data: bytes) -> None:
-        # A write waits only while the transport's buffer is full.
+    async def _prepare(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        writer = await response.prepare(request)
+        if writer is None or request.transport is None:
+            raise ConnectionResetError("the caller is gone")
+        self._writer = writer
+        # A drain then waits until all bytes are with the kernel.
+        request.transport.set_write_buffer_limits(high=0)
+
+    async def _send_events(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        first: engines.TokenEvent,
+        events: t.AsyncIterator[engines.TokenEvent],
+    ) -> None:
+        if first.kind != "started":
+            await self._write(request, self._render_origin())
+        await self._write(request, self._render(first))
+        async for event in events:
+            await self._write(request, self._render(event))
+        await response.write_eof()
+
+    async def _send_error(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        error: exceptions.SesamefoldError,
+    ) -> None:
+        """End a stream with an error event."""
+        content = build_error_body(error, self._completion.request_id)
+        data = f"data: {json.dumps(content)}\n\n".encode()
+        try:
+            await self._write(request, data)
+            await response.write_eof()
+        except (TimeoutError, ConnectionError):
+            forwarding.close_connection(request)
+
+    async def _write(self, request: web.Request, data: bytes) -> None:
+        """Write to the caller; raises TimeoutError for a slow reader.
+
+        A write can only wait while the transport holds unsent bytes, so the
+        timer is left out otherwise.
+        """
+        transport = request.transport
+        if transport is None:
+            raise ConnectionResetError("the caller is gone")
+        if not transport.get_write_buffer_size():
+            self._unsent = 0
+            await self._writer.write(data)
+            return
+        self._unsent += 1
         async with asyncio.timeout(defaults.SLOW_READER_SECONDS):
-            await response.write(data)
+            if self._unsent >= defaults.MAX_BUFFERED_EVENTS:
+                await self._writer.drain()
+                self._unsent = 0
+            await self._writer.write(data)
 
     def _render(self, event: engines.TokenEvent) -> bytes:
         if event.kind == "token":
@@ -335,10 +396,6 @@
             self._completion.origin, self._completion.sign_handle()
         )
 
-    def _render_error(self, error: exceptions.SesamefoldError) -> bytes:
-        content = build_error_body(error, self._completion.request_id)
-        return f"data: {json.dumps(content)}\n\n".encode()
-
     def _note_token(self) -> None:
         if not self._first_token:
             self._first_token = time.monotonic()
@@ -431,6 +488,8 @@
         error, (web.HTTPException, aiohttp.http_exceptions.HttpProcessingError)
     ):
         return exceptions.MalformedRequest("the request is malformed")
+    if isinstance(error, ConnectionError):
+        return exceptions.InternalError("the caller is gone")
     _log.exception("handler failed")
     return exceptions.InternalError("internal error")
 
--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -17,27 +17,27 @@
 from sesamefold import engines
 from sesamefold import exceptions
 from sesamefold import handles
+from sesamefold import limits
 from sesamefold import prompts
 from sesamefold import routing
+from sesamefold import runs
 from sesamefold import services
 from sesamefold import state as states
 from sesamefold import streams
 from sesamefold.wire import control_pb2
 
-# An engine that sends nothing for this long is given up, seconds. The first
-# event may wait for a queue and a long prompt.
-FIRST_EVENT_SECONDS = 20.0
-NEXT_EVENT_SECONDS = 10.0
-# Resumes of one run that bring no new token before the run is given up.
-MAX_RESUMES = 2
 # Runs in total once a server failed while it ran the request.
-MAX_RUNS = 2
+MAX_FAILURES = 2
 # Servers that may refuse a request before it is given up.
 MAX_REFUSALS = 4
 # Handles outlive the request, so that a caller can reconnect late.
 HANDLE_SECONDS = 300.0
 # Continued responses come first, because their callers already read them.
 CONTINUED_PRIORITY = 1
+# Time to ask a server whether it restarted, seconds.
+_PROBE_SECONDS = 1.0
+# Pause while suspect requests hold all servers, seconds.
+_BUSY_SECONDS = 0.1
 
 
 @attrs.define(eq=False)
@@ -69,15 +69,19 @@
     excluded: t.Set[str] = attrs.field(factory=set)
     sent: bool = False
     finished: bool = False
-    runs: int = 0
+    failures: int = 0
     refusals: int = 0
     engine_address: str = ""
     origin: streams.Origin = attrs.field(init=False)
     verifier: streams.Verifier = attrs.field(init=False)
-    prompt_tokens: int = 0
+    identity: limits.Identity = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         dropped = self.state.metrics.events
+        self.identity = (
+            self.customer.name,
+            bytes.fromhex(self.body_sha256),
+        )
         self.origin = streams.Origin(self.state.settings.data_centre)
         self.verifier = streams.Verifier(
             self.request_id,
@@ -106,33 +110,36 @@
     def build_usage(self) -> t.Dict[str, t.Any]:
         """Return the `usage` object of the response."""
         count = self.verifier.offset
+        prompt = self.origin.prompt_tokens
         return {
-            "prompt_tokens": self.prompt_tokens,
+            "prompt_tokens": prompt,
             "completion_tokens": count,
-            "total_tokens": self.prompt_tokens + count,
+            "total_tokens": prompt + count,
             "sesamefold": attrs.asdict(self.origin),
         }
 
     async def run(self) -> t.AsyncIterator[engines.TokenEvent]:
         """Yield the events of the response, each token exactly once.
 
-        The first event is "started" and the last "finished". Closing the
-        iterator cancels the run.
+        The last event is "finished". Closing the iterator cancels the run.
         """
+        if self.state.quarantine.count_crashes(self.identity) > 1:
+            raise exceptions.RequestQuarantined(
+                "the request was running at two crashes",
+                executed=None if self.resumed_engine else exceptions.NO,
+            )
         if self.resumed_engine:
             self.sent = True
             async with contextlib.aclosing(self._run_resumed()) as events:
                 async for event in events:
                     yield event
-                    if event.kind == "finished":
-                        return
+            if self.finished:
+                return
         await self._look_up_blocks()
-        while True:
+        while not self.finished:
             async with contextlib.aclosing(self._run_somewhere()) as events:
                 async for event in events:
                     yield event
-                    if event.kind == "finished":
-                        return
 
     async def _run_resumed(self) -> t.AsyncIterator[engines.TokenEvent]:
         """Follow the run of an earlier connection, if it still exists."""
@@ -140,12 +147,14 @@
             self.state.session, self.resumed_engine
         )
         self.engine_address = self.resumed_engine
+        run = self._make_run(engine)
         source = engine.resume(
             self.request_id, self.verifier.offset, self.deadline
         )
-        follower = self._follow(engine, source, None)
         try:
-            async with contextlib.aclosing(follower) as events:
+            async with contextlib.aclosing(
+                self._follow(run, source)
+            ) as events:
                 async for event in events:
                     yield event
         except exceptions.RoutingError:
@@ -154,9 +163,10 @@
 
     async def _run_somewhere(self) -> t.AsyncIterator[engines.TokenEvent]:
         """Run on the best server; return when another should take over."""
-        place = await self._acquire_place()
+        place, guard = await self._acquire_place()
+        run = self._make_run(place.engine, lambda: place.lost)
         try:
-            async with contextlib.aclosing(self._run_at(place)) as events:
+            async with contextlib.aclosing(self._run_at(place, run)) as events:
                 async for event in events:
                     yield event
         except (
@@ -165,34 +175,65 @@
         ) as error:
             self._record_refusal(place, error)
         except exceptions.BackendFailed as error:
-            self._record_failure(place, error)
+            await self._record_failure(place, guard, run, error)
         finally:
+            self.state.quarantine.finish(guard, run.finished)
             self.places.release(place)
 
-    async def _acquire_place(self) -> admission.Place:
-        try:
-            place = await self.places.acquire(
-                self.request_id, self._rank, self.deadline
-            )
-        except exceptions.RoutingError as error:
-            if self.sent:
-                raise exceptions.StreamLost(
-                    f"the run broke off: {error.message}"
-                ) from error
-            raise
-        if self.deadline.has_passed():
-            self.places.release(place)
-            raise self._build_timeout()
-        return place
+    async def _acquire_place(
+        self,
+    ) -> t.Tuple[admission.Place, limits.Run]:
+        """Return a place, and the registration of the run on its server.
 
-    def _build_timeout(self) -> exceptions.SesamefoldError:
+        A server on which a suspect request runs is left to it.
+        """
+        busy: t.Set[str] = set()
+        while True:
+            try:
+                place = await self.places.acquire(
+                    self.request_id,
+                    self.customer,
+                    self.model.name,
+                    lambda: self._rank(busy),
+                    self.deadline,
+                )
+            except exceptions.NoBackend as error:
+                if not busy:
+                    raise self._state_executed(error) from error
+                busy.clear()
+                await asyncio.sleep(_BUSY_SECONDS)
+                continue
+            except exceptions.RoutingError as error:
+                raise self._state_executed(error) from error
+            try:
+                guard = await self.state.quarantine.start(
+                    self.identity, place.backend.name, self.deadline
+                )
+            except BaseException:
+                self.places.release(place)
+                raise
+            if guard is not None:
+                return place, guard
+            self.places.release(place)
+            busy.add(place.backend.name)
+
+    def _state_executed(
+        self, error: exceptions.RoutingError
+    ) -> exceptions.RoutingError:
+        """Return an error that does not deny an earlier run."""
+        if not self.sent:
+            return error
+        return exceptions.StreamLost(f"the run broke off: {error.message}")
+
+    def build_timeout(self) -> exceptions.SesamefoldError:
+        """Return the error for a deadline that has passed."""
         if self.sent:
             return exceptions.RunTimeout("the deadline passed during the run")
-        return exceptions.DeadlinePassed(
-            "the deadline passed before a server was free"
+        return exceptions.DeadlineUnreachable(
+            "no server had a free place before the deadline"
         )
 
-    def _rank(self) -> t.List[routing.Choice]:
+    def _rank(self, busy: t.AbstractSet[str]) -> t.List[routing.Choice]:
         config = self.state.configuration
         groups = config.find_groups(
             self.state.settings.data_centre, model=self.model.name
@@ -206,7 +247,7 @@
             holders=self.holders,
             stores=self.state.list_stores(),
             seconds_per_link_megabyte=config.policy.seconds_per_link_megabyte,
-            excluded=frozenset(self.excluded),
+            excluded=frozenset(self.excluded | busy),
         )
         return routing.rank_backends(
             query,
@@ -216,34 +257,61 @@
             self.state.generator,
         )
 
+    def _make_run(
+        self,
+        engine: engines.Engine,
+        lost: t.Callable[[], bool] = lambda: False,
+    ) -> runs.Run:
+        return runs.Run(
+            engine,
+            self.request_id,
+            self.verifier,
+            self.deadline,
+            self.state.metrics,
+            lost,
+        )
+
     async def _run_at(
-        self, place: admission.Place
+        self, place: admission.Place, run: runs.Run
     ) -> t.AsyncIterator[engines.TokenEvent]:
         """Send the prompt to one server and follow the run."""
         if not place.is_current():
             raise exceptions.BackendRefused("the permit lapsed before use")
         self.engine_address = place.backend.address
-        self.runs += 1
+        request = self._build_request(place.choice)
+        before = attrs.evolve(self.origin)
         begun = time.monotonic()
-        source = place.engine.complete(self._build_request(place.choice))
-        first_token = 0.0
-        follower = self._follow(place.engine, source, place)
-        async with contextlib.aclosing(follower) as events:
+        first = 0.0
+        async with contextlib.aclosing(
+            self._follow(run, place.engine.complete(request))
+        ) as events:
             async for event in events:
-                if event.kind == "token" and not first_token:
-                    first_token = time.monotonic() - begun
+                if not first:
+                    first = time.monotonic() - begun
+                    place.delay = self._judge_delay(place, first)
                 yield event
+        recomputed = self.origin.recomputed_tokens - before.recomputed_tokens
         self.state.rates[self.model.name] = routing.update_rates(
             self.state.get_rates(self.model.name),
             place.choice,
-            self.origin.recomputed_tokens,
-            first_token,
+            recomputed,
+            first,
             time.monotonic() - begun,
         )
 
+    def _judge_delay(self, place: admission.Place, seconds: float) -> float:
+        """Return how long the run waited on the server.
+
+        The time to the first event includes the prompt's computation; it
+        counts as a delay only while the server reports a queue.
+        """
+        known = self.state.backends.get(place.backend.name)
+        return seconds if known is not None and known.queued else 0.0
+
     def _build_request(
         self, choice: routing.Choice
     ) -> engines.CompletionRequest:
+        # After a resume by handle the tokens before `start` are not known.
         known = () if self.start else tuple(self.output)
         return engines.CompletionRequest(
             request_id=self.request_id,
@@ -261,123 +329,102 @@
         )
 
     async def _follow(
-        self,
-        engine: engines.Engine,
-        source: t.AsyncIterator[engines.TokenEvent],
-        place: t.Optional[admission.Place],
+        self, run: runs.Run, source: t.AsyncIterator[engines.TokenEvent]
     ) -> t.AsyncIterator[engines.TokenEvent]:
-        """Yield the verified events of a run, resuming it after a gap.
-
-        Raises `exceptions.BackendRefused` and `BackendUnreachable` only when
-        the run has not begun, otherwise `exceptions.BackendFailed`.
-        """
-        resumes, progress, done = 0, self.verifier.offset, False
+        """Yield the events of a run; cancel it unless it finished."""
         try:
-            while True:
-                try:
-                    async with contextlib.aclosing(source) as events:
-                        async for event in self._read(events):
-                            yield event
-                            if event.kind == "finished":
-                                done = True
-                                return
-                    cause = exceptions.BackendFailed("the stream broke off")
-                except streams.EventGap as gap:
-                    cause = exceptions.BackendFailed(str(gap))
-                except streams.StreamMismatch as mismatch:
-                    raise exceptions.BackendFailed(str(mismatch)) from None
-                except exceptions.BackendFailed as error:
-                    self.sent = True
-                    cause = error
-                except exceptions.RoutingError as error:
-                    if resumes:
-                        raise exceptions.BackendFailed(
-                            f"the run is gone: {error.message}"
-                        ) from error
-                    raise
-                if self.verifier.offset > progress:
-                    resumes, progress = 0, self.verifier.offset
-                if resumes >= MAX_RESUMES or (place and place.lost):
-                    raise cause
-                resumes += 1
-                self.state.metrics.retries.labels("gap").inc()
-                source = engine.resume(
-                    self.request_id, self.verifier.offset, self.deadline
-                )
+            async with contextlib.aclosing(run.follow(source)) as events:
+                async for event in events:
+                    self._record(event)
+                    yield event
         finally:
-            if not done and self.sent:
+            self.sent = self.sent or run.begun
+            if not run.finished and not run.gone:
                 self.state.spawn(
-                    self.state.cancel_run(engine, self.request_id)
+                    self.state.cancel_run(run.engine, self.request_id)
                 )
 
-    async def _read(
-        self, events: t.AsyncIterator[engines.TokenEvent]
-    ) -> t.AsyncIterator[engines.TokenEvent]:
-        """Yield the events that belong to the response.
-
-        Only the wait for the engine is limited here; a slow caller is
-        limited where its response is written.
-        """
-        seconds = FIRST_EVENT_SECONDS
-        while True:
-            limit = min(seconds, self.deadline.remaining())
-            try:
-                async with asyncio.timeout(limit):
-                    event = await anext(events)
-            except StopAsyncIteration:
-                return
-            except TimeoutError:
-                self.sent = True
-                if self.deadline.has_passed():
-                    raise self._build_timeout() from None
-                raise exceptions.BackendFailed(
-                    f"the engine sent nothing for {seconds} s"
-                ) from None
-            self.sent = True
-            seconds = NEXT_EVENT_SECONDS
-            if self.verifier.accept(event):
-                self._record(event)
-                yield event
-
     def _record(self, event: engines.TokenEvent) -> None:
+        self.sent = True
         if event.kind == "token":
             self.output.append(event.text)
         elif event.kind == "started":
-            self.prompt_tokens = event.prompt_tokens or len(self.prompt.tokens)
-            self.origin.record(event, self.engine_address)
+            self.origin.record(event, self._name_engine())
         else:
             self.finished = True
+            self.state.retries.record_success()
+
+    def _name_engine(self) -> str:
+        """Return the name of the server, or its address if it left."""
+        return next(
+            (
+                backend.name
+                for backend in self.state.backends.values()
+                if backend.address == self.engine_address
+            ),
+            self.engine_address,
+        )
 
     def _record_refusal(
         self, place: admission.Place, error: exceptions.RoutingError
     ) -> None:
-        """Let another server take over after a refusal."""
+        """Let another server take over after a refusal.
+
+        A continued response is not given up for lack of a retry budget: its
+        caller would repeat the whole request.
+        """
         self.refusals += 1
         self.excluded.add(place.backend.name)
-        if isinstance(error, exceptions.BackendUnreachable):
+        place.refused = isinstance(error, exceptions.BackendRefused)
+        if not place.refused:
             self.state.record_failure(
                 place.backend, self.request_id, error.message
             )
-        if self.refusals >= MAX_REFUSALS:
-            raise (
-                exceptions.StreamLost(error.message) if self.sent else error
-            )
+        allowed = self.state.retries.try_spend() or bool(self.output)
+        if self.refusals >= MAX_REFUSALS or not allowed:
+            raise self._state_executed(error) from error
         self.state.metrics.retries.labels("refused").inc()
 
-    def _record_failure(
-        self, place: admission.Place, error: exceptions.BackendFailed
+    async def _record_failure(
+        self,
+        place: admission.Place,
+        guard: limits.Run,
+        run: runs.Run,
+        error: exceptions.BackendFailed,
     ) -> None:
         """Let another server continue after a failure."""
         if place.lost:
             return
         self.excluded.add(place.backend.name)
-        self.state.record_failure(
-            place.backend, self.request_id, error.message
-        )
-        if self.runs >= MAX_RUNS:
+        self.failures += 1
+        if run.gone and await self._has_crashed(place):
+            self.state.quarantine.report_crash(guard)
+            self.state.record_failure(
+                place.backend, self.request_id, error.message
+            )
+            if self.state.quarantine.count_crashes(self.identity) > 1:
+                raise exceptions.RequestQuarantined(
+                    "the request was running at two crashes",
+                    executed=exceptions.UNKNOWN,
+                )
+        allowed = self.state.retries.try_spend() or bool(self.output)
+        if self.failures >= MAX_FAILURES or not allowed:
             raise exceptions.StreamLost(error.message) from error
         self.state.metrics.retries.labels("failed").inc()
 
+    async def _has_crashed(self, place: admission.Place) -> bool:
+        """Tell whether a server restarted or is gone.
+
+        A run can also be unknown because the server never began it.
+        """
+        try:
+            load = await place.engine.fetch_load(
+                deadlines.Deadline.after(_PROBE_SECONDS)
+            )
+        except exceptions.RoutingError:
+            return True
+        return load.epoch != place.backend.epoch
+
     async def _look_up_blocks(self) -> None:
         """Ask the directory who holds the prompt's blocks.
 
--- a/src/sesamefold/gateway.py
+++ b/src/sesamefold/gateway.py
@@ -1,6 +1,7 @@
 """The gateway daemon."""
 
 import asyncio
+import contextlib
 import json
 import logging
 import os
@@ -11,20 +12,20 @@
 import aiohttp
 from aiohttp import http_exceptions
 from aiohttp import web
-import grpc
 import logbook
 import mode
 
 from sesamefold import api
 from sesamefold import authentication
+from sesamefold import client
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import engines
+from sesamefold import exceptions
 from sesamefold import revisions
 from sesamefold import settings as settings_module
 from sesamefold import state as states
 from sesamefold.wire import control_pb2
-from sesamefold.wire import control_pb2_grpc
 
 _log = logbook.Logger("gateway")
 
@@ -34,8 +35,9 @@
 _STATUS_INTERVAL = 3.0
 # Connections to one backend server and in total.
 _MAX_CONNECTIONS = 4096
-# Messages hold up to all chunks of a configuration.
-_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+# Engines send keep-alive lines at least each second; a stream that is silent
+# for longer is resumed, seconds.
+_ENGINE_IDLE_SECONDS = 5.0
 
 
 def run(settings: settings_module.Settings) -> int:
@@ -80,18 +82,11 @@
 
     async def on_start(self) -> None:
         """Connect to the control and listen for callers."""
-        self._channel = grpc.aio.insecure_channel(
-            self._settings.control_address,
-            options=[
-                ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
-                ("grpc.initial_reconnect_backoff_ms", 100),
-                ("grpc.max_reconnect_backoff_ms", 1000),
-            ],
-        )
+        self._control = client.ControlClient(self._settings.control_address)
         self.gateway_state = states.State(
             settings=self._settings,
             session=build_session(),
-            stub=control_pb2_grpc.ControlStub(self._channel),
+            stub=self._control.stub,
             make_engine=self._make_engine or _connect_engine,
         )
         application = api.Api(self.gateway_state).build_application()
@@ -120,7 +115,7 @@
             task.cancel()
         await asyncio.gather(*left, return_exceptions=True)
         await self.gateway_state.session.close()
-        await self._channel.close()
+        await self._control.close()
 
     def handle_signal(self) -> None:
         """Begin the graceful shutdown; a second signal exits at once."""
@@ -193,16 +188,13 @@
     async def _read_configuration(self) -> bool:
         received = False
         try:
-            stream = self.gateway_state.stub.WatchConfiguration(
-                control_pb2.WatchConfigurationRequest(
-                    known_digests=list(self._chunks)
-                )
-            )
-            async for message in stream:
-                received = True
-                self._apply_configuration(message)
-        except grpc.RpcError as error:
-            _log.info("configuration watch ended: {}", error.code().name)
+            watch = self._control.watch_configuration(list(self._chunks))
+            async with contextlib.aclosing(watch) as messages:
+                async for message in messages:
+                    received = True
+                    self._apply_configuration(message)
+        except exceptions.SesamefoldError as error:
+            _log.info("configuration watch ended: {}", error.message)
         except (KeyError, ValueError, TypeError) as error:
             _log.error("configuration not readable: {}", error)
             # Without known digests, the next watch brings all chunks.
@@ -234,14 +226,13 @@
     async def _read_backends(self) -> bool:
         received = False
         try:
-            stream = self.gateway_state.stub.WatchBackends(
-                control_pb2.WatchBackendsRequest()
-            )
-            async for message in stream:
-                received = True
-                self._apply_backends(message)
-        except grpc.RpcError as error:
-            _log.info("backend watch ended: {}", error.code().name)
+            watch = self._control.watch_backends()
+            async with contextlib.aclosing(watch) as messages:
+                async for message in messages:
+                    received = True
+                    self._apply_backends(message)
+        except exceptions.SesamefoldError as error:
+            _log.info("backend watch ended: {}", error.message)
         return received
 
     def _apply_backends(self, message: control_pb2.BackendStates) -> None:
@@ -280,7 +271,7 @@
 def _connect_engine(
     session: aiohttp.ClientSession, address: str
 ) -> engines.Engine:
-    return engines.HttpEngine(session, address)
+    return engines.HttpEngine(session, address, _ENGINE_IDLE_SECONDS)
 
 
 def _build_http_logger() -> logging.Logger:
--- /dev/null
+++ b/src/sesamefold/runs.py
@@ -0,0 +1,95 @@
+"""One run of a request on one engine, followed through gaps."""
+
+import contextlib
+import typing as t
+
+import attrs
+
+from sesamefold import deadline as deadlines
+from sesamefold import engines
+from sesamefold import exceptions
+from sesamefold import metrics as metrics_module
+from sesamefold import streams
+
+# Resumes of one run that bring no new token before the run is given up.
+MAX_RESUMES = 2
+
+
+@attrs.define(eq=False)
+class Run:
+    """A run whose events are verified before they are passed on.
+
+    `begun` tells that the engine may have executed something. `gone` tells
+    that the engine was lost or does not know the run any more, as after a
+    crash. `lost` is asked before the run is resumed.
+    """
+
+    engine: engines.Engine
+    request_id: str
+    verifier: streams.Verifier
+    deadline: deadlines.Deadline
+    metrics: metrics_module.GatewayMetrics
+    lost: t.Callable[[], bool] = lambda: False
+    begun: bool = False
+    gone: bool = False
+    finished: bool = False
+    _started: bool = False
+
+    async def follow(
+        self, source: t.AsyncIterator[engines.TokenEvent]
+    ) -> t.AsyncIterator[engines.TokenEvent]:
+        """Yield the events of `source`, resuming the run where it broke.
+
+        Only the first "started" event is passed on. Raises
+        `exceptions.BackendRefused` and `exceptions.BackendUnreachable` only
+        when the run has not begun, otherwise `exceptions.BackendFailed`.
+        """
+        resumes, progress = 0, self.verifier.offset
+        while True:
+            try:
+                async with contextlib.aclosing(source) as events:
+                    async for event in events:
+                        self.begun = True
+                        if self._accept(event):
+                            yield event
+                            if self.finished:
+                                return
+                cause = exceptions.BackendFailed("the stream broke off")
+            except exceptions.RoutingError as error:
+                cause = self._judge(error, resumes)
+            except streams.EventGap as gap:
+                cause = exceptions.BackendFailed(str(gap))
+            except streams.StreamMismatch as error:
+                raise exceptions.BackendFailed(str(error)) from None
+            if self.verifier.offset > progress:
+                resumes, progress = 0, self.verifier.offset
+            if resumes >= MAX_RESUMES or self.lost():
+                raise cause
+            resumes += 1
+            self.metrics.retries.labels("gap").inc()
+            source = self.engine.resume(
+                self.request_id, self.verifier.offset, self.deadline
+            )
+
+    def _accept(self, event: engines.TokenEvent) -> bool:
+        if not self.verifier.accept(event):
+            return False
+        if event.kind == "started":
+            repeated, self._started = self._started, True
+            return not repeated
+        self.finished = event.kind == "finished"
+        return True
+
+    def _judge(
+        self, error: exceptions.RoutingError, resumes: int
+    ) -> exceptions.BackendFailed:
+        """Return the failure to resume after, or raise the final one."""
+        if isinstance(error, exceptions.BackendFailed):
+            self.begun = True
+            return error
+        if not resumes and not self.begun:
+            raise error
+        self.gone = True
+        raise exceptions.BackendFailed(
+            f"the run is gone: {error.message}"
+        ) from error
--- a/src/sesamefold/state.py
+++ b/src/sesamefold/state.py
@@ -12,11 +12,13 @@
 import logbook
 
 from sesamefold import authentication
+from sesamefold import client
 from sesamefold import configuration as configurations
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import engines
 from sesamefold import exceptions
+from sesamefold import limits
 from sesamefold import metrics as metrics_module
 from sesamefold import routing
 from sesamefold import settings as settings_module
@@ -68,6 +70,8 @@
     remote: t.Optional[control_pb2.Status] = None
     members: int = 1
     leaving: bool = False
+    retries: limits.RetryBudget = attrs.field(factory=limits.RetryBudget)
+    quarantine: limits.Quarantine = attrs.field(factory=limits.Quarantine)
     tasks: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
     calls: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
 
@@ -130,13 +134,13 @@
     ) -> t.Any:
         """Call the control daemon.
 
-        Raises `exceptions.CallError` for a refusal with such a code, and
-        `exceptions.ControlUnavailable` for any other failure.
+        Raises the error of the numbered code that it answers with, and
+        `exceptions.ControlUnavailable` when it does not answer.
         """
         try:
             return await method(request, timeout=max(0.001, seconds))
         except grpc.RpcError as error:
-            raise _convert_error(error) from error
+            raise client.convert_error(error) from error
 
     async def call_quietly(
         self, method: t.Any, request: t.Any, seconds: float
@@ -203,21 +207,3 @@
 
     task.add_done_callback(finish)
     return task
-
-
-def _convert_error(error: grpc.RpcError) -> exceptions.SesamefoldError:
-    """Return the error of a status whose details hold "1303: message"."""
-    code, _, message = (error.details() or "").partition(": ")
-    found = next(
-        (
-            cls
-            for cls in exceptions.CallError.__subclasses__()
-            if str(cls.code) == code
-        ),
-        None,
-    )
-    if found is not None:
-        return found(message)
-    return exceptions.ControlUnavailable(
-        f"the control daemon failed: {error.code().name}"
-    )
--- a/src/sesamefold/streams.py
+++ b/src/sesamefold/streams.py
@@ -76,10 +76,14 @@
 
 @attrs.define
 class Origin:
-    """Where a response came from and how its context was obtained."""
+    """Where a response came from and how its context was obtained.
+
+    A continued response counts the context of each of its runs.
+    """
 
     data_centre: str
     backend: str = ""
+    prompt_tokens: int = 0
     cached_tokens: int = 0
     imported_memory_tokens: int = 0
     imported_disk_tokens: int = 0
@@ -88,6 +92,7 @@
     def record(self, event: engines.TokenEvent, backend: str) -> None:
         """Add a "started" event of a run on `backend`."""
         self.backend = backend
+        self.prompt_tokens = event.prompt_tokens
         self.cached_tokens += event.cached_tokens
         self.imported_memory_tokens += event.imported_memory_tokens
         self.imported_disk_tokens += event.imported_disk_tokens
