Wait for the cut-off watcher to give up its role in the relay test

The watch that was open when the service was cut could still deliver the next edit, so the watcher had not yet met the outage when the test looked at its role.

Change: the test waits for the role to be given up and then requires that a further edit reaches every host. This is stricter: before, one edit through the open watch was enough.

Conclusion: a fault of the test, not of the relay.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -69,7 +69,11 @@
         watcher.relay._keyvalue = down
         control_fakes.store_revision(self.key_value, 2)
         await self.wait_for_revision(daemons, 2)
-        self.assertFalse(watcher.relay.is_watcher())
+        # The watch that was open at the cut may still deliver this edit; the
+        # watcher gives up its role when its next call fails.
+        await control_fakes.wait_until(lambda: not watcher.relay.is_watcher())
+        control_fakes.store_revision(self.key_value, 3)
+        await self.wait_for_revision(daemons, 3)
 
     async def test_start_while_the_platform_is_down(self):
         """Guards against a new host without configuration in an outage."""
