Add stand-ins of store host, weight store and plain service

Cause: export and import of context, loading of weights and non-idempotent calls need the platform's other services.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -14,6 +14,9 @@
     "keyvalue": "KeyValueServer",
     "hostlist": "HostListServer",
     "engine": "EngineServer",
+    "store": "StoreServer",
+    "weights": "WeightServer",
+    "service": "ServiceServer",
 }
 
 
--- /dev/null
+++ b/standins/weights.py
@@ -0,0 +1,70 @@
+"""Stand-in of the rate-limited weight store."""
+
+import typing as t
+
+from aiohttp import web
+import attrs
+
+from standins import server
+
+CHUNK_BYTES = 64 * 1024
+
+
+@attrs.define
+class Options:
+    """Size of a weight version in bytes, and rates in bytes per second.
+
+    `rate` is shared by all transfers; one transfer gets at most
+    `connection_rate`. With the defaults a transfer takes 1 s, and longer when
+    more than two run at once. 0 is unlimited.
+    """
+
+    size: int = 4 * 1024 * 1024
+    rate: float = 10.0 * 1024 * 1024
+    connection_rate: float = 4.0 * 1024 * 1024
+
+
+class WeightServer(server.Server):
+    """Each name `model@version` has weights of the same size.
+
+    Further faults: `break_transfers`, the next N transfers break half way.
+    """
+
+    options_class = Options
+
+    def __init__(self, options: t.Optional[Options] = None) -> None:
+        super().__init__(options)
+        self.broken_transfers = 0
+        self._rate = server.RateLimit(self.options.rate)
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Register the routes."""
+        router.add_get("/weights/{version}", self._fetch, name="fetch")
+
+    def fault_break_transfers(self, value: int) -> None:
+        """Break the next transfers half way."""
+        self.broken_transfers = value
+
+    async def _fetch(self, request: web.Request) -> web.StreamResponse:
+        size = self.options.size
+        breaks = self.broken_transfers > 0
+        self.broken_transfers -= breaks
+        response = web.StreamResponse(headers={"Content-Length": str(size)})
+        await response.prepare(request)
+        own = server.RateLimit(self.options.connection_rate)
+        self.counters["transfers"] += 1
+        self.counters["most_transfers"] = max(
+            self.counters["most_transfers"], self.counters["transfers"]
+        )
+        try:
+            for start in range(0, size, CHUNK_BYTES):
+                if breaks and start >= size // 2:
+                    return await self.break_off(request)
+                chunk = bytes(min(CHUNK_BYTES, size - start))
+                await own.take(len(chunk))
+                await self._rate.take(len(chunk))
+                await response.write(chunk)
+        finally:
+            self.counters["transfers"] -= 1
+        await response.write_eof()
+        return response
