--- a/src/sesamefold/documents.py
+++ b/src/sesamefold/documents.py
@@ -132,6 +132,7 @@
         self.problems: t.List[Problem] = []
         self._codes = codes
         self._visits = 0
+        self._shift = 0
 
     def report(
         self,
@@ -174,6 +175,8 @@
             return None
         loader = None
         try:
+            # libyaml does not count a byte order mark.
+            self._shift = int(text.startswith("\ufeff"))
             loader = yaml.CSafeLoader(text)
             return self._compose(loader)
         except yaml.MarkedYAMLError as error:
@@ -213,7 +216,7 @@
                 break
             if kind in (yaml.MappingEndEvent, yaml.SequenceEndEvent):
                 node = stack.pop()
-                node.end = event.end_mark.index
+                node.end = event.end_mark.index + self._shift
                 if kind is yaml.MappingEndEvent:
                     node.value = list(zip(node.value[::2], node.value[1::2]))
                 continue
@@ -279,7 +282,11 @@
                 Kind.UNSUPPORTED,
                 f"tag {_show(event.tag)} is not supported",
             )
-        extent = (*position, mark.index, event.end_mark.index)
+        extent = (
+            *position,
+            mark.index + self._shift,
+            event.end_mark.index + self._shift,
+        )
         if isinstance(event, yaml.ScalarEvent):
             kind, value = "text", event.value
             if not event.style:  # plain, neither quoted nor a block
