--- a/src/sesamefold/backends.py
+++ b/src/sesamefold/backends.py
@@ -275,7 +275,6 @@
                 record.report = state
                 record.source = sender.name
                 record.refreshed_at = sent_at
-                self._take_epoch(state)
                 self._show(record)
         for name, record in self._records.items():
             if record.source != sender.name:
@@ -301,12 +300,6 @@
         stale = sent_at - record.refreshed_at > defaults.STATE_TIMEOUT
         return record.source != owner and stale
 
-    def _take_epoch(self, state: control_pb2.BackendState) -> None:
-        # A new owner must notice a restart that happened under the last one.
-        poll = self._polls.get(state.name)
-        if poll is not None and state.epoch:
-            poll.epoch = state.epoch
-
     # What is shown.
 
     def judge(self, record: Record, now: float) -> str:
@@ -444,13 +437,7 @@
 
     async def _poll_engine(self, name: str, address: str) -> None:
         engine = self._open_engine(address)
-        poll = self._polls.get(name)
-        if poll is None:
-            report = self._records[name].report
-            poll = Poll(epoch="" if report is None else report.epoch)
-            self._polls[name] = poll
-        # A new owner does not know which events the last one has reported.
-        poll.gap = True
+        poll = self._open_poll(self._records[name])
         events_at = 0.0
         await self.sleep(self._random.uniform(0.0, 0.1))
         while not self.should_stop:
@@ -467,6 +454,21 @@
                 defaults.LOAD_INTERVAL * self._random.uniform(0.9, 1.1)
             )
 
+    def _open_poll(self, record: Record) -> Poll:
+        """Return what this control knows when it becomes the owner."""
+        report = record.report
+        poll = self._polls.setdefault(record.host.name, Poll())
+        if report is not None and report.epoch:
+            # A restart is seen although another control owned the server.
+            poll.epoch = report.epoch
+            if report.state == COLD:
+                # It has to report warm to this control, too.
+                poll.epoch_changed_at = self._clock()
+                poll.warm_reported = False
+        # A new owner does not know which events the last one has reported.
+        poll.gap = True
+        return poll
+
     async def _poll_load(
         self, name: str, engine: engines.Engine, poll: Poll
     ) -> None:
