--- a/src/sesamefold/journal.py
+++ b/src/sesamefold/journal.py
@@ -415,7 +415,7 @@
             asyncio.get_running_loop().create_future(),
             request=_digest(request.fingerprint),
         )
-        if not request.forwarded and not self._register(change.attempt, now):
+        if not request.forwarded and not self._register(change, now):
             return _reply(_UNKNOWN)
         bucket_key, shard = _locate(key, change.id)
         try:
@@ -498,21 +498,24 @@
 
     async def stop(self) -> None:
         """Write what waits, for a bounded time, and end all tasks."""
+        deadline = deadlines.Deadline.after(defaults.PLATFORM_TIMEOUT)
+        # A withdrawal that waits here starts the task of its bucket.
+        while self._tasks and not deadline.has_passed():
+            await asyncio.wait(self._tasks, timeout=deadline.remaining())
         self._stopped = True
-        tasks = [task for task in self._tasks if not task.done()]
-        if tasks:
-            await asyncio.wait(tasks, timeout=defaults.PLATFORM_TIMEOUT)
+        tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _register(self, attempt: bytes, now: float) -> bool:
+    def _register(self, change: _Change, now: float) -> bool:
         """Tell whether this control sees an attempt for the first time."""
         while self._attempts:
             oldest, until = next(iter(self._attempts.items()))
             if until > now:
                 break
             del self._attempts[oldest]
+        attempt = change.id + change.attempt
         if attempt in self._attempts:
             return False
         self._attempts[attempt] = now + defaults.REQUEST_SECONDS
@@ -577,18 +580,23 @@
         return None
 
     async def _withdraw(self, request: control_pb2.BeginCallRequest) -> None:
-        """Mark an attempt that was refused by this control as not run."""
-        try:
-            await self.finish(
-                control_pb2.FinishCallRequest(
-                    customer=request.customer,
-                    key=request.key,
-                    attempt=request.attempt,
-                    not_run=True,
-                )
-            )
-        except exceptions.SesamefoldError as error:
-            _log.warning(f"a refused call may stay started: {error}")
+        """Mark an attempt that was refused by this control as not run.
+
+        A write of the owner that was under way may still take effect, hence
+        the second round.
+        """
+        finish = control_pb2.FinishCallRequest(
+            customer=request.customer,
+            key=request.key,
+            attempt=request.attempt,
+            not_run=True,
+        )
+        for pause in (0.0, defaults.PLATFORM_TIMEOUT):
+            await asyncio.sleep(pause)
+            try:
+                await self.finish(finish)
+            except exceptions.SesamefoldError as error:
+                _log.warning(f"a refused call may stay started: {error}")
 
     async def _submit(
         self, bucket_key: str, shard: int, change: _Change, deadline: float
@@ -694,6 +702,8 @@
         cached = bucket.version is not None
         if not cached:
             await self._read(bucket)
+        # A begin that was given up during a pause must not be recorded.
+        changes = [change for change in changes if not change.result.done()]
         records, size, verdicts = self._decide(bucket, changes)
         if cached and any(verdict.doubtful for verdict in verdicts):
             await self._read(bucket)
