--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -9,7 +9,7 @@
 from sesamefold import calls
 from sesamefold import exceptions
 from sesamefold.wire import control_pb2
-from tests import fakes
+from tests import gateway_fakes
 
 _OK = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n"
 
@@ -55,7 +55,7 @@
 
 class CallTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.bench = fakes.Bench(["a"])
+        self.bench = gateway_fakes.Bench(["a"])
         self.service = FakeService()
         await self.service.start()
         self.addCleanup(self.service.server.close)
@@ -139,11 +139,11 @@
         """Guards against a call without outcome after a disconnect."""
         self.service.replies = [None]
         task = asyncio.create_task(self.call("POST", "/pay", create_key()))
-        await fakes.wait_until(lambda: self.service.seen)
+        await gateway_fakes.wait_until(lambda: self.service.seen)
         task.cancel()
-        await fakes.wait_until(lambda: task.done())
+        await gateway_fakes.wait_until(lambda: task.done())
         self.service.released.set()
-        await fakes.wait_until(lambda: self.bench.control.finished)
+        await gateway_fakes.wait_until(lambda: self.bench.control.finished)
         record = self.bench.control.finished[0]
         self.assertEqual(
             (200, b"done"), (record.outcome.status, record.outcome.body)
@@ -217,11 +217,13 @@
         second = FakeService()
         await second.start()
         self.addCleanup(second.server.close)
-        self.bench.control.backends["ledger-2"] = fakes.build_backend(
+        self.bench.control.backends["ledger-2"] = gateway_fakes.build_backend(
             "ledger-2", group="p", versions=[], address=second.address
         )
         self.bench.control.publish()
-        await fakes.wait_until(lambda: len(self.bench.state.backends) == 3)
+        await gateway_fakes.wait_until(
+            lambda: len(self.bench.state.backends) == 3
+        )
         self.service.replies = [_OK]
         second.replies = [_OK]
         for server in (self.service, second):
--- a/tests/test_completions.py
+++ b/tests/test_completions.py
@@ -3,9 +3,9 @@
 import json
 import unittest
 
-from tests import fakes
+from tests import gateway_fakes
 
-EXPECTED = "".join(fakes.compute_text(index) for index in range(1, 7))
+EXPECTED = "".join(gateway_fakes.compute_text(index) for index in range(1, 7))
 
 
 def read_texts(stream: str):
@@ -25,13 +25,13 @@
 
 class CompletionTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.bench = fakes.Bench()
+        self.bench = gateway_fakes.Bench()
         await self.bench.start()
         self.addAsyncCleanup(self.bench.stop)
 
     async def test_failures_during_a_stream(self):
         """Guards against lost, repeated or foreign tokens."""
-        fault = fakes.Fault
+        fault = gateway_fakes.Fault
         table = [
             ("none", []),
             ("refused", [fault("refuse")]),
@@ -56,14 +56,15 @@
                 self.bench.engines["a:1"].faults = list(faults)
                 self.bench.control.backends["b"].queued = 100
                 self.bench.control.publish()
-                await fakes.wait_until(
+                await gateway_fakes.wait_until(
                     lambda: self.bench.state.backends["b"].queued == 100
                 )
                 async with self.bench.post({"stream": True}) as response:
                     self.assertEqual(200, response.status)
                     texts = read_texts(await response.text())
                 self.assertEqual(
-                    [(n, fakes.compute_text(n)) for n in range(1, 7)], texts
+                    [(n, gateway_fakes.compute_text(n)) for n in range(1, 7)],
+                    texts,
                 )
                 self.assertEqual([], self.bench.engines["a:1"].faults)
 
