--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,14 +16,14 @@
 from sesamefold import defaults
 from sesamefold import exceptions
 from sesamefold.wire import control_pb2
-from tests import fakes
+from tests import gateway_fakes
 
 
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
     options = {}
 
     async def asyncSetUp(self):
-        self.bench = fakes.Bench()
+        self.bench = gateway_fakes.Bench()
         await self.bench.start(**self.options)
         self.addAsyncCleanup(self.bench.stop)
 
@@ -39,11 +39,11 @@
     async def publish(self, **values):
         """Put a configuration in force."""
         revision = self.bench.state.configuration.revision + 1
-        self.bench.control.configuration = fakes.build_message(
-            fakes.build_configuration(revision=revision, **values)
+        self.bench.control.configuration = gateway_fakes.build_message(
+            gateway_fakes.build_configuration(revision=revision, **values)
         )
         self.bench.control.publish()
-        await fakes.wait_until(
+        await gateway_fakes.wait_until(
             lambda: self.bench.state.configuration.revision == revision
         )
 
@@ -178,7 +178,7 @@
 
     async def test_equal_prompts_of_two_customers(self):
         """Guards against context that two customers share."""
-        for customer in fakes.TOKENS:
+        for customer in gateway_fakes.TOKENS:
             async with self.bench.post(customer=customer) as response:
                 self.assertEqual(200, response.status)
         salts = {request.cache_salt for request in self.bench.sent}
@@ -190,7 +190,7 @@
         """Guards against blocks that the store never gets."""
         async with self.bench.post() as response:
             self.assertEqual(200, response.status)
-        await fakes.wait_until(lambda: self.bench.control.stored)
+        await gateway_fakes.wait_until(lambda: self.bench.control.stored)
         names = self.bench.control.lookups[0]
         self.assertEqual(list(names), self.bench.control.stored)
 
@@ -200,7 +200,7 @@
         """Guards against work whose dependency cannot answer."""
         self.bench.control.backends["ledger-1"].state = "down"
         self.bench.control.publish()
-        await fakes.wait_until(
+        await gateway_fakes.wait_until(
             lambda: self.bench.state.backends["ledger-1"].state == "down"
         )
         for model in ("draft", "model-a"):
@@ -211,7 +211,7 @@
                 self.assertEqual("no", body["error"]["executed"])
         self.bench.control.backends["ledger-1"].state = "warm"
         self.bench.control.publish()
-        await fakes.wait_until(
+        await gateway_fakes.wait_until(
             lambda: self.bench.state.backends["ledger-1"].state == "warm"
         )
         async with self.bench.post() as response:
@@ -219,7 +219,7 @@
 
     async def test_data_centre_out(self):
         """Guards against new work in a data centre that is out."""
-        other = fakes.Bench(["a"])
+        other = gateway_fakes.Bench(["a"])
         await other.start(data_centre="dc-1", host="h2")
         self.addAsyncCleanup(other.stop)
         await self.publish(in_service=False)
@@ -282,8 +282,8 @@
         for fields, code in table:
             with self.subTest(fields=fields):
                 for name in ("a", "b"):
-                    self.bench.control.backends[name] = fakes.build_backend(
-                        name, **fields
+                    self.bench.control.backends[name] = (
+                        gateway_fakes.build_backend(name, **fields)
                     )
                 self.bench.control.publish()
                 await asyncio.sleep(0.05)
@@ -311,7 +311,9 @@
 
         statuses = await asyncio.gather(*(send() for _ in range(3)))
         self.assertEqual([200] * 3, statuses)
-        await fakes.wait_until(lambda: len(self.bench.control.released) == 3)
+        await gateway_fakes.wait_until(
+            lambda: len(self.bench.control.released) == 3
+        )
 
     async def test_control_down(self):
         """Guards against refusals while the last state can serve."""
@@ -322,8 +324,8 @@
     async def test_older_configuration(self):
         """Guards against a return to an older revision."""
         await self.publish(in_service=False)
-        self.bench.control.configuration = fakes.build_message(
-            fakes.build_configuration(revision=1)
+        self.bench.control.configuration = gateway_fakes.build_message(
+            gateway_fakes.build_configuration(revision=1)
         )
         self.bench.control.publish()
         await asyncio.sleep(0.1)
@@ -348,8 +350,8 @@
         """Guards against runs that nobody reads."""
         _, request = await self.start_stream(max_tokens=1000)
         cancelled = [e.cancelled for e in self.bench.engines.values()]
-        await fakes.wait_until(lambda: [request] in cancelled)
-        await fakes.wait_until(lambda: not +self.bench.state.in_flight)
+        await gateway_fakes.wait_until(lambda: [request] in cancelled)
+        await gateway_fakes.wait_until(lambda: not +self.bench.state.in_flight)
 
     async def test_resume_by_handle(self):
         """Guards against gaps and foreign answers after a reconnect."""
@@ -398,7 +400,7 @@
         """Guards against a second run while the first still exists."""
         handle, request = await self.start_stream()
         for engine in self.bench.engines.values():
-            await fakes.wait_until(
+            await gateway_fakes.wait_until(
                 lambda e=engine: not e.requests or e.cancelled
             )
             engine.cancelled.clear()
@@ -418,13 +420,13 @@
     async def test_both_servers_die(self):
         """Guards against a request that takes down server after server."""
         for engine in self.bench.engines.values():
-            engine.faults = [fakes.Fault("die", 3)]
+            engine.faults = [gateway_fakes.Fault("die", 3)]
         async with self.bench.post({"stream": True}) as response:
             text = await response.text()
         self.assertNotIn("[DONE]", text)
         self.assertIn('"code": 1209', text)
         self.assertIn('"executed": "unknown"', text)
-        await fakes.wait_until(
+        await gateway_fakes.wait_until(
             lambda: {"a", "b"} == set(self.bench.control.failures)
         )
         async with self.bench.post({"stream": True}) as response:
@@ -435,8 +437,10 @@
         """Guards against a silent end of a stream that is lost."""
         del self.bench.control.backends["b"]
         self.bench.control.publish()
-        await fakes.wait_until(lambda: len(self.bench.state.backends) == 2)
-        self.bench.engines["a:1"].faults = [fakes.Fault("die", 3)]
+        await gateway_fakes.wait_until(
+            lambda: len(self.bench.state.backends) == 2
+        )
+        self.bench.engines["a:1"].faults = [gateway_fakes.Fault("die", 3)]
         async with self.bench.post({"stream": True}) as response:
             text = await response.text()
         self.assertNotIn("[DONE]", text)
@@ -447,7 +451,7 @@
         """Guards against a stream that ends without a reason."""
         for stream in (True, False):
             for engine in self.bench.engines.values():
-                engine.faults = [fakes.Fault("hang", 3)]
+                engine.faults = [gateway_fakes.Fault("hang", 3)]
             async with self.bench.post(
                 {"stream": stream, "max_tokens": 7 - stream},
                 Sesamefold_Deadline=str(time.time() + 0.3),
@@ -455,7 +459,7 @@
                 text = await response.text()
                 self.assertIn('"code": 1208', text)
                 self.assertIn('"executed": "unknown"', text)
-        await fakes.wait_until(lambda: not +self.bench.state.in_flight)
+        await gateway_fakes.wait_until(lambda: not +self.bench.state.in_flight)
 
     async def test_slow_reader(self):
         """Guards against a caller that holds a run without reading."""
@@ -464,7 +468,7 @@
             engine.padding = "x" * 20_000
         with unittest.mock.patch.object(defaults, "SLOW_READER_SECONDS", 0.3):
             async with self.bench.post(body) as response:
-                await fakes.wait_until(
+                await gateway_fakes.wait_until(
                     lambda: any(
                         e.cancelled for e in self.bench.engines.values()
                     )
@@ -476,7 +480,7 @@
         """Guards against a response of two weight versions."""
         for engine in self.bench.engines.values():
             engine.pause = 0.01
-            engine.faults = [fakes.Fault("die", 4)]
+            engine.faults = [gateway_fakes.Fault("die", 4)]
         async with self.bench.post({"stream": True}) as response:
             await response.content.readline()
             await self.publish(model=configuration.Model("model-a", "v2", 4))
