Resume a run without cancelling it first

Cause: a run with a missing or foreign event was closed before its resume, and closing cancels the run on the engine; a slow reader could also block a write that had no timer; forwarding used a wrong form of the addresses. Change: an abandoned stream ends by an error instead of a close; writes that may wait have a timer; a resume in a data centre that is out goes on to another one when the run is gone; first and last events share a write.

--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -32,6 +32,9 @@
 MAX_REQUEST_SECONDS = 3600.0
 # A body that arrives more slowly is refused, seconds.
 _BODY_SECONDS = 30.0
+# Below this, aiohttp's writer does not wait: its limit of 64 KB less the
+# framing of one event.
+_WRITER_LIMIT = 65_000
 _HANDLED = web.RequestKey("handled", str)
 _REQUEST_ID = web.RequestKey("request_id", str)
 
@@ -160,9 +163,13 @@
         request[_REQUEST_ID] = completion.request_id
         try:
             return await self._answer(request, completion, begun)
-        except exceptions.NoBackend as error:
+        except (exceptions.NoBackend, exceptions.DataCentreOut) as error:
+            # A request that a server failed on is not sent to more servers.
+            reason = completion.state_executed(error)
+            if completion.failures:
+                raise reason from error
             return await forwarding.forward(
-                self._state, request, body, deadline, error
+                self._state, request, body, deadline, reason
             )
 
     async def call(self, request: web.Request) -> web.StreamResponse:
@@ -337,12 +344,19 @@
         first: engines.TokenEvent,
         events: t.AsyncIterator[engines.TokenEvent],
     ) -> None:
-        if first.kind != "started":
+        if first.kind == "token":
             await self._write(request, self._render_origin())
-        await self._write(request, self._render(first))
+        # A started event travels with the next one: each write is a call of
+        # the system, which costs more than the rest of an event.
+        ahead = self._render(first)
         async for event in events:
-            await self._write(request, self._render(event))
-        await response.write_eof()
+            if event.kind == "finished":
+                await _end(response, ahead + self._render(event))
+            elif event.kind == "started":
+                ahead += self._render(event)
+            else:
+                await self._write(request, ahead + self._render(event))
+                ahead = b""
 
     async def _send_error(
         self,
@@ -354,30 +368,29 @@
         content = build_error_body(error, self._completion.request_id)
         data = f"data: {json.dumps(content)}\n\n".encode()
         try:
-            await self._write(request, data)
-            await response.write_eof()
+            await _end(response, data)
         except (TimeoutError, ConnectionError):
             forwarding.close_connection(request)
 
     async def _write(self, request: web.Request, data: bytes) -> None:
         """Write to the caller; raises TimeoutError for a slow reader.
 
-        A write can only wait while the transport holds unsent bytes, so the
-        timer is left out otherwise.
+        The writer waits only when it has collected more than its limit, so
+        the timer is left out before that while no bytes are unsent.
         """
-        transport = request.transport
+        transport, writer = request.transport, self._writer
         if transport is None:
             raise ConnectionResetError("the caller is gone")
-        if not transport.get_write_buffer_size():
-            self._unsent = 0
-            await self._writer.write(data)
+        idle = not transport.get_write_buffer_size()
+        self._unsent = 0 if idle else self._unsent + 1
+        if idle and writer.buffer_size + len(data) < _WRITER_LIMIT:
+            await writer.write(data)
             return
-        self._unsent += 1
         async with asyncio.timeout(defaults.SLOW_READER_SECONDS):
             if self._unsent >= defaults.MAX_BUFFERED_EVENTS:
-                await self._writer.drain()
+                await writer.drain()
                 self._unsent = 0
-            await self._writer.write(data)
+            await writer.write(data)
 
     def _render(self, event: engines.TokenEvent) -> bytes:
         if event.kind == "token":
@@ -419,6 +432,12 @@
             metrics.token_gap.observe(elapsed / (count - 1))
 
 
+async def _end(response: web.StreamResponse, data: bytes) -> None:
+    """End a response; raises TimeoutError for a slow reader."""
+    async with asyncio.timeout(defaults.SLOW_READER_SECONDS):
+        await response.write_eof(data)
+
+
 async def read_body(request: web.Request) -> bytes:
     """Return the body; raises `exceptions.RequestTooLarge`."""
     try:
--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -122,6 +122,8 @@
         """Yield the events of the response, each token exactly once.
 
         The last event is "finished". Closing the iterator cancels the run.
+        `exceptions.NoBackend` and `exceptions.DataCentreOut` before the first
+        token mean that another data centre may answer.
         """
         if self.state.quarantine.count_crashes(self.identity) > 1:
             raise exceptions.RequestQuarantined(
@@ -135,6 +137,10 @@
                     yield event
             if self.finished:
                 return
+            if not self.output and not self.state.is_in_service():
+                raise exceptions.DataCentreOut(
+                    "the run is gone and the data centre is out of service"
+                )
         await self._look_up_blocks()
         while not self.finished:
             async with contextlib.aclosing(self._run_somewhere()) as events:
@@ -198,13 +204,15 @@
                     self.deadline,
                 )
             except exceptions.NoBackend as error:
+                if not busy and not self.output:
+                    raise
                 if not busy:
-                    raise self._state_executed(error) from error
+                    raise self.state_executed(error) from error
                 busy.clear()
                 await asyncio.sleep(_BUSY_SECONDS)
                 continue
             except exceptions.RoutingError as error:
-                raise self._state_executed(error) from error
+                raise self.state_executed(error) from error
             try:
                 guard = await self.state.quarantine.start(
                     self.identity, place.backend.name, self.deadline
@@ -217,7 +225,7 @@
             self.places.release(place)
             busy.add(place.backend.name)
 
-    def _state_executed(
+    def state_executed(
         self, error: exceptions.RoutingError
     ) -> exceptions.RoutingError:
         """Return an error that does not deny an earlier run."""
@@ -382,7 +390,7 @@
             )
         allowed = self.state.retries.try_spend() or bool(self.output)
         if self.refusals >= MAX_REFUSALS or not allowed:
-            raise self._state_executed(error) from error
+            raise self.state_executed(error) from error
         self.state.metrics.retries.labels("refused").inc()
 
     async def _record_failure(
--- a/src/sesamefold/forwarding.py
+++ b/src/sesamefold/forwarding.py
@@ -38,7 +38,7 @@
     request: web.Request,
     body: bytes,
     deadline: deadlines.Deadline,
-    reason: exceptions.RoutingError,
+    reason: exceptions.SesamefoldError,
 ) -> web.StreamResponse:
     """Answer `request` through a gateway of another data centre.
 
@@ -48,7 +48,7 @@
     """
     if FORWARDED in request.headers:
         raise reason
-    for address in state.generator.sample(state.gateways, len(state.gateways)):
+    for address in state.list_gateways():
         try:
             return await _send(state, request, body, deadline, address)
         except aiohttp.ClientConnectorError:
--- a/src/sesamefold/gateway.py
+++ b/src/sesamefold/gateway.py
@@ -248,10 +248,9 @@
         own = self._settings.data_centre
         self.gateway_state.remote = status
         self.gateway_state.gateways = tuple(
-            host.member.gateway_address
+            (centre.name, host.member.gateway_address)
             for centre in status.data_centres
             if centre.name != own
-            and self.gateway_state.configuration.is_in_service(centre.name)
             for host in centre.hosts
             if host.reachable
             and host.member.gateway_address
--- a/src/sesamefold/runs.py
+++ b/src/sesamefold/runs.py
@@ -36,7 +36,7 @@
     _started: bool = False
 
     async def follow(
-        self, source: t.AsyncIterator[engines.TokenEvent]
+        self, source: t.AsyncGenerator[engines.TokenEvent, None]
     ) -> t.AsyncIterator[engines.TokenEvent]:
         """Yield the events of `source`, resuming the run where it broke.
 
@@ -46,21 +46,22 @@
         """
         resumes, progress = 0, self.verifier.offset
         while True:
+            cause = exceptions.BackendFailed("the stream broke off")
             try:
-                async with contextlib.aclosing(source) as events:
-                    async for event in events:
-                        self.begun = True
-                        if self._accept(event):
-                            yield event
-                            if self.finished:
-                                return
-                cause = exceptions.BackendFailed("the stream broke off")
+                async for event in source:
+                    self.begun = True
+                    if self._accept(event):
+                        yield event
+                        if self.finished:
+                            return
             except exceptions.RoutingError as error:
                 cause = self._judge(error, resumes)
-            except streams.EventGap as gap:
-                cause = exceptions.BackendFailed(str(gap))
-            except streams.StreamMismatch as error:
-                raise exceptions.BackendFailed(str(error)) from None
+            except (streams.EventGap, streams.StreamMismatch) as error:
+                cause = exceptions.BackendFailed(str(error))
+                self.verifier.mismatches = 0
+                await _abandon(source, cause)
+            finally:
+                await source.aclose()
             if self.verifier.offset > progress:
                 resumes, progress = 0, self.verifier.offset
             if resumes >= MAX_RESUMES or self.lost():
@@ -93,3 +94,15 @@
         raise exceptions.BackendFailed(
             f"the run is gone: {error.message}"
         ) from error
+
+
+async def _abandon(
+    source: t.AsyncGenerator[engines.TokenEvent, None],
+    error: exceptions.BackendFailed,
+) -> None:
+    """End a stream without a cancellation of its run.
+
+    Closing the iterator would cancel the run, which is to be resumed.
+    """
+    with contextlib.suppress(exceptions.BackendFailed, StopAsyncIteration):
+        await source.athrow(error)
--- a/src/sesamefold/state.py
+++ b/src/sesamefold/state.py
@@ -44,8 +44,8 @@
 class State:
     """What one gateway knows; owned by the gateway's event loop.
 
-    `gateways` holds the addresses of gateways of other data centres that are
-    in service, `members` the entry hosts of this data centre.
+    `gateways` holds data centre and address of the gateways of other data
+    centres, `members` the number of entry hosts of this data centre.
     """
 
     settings: settings_module.Settings
@@ -66,7 +66,7 @@
     failures: t.Dict[str, Failure] = attrs.field(factory=dict)
     in_flight: t.Counter[str] = attrs.field(factory=collections.Counter)
     rates: t.Dict[str, routing.Rates] = attrs.field(factory=dict)
-    gateways: t.Tuple[str, ...] = ()
+    gateways: t.Tuple[t.Tuple[str, str], ...] = ()
     remote: t.Optional[control_pb2.Status] = None
     members: int = 1
     leaving: bool = False
@@ -87,6 +87,16 @@
             and self.is_in_service()
         )
 
+    def list_gateways(self) -> t.List[str]:
+        """Return the gateways to forward to, in random order."""
+        usable = [
+            address
+            for data_centre, address in self.gateways
+            if self.configuration.is_in_service(data_centre)
+        ]
+        self.generator.shuffle(usable)
+        return usable
+
     def list_backends(
         self, names: t.Container[str]
     ) -> t.List[control_pb2.BackendState]:
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -343,7 +343,7 @@
         }
         self.control.configuration = build_message(build_configuration())
 
-    async def start(self, **options: t.Any) -> None:
+    async def start(self, make_engine: t.Any = None, **options) -> None:
         address = await self.control.start()
         self.settings = settings.Settings(
             **{
@@ -359,7 +359,8 @@
             }
         )
         self.gateway = gateway.Gateway(
-            self.settings, lambda session, address: self.engines[address]
+            self.settings,
+            make_engine or (lambda session, address: self.engines[address]),
         )
         await self.gateway.start()
         self.state = self.gateway.gateway_state
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -227,7 +227,10 @@
             self.assertEqual(503, response.status)
         async with self.bench.post() as response:
             self.assertEqual((1203, "no"), await self.get_error(response))
-        self.bench.state.gateways = ("127.0.0.1:1", other.gateway.address)
+        self.bench.state.gateways = (
+            ("dc-2", "127.0.0.1:1"),
+            ("dc-2", other.gateway.address),
+        )
         for stream in (False, True):
             async with self.bench.post({"stream": stream}) as response:
                 self.assertEqual(200, response.status)
@@ -268,7 +271,7 @@
                 ]
             )
         )
-        self.assertEqual(("good",), self.bench.state.gateways)
+        self.assertEqual(["good"], self.bench.state.list_gateways())
 
     async def test_unusable_servers(self):
         """Guards against work for leaving, down, cold or swapped servers."""
--- a/tools/measure_gateway.py
+++ b/tools/measure_gateway.py
@@ -220,6 +220,9 @@
     async with launcher.Launcher() as starter:
         address, host = await start_system(starter, options.token_seconds)
         pid = host.gateway.process.pid
+        before = read_cpu(pid)
+        await asyncio.sleep(options.seconds)
+        idle = (read_cpu(pid) - before) / options.seconds
         for round_number, tokens in itertools.product(
             range(options.rounds), (SHORT, LONG)
         ):
@@ -235,7 +238,7 @@
                 options.rate,
                 options.seconds,
             )
-            before = read_cpu(pid)
+            before, begun = read_cpu(pid), time.perf_counter()
             count = await send_load(
                 lambda number: call_gateway(
                     starter.session,
@@ -247,7 +250,8 @@
                 options.rate,
                 options.seconds,
             )
-            cpu[tokens][0] += read_cpu(pid) - before
+            spent = read_cpu(pid) - before
+            cpu[tokens][0] += spent - idle * (time.perf_counter() - begun)
             cpu[tokens][1] += count
     short, long = (spent / count for spent, count in cpu.values())
     per_token = (long - short) / (LONG - SHORT)
@@ -257,6 +261,7 @@
         "direct": plain,
         "gateway": added,
         "added": {key: round(added[key] - plain[key], 3) for key in plain},
+        "idle_cpu_percent": round(100 * idle, 2),
         "cpu_ms_per_request": round(1000 * (short - SHORT * per_token), 3),
         "cpu_ms_per_1000_tokens": round(1e6 * per_token, 1),
     }
