Serve prompts end to end in the demonstration

Cause: the demonstration did not run: options of the stand-ins, offsets of tokens and the gateway address of hosts whose port the kernel chooses.

Change: the control takes its own gateway address from the host list; the demonstration uses engines that hold little more than one prompt.

Exports that start after the answer lose blocks to eviction; they have to start earlier.

--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -238,6 +238,9 @@
         self._listing = listing
         self._hosts = {host.name: host for host in listing.hosts}
         for host in self.list_hosts(self.data_centre):
+            if host.name == self.name:
+                # The settings may leave the port to the kernel.
+                self.member.gateway_address = host.address
             if host.name == self.name or host.name in self._peers:
                 continue
             self._peers[host.name] = Peer(
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -78,7 +78,10 @@
 ) -> None:
     if "error" in data:
         raise CallError(200, data["error"])
-    answer.report.update((data.get("usage") or {}).get("sesamefold") or {})
+    usage = data.get("usage") or {}
+    answer.report.update(usage.get("sesamefold") or {})
+    if "prompt_tokens" in usage:
+        answer.report["prompt_tokens"] = usage["prompt_tokens"]
     choices = data.get("choices") or []
     if choices and choices[0].get("text"):
         answer.tokens.append(choices[0]["text"])
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -23,9 +23,9 @@
 CUSTOMERS = ("ada", "bela", "cyril")
 PROMPT_BLOCKS = 4
 BLOCK_TOKENS = 1000
-# Blocks that an engine holds; two engines of a data centre hold less than
-# the prompts of one round, so that returning prompts find them evicted.
-ENGINE_BLOCKS = 10
+# Blocks that an engine holds: one prompt, so that most returning prompts find
+# their blocks evicted.
+ENGINE_BLOCKS = 5
 MAX_TOKENS = 24
 # No new work may reach a data centre this long after it was taken out.
 OUT_SECONDS = 5.0
@@ -48,7 +48,7 @@
         salt = blocks.derive_salt(self.customer)
         expected = [
             engine.compute_token(salt, MODEL, VERSION, self.text, position)
-            for position in range(MAX_TOKENS)
+            for position in range(1, MAX_TOKENS + 1)
         ]
         if answer.tokens != expected:
             raise DemoFailure(
@@ -181,9 +181,11 @@
         child = await system.launcher.start_standin(
             "engine",
             f"--model={MODEL}",
-            f"--version={VERSION}",
-            f"--blocks={ENGINE_BLOCKS}",
+            f"--versions={VERSION}",
+            f"--memory-blocks={ENGINE_BLOCKS}",
             "--warm-up=1.0",
+            "--prefill-seconds=0.00005",
+            "--token-seconds=0.005",
         )
     else:
         child = await system.launcher.start_standin("service")
@@ -245,7 +247,7 @@
             COLUMNS(
                 f"{label} {prompt.customer}",
                 report["data_centre"],
-                report["backend"].removeprefix("atlas-"),
+                self.names[report["backend"]],
                 report["prompt_tokens"],
                 report["cached_tokens"],
                 report["imported_memory_tokens"],
@@ -320,7 +322,7 @@
                 if name.startswith("registry")
             )
         )
-        total = sum(counter["executions"] for counter in counters)
+        total = sum(counter.get("executions", 0) for counter in counters)
         print(f"call repeated through another host: {total} execution(s)")
         if total != 1 or results[0] != results[1]:
             raise DemoFailure(f"{total} executions, answers {results}")
@@ -355,6 +357,14 @@
             f"finished through {second.name}: {len(answer.tokens)} tokens, ok"
         )
 
+    @property
+    def names(self) -> t.Dict[str, str]:
+        """Return the names of engines by address."""
+        return {
+            child.ready["address"]: name.removeprefix("atlas-")
+            for name, child in self.system.backends.items()
+        }
+
     @property
     def hosts(self) -> t.List[launcher.EntryHost]:
         """Return the entry hosts, one of each data centre in turn."""
@@ -371,7 +381,7 @@
                 if name.startswith(f"atlas-{data_centre}")
             )
         )
-        return sum(counter["runs"] for counter in counters)
+        return sum(counter.get("runs", 0) for counter in counters)
 
     async def run_command(self, *arguments: str) -> None:
         """Run a command against the platform; raise on an error."""
@@ -439,7 +449,12 @@
     """Run the demonstration; return the exit code."""
     try:
         asyncio.run(demonstrate())
-    except (DemoFailure, TimeoutError, RuntimeError) as error:
+    except (
+        DemoFailure,
+        caller.CallError,
+        TimeoutError,
+        RuntimeError,
+    ) as error:
         print(f"failed: {error}", file=sys.stderr)
         return 1
     except (asyncio.CancelledError, KeyboardInterrupt):
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -20,7 +20,7 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 5.0
 
-HANDLE_KEY = {"id": "k1", "secret": "a secret for loopback only"}
+HANDLE_KEY = {"id": "k1", "secret": "a-secret-for-loopback-only"}
 
 
 @attrs.define
