--- a/src/sesamefold/keyvalue.py
+++ b/src/sesamefold/keyvalue.py
@@ -105,8 +105,8 @@
 class HttpKeyValue:
     """Key-value service over HTTP with JSON bodies, values in base64.
 
-    Writes use POST: aiohttp silently sends GET, PUT and DELETE again when a
-    kept connection closes without a response, and a write that took effect
+    Writes use POST: aiohttp's default is to send PUT and DELETE again when
+    the connection closes without a response, and a write that took effect
     would then be reported as a conflict.
     """
 
--- a/src/sesamefold/transport.py
+++ b/src/sesamefold/transport.py
@@ -22,6 +22,44 @@
 )
 
 
+class ConnectionLost(aiohttp.ClientConnectionError):
+    """The connection closed after the request may have been sent."""
+
+
+async def _prevent_repeats(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Convert the errors after which aiohttp sends some requests again.
+
+    aiohttp repeats GET, HEAD, OPTIONS, TRACE, PUT and DELETE once when the
+    connection closes without a response, although the first request may have
+    been executed.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        if is_unsent(error):
+            raise
+        raise ConnectionLost(describe(error)) from error
+
+
+def make_session(**options: t.Any) -> aiohttp.ClientSession:
+    """Return the session of a process, for adapters and plain services.
+
+    It sends each request at most once, so a call fails when a kept connection
+    turns out to be closed. It keeps no cookies, which would pass from one
+    customer's call to another's, and has no limit of connections, because
+    waiting for one would count as time to connect. Redirects are followed
+    unless the call disables them.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(_prevent_repeats,),
+        **options,
+    )
+
+
 def make_timeout(
     deadline: deadlines.Deadline, idle_seconds: float = 0.0
 ) -> aiohttp.ClientTimeout:
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,37 @@
+"""Tests of the HTTP session that adapters and plain services share."""
+
+import unittest
+
+import aiohttp
+
+from sesamefold import transport
+from standins import service
+
+
+class SessionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = service.ServiceServer()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+
+    async def test_lost_answer_is_not_sent_again(self):
+        """Guards against a call that aiohttp executes twice on its own."""
+        async with transport.make_session() as session:
+            for method in ("POST", "PUT", "DELETE", "GET"):
+                with self.subTest(method=method):
+                    url = f"{self.server.url}/{method}"
+                    async with session.post(f"{self.server.url}/keep"):
+                        pass
+                    self.server.inject(drop_after=1)
+                    with self.assertRaises(aiohttp.ClientError) as caught:
+                        await session.request(method, url, data=b"body")
+                    self.assertFalse(transport.is_unsent(caught.exception))
+                    counts = {
+                        call[1]: count
+                        for call, count in self.server.executions.items()
+                    }
+                    self.assertEqual(1, counts[f"/{method}"])
+            await self.server.stop()
+            with self.assertRaises(aiohttp.ClientError) as caught:
+                await session.post(self.server.url)
+            self.assertTrue(transport.is_unsent(caught.exception))
