--- a/src/sesamefold/backends.py
+++ b/src/sesamefold/backends.py
@@ -77,7 +77,10 @@
                 self.epoch_changed_at = now
                 self.warm_reported = False
                 self.sequence = 0
+                # Members drop the entries of the engine when they learn of
+                # the restart; the later listing restores new ones.
                 self.gap = True
+                self.listed_at = time.monotonic()
             self.epoch = load.epoch
         if not load.cold and load.measured_at >= self.epoch_changed_at:
             self.warm_reported = True
@@ -123,6 +126,7 @@
         report_blocks: t.Optional[
             t.Callable[[control_pb2.ReportBlocksRequest], t.Awaitable[t.Any]]
         ] = None,
+        drop_holder: t.Optional[t.Callable[[str, str], None]] = None,
         clock: t.Callable[[], float] = time.time,
         seed: t.Optional[int] = None,
         **kwargs: t.Any,
@@ -133,6 +137,7 @@
         self._open_engine = open_engine
         self._get_configuration = get_configuration
         self._report_blocks = report_blocks
+        self._drop_holder = drop_holder
         self._clock = clock
         self._random = random.Random(seed)
         self._records: t.Dict[str, Record] = {}
@@ -334,6 +339,10 @@
         state.group = record.host.group
         state.data_centre = record.host.data_centre
         state.state = self.judge(record, self._clock())
+        before = "" if record.shown is None else record.shown.epoch
+        if before and state.epoch not in ("", before) and self._drop_holder:
+            # The engine's context was lost with the restart.
+            self._drop_holder("engine", state.name)
         if record.shown is None or record.shown != state:
             record.shown = state
             self.changed.notify()
--- a/src/sesamefold/control.py
+++ b/src/sesamefold/control.py
@@ -5,6 +5,7 @@
 import importlib
 import json
 import os
+import random
 import signal
 import types
 import typing as t
@@ -42,6 +43,9 @@
 # Time that calls in progress get when the server stops, seconds.
 _STOP_SECONDS = 1.0
 
+# Between two searches for old buckets of the journal, seconds.
+_EXPIRY_INTERVAL = 300.0
+
 _STATUS_CODES = {
     400: grpc.StatusCode.INVALID_ARGUMENT,
     401: grpc.StatusCode.UNAUTHENTICATED,
@@ -247,7 +251,8 @@
             self.membership,
             self.open_engine,
             lambda: self.relay.configuration,
-            report_blocks=None if directory is None else directory.report,
+            report_blocks=getattr(directory, "report", None),
+            drop_holder=getattr(directory, "drop_holder", None),
         )
         self.orderer = orders.Orderer(
             self.key_value,
@@ -272,9 +277,6 @@
         )
         for service in services:
             self.add_dependency(service)
-        for part in self.parts.values():
-            if isinstance(part, mode.Service):
-                self.add_dependency(part)
 
     def _open_parts(self) -> None:
         journal = _find_module("journal")
@@ -285,7 +287,9 @@
         permits = _find_module("permits")
         if permits is not None:
             self.parts["permits"] = permits.Permits(
-                self.membership, self.get_cold_limit
+                self.membership,
+                self.get_cold_limit,
+                count_hosts=self.membership.count_hosts,
             )
         directory = _find_module("directory")
         if directory is not None:
@@ -302,6 +306,25 @@
         )
         return 0 if group is None else group.cold_limit
 
+    @mode.Service.task
+    async def _run_permits(self) -> None:
+        if "permits" in self.parts:
+            await self.parts["permits"].run()
+
+    @mode.Service.task
+    async def _expire_journal(self) -> None:
+        journal = self.parts.get("journal")
+        while journal is not None and not self.should_stop:
+            # Jitter keeps the hosts apart.
+            await self.sleep(_EXPIRY_INTERVAL * random.uniform(0.5, 1.5))
+            try:
+                deleted = await journal.delete_expired()
+            except exceptions.PlatformError as error:
+                _log.warning("no old journal buckets deleted: {}", error)
+            else:
+                if deleted:
+                    _log.info("{} old journal buckets deleted", deleted)
+
     async def on_started(self) -> None:
         """Print the addresses."""
         addresses = {
@@ -331,6 +354,8 @@
     async def on_stop(self) -> None:
         """Stop serving."""
         await self._server.stop(_STOP_SECONDS)
+        if "journal" in self.parts:
+            await self.parts["journal"].stop()
 
     async def on_shutdown(self) -> None:
         """Close what the components have used."""
--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -170,6 +170,11 @@
             if host.kind == "entry" and host.data_centre == data_centre
         ]
 
+    def count_hosts(self) -> int:
+        """Return how many entry hosts this data centre has, live or not."""
+        listed = (host.name for host in self.list_hosts(self.data_centre))
+        return len({self.name, *listed, *self.list_members()})
+
     def list_data_centres(self) -> t.List[str]:
         """Return the data centres that have listed entry hosts."""
         return sorted(
@@ -238,6 +243,9 @@
         self._listing = listing
         self._hosts = {host.name: host for host in listing.hosts}
         for host in self.list_hosts(self.data_centre):
+            if host.name == self.name:
+                # The gateway's port may have been chosen by the kernel.
+                self.member.gateway_address = host.address
             if host.name == self.name or host.name in self._peers:
                 continue
             self._peers[host.name] = Peer(
--- a/src/sesamefold/relay.py
+++ b/src/sesamefold/relay.py
@@ -32,6 +32,11 @@
     "Answers with an older or a conflicting revision, never applied",
     ["source"],
 )
+_unreadable = prometheus_client.Counter(
+    "sesamefold_configuration_unreadable",
+    "Revisions that could not be read, never applied",
+    ["source"],
+)
 _platform_up = prometheus_client.Gauge(
     "sesamefold_key_value_up",
     "1 while the last call of this host to the key-value service succeeded",
@@ -222,6 +227,26 @@
         self.changed.notify()
         return True
 
+    def try_apply(
+        self, data: bytes, chunks: t.Mapping[str, bytes], source: str
+    ) -> bool:
+        """Put a head into force; an unreadable revision is only reported.
+
+        A revision that this version cannot read must not end the daemons of
+        all data centres; the revision before it stays in force.
+        """
+        try:
+            return self.apply(data, chunks, source)
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            exceptions.SesamefoldError,
+        ) as error:
+            _unreadable.labels(source).inc()
+            _log.error("{} sent an unreadable revision: {!r}", source, error)
+            return False
+
     # From other controls.
 
     def learn(self, revision: int, name: str) -> None:
@@ -251,11 +276,7 @@
         if any(not _matches(digest, data) for digest, data in chunks.items()):
             _log.error("{} sent a chunk that differs from its digest", name)
             return False
-        try:
-            return self.apply(reply.head, chunks, "peer")
-        except (KeyError, ValueError) as error:
-            _log.error("{} sent an incomplete configuration: {}", name, error)
-            return False
+        return self.try_apply(reply.head, chunks, "peer")
 
     @mode.Service.task
     async def _fetch_offers(self) -> None:
@@ -386,10 +407,10 @@
     async def _take_entry(self, entry: keyvalues.Entry) -> None:
         try:
             head = revisions.Head.decode(entry.value)
-        except (TypeError, ValueError) as error:
-            raise exceptions.PlatformUnavailable(
-                f"the head is not readable: {error}"
-            ) from error
+        except (KeyError, TypeError, ValueError) as error:
+            _unreadable.labels("keyvalue").inc()
+            _log.error("the head is not readable: {!r}", error)
+            return
         if not self.is_newer(head.revision, head.edit_id, "keyvalue"):
             return
         missing = [
@@ -398,7 +419,7 @@
             if digest not in self._chunks
         ]
         chunks = await self._read_chunks(missing)
-        self.apply(entry.value, chunks, "keyvalue")
+        self.try_apply(entry.value, chunks, "keyvalue")
 
     async def _read_chunks(
         self, digests: t.Sequence[str]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,7 +1,9 @@
 """Tests of the configuration relay, with several controls in one process."""
 
+import hashlib
 import unittest
 
+import attrs
 import logbook
 
 from sesamefold import defaults
@@ -129,6 +131,27 @@
             self.key_value.set(revisions.CHUNK_PREFIX + digest, data)
         await self.wait_for_revision([daemon], 2)
 
+    async def test_unreadable_revision_keeps_the_daemon(self):
+        """Guards against one edit that ends the controls everywhere."""
+        (daemon,) = await self.start("h1")
+        control_fakes.store_revision(self.key_value, 1)
+        await self.wait_for_revision([daemon], 1)
+        data = b"not compressed"
+        digest = hashlib.sha256(data).hexdigest()
+        head, _ = control_fakes.make_revision(2)
+        self.key_value.set(revisions.CHUNK_PREFIX + digest, data)
+        for value in (
+            b"not JSON",
+            b"{}",
+            attrs.evolve(head, sections={"models": (digest,)}).encode(),
+        ):
+            self.key_value.set(revisions.HEAD_KEY, value)
+            entry = self.key_value.entries[revisions.HEAD_KEY]
+            await daemon.relay._take_entry(entry)
+            self.assertEqual(1, daemon.relay.revision)
+        control_fakes.store_revision(self.key_value, 3)
+        await self.wait_for_revision([daemon], 3)
+
     async def test_only_one_control_watches(self):
         """Guards against a watch per host."""
         control_fakes.store_revision(self.key_value, 1)
