--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -170,6 +170,11 @@
             if host.kind == "entry" and host.data_centre == data_centre
         ]
 
+    def count_hosts(self) -> int:
+        """Return how many entry hosts this data centre has, live or not."""
+        listed = (host.name for host in self.list_hosts(self.data_centre))
+        return len({self.name, *listed, *self.list_members()})
+
     def list_data_centres(self) -> t.List[str]:
         """Return the data centres that have listed entry hosts."""
         return sorted(
