--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -437,8 +437,10 @@
         """Guards against a silent end of a stream that is lost."""
         del self.bench.control.backends["b"]
         self.bench.control.publish()
-        await fakes.wait_until(lambda: len(self.bench.state.backends) == 2)
-        self.bench.engines["a:1"].faults = [fakes.Fault("die", 3)]
+        await gateway_fakes.wait_until(
+            lambda: len(self.bench.state.backends) == 2
+        )
+        self.bench.engines["a:1"].faults = [gateway_fakes.Fault("die", 3)]
         async with self.bench.post({"stream": True}) as response:
             text = await response.text()
         self.assertNotIn("[DONE]", text)
@@ -449,7 +451,7 @@
         """Guards against a stream that ends without a reason."""
         for stream in (True, False):
             for engine in self.bench.engines.values():
-                engine.faults = [fakes.Fault("hang", 3)]
+                engine.faults = [gateway_fakes.Fault("hang", 3)]
             async with self.bench.post(
                 {"stream": stream, "max_tokens": 7 - stream},
                 Sesamefold_Deadline=str(time.time() + 0.3),
@@ -457,7 +459,7 @@
                 text = await response.text()
                 self.assertIn('"code": 1208', text)
                 self.assertIn('"executed": "unknown"', text)
-        await fakes.wait_until(lambda: not +self.bench.state.in_flight)
+        await gateway_fakes.wait_until(lambda: not +self.bench.state.in_flight)
 
     async def test_slow_reader(self):
         """Guards against a caller that holds a run without reading."""
@@ -466,7 +468,7 @@
             engine.padding = "x" * 20_000
         with unittest.mock.patch.object(defaults, "SLOW_READER_SECONDS", 0.3):
             async with self.bench.post(body) as response:
-                await fakes.wait_until(
+                await gateway_fakes.wait_until(
                     lambda: any(
                         e.cancelled for e in self.bench.engines.values()
                     )
