Test eviction order and generation checks

Cause: trials with deliberate faults showed that no test noticed a store adapter that ignores the generation, a store that serves an old generation, or an engine that evicts the start of a chain of blocks first.

Change: cases for all three.

Conclusion: each of these faults now fails a test.

--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -355,6 +355,16 @@
         await self.complete(request_id="late")
         self.assertEqual([], await self.engine.fetch_events(0, soon()))
 
+    async def test_eviction_keeps_the_start_of_a_chain(self):
+        """Guards against blocks that are held but can no longer be used."""
+        await self.complete()
+        short = " ".join(PROMPT.split()[:10])
+        await self.complete(
+            request_id="short", prompt=short, cache_salt="other"
+        )
+        started = await self.complete(request_id="again")
+        self.assertEqual(30, started.cached_tokens)
+
     async def test_load_lag(self):
         """Guards against a load report without the configured lag."""
         self.server.inject(load_lag=3600.0, leaving=True)
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -56,6 +56,15 @@
                 self.host.inject(read={"kind": kind})
                 with self.assertRaises(exceptions.BlockInvalid):
                     await self.store.read_block(new, soon())
+        with self.subTest("generation before, with the same bytes"):
+            new = await self.store.write_block("b", b"new!", soon())
+            self.host.inject(read={"kind": "old_entry"})
+            with self.assertRaises(exceptions.BlockInvalid):
+                await self.store.read_block(new, soon())
+        async with self.session.get(
+            f"{self.host.url}/blocks/b?generation={old.generation}"
+        ) as response:
+            self.assertEqual(410, response.status)
         for change in (
             {"length": 3},
             {"sha256": old.sha256},
