Test that a request to a partitioned host counts as not sent

Cause: the limit of the time to connect, on which "executed: no" rests when a host drops packets, had no test.

Change: a test with a socket whose backlog is full.

Conclusion: the test fails without the limit and passes with it.

--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,9 +1,14 @@
 """Tests of the HTTP session that adapters and plain services share."""
 
+import contextlib
+import socket
 import unittest
 
 import aiohttp
 
+from sesamefold import deadline as deadlines
+from sesamefold import engines
+from sesamefold import exceptions
 from sesamefold import transport
 from standins import service
 
@@ -35,3 +40,24 @@
             with self.assertRaises(aiohttp.ClientError) as caught:
                 await session.post(self.server.url)
             self.assertTrue(transport.is_unsent(caught.exception))
+
+    async def test_host_that_drops_packets(self):
+        """Guards against "unknown" for a request that was never sent.
+
+        A full backlog of a socket that accepts nothing drops the SYN, as a
+        partition does.
+        """
+        with contextlib.ExitStack() as stack:
+            listener = stack.enter_context(
+                socket.create_server(("127.0.0.1", 0))
+            )
+            listener.listen(0)
+            address = ("127.0.0.1", listener.getsockname()[1])
+            for _ in range(4):
+                filler = stack.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(address)
+            async with transport.make_session() as session:
+                engine = engines.HttpEngine(session, "%s:%d" % address)
+                with self.assertRaises(exceptions.BackendUnreachable):
+                    await engine.fetch_load(deadlines.Deadline.after(1.0))
