Delete chunks that no kept revision uses

Change: an audit entry names a manifest with the digests of the text and of the chunks that the edit replaced. When the oldest audit page is dropped, its manifests and replaced chunks are deleted unless the new head uses them. The versions of the keys are read before the head is written and a key is deleted only with that version, so that a chunk which a concurrent edit writes again stays. Audit pages are verified against their digest.

Conclusion: the number of keys is bounded by the bound of the audit pages.

--- a/src/sesamefold/revisions.py
+++ b/src/sesamefold/revisions.py
@@ -35,6 +35,8 @@
 # Chunks read or written at once. The key-value service handles several
 # hundred writes a second for all its users.
 PARALLEL_CALLS = 4
+# Time for finding unused chunks, about 300 reads once in 64 edits.
+_UNUSED_SECONDS = 5.0
 
 
 @attrs.frozen
@@ -230,7 +232,6 @@
 
     sections: t.Mapping[str, t.Tuple[str, ...]]
     text: t.Tuple[str, ...]
-    manifest: str  # digest of the JSON list of the text's digests
     chunks: t.Mapping[str, bytes]
 
 
@@ -251,8 +252,32 @@
         for section in configuration.SECTIONS
     }
     pieces = tuple(add(piece) for piece in split_text(text))
-    manifest = add(json.dumps(pieces).encode())
-    return Compiled(sections, pieces, manifest, chunks)
+    return Compiled(sections, pieces, chunks)
+
+
+@attrs.frozen
+class Manifest:
+    """What is kept of a revision beside its audit entry.
+
+    `text` holds the digests of its text, `replaced` those of the chunks that
+    only earlier revisions use. The revision makes its digest unique.
+    """
+
+    revision: int
+    text: t.Tuple[str, ...]
+    replaced: t.Tuple[str, ...]
+
+    def encode(self) -> bytes:
+        """Return the manifest as JSON."""
+        return json.dumps(attrs.asdict(self)).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Manifest":
+        """Return the manifest that `encode` wrote."""
+        raw = json.loads(data)
+        return cls(
+            raw["revision"], *map(tuple, (raw["text"], raw["replaced"]))
+        )
 
 
 async def _retry(
@@ -368,6 +393,13 @@
     return b"".join(decompress(chunks[d]) for d in digests).decode()
 
 
+async def _read_manifest(
+    store: keyvalue.KeyValue, digest: str, deadline: deadlines.Deadline
+) -> Manifest:
+    chunks = await read_chunks(store, [digest], deadline)
+    return Manifest.decode(decompress(chunks[digest]))
+
+
 async def read_text(
     store: keyvalue.KeyValue,
     deadline: deadlines.Deadline,
@@ -376,7 +408,8 @@
     """Return revision and operator's text, by default the latest.
 
     Raises `exceptions.RevisionUnknown` when the revision is not kept or no
-    edit was accepted yet.
+    edit was accepted yet. A kept revision can have lost its text, when the
+    same text was replaced by an edit whose audit page was deleted.
     """
     head = await read_head(store, deadline)
     if head is None:
@@ -385,10 +418,8 @@
         return head.revision, await _read_pieces(store, head.text, deadline)
     async for entry in read_history(store, head, deadline):
         if entry["revision"] == revision:
-            manifest = entry["text"]
-            chunks = await read_chunks(store, [manifest], deadline)
-            digests = json.loads(decompress(chunks[manifest]))
-            return revision, await _read_pieces(store, digests, deadline)
+            manifest = await _read_manifest(store, entry["text"], deadline)
+            return revision, await _read_pieces(store, manifest.text, deadline)
         if entry["revision"] < revision:
             break
     raise exceptions.RevisionUnknown(
@@ -396,6 +427,18 @@
     )
 
 
+async def _read_page(
+    store: keyvalue.KeyValue, digest: str, deadline: deadlines.Deadline
+) -> t.List[t.Dict[str, t.Any]]:
+    """Return the entries of an audit page, none if it does not exist."""
+    page = await _get(store, audit.PAGE_PREFIX + digest, deadline)
+    if page is None:
+        return []
+    if hashlib.sha256(page.value).hexdigest() != digest:
+        raise exceptions.InternalError(f"audit page {digest} is damaged")
+    return audit.decode(page.value)
+
+
 async def read_history(
     store: keyvalue.KeyValue, head: Head, deadline: deadlines.Deadline
 ) -> t.AsyncIterator[t.Mapping[str, t.Any]]:
@@ -406,10 +449,10 @@
     for entry in reversed(head.audit):
         yield entry
     for digest in reversed(head.pages):
-        page = await _get(store, audit.PAGE_PREFIX + digest, deadline)
-        if page is None:
+        entries = await _read_page(store, digest, deadline)
+        if not entries:
             return
-        for entry in reversed(audit.decode(page.value)):
+        for entry in reversed(entries):
             yield entry
 
 
@@ -557,6 +600,70 @@
         ) from None
 
 
+async def _list_unused(
+    store: keyvalue.KeyValue,
+    pages: t.Sequence[str],
+    used: t.Container[str],
+    deadline: deadlines.Deadline,
+) -> t.List[t.Tuple[str, int]]:
+    """Return keys and versions that are unused once `pages` are deleted.
+
+    These are the pages, the manifests of their entries, and the chunks that
+    their edits replaced, except those in `used`.
+    """
+
+    async def read_replaced(digest: str) -> t.Sequence[str]:
+        try:
+            manifest = await _read_manifest(store, digest, deadline)
+        except exceptions.RevisionUnknown:
+            return ()
+        return manifest.replaced
+
+    async def read_version(key: str) -> t.Tuple[str, int]:
+        entry = await _get(store, key, deadline)
+        return key, entry.version if entry else 0
+
+    found = await _gather(
+        functools.partial(_read_page, store, page, deadline) for page in pages
+    )
+    manifests = [
+        entry["text"] for entry in itertools.chain.from_iterable(found)
+    ]
+    replaced = await _gather(
+        functools.partial(read_replaced, digest) for digest in manifests
+    )
+    digests = {*manifests, *itertools.chain.from_iterable(replaced)}
+    keys = [audit.PAGE_PREFIX + page for page in pages] + [
+        CHUNK_PREFIX + digest for digest in digests if digest not in used
+    ]
+    versions = await _gather(
+        functools.partial(read_version, key) for key in keys
+    )
+    return [(key, version) for key, version in versions if version]
+
+
+async def _delete(
+    store: keyvalue.KeyValue,
+    unused: t.Iterable[t.Tuple[str, int]],
+    deadline: deadlines.Deadline,
+) -> None:
+    """Delete keys that still have their version; errors are ignored.
+
+    A chunk that another edit needs again has been written again, and has
+    another version: the versions were read before the head was written, and
+    that edit is based on this head or a later one. A key that stays because
+    of an error is only unused space.
+    """
+
+    async def delete(key: str, version: int) -> None:
+        with contextlib.suppress(exceptions.PlatformError):
+            await store.delete(
+                key, version, deadline.cap(defaults.PLATFORM_TIMEOUT)
+            )
+
+    await _gather(functools.partial(delete, *item) for item in unused)
+
+
 async def apply_text(
     store: keyvalue.KeyValue,
     text: str,
@@ -590,17 +697,25 @@
         return base
     edit_id = str(uuid.uuid4())
     now = time.time()
+    held = {*base.list_digests(True), *base.text} if base else set()
+    manifest, manifest_data = _pack(
+        Manifest(
+            revision + 1,
+            compiled.text,
+            tuple(sorted(held.difference(compiled.chunks))),
+        ).encode()
+    )
     entry = audit.build_entry(
         revision + 1,
         edit_id,
         author,
         now,
         await _list_changes(store, base, compiled, parsed, deadline),
-        compiled.manifest,
+        manifest,
     )
     entries = base.audit if base else ()
     pages = base.pages if base else ()
-    values: t.Dict[str, bytes] = {}
+    values = {CHUNK_PREFIX + manifest: manifest_data}
     if len(entries) >= defaults.AUDIT_HEAD_ENTRIES:
         page = audit.encode(entries)
         digest = hashlib.sha256(page).hexdigest()
@@ -618,7 +733,6 @@
         audit=(*entries, entry),
         pages=pages[-defaults.AUDIT_PAGES :],
     )
-    held = {*base.list_digests(True), *base.text} if base else set()
     values.update(
         (CHUNK_PREFIX + digest, data)
         for digest, data in compiled.chunks.items()
@@ -631,13 +745,19 @@
             f"key-value service holds {defaults.MAX_VALUE_BYTES}"
         )
     await _write(store, values, deadline)
-    await _swap_head(store, version, head, deadline)
-    for digest in pages[: -defaults.AUDIT_PAGES]:
-        # The edit is accepted; a page that stays is only unused space.
-        with contextlib.suppress(exceptions.PlatformError):
-            await store.delete(
-                audit.PAGE_PREFIX + digest,
-                None,
-                deadline.cap(defaults.PLATFORM_TIMEOUT),
+    unused: t.List[t.Tuple[str, int]] = []
+    dropped = pages[: -defaults.AUDIT_PAGES]
+    if dropped:
+        # Space that is not freed does not justify to fail the edit.
+        with contextlib.suppress(exceptions.SesamefoldError):
+            unused = await _unwrap(
+                _list_unused(
+                    store,
+                    dropped,
+                    compiled.chunks,
+                    deadline.cap(_UNUSED_SECONDS),
+                )
             )
+    await _swap_head(store, version, head, deadline)
+    await _delete(store, unused, deadline)
     return head
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -97,6 +97,11 @@
         expected: t.Optional[int],
         deadline: deadlines.Deadline,
     ) -> None:
+        await asyncio.sleep(0)
+        found = self.entries.get(key)
+        version = found.version if found else 0
+        if expected not in (None, version):
+            raise exceptions.VersionConflict(key, expected, version)
         self.entries.pop(key, None)
 
 
@@ -273,7 +278,7 @@
         ]
         self.assertEqual(list(range(20, 12, -1)), history)
         pages = [key for key in store.entries if key.startswith("audit/")]
-        self.assertEqual(2, len(pages))
+        self.assertEqual([2, 2], [len(pages), len(head.pages)])
         self.assertEqual(
             (14, write_text(1, 14)),
             await revisions.read_text(store, self.deadline, 14),
@@ -282,6 +287,63 @@
             with self.assertRaises(exceptions.RevisionUnknown):
                 await revisions.read_text(store, self.deadline, gone)
 
+    async def test_unused_chunks_are_deleted(self) -> None:
+        """Guards against chunks that pile up, or are deleted in use."""
+        store = MemoryKeyValue()
+        counts = []
+        with (
+            mock.patch.object(defaults, "AUDIT_HEAD_ENTRIES", 3),
+            mock.patch.object(defaults, "AUDIT_PAGES", 2),
+        ):
+            for number in range(60):
+                # Every fourth edit returns to a text of long ago.
+                share = 1 if number % 4 == 0 else 2 + number
+                await self.apply(store, write_text(200, share))
+                loaded = await self.load(store)
+                self.assertEqual(
+                    share, loaded.customers["customer-00000"].share
+                )
+                counts.append(len(store.entries))
+        self.assertEqual(max(counts[20:40]), max(counts[40:]))
+        latest = await revisions.read_text(store, self.deadline)
+        self.assertEqual((60, write_text(200, 61)), latest)
+
+    async def test_a_chunk_needed_again_is_not_deleted(self) -> None:
+        """Guards against deleting what a concurrent edit has written."""
+        for writer_first in (True, False):
+            store = MemoryKeyValue()
+            with (
+                self.subTest(writer_first=writer_first),
+                mock.patch.object(defaults, "AUDIT_HEAD_ENTRIES", 3),
+                mock.patch.object(defaults, "AUDIT_PAGES", 2),
+            ):
+                for share in range(1, 10):
+                    await self.apply(store, write_text(1, share))
+                delete = store.delete
+                lock = asyncio.Lock()
+                pending = [True]
+
+                async def edit_first(
+                    key, version, deadline, s=store, d=delete, p=pending
+                ):
+                    # The old text is applied before or after all deletions.
+                    async with lock:
+                        if writer_first and p:
+                            p.clear()
+                            await self.apply(s, write_text(1, 1), "eva")
+                    await d(key, version, deadline)
+
+                with mock.patch.object(store, "delete", edit_first):
+                    await self.apply(store, write_text(1, 10))
+                if not writer_first:
+                    await self.apply(store, write_text(1, 1), "eva")
+                loaded = await self.load(store)
+                self.assertEqual(11, loaded.revision)
+                self.assertEqual(
+                    (11, write_text(1, 1)),
+                    await revisions.read_text(store, self.deadline),
+                )
+
     async def test_large_edits_keep_the_entry_small(self) -> None:
         """Guards against a head that an edit of all customers overfills."""
         store = MemoryKeyValue()
