Start daemons without the command line's imports

Cause: the control daemon had 71.5 MB resident with 2 members; typer imports pydantic when it parses, and a control may take 64 MB.

--- a/src/sesamefold/__main__.py
+++ b/src/sesamefold/__main__.py
@@ -1,6 +1,6 @@
-"""Runs the command line by `python -m sesamefold`."""
+"""Runs a daemon or the command line by `python -m sesamefold`."""
 
-from sesamefold import commands
+from sesamefold import daemons
 
 if __name__ == "__main__":
-    commands.main()
+    daemons.main()
--- a/src/sesamefold/control.py
+++ b/src/sesamefold/control.py
@@ -7,6 +7,7 @@
 import os
 import random
 import signal
+import sys
 import types
 import typing as t
 
@@ -23,6 +24,7 @@
 from sesamefold import exceptions
 from sesamefold import hostlist
 from sesamefold import keyvalue
+from sesamefold import logs
 from sesamefold import membership as memberships
 from sesamefold import orders
 from sesamefold import relay as relays
@@ -459,6 +461,6 @@
     """Run the control daemon until SIGTERM; returns the exit code.
 
     The first signal lets the gateway finish, the second one ends at once.
-    Log handlers are set up by the caller.
     """
+    logs.set_up(sys.stderr)
     return asyncio.run(_run(settings))
