--- a/src/sesamefold/limits.py
+++ b/src/sesamefold/limits.py
@@ -104,11 +104,32 @@
             )
 
 
+@attrs.define
+class _Rate:
+    """Mean time between two dispatches while requests wait, seconds."""
+
+    mean: t.Optional[float] = None
+    last: float = 0.0  # Unix seconds
+
+    def estimate(self, now: float) -> float:
+        """Return the mean; the time since the last dispatch counts."""
+        latest = now - self.last
+        if self.mean is None:
+            return latest
+        return self.mean + RATE_WEIGHT * (latest - self.mean)
+
+    def count(self, now: float) -> None:
+        """Count a dispatch of a request that had to wait."""
+        self.mean = self.estimate(now)
+        self.last = now
+
+
 @attrs.define(eq=False)
 class _Waiter(t.Generic[Slot]):
     take: t.Callable[[], t.Optional[Slot]]
     result: "asyncio.Future[Slot]"
     latest_start: float  # Unix seconds
+    queued: bool = False  # no place was free when it arrived
 
 
 @attrs.define(eq=False)
@@ -119,6 +140,7 @@
     share: float
     virtual: float  # virtual time at which its next request is due
     waiters: t.Deque[_Waiter] = attrs.field(factory=collections.deque)
+    rate: _Rate = attrs.field(factory=_Rate)
 
 
 class FairQueue:
@@ -149,8 +171,7 @@
         # Customers that wait, and those whose virtual time is still ahead.
         self._lines: t.Dict[str, _Line] = {}
         self._virtual = 0.0
-        self._interval: t.Optional[float] = None  # seconds, mean
-        self._last_dispatch = 0.0
+        self._rate = _Rate()
         self.waiting = 0
 
     async def wait(
@@ -189,10 +210,13 @@
             take, asyncio.get_running_loop().create_future(), latest_start
         )
         if not self.waiting:
-            self._last_dispatch = now
+            self._rate.last = now
+        if not line.waiters:
+            line.rate.last = now
         line.waiters.append(waiter)
         self.waiting += 1
         self.dispatch()
+        waiter.queued = True
         try:
             async with asyncio.timeout(max(0.0, latest_start - now)):
                 return await waiter.result
@@ -240,7 +264,9 @@
                 self._remove(line, waiter)
                 self._virtual = max(self._virtual, line.virtual)
                 line.virtual += 1.0 / line.share
-                self._count_dispatch(now)
+                if waiter.queued:
+                    self._rate.count(now)
+                    line.rate.count(now)
                 waiter.result.set_result(slot)
             if line.waiters:
                 heapq.heappush(lines, (line.virtual, index, line))
@@ -267,30 +293,20 @@
 
     def _estimate_wait(self, line: _Line, now: float) -> float:
         """Return the expected wait in seconds, 0.0 while nothing waits."""
-        if self._interval is None or not self.waiting:
+        if self._rate.mean is None or not self.waiting:
             return 0.0
-        # The time since the last dispatch counts, since servers may stall.
-        interval = self._average(now)
         shares = sum(
             other.share
             for other in self._lines.values()
             if other.waiters and other is not line
         )
-        ahead = (len(line.waiters) + 1) * (shares + line.share) / line.share
-        return interval * min(ahead, self.waiting + 1)
-
-    def _average(self, now: float) -> float:
-        latest = now - self._last_dispatch
-        if self._interval is None:
-            return latest
-        return self._interval + RATE_WEIGHT * (latest - self._interval)
-
-    def _count_dispatch(self, now: float) -> None:
-        # Intervals count only while requests wait; else they would measure
-        # the arrivals instead of the servers.
-        if self.waiting:
-            self._interval = self._average(now)
-        self._last_dispatch = now
+        own = len(line.waiters) + 1
+        ahead = min(own * (shares + line.share) / line.share, self.waiting + 1)
+        expected = self._rate.estimate(now) * ahead
+        if line.waiters and line.rate.mean is not None:
+            # Customers that wait only now and then also take places.
+            expected = max(expected, line.rate.estimate(now) * own)
+        return expected
 
     def _make_room(self, line: _Line) -> None:
         """Refuse the latest request of the customer most above its share."""
