--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -4,6 +4,7 @@
 import hashlib
 import itertools
 import typing as t
+import unittest.mock
 import zlib
 
 import aiohttp
@@ -11,6 +12,7 @@
 import grpc
 
 from sesamefold import configuration
+from sesamefold import defaults
 from sesamefold import engines
 from sesamefold import exceptions
 from sesamefold import gateway
@@ -344,6 +346,11 @@
         self.control.configuration = build_message(build_configuration())
 
     async def start(self, make_engine: t.Any = None, **options) -> None:
+        # A busy machine may exceed the usual 20 ms.
+        self.patch = unittest.mock.patch.object(
+            defaults, "DIRECTORY_LOOKUP_SECONDS", 5.0
+        )
+        self.patch.start()
         address = await self.control.start()
         self.settings = settings.Settings(
             **{
@@ -373,6 +380,7 @@
         )
 
     async def stop(self) -> None:
+        self.patch.stop()
         await self.session.close()
         await self.gateway.stop()
         await self.control.server.stop(None)
