--- a/src/sesamefold/commands.py
+++ b/src/sesamefold/commands.py
@@ -20,6 +20,7 @@
 import sesamefold
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
+from sesamefold import documents
 from sesamefold import exceptions
 from sesamefold import settings as process_settings
 
@@ -231,9 +232,14 @@
         yield keyvalue.HttpKeyValue(session, url)
 
 
-def _require(value: t.Any, option: str) -> None:
-    if not value:
-        raise typer.BadParameter(f"{option} is required")
+def _check_platform(url: str) -> None:
+    if not documents.is_url(url):
+        raise typer.BadParameter("--platform needs an http or https URL")
+
+
+def _check_controls(addresses: t.Optional[t.Sequence[str]]) -> None:
+    if not addresses or not all(map(documents.is_address, addresses)):
+        raise typer.BadParameter("--control needs ip:port, at least once")
 
 
 def _get_author(author: str) -> str:
@@ -284,7 +290,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """Compare the latest text with a file; exit code 1 if they differ."""
-    _require(platform, "--platform")
+    _check_platform(platform)
 
     async def work() -> int:
         from sesamefold import revisions
@@ -337,7 +343,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """Check a text and make it the latest revision."""
-    _require(platform, "--platform")
+    _check_platform(platform)
 
     async def edit(
         store: "keyvalue.KeyValue", deadline: deadlines.Deadline
@@ -379,7 +385,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """Take a data centre out of service or put it in again."""
-    _require(platform, "--platform")
+    _check_platform(platform)
 
     async def attempt(
         store: "keyvalue.KeyValue", deadline: deadlines.Deadline
@@ -419,7 +425,7 @@
 ) -> None:
     """Make an edit and, with `wait`, follow it through the data centres."""
     if wait:
-        _require(controls, "--control")
+        _check_controls(controls)
 
     async def work() -> int:
         from sesamefold import revisions
@@ -526,7 +532,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """Print the operator's text of the latest or another kept revision."""
-    _require(platform, "--platform")
+    _check_platform(platform)
 
     async def work() -> None:
         from sesamefold import revisions
@@ -571,7 +577,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """Print the audit trail, latest edit first."""
-    _require(platform, "--platform")
+    _check_platform(platform)
 
     async def work() -> None:
         from sesamefold import revisions
@@ -655,7 +661,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """Print the state of all data centres, as a control daemon sees it."""
-    _require(controls, "--control")
+    _check_controls(controls)
 
     async def work() -> int:
         from sesamefold import rollout
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -293,3 +293,18 @@
             self.assertEqual(3, code)
             self.assertEqual(1600, json.loads(errors)["error"]["code"])
         self.assertEqual((0, "0.1.0\n", ""), self.run_command("--version"))
+
+    def test_wrong_options(self) -> None:
+        """Guards against a command that starts without what it needs."""
+        file = str(self.path)
+        for arguments in (
+            ("status",),
+            ("status", "--control", "localhost:1"),
+            ("apply", file, "--wait"),
+            ("apply", file, "--platform", "127.0.0.1:1"),
+            ("datacentre", "off", "lima-a"),
+            ("gateway",),
+        ):
+            with self.subTest(arguments):
+                self.assertEqual(2, self.run_command(*arguments)[0])
+        self.assertEqual([], self.store.writes)
