Let outcomes wait for the write of an intent

Cause: with a few calls a second in each shard, a call took two writes. Change: a bucket with only outcomes waits up to 0.2 s for an intent.

--- a/src/sesamefold/journal.py
+++ b/src/sesamefold/journal.py
@@ -36,6 +36,9 @@
 # then is refused, which also bounds how late a paused writer answers RUN.
 BEGIN_SECONDS = 4.0
 FINISH_SECONDS = 30.0
+# Time that an outcome waits for the write of an intent, seconds. Otherwise
+# most calls take two writes while a shard gets only a few calls a second.
+OUTCOME_DELAY = 0.2
 # Time that the shard's owner gets before a control writes by itself, seconds.
 FORWARD_SECONDS = 1.0
 # An owner that did not answer is not asked again for this long, seconds;
@@ -337,6 +340,7 @@
     waiting: t.List[_Change] = attrs.field(factory=list)
     task: t.Optional["asyncio.Task[None]"] = None
     next_write: float = 0.0  # event loop time
+    urgent: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def load(self, entry: t.Optional[keyvalue.Entry]) -> None:
         self.records = {} if entry is None else decode_bucket(entry.value)
@@ -609,6 +613,8 @@
             bucket = self._buckets[bucket_key] = _Bucket(bucket_key, shard)
         self._buckets.move_to_end(bucket_key)
         bucket.waiting.append(change)
+        if isinstance(change, _Begin):
+            bucket.urgent.set()
         if bucket.task is None:
             bucket.task = self._start(self._write_changes(bucket))
         try:
@@ -633,21 +639,21 @@
                 await self._pace(bucket)
                 changes = [c for c in bucket.waiting if not c.result.done()]
                 bucket.waiting = []
+                bucket.urgent.clear()
                 if not changes:
                     break
                 self._reserve(bucket)
                 try:
                     await self._write_or_probe(bucket, changes)
                     self._failures = 0
-                except exceptions.VersionConflict:
-                    bucket.version = None
-                    bucket.waiting[:0] = changes
-                except (exceptions.PlatformError, TimeoutError):
+                except (exceptions.PlatformError, TimeoutError) as error:
                     # Whether the write took effect is settled by reading the
                     # bucket before the next one.
                     bucket.version = None
                     bucket.waiting[:0] = changes
-                    self._failures += 1
+                    bucket.urgent.set()
+                    if not isinstance(error, exceptions.VersionConflict):
+                        self._failures += 1
                 changes = []
         except Exception as error:
             _log.exception(f"writing {bucket.key} failed")
@@ -663,6 +669,11 @@
     async def _pace(self, bucket: _Bucket) -> None:
         """Wait until the bucket and its shard may be written again."""
         loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(OUTCOME_DELAY):
+                await bucket.urgent.wait()
+        except TimeoutError:
+            pass
         # Lets the calls that arrived together share the first write.
         await asyncio.sleep(0)
         while True:
