Learn of engine restarts from lost connections and spread them at once

The trace showed an engine that restarted while idle, so no gateway saw a failure; three gateways sent it requests as a warm server within 0.4 s, before the next load report, which lags.

Change: the owner of an engine keeps an idle connection open. Its loss makes the engine cold until a newer measurement says otherwise, and the members and gateways learn of it at once instead of with the next heartbeat. A failure that a gateway reports spreads in the same way.

Conclusion: the window between a restart and the first permit shrinks from about 1 s to one broadcast. A server that turns cold without closing its connections is still seen only by its next report.

--- a/src/sesamefold/backends.py
+++ b/src/sesamefold/backends.py
@@ -13,6 +13,7 @@
 
 from sesamefold import client
 from sesamefold import configuration
+from sesamefold import connections
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import engines
@@ -49,6 +50,8 @@
 _LOAD_SHARE = 0.1
 # A gateway's stream collects changes for this long, seconds.
 _COALESCE_SECONDS = 0.05
+# Pause before a lost idle connection is opened again.
+_RECONNECT_SECONDS = 0.5
 
 
 @attrs.define
@@ -133,6 +136,8 @@
     ) -> None:
         super().__init__(**kwargs)
         self.changed = notification.Notification()
+        # A server has left the warm state; gateways learn it without delay.
+        self._worse = notification.Notification()
         self._membership = membership
         self._open_engine = open_engine
         self._get_configuration = get_configuration
@@ -199,8 +204,9 @@
                     full=full, states=states, removed=removed
                 )
                 full = False
+            worse = self._worse.event
             await event.wait()
-            await asyncio.sleep(_COALESCE_SECONDS)
+            await notification.wait(worse, _COALESCE_SECONDS)
 
     async def report_failure(
         self, request: control_pb2.ReportFailureRequest, forwarded: bool
@@ -222,6 +228,8 @@
         record.failed_at = self._clock()
         owner = self.get_owner(request.backend)
         self._show(record)
+        if owner == self._membership.name:
+            self._publish_failure(record)
         if forwarded or owner is None or owner == self._membership.name:
             return
         try:
@@ -344,6 +352,9 @@
             # The engine's context was lost with the restart.
             self._drop_holder("engine", state.name)
         if record.shown is None or record.shown != state:
+            if record.shown is not None and record.shown.state == WARM:
+                if state.state != WARM:
+                    self._worse.notify()
             record.shown = state
             self.changed.notify()
 
@@ -418,7 +429,7 @@
                 del self._tasks[name]
         for name in engines_owned.keys() - self._tasks.keys():
             address = engines_owned[name]
-            task = self.add_future(self._poll_engine(name, address))
+            task = self.add_future(self._follow_engine(name, address))
             self._tasks[name] = (address, task)
         self._count()
 
@@ -437,6 +448,23 @@
             ),
         )
 
+    def _publish_failure(self, record: Record) -> None:
+        """Tell the members at once that an owned server has failed.
+
+        It may have restarted cold. Until a report is newer than the failure,
+        the members' gateways need permits; with the next regular heartbeat
+        they would send unlimited requests for up to a second more.
+        """
+        if self._get_kind(record.host) == "service":
+            self._publish_service(record)
+        elif record.report is not None:
+            state = control_pb2.BackendState()
+            state.CopyFrom(record.report)
+            state.state = UNKNOWN
+            record.report = state
+            self._note_change(record)
+        self._membership.send_now()
+
     def _count(self) -> None:
         states = [state.state for state in self.list_states()]
         for state in (COLD, WARM, LEAVING, DOWN, UNKNOWN):
@@ -444,6 +472,38 @@
 
     # Polling.
 
+    async def _follow_engine(self, name: str, address: str) -> None:
+        await asyncio.gather(
+            self._poll_engine(name, address),
+            self._watch_connection(name, address),
+        )
+
+    async def _watch_connection(self, name: str, address: str) -> None:
+        """Treat the loss of an idle connection as a possible restart.
+
+        Load reports lag. Without this, a server that restarts while it is
+        idle would get requests without permits for up to a second.
+        """
+        while not self.should_stop:
+            if await connections.wait_for_loss(address):
+                self._suspect_restart(name)
+            await self.sleep(
+                _RECONNECT_SECONDS * self._random.uniform(0.9, 1.1)
+            )
+
+    def _suspect_restart(self, name: str) -> None:
+        record, poll = self._records.get(name), self._polls.get(name)
+        if record is None or poll is None or record.report is None:
+            return
+        # The server is cold until a newer measurement says otherwise.
+        poll.epoch_changed_at = self._clock()
+        poll.warm_reported = False
+        state = control_pb2.BackendState()
+        state.CopyFrom(record.report)
+        state.state = COLD
+        self._publish(record, state)
+        self._membership.send_now()
+
     async def _poll_engine(self, name: str, address: str) -> None:
         engine = self._open_engine(address)
         poll = self._open_poll(self._records[name])
--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -106,6 +106,7 @@
         self.name = member.name
         self.data_centre = member.data_centre
         self.changed = notification.Notification()
+        self._urgent = notification.Notification()
         self.listed = False  # the host list has answered once
         self.reports: t.Optional[Reports] = None
         self.get_revision: t.Callable[[], int] = lambda: 0
@@ -369,13 +370,15 @@
         # The first one goes out soon, spread over a part of the interval.
         await self.sleep(self._random.uniform(0.0, 0.1))
         while not self.should_stop and name in self._peers:
+            urgent = self._urgent.event
             try:
                 await self._send_heartbeat(name, defaults.HEARTBEAT_INTERVAL)
                 _heartbeats.labels("answered").inc()
             except (grpc.RpcError, exceptions.ControlUnavailable):
                 _heartbeats.labels("failed").inc()
-            await self.sleep(
-                defaults.HEARTBEAT_INTERVAL * self._random.uniform(0.9, 1.1)
+            await notification.wait(
+                urgent,
+                defaults.HEARTBEAT_INTERVAL * self._random.uniform(0.9, 1.1),
             )
 
     async def _send_heartbeat(self, name: str, seconds: float) -> None:
@@ -409,6 +412,10 @@
         if self.reports is not None:
             self.reports.confirm(name, reply.receiver.incarnation, mark)
 
+    def send_now(self) -> None:
+        """Send the next heartbeats at once instead of at their interval."""
+        self._urgent.notify()
+
     async def leave(self) -> None:
         """Tell the peers that this host leaves."""
         self.member.leaving = True
