--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -27,13 +27,10 @@
 
 
 def make_report(blocks, *holders, removed=False):
-    entries = [
-        control_pb2.BlockEntry(block=block, holders=holders)
-        for block in blocks
-    ]
-    return control_pb2.ReportBlocksRequest(
-        **{"removed" if removed else "stored": entries}
-    )
+    entry = control_pb2.BlockEntry
+    entries = [entry(block=block, holders=holders) for block in blocks]
+    field = "removed" if removed else "stored"
+    return control_pb2.ReportBlocksRequest(**{field: entries})
 
 
 class DirectoryTest(fakes.VirtualTimeTestCase):
@@ -50,6 +47,10 @@
         )
         return made
 
+    async def report(self, blocks, *holders, **fields):
+        report = make_report(blocks, *holders, **fields)
+        await self.directories["a"].report(report)
+
     async def lookup(self, name, blocks, **fields):
         """Return the holders by block."""
         reply = await self.directories[name].lookup(
@@ -59,7 +60,7 @@
 
     async def test_sharding(self):
         """Guards against more than one message for each owner."""
-        await self.directories["a"].report(make_report(BLOCKS, make_engine()))
+        await self.report(BLOCKS, make_engine())
         for name in "abc":
             found = await self.lookup(name, BLOCKS + [name_block(99)])
             self.assertEqual({b: [make_engine()] for b in BLOCKS}, found)
@@ -73,7 +74,7 @@
 
     async def test_shards_that_do_not_answer(self):
         """Guards against a lookup that fails or waits for a lost shard."""
-        await self.directories["a"].report(make_report(BLOCKS, make_engine()))
+        await self.report(BLOCKS, make_engine())
         await self.lookup("b", BLOCKS)
         lost = len(self.directories["c"])
 
@@ -107,7 +108,7 @@
     async def test_members_disagree(self):
         """Guards against messages that are sent on in a circle."""
         self.network.views = {"a": ["b"], "b": ["c"], "c": ["a"]}
-        await self.directories["a"].report(make_report(BLOCKS, make_engine()))
+        await self.report(BLOCKS, make_engine())
         self.assertEqual(len(BLOCKS), len(await self.lookup("a", BLOCKS)))
         self.assertEqual(len(BLOCKS), len(self.directories["b"]))
         self.assertEqual(2, sum(self.network.calls.values()))
@@ -116,7 +117,7 @@
         """Guards against shards of an owner that left."""
         await self.lookup("a", BLOCKS)
         self.network.names.remove("c")
-        await self.directories["a"].report(make_report(BLOCKS, make_engine()))
+        await self.report(BLOCKS, make_engine())
         self.assertEqual(len(BLOCKS), len(await self.lookup("b", BLOCKS)))
 
     async def test_removals(self):
@@ -151,9 +152,7 @@
             with self.subTest(number):
                 block = BLOCKS[number]
                 for holder in stored:
-                    await self.directories["a"].report(
-                        make_report([block], holder)
-                    )
+                    await self.report([block], holder)
                 await self.directories["b"].report(
                     make_report([block], removed, removed=True)
                 )
@@ -164,7 +163,7 @@
     async def test_restarted_server(self):
         """Guards against blocks that a server lost when it restarted."""
         holders = (make_engine(), make_engine("e2"), make_store("g1", "e1"))
-        await self.directories["a"].report(make_report(BLOCKS, *holders))
+        await self.report(BLOCKS, *holders)
         for item in self.directories.values():
             item.drop_holder("engine", "e1")
         found = await self.lookup("a", BLOCKS)
@@ -174,7 +173,7 @@
             item.drop_holder("engine", "e2")
         self.assertEqual({}, await self.lookup("a", BLOCKS))
         self.assertEqual([0, 0, 0], list(map(len, self.directories.values())))
-        await self.directories["a"].report(make_report(BLOCKS, *holders))
+        await self.report(BLOCKS, *holders)
         self.assertEqual(len(BLOCKS), len(await self.lookup("a", BLOCKS)))
 
     async def test_bounds(self):
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -69,6 +69,11 @@
     )
 
 
+async def gather(calls):
+    """Return the results of calls that run at the same time."""
+    return await asyncio.gather(*calls)
+
+
 class JournalTestCase(fakes.VirtualTimeTestCase):
     async def asyncSetUp(self):
         random.seed(1)  # of the pauses between attempts
@@ -123,13 +128,10 @@
                 key = make_key(number)
                 # For a forwarded begin no list of attempts is kept, so only
                 # the record can stop the second RUN.
+                calls = (self.owner, "1"), (self.owner, "1"), (self.other, "2")
                 decisions = [
                     await decide(item, attempt, key, forwarded=True)
-                    for item, attempt in (
-                        (self.owner, "1"),
-                        (self.owner, "1"),
-                        (self.other, "2"),
-                    )
+                    for item, attempt in calls
                 ]
                 self.assertEqual([RUN, UNKNOWN, UNKNOWN], decisions)
                 self.assertEqual(journal.State.STARTED, self.read_state(key))
@@ -175,17 +177,13 @@
         """Guards against two writers that overwrite each other's records."""
         self.network.views = {name: [name] for name in "abc"}
         keys = [make_key(number) for number in range(1, 41)]
-        decisions = await asyncio.gather(
-            *(
-                decide(item, name, key)
-                for key in keys
-                for name, item in self.journals.items()
-            )
-        )
-        self.assertEqual(
-            {RUN: len(keys), UNKNOWN: 2 * len(keys)},
-            dict(collections.Counter(decisions)),
+        decisions = await gather(
+            decide(item, name, key)
+            for key in keys
+            for name, item in self.journals.items()
         )
+        counts = collections.Counter(decisions)
+        self.assertEqual({RUN: 40, UNKNOWN: 80}, dict(counts))
         self.assertNotIn(None, map(self.read_state, keys))
 
     async def test_forwarding(self):
@@ -334,13 +332,11 @@
         ]
         await begin(self.owner, "1", keys[0], forwarded=True)
         entry = self.service.entries[bucket]
+        record = journal.Record(bytes(16), b"", b"", journal.State.STARTED)
+        count = journal.BUCKET_BYTES // journal._RESERVED_BYTES - 1
         filler = b"".join(
-            journal.Record(
-                number.to_bytes(16, "big"), b"", b"", journal.State.STARTED
-            ).encode()
-            for number in range(
-                journal.BUCKET_BYTES // journal._RESERVED_BYTES - 1
-            )
+            number.to_bytes(16, "big") + record.encode()[16:]
+            for number in range(count)
         )
         self.service.entries[bucket] = keyvalue.Entry(
             bucket, entry.value + filler, entry.version + 1
@@ -361,10 +357,8 @@
         keys = [make_key(number) for number in range(1, 1501)]
         for start in range(0, len(keys), 500):
             part = keys[start : start + 500]
-            await asyncio.gather(*(begin(item, "1", key) for key in part))
-            await asyncio.gather(
-                *(finish(item, "1", key, LARGE) for key in part)
-            )
+            await gather(begin(item, "1", key) for key in part)
+            await gather(finish(item, "1", key, LARGE) for key in part)
         size = max(len(e.value) for e in self.service.entries.values())
         self.assertAlmostEqual(journal.BODIES_BYTES, size, delta=8192)
 
@@ -375,9 +369,8 @@
             for shard in range(3):
                 key = f"journal/{now - age}/{shard}"
                 await self.service.put(key, b"\x01", 0, None)
-        deleted = [
-            await item.delete_expired() for item in self.journals.values()
-        ]
+        items = self.journals.values()
+        deleted = await gather(item.delete_expired() for item in items)
         self.assertEqual([0, 0, 6], sorted(deleted))
         self.assertEqual(1, self.service.calls["list_keys"])
         self.assertEqual(9, len(self.service.entries))
@@ -385,9 +378,7 @@
     async def test_group_commit(self):
         """Guards against one write for each call, or two for slow ones."""
         keys = [make_key(number) for number in range(800)]
-        replies = await asyncio.gather(
-            *(decide(self.other, "1", key) for key in keys)
-        )
+        replies = await gather(decide(self.other, "1", key) for key in keys)
         self.assertEqual({RUN}, set(replies))
         self.assertLessEqual(self.service.calls["put"], 16)
         self.service.calls.clear()
@@ -400,17 +391,8 @@
 
     async def test_many_minutes(self):
         """Guards against a write rate that grows with the age of keys."""
-        await asyncio.gather(
-            *(
-                begin(
-                    self.owner,
-                    "1",
-                    make_key(number, fakes.START - 60 * number),
-                    forwarded=True,
-                )
-                for number in range(300)
-            )
-        )
+        keys = [make_key(1, fakes.START - 60 * n) for n in range(300)]
+        await gather(begin(self.owner, "1", k, forwarded=True) for k in keys)
         rate = self.service.calls["put"] / (fakes.read_clock() - fakes.START)
         self.assertLess(rate, 2.2 * 8 / defaults.JOURNAL_WRITE_INTERVAL)
         await asyncio.sleep(1.0)
@@ -454,11 +436,9 @@
             await asyncio.sleep(rng.random() * 0.4)
             item = rng.choice(items)
             deadline = fakes.read_clock() + rng.choice((0.05, 0.3, 2.0))
-            decisions = await asyncio.gather(
-                *(
-                    decide(item, name, key, deadline=deadline)
-                    for _ in range(rng.choice((1, 1, 2)))
-                )
+            decisions = await gather(
+                decide(item, name, key, deadline=deadline)
+                for _ in range(rng.choice((1, 1, 2)))
             )
             counts.update(decisions)
             if RUN not in decisions:
@@ -491,11 +471,9 @@
                 await asyncio.sleep(0.05)
 
         changing = asyncio.create_task(change_views())
-        await asyncio.gather(
-            *(
-                attempt(str(number), make_key(rng.choice((1, 2, 3))))
-                for number in range(24)
-            )
+        await gather(
+            attempt(str(number), make_key(rng.choice((1, 2, 3))))
+            for number in range(24)
         )
         changing.cancel()
         for item in items:
