Exchange one heartbeat call for each pair of hosts

Cause: at 9 members the heartbeats took most of the processor time and traffic of a control, and both grow with the number of members.

Change: the reply to a heartbeat now says of the receiver what the request says of the sender, with its backend states. One host of each pair, chosen by rendezvous hashing, calls; the other one calls only after 1.5 intervals without a word. The next request confirms the states of the last reply.

--- a/src/sesamefold/backends.py
+++ b/src/sesamefold/backends.py
@@ -237,7 +237,7 @@
 
     def collect(
         self, peer: str, incarnation: str
-    ) -> t.Tuple[t.List[control_pb2.BackendState], t.Any]:
+    ) -> t.Tuple[t.List[control_pb2.BackendState], int]:
         """Return the states that a peer lacks, and a mark for `confirm`."""
         known, number = self._confirmed.get(peer, ("", 0))
         after = number if known == incarnation else 0
@@ -249,14 +249,14 @@
             and record.number > after
         ], self._number
 
-    def confirm(self, peer: str, incarnation: str, mark: t.Any) -> None:
+    def confirm(self, peer: str, incarnation: str, mark: int) -> None:
         """Note that a peer has received what `collect` returned.
 
         A restarted peer has another incarnation and gets everything again.
         """
-        known, _ = self._confirmed.get(peer, (incarnation, 0))
+        known, number = self._confirmed.get(peer, (incarnation, 0))
         if known == incarnation:
-            self._confirmed[peer] = (incarnation, mark)
+            self._confirmed[peer] = (incarnation, max(number, mark))
         else:
             self._confirmed[peer] = (incarnation, 0)
 
--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -37,6 +37,9 @@
 _TICK = 0.5
 _PAUSE_SECONDS = 2.0
 
+# The host of a pair that answers waits this long before it calls, seconds.
+_PATIENCE_SECONDS = 1.5 * defaults.HEARTBEAT_INTERVAL
+
 # How long the last heartbeat of a leaving host may take, seconds.
 _FAREWELL_SECONDS = 1.0
 
@@ -53,6 +56,9 @@
     deadline: float
     revision: int = 0
     platform_down: bool = False
+    heard_at: float = 0.0
+    # Incarnation and mark of the last reply.
+    received: t.Tuple[str, int] = ("", 0)
     # False while the host is only assumed to live because it is listed.
     heard: bool = False
 
@@ -62,10 +68,10 @@
 
     def collect(
         self, peer: str, incarnation: str
-    ) -> t.Tuple[t.List[control_pb2.BackendState], t.Any]:
+    ) -> t.Tuple[t.List[control_pb2.BackendState], int]:
         """Return the states that a peer lacks, and a mark for `confirm`."""
 
-    def confirm(self, peer: str, incarnation: str, mark: t.Any) -> None:
+    def confirm(self, peer: str, incarnation: str, mark: int) -> None:
         """Note that a peer has received what `collect` returned."""
 
     def receive(
@@ -80,7 +86,9 @@
 class Membership(mode.Service):
     """Knows the entry hosts; implements `peers.Peers`.
 
-    It exchanges heartbeats with the hosts of its own data centre.
+    It exchanges heartbeats with the hosts of its own data centre. One host of
+    each pair calls, the other one answers; it calls only while it hears
+    nothing.
 
     A host that is listed but silent past its deadline is not a member; a host
     that is heard but not listed yet is one, because the list lags. At the
@@ -310,6 +318,11 @@
                     request.states,
                     min(request.deadline - defaults.HEARTBEAT_TIMEOUT, now),
                 )
+                if request.received_from == self.member.incarnation:
+                    self.reports.confirm(
+                        sender.name, sender.incarnation, request.received_mark
+                    )
+        states, mark = self._collect(sender.name, sender.incarnation)
         return control_pb2.HeartbeatReply(
             receiver=control_pb2.Member(
                 name=self.name,
@@ -318,14 +331,24 @@
                 leaving=self.member.leaving,
             ),
             revision=self.get_revision(),
+            states=states,
+            platform_down=self.is_platform_down(),
+            mark=mark,
         )
 
+    def _collect(
+        self, name: str, incarnation: str
+    ) -> t.Tuple[t.List[control_pb2.BackendState], int]:
+        if self.reports is None or name not in self._peers:
+            return [], 0
+        return self.reports.collect(name, incarnation)
+
     def _hear(
         self,
         member: control_pb2.Member,
         deadline: float,
         revision: int,
-        platform_down: t.Optional[bool],
+        platform_down: bool,
     ) -> None:
         peer = self._peers.get(member.name)
         if peer is None:
@@ -345,9 +368,9 @@
             peer.member.leaving = member.leaving
         peer.deadline = max(peer.deadline, deadline)
         peer.heard = True
+        peer.heard_at = self._clock()
         peer.revision = revision
-        if platform_down is not None:
-            peer.platform_down = platform_down
+        peer.platform_down = platform_down
         self._check_members()
         if peer.deadline > self._clock():
             self.on_revision(revision, member.name)
@@ -370,22 +393,33 @@
         await self.sleep(self._random.uniform(0.0, 0.1))
         while not self.should_stop and name in self._peers:
             try:
-                await self._send_heartbeat(name, defaults.HEARTBEAT_INTERVAL)
-                _heartbeats.labels("answered").inc()
+                if self._has_to_call(name):
+                    await self._send_heartbeat(
+                        name, defaults.HEARTBEAT_INTERVAL
+                    )
+                    _heartbeats.labels("answered").inc()
             except (grpc.RpcError, exceptions.ControlUnavailable):
                 _heartbeats.labels("failed").inc()
             await self.sleep(
                 defaults.HEARTBEAT_INTERVAL * self._random.uniform(0.9, 1.1)
             )
 
+    def _has_to_call(self, name: str) -> bool:
+        """Tell whether this host of a pair calls the other one.
+
+        A pair that exchanged a heartbeat in each direction would use twice
+        the processor time and traffic.
+        """
+        pair = sorted((self.name, name))
+        caller = rendezvous.choose_owner("/".join(pair), pair)
+        silent = self._clock() - self._peers[name].heard_at
+        return caller == self.name or silent > _PATIENCE_SECONDS
+
     async def _send_heartbeat(self, name: str, seconds: float) -> None:
         peer = self._peers[name]
         stub = self.get_stub(name)
-        states: t.List[control_pb2.BackendState] = []
-        mark = None
-        incarnation = peer.member.incarnation
-        if self.reports is not None:
-            states, mark = self.reports.collect(name, incarnation)
+        incarnation, received_mark = peer.received
+        states, mark = self._collect(name, peer.member.incarnation)
         sent_at = self._clock()
         reply = await stub.Heartbeat(
             control_pb2.HeartbeatRequest(
@@ -394,20 +428,26 @@
                 states=states,
                 deadline=sent_at + defaults.HEARTBEAT_TIMEOUT,
                 platform_down=self.is_platform_down(),
+                received_mark=received_mark,
+                received_from=incarnation,
             ),
             timeout=seconds,
         )
-        if reply.receiver.name != name:
+        receiver = reply.receiver
+        if receiver.name != name:
             # The address was given to another host.
             return
         self._hear(
-            reply.receiver,
+            receiver,
+            # The answer proves that the peer lived after this instant.
             sent_at + defaults.HEARTBEAT_TIMEOUT,
             reply.revision,
-            None,
+            reply.platform_down,
         )
         if self.reports is not None:
-            self.reports.confirm(name, reply.receiver.incarnation, mark)
+            self.reports.confirm(name, receiver.incarnation, mark)
+            self.reports.receive(receiver, reply.states, sent_at)
+            peer.received = (receiver.incarnation, reply.mark)
 
     async def leave(self) -> None:
         """Tell the peers that this host leaves."""
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -363,6 +363,32 @@
         exchange.confirm("x", "i2", mark)
         self.assertEqual([name], collect("i2")[0], "restarted meanwhile")
 
+    async def test_states_travel_in_replies(self):
+        """Guards against states lost with the reply to a heartbeat."""
+        setting, name = self.open("a")
+        await setting.poll(WARM, name=name)
+        own = setting.membership.member.incarnation
+
+        def call(**fields):
+            request = control_pb2.HeartbeatRequest(
+                sender=control_pb2.Member(
+                    name="x", data_centre="dc", incarnation="i1"
+                ),
+                deadline=setting.now + defaults.HEARTBEAT_TIMEOUT,
+                **fields,
+            )
+            reply = setting.membership.receive(request)
+            return [state.name for state in reply.states], reply.mark
+
+        names, mark = call()
+        self.assertEqual([name], names)
+        self.assertEqual([name], call()[0], "reply lost")
+        other = {"received_mark": mark, "received_from": "before a restart"}
+        self.assertEqual([name], call(**other)[0])
+        taken = {"received_mark": mark, "received_from": own}
+        self.assertEqual([], call(**taken)[0])
+        self.assertEqual([], call()[0])
+
     async def test_silent_engine_is_withdrawn(self):
         """Guards against heartbeats that vouch for an old state."""
         setting, name = self.open("a")
--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -98,33 +98,33 @@
 def write_text(customers: int, models: int) -> str:
     """Return an operator's text with one group for the engines."""
     names = [f"model-{index}" for index in range(models)]
-    return json.dumps(
-        {
-            "regions": {"lima": {}},
-            "data_centres": {"lima-a": {"region": "lima", "in": True}},
-            "models": {
-                name: {"version": "v1", "block_tokens": 1000} for name in names
-            },
-            "groups": {
-                "engines": {
-                    "data_centre": "lima-a",
-                    "kind": "engine",
-                    "model": names[0],
-                }
-            },
-            "services": {
-                name: {"kind": "model", "model": name} for name in names
-            },
-            "customers": {
-                f"customer-{index}": {
-                    "token_sha256": launcher.hash_token(str(index)),
-                    "share": 1,
-                }
-                for index in range(customers)
-            },
+    sections = {
+        "regions": {"lima": {}},
+        "data_centres": {"lima-a": {"region": "lima", "in": True}},
+        "models": {name: {"version": "v1"} for name in names},
+        "groups": {
+            "engines": {
+                "data_centre": "lima-a",
+                "kind": "engine",
+                "model": names[0],
+            }
         },
-        # One customer a line, as operators write it.
-        indent=1,
+        "services": {name: {"kind": "model", "model": name} for name in names},
+        "customers": {
+            f"customer-{index}": {
+                "token_sha256": launcher.hash_token(str(index))
+            }
+            for index in range(customers)
+        },
+    }
+    # One record a line, as operators write it.
+    return "".join(
+        f"{section}:\n"
+        + "".join(
+            f"  {name}: {json.dumps(record)}\n"
+            for name, record in records.items()
+        )
+        for section, records in sections.items()
     )
 
 
@@ -237,7 +237,7 @@
 
 def main() -> int:
     """Parse the command line and run."""
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser = argparse.ArgumentParser()
     parser.add_argument("--members", type=int, nargs="+", default=[2, 5, 9])
     parser.add_argument("--engines", type=int, default=8)
     parser.add_argument("--customers", type=int, default=10)
