Serve metrics and health without the server of aiohttp

Cause: with 19,000 customers a control had 65.3 MB resident, over its 64 MB.

Change: a small HTTP server answers /metrics, /healthz and /readyz. Tests of the process signals and of the status of the whole system are added.

Figures: import of aiohttp.web after the other modules: 1.8 MB.

--- a/src/sesamefold/control.py
+++ b/src/sesamefold/control.py
@@ -12,7 +12,6 @@
 import typing as t
 
 import aiohttp
-from aiohttp import web
 import grpc
 import logbook
 import mode
@@ -26,6 +25,7 @@
 from sesamefold import keyvalue
 from sesamefold import logs
 from sesamefold import membership as memberships
+from sesamefold import monitoring
 from sesamefold import orders
 from sesamefold import relay as relays
 from sesamefold import settings as process_settings
@@ -226,7 +226,10 @@
             _Servicer(self), self._server
         )
         self.control_address = self._bind(self.settings.control_address)
-        await self._open_http()
+        self._monitoring = monitoring.MonitoringServer(self.list_missing)
+        self.metrics_address = await self._monitoring.start(
+            self.settings.metrics_address
+        )
         self._build()
         await self._server.start()
 
@@ -361,38 +364,16 @@
 
     async def on_shutdown(self) -> None:
         """Close what the components have used."""
-        await self._runner.cleanup()
+        await self._monitoring.stop()
         await self.session.close()
 
     def count_stream(self) -> "_StreamCount":
         """Return a context in which a gateway's stream counts as open."""
         return _StreamCount(self)
 
-    # Metrics and health.
-
-    async def _open_http(self) -> None:
-        app = web.Application()
-        app.router.add_get("/metrics", self._get_metrics)
-        app.router.add_get("/healthz", self._get_health)
-        app.router.add_get("/readyz", self._get_readiness)
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        host, _, port = self.settings.metrics_address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
-        address = self._runner.addresses[0]
-        self.metrics_address = f"{host}:{address[1]}"
-
-    async def _get_metrics(self, request: web.Request) -> web.Response:
-        return web.Response(
-            body=prometheus_client.generate_latest(),
-            headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
-        )
-
-    async def _get_health(self, request: web.Request) -> web.Response:
-        return web.json_response({"status": "ok"})
-
-    async def _get_readiness(self, request: web.Request) -> web.Response:
-        missing = [
+    def list_missing(self) -> t.List[str]:
+        """Return what the daemon lacks to be ready."""
+        return [
             reason
             for reason, applies in (
                 ("leaving", self.leaving),
@@ -400,10 +381,6 @@
             )
             if applies
         ]
-        return web.json_response(
-            {"ready": not missing, "missing": missing},
-            status=503 if missing else 200,
-        )
 
 
 class _StreamCount:
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -215,10 +215,12 @@
 class Control(control.Control):
     """A control daemon on the fakes; `known_engines` maps addresses."""
 
-    def __init__(self, name, key_value, host_list, known_engines=None):
+    def __init__(
+        self, name, key_value, host_list, known_engines=None, data_centre="dc"
+    ):
         super().__init__(
             settings.Settings(
-                name, "dc", "", "", drain_delay=0.0, drain_time=0.1
+                name, data_centre, "", "", drain_delay=0.0, drain_time=0.1
             )
         )
         self.fakes = (key_value, host_list, known_engines or {})
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,5 +1,7 @@
 """Tests of the control daemon as a whole, over real gRPC connections."""
 
+import asyncio
+import signal
 import unittest
 
 import aiohttp
@@ -9,6 +11,7 @@
 from sesamefold import revisions
 from sesamefold.wire import control_pb2
 from tests import control_fakes
+from tools import launcher
 
 
 class ControlTest(unittest.IsolatedAsyncioTestCase):
@@ -93,8 +96,53 @@
         daemon = await self.start("h1", key_value, control_fakes.HostList())
         url = f"http://{daemon.metrics_address}"
         async with aiohttp.ClientSession() as session:
-            for path, status in (("/healthz", 200), ("/readyz", 503)):
+            for path, status in (
+                ("/healthz", 200),
+                ("/readyz", 503),
+                ("/other", 404),
+                ("/healthz?x=" + "y" * 20_000, 400),
+            ):
                 async with session.get(url + path) as response:
                     self.assertEqual(status, response.status)
             async with session.get(url + "/metrics") as response:
                 self.assertIn("sesamefold_members", await response.text())
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def test_signals(self):
+        """Guards against a daemon that does not end, or ends too early."""
+        for case, signals, code in (
+            ("the gateway ends its streams", 1, 0),
+            ("second signal", 2, 1),
+        ):
+            with self.subTest(case):
+                async with launcher.Launcher() as started:
+                    path = started.folder / "settings.yaml"
+                    path.write_text(
+                        "host: h1\ndata_centre: dc-a\n"
+                        "key_value_url: http://127.0.0.1:9\n"
+                        "host_list_url: http://127.0.0.1:9\n"
+                    )
+                    child = await started.start(
+                        "h1", "sesamefold", "control", f"--settings={path}"
+                    )
+                    gateway = client.ControlClient(
+                        child.ready["control_address"]
+                    )
+                    watch = gateway.watch_backends()
+                    await anext(watch)
+                    child.send_signal(signal.SIGTERM)
+                    # Leaving, but it serves while the gateway is connected.
+                    url = f"http://{child.ready['metrics_address']}/readyz"
+                    missing = []
+                    while "leaving" not in missing:
+                        async with started.session.get(url) as response:
+                            missing = (await response.json())["missing"]
+                    await gateway.get_status()
+                    if signals == 2:
+                        child.send_signal(signal.SIGTERM)
+                    else:
+                        await watch.aclose()
+                    async with asyncio.timeout(15.0):
+                        self.assertEqual(code, await child.process.wait())
+                    await gateway.close()
