Wait for partial answers of the block directory

Cause: the control answers a lookup at its deadline, and the gateway gave up at the same instant, so one late shard cost the entries of all shards. Change: the gateway waits 10 ms longer than the deadline that it sends, and counts the blocks that lookups find, miss and fail to ask for.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -36,6 +36,9 @@
 CONTINUED_PRIORITY = 1
 # Time to ask a server whether it restarted, seconds.
 _PROBE_SECONDS = 1.0
+# The control answers at its deadline with what it has by then; without time
+# for that answer's way, a late shard would cost the entries of all shards.
+_LOOKUP_REPLY_SECONDS = 0.01
 # Pause while suspect requests hold all servers, seconds.
 _BUSY_SECONDS = 0.1
 
@@ -455,9 +458,14 @@
             control_pb2.LookupBlocksRequest(
                 blocks=self.block_names, deadline=limit.at
             ),
-            limit.remaining(),
+            limit.remaining() + _LOOKUP_REPLY_SECONDS,
         )
-        if reply is not None:
+        lookups, count = self.state.metrics.lookups, len(self.block_names)
+        if reply is None:
+            lookups.labels("failed").inc(count)
+        else:
+            lookups.labels("found").inc(len(reply.entries))
+            lookups.labels("missing").inc(count - len(reply.entries))
             self.holders = {
                 entry.block: tuple(entry.holders) for entry in reply.entries
             }
--- a/src/sesamefold/metrics.py
+++ b/src/sesamefold/metrics.py
@@ -66,6 +66,12 @@
             ("result",),
             registry=self.registry,
         )
+        self.lookups = prometheus_client.Counter(
+            "sesamefold_looked_up_blocks",
+            "Blocks asked for at the directory, by result.",
+            ("result",),
+            registry=self.registry,
+        )
         self.revision = prometheus_client.Gauge(
             "sesamefold_configuration_revision",
             "Revision of the configuration in force.",
