Wait for a server that loads its weights or has not reported yet

Cause: in the test of operator races, and in one run of the shutdown test, prompts were refused with 1201 although servers were there: after an edit of the weight version until the engines had loaded it, and on entry hosts that had just started and had no report yet. A gateway of another data centre that refused as not run ended the search, too.

Change: such a request first goes to the gateways of other data centres, each of which may refuse as not run; when none answers and a server may soon offer the model, it waits up to 5 s within its deadline.

Conclusion: a change of weights delays prompts instead of refusing them.

--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -30,6 +30,11 @@
 
 # Longest time that a caller may ask for, seconds.
 MAX_REQUEST_SECONDS = 3600.0
+# Time that a request waits for a server to load its weight version or to
+# report for the first time, and the interval of the tries, seconds. New
+# weights take an engine about a second, and a report about two more.
+_BACKEND_WAIT_SECONDS = 5.0
+_BACKEND_POLL_SECONDS = 0.25
 # A body that arrives more slowly is refused, seconds.
 _BODY_SECONDS = 30.0
 # Below this, aiohttp's writer does not wait: its limit of 64 KB less the
@@ -150,27 +155,38 @@
             return await forwarding.forward(
                 self._state, request, body, deadline, self._build_out()
             )
-        completion = completions.open_completion(
-            self._state,
-            self._places,
-            customer,
-            prompt,
-            body,
-            deadline,
-            resume,
-            offset,
-        )
-        request[_REQUEST_ID] = completion.request_id
-        try:
-            return await self._answer(request, completion, begun)
-        except (exceptions.NoBackend, exceptions.DataCentreOut) as error:
-            # A request that a server failed on is not sent to more servers.
-            reason = completion.state_executed(error)
-            if completion.failures:
-                raise reason from error
-            return await forwarding.forward(
-                self._state, request, body, deadline, reason
+        limit = deadline.cap(_BACKEND_WAIT_SECONDS)
+        while True:
+            completion = completions.open_completion(
+                self._state,
+                self._places,
+                customer,
+                prompt,
+                body,
+                deadline,
+                resume,
+                offset,
             )
+            request[_REQUEST_ID] = completion.request_id
+            try:
+                return await self._answer(request, completion, begun)
+            except (exceptions.NoBackend, exceptions.DataCentreOut) as error:
+                # A request that a server failed on is not sent to more.
+                reason = completion.state_executed(error)
+                if completion.failures:
+                    raise reason from error
+            try:
+                return await forwarding.forward(
+                    self._state, request, body, deadline, reason
+                )
+            except exceptions.NoBackend:
+                if (
+                    limit.remaining() <= _BACKEND_POLL_SECONDS
+                    or forwarding.FORWARDED in request.headers
+                    or not self._state.expects_backend(completion.model.name)
+                ):
+                    raise
+            await asyncio.sleep(_BACKEND_POLL_SECONDS)
 
     async def call(self, request: web.Request) -> web.StreamResponse:
         """Answer a call of a plain service."""
--- a/src/sesamefold/forwarding.py
+++ b/src/sesamefold/forwarding.py
@@ -42,15 +42,17 @@
 ) -> web.StreamResponse:
     """Answer `request` through a gateway of another data centre.
 
-    Only failed connections lead to the next gateway. Raises `reason` when
-    none can be reached or the request was forwarded before, and
-    `exceptions.BackendFailed` when a gateway broke off.
+    Only failed connections and refusals as not run lead to the next gateway.
+    Raises `reason` when none can answer or the request was forwarded before,
+    and `exceptions.BackendFailed` when a gateway broke off.
     """
     if FORWARDED in request.headers:
         raise reason
     for address in state.list_gateways():
         try:
-            return await _send(state, request, body, deadline, address)
+            response = await _send(state, request, body, deadline, address)
+            if response is not None:
+                return response
         except aiohttp.ClientConnectorError:
             continue
         except (aiohttp.ClientError, TimeoutError) as error:
@@ -67,7 +69,8 @@
     body: bytes,
     deadline: deadlines.Deadline,
     address: str,
-) -> web.StreamResponse:
+) -> t.Optional[web.StreamResponse]:
+    """Return the answer, None when the gateway refused it as not run."""
     headers = {
         name: request.headers[name]
         for name in _REQUEST_HEADERS
@@ -88,6 +91,9 @@
         timeout=timeout,
         allow_redirects=False,
     ) as answer:
+        executed = answer.headers.get("Sesamefold-Executed")
+        if answer.status == 503 and executed == exceptions.NO:
+            return None
         return await _relay(request, answer)
 
 
--- a/src/sesamefold/state.py
+++ b/src/sesamefold/state.py
@@ -97,6 +97,19 @@
         self.generator.shuffle(usable)
         return usable
 
+    def expects_backend(self, model: str) -> bool:
+        """Tell whether a server of this data centre may soon offer a model.
+
+        That is so while one loads its weights or has not reported yet.
+        """
+        groups = self.configuration.find_groups(
+            self.settings.data_centre, model=model
+        )
+        found = self.list_backends({group.name for group in groups})
+        return bool(groups) and (
+            not found or any(b.state in routing.USABLE for b in found)
+        )
+
     def list_backends(
         self, names: t.Container[str]
     ) -> t.List[control_pb2.BackendState]:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -293,3 +293,49 @@
         await asyncio.gather(*tasks)
         self.assertEqual(0, await self.sum_counter("atlas", "cold_crashes"))
         self.assertGreater(len(answers), 20)
+
+
+class OperatorRaceTest(SystemTest):
+    topology = topology.Topology(engines=1, services=1)
+
+    async def test_race_and_weight_version(self):
+        """Guards against a lost edit and against answers of mixed versions.
+
+        Two operators edit at once; then a new weight version is rolled out
+        while prompts run, and each answer must be of one version.
+        """
+        results = await asyncio.gather(
+            *(
+                self.run_command("datacentre", "out", name)
+                for name in ("north-1", "south-1")
+            )
+        )
+        codes = sorted(code for code, _ in results)
+        _, history = await self.run_command("history", "--json")
+        accepted = sum(code == 0 for code in codes)
+        self.assertGreaterEqual(accepted, 1, results)
+        self.assertEqual(1 + accepted, history.count('"edit_id"'), history)
+        stores = topology.list_stores(self.system)
+        await self.system.apply(self.topology.write_text(stores))
+        for host in self.hosts:
+            await topology.wait_ready(self.system, host)
+        await self.system.apply(self.topology.write_text(stores, "v2"))
+        seen = set()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + FORCE_SECONDS
+        while loop.time() < end and seen != {"v2"}:
+            seen = {
+                await self.find_version(host, self.make_prompt())
+                for host in self.hosts
+            }
+        self.assertEqual({"v2"}, seen)
+
+    async def find_version(self, host, prompt):
+        answer = await self.send(host, prompt)
+        for version in ("v1", "v2"):
+            try:
+                prompt.check(answer, version)
+            except topology.WrongAnswer:
+                continue
+            return version
+        return self.fail("an answer of neither version")
