Send urgent states to the peers that usually call

Cause: of each pair of hosts only one calls. A host that wanted to send an urgent state at once did so to the peers that it usually calls; the others got it with their next call, up to a second later.

Change: an urgent heartbeat goes to all peers.

--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -392,17 +392,18 @@
     async def _send_heartbeats(self, name: str) -> None:
         # The first one goes out soon, spread over a part of the interval.
         await self.sleep(self._random.uniform(0.0, 0.1))
+        hurry = False
         while not self.should_stop and name in self._peers:
             urgent = self._urgent.event
             try:
-                if self._has_to_call(name):
+                if hurry or self._has_to_call(name):
                     await self._send_heartbeat(
                         name, defaults.HEARTBEAT_INTERVAL
                     )
                     _heartbeats.labels("answered").inc()
             except (grpc.RpcError, exceptions.ControlUnavailable):
                 _heartbeats.labels("failed").inc()
-            await notification.wait(
+            hurry = await notification.wait(
                 urgent,
                 defaults.HEARTBEAT_INTERVAL * self._random.uniform(0.9, 1.1),
             )
@@ -453,7 +454,7 @@
             peer.received = (receiver.incarnation, reply.mark)
 
     def send_now(self) -> None:
-        """Send the next heartbeats at once instead of at their interval."""
+        """Call all peers at once, also those that usually call this host."""
         self._urgent.notify()
 
     async def leave(self) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,11 +1,13 @@
 """Tests of the membership."""
 
+import asyncio
 import unittest
 
 from sesamefold import defaults
 from sesamefold import exceptions
 from sesamefold import hostlist
 from sesamefold import membership
+from sesamefold import rendezvous
 from sesamefold.wire import control_pb2
 from tests import control_fakes
 
@@ -131,6 +133,30 @@
         self.step(("pass", 5.0))
         self.assertEqual(["a"], self.membership.list_members())
 
+    async def test_urgent_change_reaches_the_peer_that_calls(self):
+        """Guards against an urgent state that waits for the peer's call."""
+        names = (f"p{index}" for index in range(100))
+        name = next(
+            n for n in names if self.membership.name != self.choose_caller(n)
+        )
+        self.hear(name)
+        called = []
+
+        async def record(peer, seconds):
+            called.append(peer)
+
+        self.membership._send_heartbeat = record
+        await self.membership.start()
+        self.addAsyncCleanup(self.membership.stop)
+        await asyncio.sleep(0.2)
+        self.assertEqual([], called)
+        self.membership.send_now()
+        await control_fakes.wait_until(lambda: called == [name])
+
+    def choose_caller(self, name):
+        pair = sorted((self.membership.name, name))
+        return rendezvous.choose_owner("/".join(pair), pair)
+
     async def test_hosts_of_other_data_centres(self):
         """Guards against a journal that ignores other data centres."""
         other = control_fakes.make_host("x", data_centre="dd")
