Retry prompts that a server refused while it swapped its weights

Refusals for other reasons are retried within the retry budget only. The name model@version is made in one place.

--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -156,6 +156,7 @@
                 self._state, request, body, deadline, self._build_out()
             )
         limit = deadline.cap(_BACKEND_WAIT_SECONDS)
+        pause = _BACKEND_POLL_SECONDS
         while True:
             completion = completions.open_completion(
                 self._state,
@@ -175,6 +176,18 @@
                 reason = completion.state_executed(error)
                 if completion.failures:
                     raise reason from error
+            except exceptions.BackendRefused:
+                # A server that swaps its weights refuses the earlier version
+                # before the new one is in force here or reported. Other
+                # refusals are retried within the budget only.
+                await asyncio.sleep(pause)
+                pause *= 2
+                if limit.has_passed() or (
+                    completion.is_version_offered()
+                    and not self._state.retries.try_spend()
+                ):
+                    raise
+                continue
             try:
                 return await forwarding.forward(
                     self._state, request, body, deadline, reason
--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -244,6 +244,27 @@
             "no server had a free place before the deadline"
         )
 
+    def is_version_offered(self) -> bool:
+        """Tell whether the pinned weight version is in force and reported."""
+        config = self.state.configuration
+        current = config.models.get(self.model.name)
+        groups = config.find_groups(
+            self.state.settings.data_centre, model=self.model.name
+        )
+        pinned = configuration.name_version(
+            self.model.name, self.weight_version
+        )
+        return (
+            current is not None
+            and current.version == self.weight_version
+            and any(
+                pinned in backend.versions
+                for backend in self.state.list_backends(
+                    {group.name for group in groups}
+                )
+            )
+        )
+
     def _rank(self, busy: t.AbstractSet[str]) -> t.List[routing.Choice]:
         config = self.state.configuration
         groups = config.find_groups(
--- a/src/sesamefold/configuration.py
+++ b/src/sesamefold/configuration.py
@@ -17,6 +17,11 @@
     in_service: bool = True
 
 
+def name_version(model: str, version: str) -> str:
+    """Return "model@version"."""
+    return f"{model}@{version}"
+
+
 @attrs.frozen
 class Model:
     """A model and the weight version that new requests use."""
@@ -25,6 +30,11 @@
     version: str
     block_tokens: int = defaults.BLOCK_TOKENS
 
+    @property
+    def version_name(self) -> str:
+        """Return "model@version", as engines name what they have loaded."""
+        return name_version(self.name, self.version)
+
 
 @attrs.frozen
 class Group:
--- a/src/sesamefold/orders.py
+++ b/src/sesamefold/orders.py
@@ -332,7 +332,7 @@
             model = settings.models.get(group.model)
             if model is None:
                 continue
-            versions = (f"{model.name}@{model.version}",)
+            versions = (model.version_name,)
             old = self._targets.get(host.name)
             if old is None or old.host.address != host.address:
                 old = Target(host, group, versions)
--- a/src/sesamefold/routing.py
+++ b/src/sesamefold/routing.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from sesamefold import configuration
 from sesamefold import engines
 from sesamefold.wire import control_pb2
 
@@ -85,7 +86,7 @@
     `in_flight` counts the gateway's own runs by server. Warm servers come
     before cold ones whose estimate ties; other ties are broken at random.
     """
-    wanted = f"{query.model}@{query.version}"
+    wanted = configuration.name_version(query.model, query.version)
     choices = [
         _estimate(query, backend, in_flight.get(backend.name, 0), rates)
         for backend in backends
