Split the gateway's handlers and completions into smaller modules

Change: responses, intake of requests and block lookups have modules of their own; the daemon writes its log as JSON lines.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-import hashlib
-import secrets
 import time
 import typing as t
 
@@ -13,15 +11,14 @@
 from sesamefold import blocks
 from sesamefold import configuration
 from sesamefold import deadline as deadlines
-from sesamefold import defaults
 from sesamefold import engines
 from sesamefold import exceptions
 from sesamefold import handles
 from sesamefold import limits
+from sesamefold import lookups
 from sesamefold import prompts
 from sesamefold import routing
 from sesamefold import runs
-from sesamefold import services
 from sesamefold import state as states
 from sesamefold import streams
 from sesamefold.wire import control_pb2
@@ -36,9 +33,6 @@
 CONTINUED_PRIORITY = 1
 # Time to ask a server whether it restarted, seconds.
 _PROBE_SECONDS = 1.0
-# The control answers at its deadline with what it has by then; without time
-# for that answer's way, a late shard would cost the entries of all shards.
-_LOOKUP_REPLY_SECONDS = 0.01
 # Pause while suspect requests hold all servers, seconds.
 _BUSY_SECONDS = 0.1
 
@@ -437,10 +431,7 @@
         return load.epoch != place.backend.epoch
 
     async def _look_up_blocks(self) -> None:
-        """Ask the directory who holds the prompt's blocks.
-
-        A lookup that fails or is late leads to recomputation.
-        """
+        """Ask the directory who holds the prompt's blocks."""
         self.block_names = tuple(
             blocks.name_blocks(
                 blocks.derive_salt(self.customer.name),
@@ -450,103 +441,6 @@
                 self.model.block_tokens,
             )
         )
-        if not self.block_names:
-            return
-        limit = self.deadline.cap(defaults.DIRECTORY_LOOKUP_SECONDS)
-        reply = await self.state.call_quietly(
-            self.state.stub.LookupBlocks,
-            control_pb2.LookupBlocksRequest(
-                blocks=self.block_names, deadline=limit.at
-            ),
-            limit.remaining() + _LOOKUP_REPLY_SECONDS,
-        )
-        lookups, count = self.state.metrics.lookups, len(self.block_names)
-        if reply is None:
-            lookups.labels("failed").inc(count)
-        else:
-            lookups.labels("found").inc(len(reply.entries))
-            lookups.labels("missing").inc(count - len(reply.entries))
-            self.holders = {
-                entry.block: tuple(entry.holders) for entry in reply.entries
-            }
-
-
-def open_completion(
-    state: states.State,
-    places: admission.Admission,
-    customer: configuration.Customer,
-    prompt: prompts.Prompt,
-    body: bytes,
-    deadline: deadlines.Deadline,
-    resume: str = "",
-    offset: int = 0,
-) -> Completion:
-    """Return the completion of a request, fresh or resumed by a handle.
-
-    Raises `exceptions.RequestError` and `exceptions.DependencyDown`.
-    """
-    model, addressed = services.find_model(state, prompt.name)
-    digest = hashlib.sha256(body).hexdigest()
-    if resume:
-        return _open_resumed(
-            state,
-            places,
-            customer,
-            prompt,
-            model,
-            digest,
-            deadline,
-            resume,
-            offset,
-        )
-    services.check_dependencies(state, addressed)
-    return Completion(
-        state=state,
-        places=places,
-        customer=customer,
-        prompt=prompt,
-        model=model,
-        body_sha256=digest,
-        request_id=secrets.token_hex(16),
-        weight_version=model.version,
-        seed=secrets.randbits(62) if prompt.seed is None else prompt.seed,
-        deadline=deadline,
-    )
-
-
-def _open_resumed(
-    state: states.State,
-    places: admission.Admission,
-    customer: configuration.Customer,
-    prompt: prompts.Prompt,
-    model: configuration.Model,
-    digest: str,
-    deadline: deadlines.Deadline,
-    resume: str,
-    offset: int,
-) -> Completion:
-    handle = handles.open_handle(
-        resume, customer.name, state.settings.handle_keys
-    )
-    if handle.body_sha256 != digest or handle.model != model.name:
-        raise exceptions.ResumeMismatch(
-            "the body differs from the original request"
-        )
-    if not 0 <= offset <= prompt.max_tokens:
-        raise exceptions.ResumeMismatch(
-            f"offset {offset} is outside the response"
+        self.holders = await lookups.look_up_blocks(
+            self.state, self.block_names, self.deadline
         )
-    return Completion(
-        state=state,
-        places=places,
-        customer=customer,
-        prompt=prompt,
-        model=model,
-        body_sha256=digest,
-        request_id=handle.request_id,
-        weight_version=handle.weight_version,
-        seed=handle.seed,
-        deadline=deadline,
-        start=offset,
-        resumed_engine=handle.engine,
-    )
--- a/src/sesamefold/gateway.py
+++ b/src/sesamefold/gateway.py
@@ -22,6 +22,7 @@
 from sesamefold import defaults
 from sesamefold import engines
 from sesamefold import exceptions
+from sesamefold import logs
 from sesamefold import revisions
 from sesamefold import settings as settings_module
 from sesamefold import state as states
@@ -42,6 +43,7 @@
 
 def run(settings: settings_module.Settings) -> int:
     """Serve until SIGTERM; return the exit code."""
+    logs.set_up(sys.stderr)
     return asyncio.run(_serve(settings))
 
 
