Leave a cold server at the event after its permit lapsed

Cause: a run whose permit lapsed ended only when the engine honoured the cancellation. Change: each event of a run is checked against its permit; the run continues on a server with a new permit. Conclusion: an engine that ignores the cancellation gets no response read past the permit.

--- a/src/sesamefold/runs.py
+++ b/src/sesamefold/runs.py
@@ -50,6 +50,8 @@
             try:
                 async for event in source:
                     self.begun = True
+                    if self.lost():
+                        raise exceptions.BackendFailed("the permit lapsed")
                     if self._accept(event):
                         yield event
                         if self.finished:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -318,6 +318,28 @@
             lambda: len(self.bench.control.released) == 3
         )
 
+    async def test_permit_that_lapses(self):
+        """Guards against a run on a cold server without a permit."""
+        for name in ("a", "b"):
+            self.bench.control.backends[name].state = "cold"
+            self.bench.engines[f"{name}:1"].pause = 0.05
+        self.bench.control.permits = 8
+        self.bench.control.renewable = False
+        self.bench.control.publish()
+        await gateway_fakes.wait_until(
+            lambda: self.bench.state.backends["b"].state == "cold"
+        )
+        with unittest.mock.patch.object(
+            defaults, "PERMIT_RENEWAL_INTERVAL", 0.12
+        ):
+            async with self.bench.post() as response:
+                body = await response.json()
+        self.assertEqual("w1 w2 w3 w4 w5 w6 ", body["choices"][0]["text"])
+        first, *others = self.bench.sent
+        self.assertTrue(others)
+        cancelled = [e.cancelled for e in self.bench.engines.values()]
+        self.assertIn(first.request_id, sum(cancelled, []))
+
     async def test_control_down(self):
         """Guards against refusals while the last state can serve."""
         await self.bench.control.server.stop(None)
