Turn off bandwidth probes between controls

Cause: gRPC sends a ping with each call to estimate the bandwidth; a heartbeat is smaller than the frames around it.

--- a/src/sesamefold/client.py
+++ b/src/sesamefold/client.py
@@ -31,6 +31,9 @@
     ("grpc.initial_reconnect_backoff_ms", 200),
     ("grpc.min_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 2000),
+    # The default window of 64 KB is enough; probes of the bandwidth would
+    # add a ping to each call.
+    ("grpc.http2.bdp_probe", 0),
     # Detects peers that vanished without closing the connection.
     ("grpc.keepalive_time_ms", 20_000),
     ("grpc.keepalive_timeout_ms", 5_000),
