Let a gateway follow another control while its own does not answer

Cause: FrozenControlTest pauses the control of one entry host and takes its data centre out. The gateway of that host never learned of the edit and sent 4 of 4 later prompts to the backend servers of that data centre: a paused process keeps its connections, so the watch did not fail.

Only status was tried for the addresses first; a control that is paused within 2 s of its start had not told its peers yet.

--- a/src/sesamefold/client.py
+++ b/src/sesamefold/client.py
@@ -137,6 +137,11 @@
         finally:
             call.cancel()
 
+    async def probe(self, deadline: deadlines.Deadline) -> None:
+        """Return when the daemon answers."""
+        request = control_pb2.LookupBlocksRequest(forwarded=True)
+        await self._call(self.stub.LookupBlocks, request, deadline)
+
     def watch_configuration(
         self, known_digests: t.Iterable[str] = ()
     ) -> t.AsyncIterator[control_pb2.Configuration]:
--- a/src/sesamefold/gateway.py
+++ b/src/sesamefold/gateway.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import logging
 import os
+import random
 import signal
 import sys
 import typing as t
@@ -17,11 +19,12 @@
 
 from sesamefold import api
 from sesamefold import authentication
-from sesamefold import client
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import engines
 from sesamefold import exceptions
+from sesamefold import failover
+from sesamefold import hostlist
 from sesamefold import logs
 from sesamefold import revisions
 from sesamefold import settings as settings_module
@@ -34,6 +37,9 @@
 _BACKOFF = 0.1
 _BACKOFF_LIMIT = 2.0
 _STATUS_INTERVAL = 3.0
+_LISTING_SECONDS = 1.0
+# A control that starts with its gateway does not know its peers yet.
+_FIRST_STATUS_INTERVALS = (0.25, 0.5, 0.5, 1.0, 1.0)
 # Connections to one backend server and in total.
 _MAX_CONNECTIONS = 4096
 # Engines send keep-alive lines at least each second; a stream that is silent
@@ -84,13 +90,21 @@
 
     async def on_start(self) -> None:
         """Connect to the control and listen for callers."""
-        self._control = client.ControlClient(self._settings.control_address)
+        generator = random.Random()
+        self._link = failover.ControlLink(
+            self._settings.control_address,
+            self._find_controls,
+            generator,
+        )
         self.gateway_state = states.State(
             settings=self._settings,
             session=build_session(),
-            stub=self._control.stub,
+            link=self._link,
             make_engine=self._make_engine or _connect_engine,
+            generator=generator,
         )
+        self.add_dependency(self._link)
+        await self._link.maybe_start()
         application = api.Api(self.gateway_state).build_application()
         self._runner = web.AppRunner(
             application,
@@ -117,7 +131,6 @@
             task.cancel()
         await asyncio.gather(*left, return_exceptions=True)
         await self.gateway_state.session.close()
-        await self._control.close()
 
     def handle_signal(self) -> None:
         """Begin the graceful shutdown; a second signal exits at once."""
@@ -157,8 +170,10 @@
 
     @mode.Service.task
     async def poll_status(self) -> None:
-        """Keep the gateways of other data centres."""
-        while not self.should_stop:
+        """Keep the gateways of other data centres and the own members."""
+        for interval in itertools.chain(
+            _FIRST_STATUS_INTERVALS, itertools.repeat(_STATUS_INTERVAL)
+        ):
             status = await self.gateway_state.call_quietly(
                 self.gateway_state.stub.GetStatus,
                 control_pb2.GetStatusRequest(whole=True),
@@ -167,9 +182,37 @@
             if status is not None:
                 self._apply_status(status)
             await self.sleep(
-                _STATUS_INTERVAL
-                * self.gateway_state.generator.uniform(0.8, 1.2)
+                interval * self.gateway_state.generator.uniform(0.8, 1.2)
             )
+            if self.should_stop:
+                return
+
+    async def _find_controls(self) -> t.List[str]:
+        """Return the controls of the data centre from status and host list.
+
+        A control that stops answering right after its start has not told its
+        peers yet.
+        """
+        own = self._settings.data_centre
+        status = self.gateway_state.remote or control_pb2.Status()
+        known = {
+            host.member.control_address
+            for centre in status.data_centres
+            if centre.name == own
+            for host in centre.hosts
+        }
+        try:
+            listing = await hostlist.HttpHostList(
+                self.gateway_state.session, self._settings.host_list_url
+            ).fetch(own, 0, deadlines.Deadline.after(_LISTING_SECONDS))
+        except exceptions.PlatformError:
+            listing = None
+        listed = {
+            host.control_address
+            for host in (listing.hosts if listing else ())
+            if host.kind == "entry" and host.data_centre == own
+        }
+        return sorted((known | listed) - {""})
 
     async def _follow(
         self, read: t.Callable[[], t.Coroutine[t.Any, t.Any, bool]]
@@ -180,7 +223,8 @@
         """
         backoff = _BACKOFF
         while not self.should_stop:
-            if await read():
+            # A switch to another control ends the reading of the last one.
+            if await failover.run_until(self._link.changed.event, read()):
                 backoff = _BACKOFF
             await self.sleep(
                 backoff * self.gateway_state.generator.uniform(0.5, 1.0)
@@ -190,7 +234,7 @@
     async def _read_configuration(self) -> bool:
         received = False
         try:
-            watch = self._control.watch_configuration(list(self._chunks))
+            watch = self._link.current.watch_configuration(list(self._chunks))
             async with contextlib.aclosing(watch) as messages:
                 async for message in messages:
                     received = True
@@ -228,7 +272,7 @@
     async def _read_backends(self) -> bool:
         received = False
         try:
-            watch = self._control.watch_backends()
+            watch = self._link.current.watch_backends()
             async with contextlib.aclosing(watch) as messages:
                 async for message in messages:
                     received = True
--- a/src/sesamefold/state.py
+++ b/src/sesamefold/state.py
@@ -18,6 +18,7 @@
 from sesamefold import defaults
 from sesamefold import engines
 from sesamefold import exceptions
+from sesamefold import failover
 from sesamefold import limits
 from sesamefold import metrics as metrics_module
 from sesamefold import routing
@@ -50,7 +51,7 @@
 
     settings: settings_module.Settings
     session: aiohttp.ClientSession
-    stub: control_pb2_grpc.ControlStub
+    link: failover.ControlLink
     make_engine: t.Callable[[aiohttp.ClientSession, str], engines.Engine]
     generator: random.Random = attrs.field(factory=random.Random)
     metrics: metrics_module.GatewayMetrics = attrs.field(
@@ -75,6 +76,11 @@
     tasks: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
     calls: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
 
+    @property
+    def stub(self) -> control_pb2_grpc.ControlStub:
+        """Return the stub of the control that is followed."""
+        return self.link.current.stub
+
     def is_in_service(self) -> bool:
         """Tell whether this data centre takes new work."""
         return self.configuration.is_in_service(self.settings.data_centre)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -339,3 +339,26 @@
                 continue
             return version
         return self.fail("an answer of neither version")
+
+
+class FrozenControlTest(SystemTest):
+    async def test_data_centre_out_while_a_control_is_frozen(self):
+        """Guards against a gateway that never learns of an edit.
+
+        Its own control is paused, so the gateway has to follow another one.
+        """
+        frozen = self.hosts[0]
+        frozen.control.send_signal(signal.SIGSTOP)
+        try:
+            code, output = await self.run_command(
+                "datacentre", "out", "north-1"
+            )
+            self.assertEqual(0, code, output)
+            await asyncio.sleep(OUT_SECONDS)
+            before = await self.sum_counter("atlas-north-1", "runs")
+            for _ in range(4):
+                await self.send_checked(frozen, self.make_prompt())
+            after = await self.sum_counter("atlas-north-1", "runs")
+            self.assertEqual(before, after)
+        finally:
+            frozen.control.send_signal(signal.SIGCONT)
