--- a/src/sesamefold/defaults.py
+++ b/src/sesamefold/defaults.py
@@ -42,6 +42,9 @@
 
 # Journal of non-idempotent calls.
 JOURNAL_SHARDS = 8
+# A bucket holds the keys issued in one period, seconds; divides an hour. Each
+# write sends a whole bucket, so the bytes written grow with the period.
+JOURNAL_PERIOD_SECONDS = 5
 JOURNAL_WRITE_INTERVAL = 0.04
 JOURNAL_BODY_BYTES = 4096
 JOURNAL_KEY_SECONDS = 24 * 3600.0
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -262,7 +262,7 @@
 
 
 class JournalFull(CallError):
-    """The journal has no room for another call of this minute."""
+    """The journal has no room for another call of this period."""
 
     code = 1308
     status = 503
--- a/src/sesamefold/journal.py
+++ b/src/sesamefold/journal.py
@@ -18,6 +18,7 @@
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import exceptions
+from sesamefold import expiry
 from sesamefold import keyvalue
 from sesamefold import peers as peers_module
 from sesamefold import rendezvous
@@ -25,7 +26,7 @@
 
 _log = logbook.Logger(__name__)
 
-PREFIX = "journal/"
+PREFIX = expiry.PREFIX
 
 # Messages of EXPIRED replies. A call with an old key may have run before; a
 # key from the future is refused by every control, so its call has not run.
@@ -258,7 +259,7 @@
             if size + _RESERVED_BYTES > BUCKET_BYTES:
                 return _Verdict(
                     exceptions.JournalFull(
-                        "the journal has no room for calls of this minute"
+                        "the journal has no room for calls of this period"
                     )
                 )
         elif current.request != self.request:
@@ -476,33 +477,18 @@
         )
 
     async def delete_expired(self) -> int:
-        """Delete the buckets older than 25 h; return how many.
+        """Delete buckets of hours that ended over 25 h ago.
 
-        To be called every few minutes by each control; only one of them, by
-        rendezvous hashing over the entry hosts, does the work. Raises
+        Returns how many were deleted. To be called every few minutes by each
+        control; only one of them, by rendezvous hashing over the entry hosts,
+        does the work. Raises
         `exceptions.PlatformError`.
         """
         hosts = self._peers.list_entry_hosts()
         owner = rendezvous.choose_owner(PREFIX, hosts)
         if owner != self._peers.name:
             return 0
-        limit = self._clock() - defaults.JOURNAL_BUCKET_SECONDS
-        keys = await self._keyvalue.list_keys(
-            PREFIX, deadlines.Deadline.after(defaults.PLATFORM_TIMEOUT)
-        )
-        minutes = {key: key.split("/")[1] for key in keys}
-        expired = [
-            key
-            for key, minute in minutes.items()
-            if minute.isdecimal() and (int(minute) + 1) * 60 <= limit
-        ]
-        for key in expired:
-            await self._keyvalue.delete(
-                key,
-                None,
-                deadlines.Deadline.after(defaults.PLATFORM_TIMEOUT),
-            )
-        return len(expired)
+        return await expiry.delete_expired(self._keyvalue, self._clock())
 
     async def stop(self) -> None:
         """Write what waits, for a bounded time, and end all tasks."""
@@ -789,4 +775,6 @@
 def _locate(key: uuid.UUID, call: bytes) -> t.Tuple[str, int]:
     """Return the key and the shard of a call's bucket."""
     shard = call[0] % defaults.JOURNAL_SHARDS
-    return f"{PREFIX}{int(read_issue_time(key) // 60)}/{shard}", shard
+    hour, seconds = divmod(read_issue_time(key), expiry.HOUR_SECONDS)
+    period = int(seconds // defaults.JOURNAL_PERIOD_SECONDS)
+    return f"{PREFIX}{int(hour)}/{period}/{shard}", shard
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -7,6 +7,7 @@
 
 from sesamefold import defaults
 from sesamefold import exceptions
+from sesamefold import expiry
 from sesamefold import journal
 from sesamefold import keyvalue
 from sesamefold import rendezvous
@@ -369,17 +370,53 @@
 
     async def test_expiry(self):
         """Guards against buckets that are deleted too early or never."""
-        now = int(journal_fakes.START // 60)
-        for age in (0, 24 * 60 + 50, 25 * 60 - 1, 25 * 60 + 1, 26 * 60):
+        now = int(journal_fakes.START // 3600)
+        for age in (0, 24, 25, 26, 30, 100):
             for shard in range(3):
-                key = f"journal/{now - age}/{shard}"
+                key = f"journal/{now - age}/719/{shard}"
                 await self.service.put(key, b"\x01", 0, None)
         await self.service.put("journal/other", b"", 0, None)
-        items = self.journals.values()
-        deleted = await gather(item.delete_expired() for item in items)
-        self.assertEqual([0, 0, 6], sorted(deleted))
-        self.assertEqual(1, self.service.calls["list_keys"])
-        self.assertEqual(10, len(self.service.entries))
+        deleted, listings = await self.expire_rounds(7)
+        self.assertEqual([0, 0, 9], sorted(deleted))
+        # The last 7 days, since no mark tells where to start.
+        self.assertEqual(expiry.UNMARKED_HOURS, listings)
+        hours = {key.split("/")[1] for key in self.service.entries}
+        kept = {str(now - age) for age in (0, 24, 25)}
+        self.assertEqual({"other", "expired", *kept}, hours)
+
+    async def test_expiry_after_an_outage(self):
+        """Guards against hours that are skipped, or listed without bound."""
+        end = int(journal_fakes.START // 3600) - 25
+        start = end - 300
+        mark = str(start).encode()
+        await self.service.put(expiry.MARK_KEY, mark, 0, None)
+        keys = [f"journal/{start}/{n // 8}/{n % 8}" for n in range(2500)]
+        for key in keys + [f"journal/{end - 1}/0/0"]:
+            self.service.entries[key] = keyvalue.Entry(key, b"\x01", 1)
+        deleted, listings = await self.expire_rounds(1)
+        self.assertEqual([0, 0, expiry.ROUND_DELETIONS], sorted(deleted))
+        self.assertEqual(1, listings)
+        self.service.faults["list_keys"] = [journal_fakes.DOWN]
+        with self.assertRaises(exceptions.PlatformUnavailable):
+            await self.expire_rounds(1)
+        deleted, listings = await self.expire_rounds(20)
+        self.assertEqual([0, 0, 1501], sorted(deleted))
+        self.assertLessEqual(listings, 302)
+        self.assertEqual([expiry.MARK_KEY], list(self.service.entries))
+
+    async def expire_rounds(self, rounds):
+        """Return the deletions of each control, and the listings."""
+        self.service.calls.clear()
+        totals = [0] * len(self.journals)
+        for _ in range(rounds):
+            before = self.service.calls["list_keys"]
+            for number, item in enumerate(self.journals.values()):
+                totals[number] += await item.delete_expired()
+            self.assertLessEqual(
+                self.service.calls["list_keys"] - before,
+                expiry.ROUND_LISTINGS,
+            )
+        return totals, self.service.calls["list_keys"]
 
     async def test_group_commit(self):
         """Guards against one write for each call, or two for slow ones."""
@@ -397,9 +434,12 @@
         await asyncio.gather(*finishing)
         self.assertLess(self.service.calls["put"], 110)
 
-    async def test_many_minutes(self):
+    async def test_many_periods(self):
         """Guards against a write rate that grows with the age of keys."""
-        keys = [make_key(1, journal_fakes.START - 60 * n) for n in range(300)]
+        period = defaults.JOURNAL_PERIOD_SECONDS
+        keys = [
+            make_key(1, journal_fakes.START - period * n) for n in range(300)
+        ]
         await gather(begin(self.owner, "1", k, forwarded=True) for k in keys)
         rate = self.service.calls["put"] / (
             journal_fakes.read_clock() - journal_fakes.START
--- a/tools/measure_journal.py
+++ b/tools/measure_journal.py
@@ -104,7 +104,9 @@
     return values[min(len(values) - 1, int(share * len(values)))]
 
 
-async def measure_rate(rate: float, seconds: float, body: int) -> str:
+async def measure_rate(
+    rate: float, seconds: float, body: int, call_seconds: float
+) -> str:
     """Return a line of figures for calls that arrive at random times."""
     service = KeyValueDouble()
     journals: t.Dict[str, journal.Journal] = {}
@@ -130,7 +132,7 @@
             )
             begin_seconds.append(time.perf_counter() - start)
             failed += reply.decision != control_pb2.BeginCallReply.RUN
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(random.uniform(0.0, 2 * call_seconds))
             await host.finish(
                 control_pb2.FinishCallRequest(
                     customer="acme",
@@ -255,6 +257,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--body", type=int, default=100, help="bytes")
+    parser.add_argument(
+        "--call-seconds",
+        type=float,
+        default=0.05,
+        help="mean time from the intent to the outcome",
+    )
     parser.add_argument(
         "--rates", type=float, nargs="+", default=[50.0, 200.0, 1000.0]
     )
@@ -266,7 +274,11 @@
     )
     for rate in options.rates:
         print(
-            asyncio.run(measure_rate(rate, options.seconds, options.body)),
+            asyncio.run(
+                measure_rate(
+                    rate, options.seconds, options.body, options.call_seconds
+                )
+            ),
             flush=True,
         )
     print("\n".join(measure_records()))
