--- /dev/null
+++ b/src/sesamefold/changes.py
@@ -0,0 +1,120 @@
+"""Changes of journal records, and what they answer."""
+
+import asyncio
+import typing as t
+
+import attrs
+
+from sesamefold import exceptions
+from sesamefold import records
+from sesamefold.wire import control_pb2
+
+RUN = control_pb2.BeginCallReply.RUN
+RECORDED = control_pb2.BeginCallReply.RECORDED
+UNKNOWN = control_pb2.BeginCallReply.UNKNOWN
+MISMATCH = control_pb2.BeginCallReply.MISMATCH
+EXPIRED = control_pb2.BeginCallReply.EXPIRED
+
+
+@attrs.frozen
+class Verdict:
+    """Result of a change against the current record of its call.
+
+    `record` is to be written before `answer` is given. A `doubtful` verdict
+    may differ when the bucket is read again.
+    """
+
+    answer: t.Any
+    record: t.Optional[bytes] = None
+    doubtful: bool = False
+
+
+@attrs.define(eq=False)
+class Change:
+    """A change that waits for the next write of its bucket."""
+
+    id: bytes
+    attempt: bytes
+    result: "asyncio.Future[t.Any]"
+    # Set before the first write that may have recorded this change, here or
+    # at the shard's owner.
+    sent: bool = False
+
+    def resolve(self, answer: t.Any) -> None:
+        if self.result.done():
+            return
+        if isinstance(answer, Exception):
+            self.result.set_exception(answer)
+        else:
+            self.result.set_result(answer)
+
+
+@attrs.define(eq=False)
+class Begin(Change):
+    """Records an intent."""
+
+    request: bytes = attrs.field(default=b"", kw_only=True)
+
+    def decide(
+        self, current: t.Optional[records.Record], size: int
+    ) -> Verdict:
+        if current is None:
+            if size + records.RESERVED_BYTES > records.BUCKET_BYTES:
+                return Verdict(
+                    exceptions.JournalFull(
+                        "the journal has no room for calls of this period"
+                    )
+                )
+        elif current.request != self.request:
+            return Verdict(make_reply(MISMATCH))
+        elif current.state is records.State.FINISHED:
+            return Verdict(make_reply(RECORDED, current.outcome))
+        elif current.attempt == self.attempt:
+            # A record that this begin wrote, and whose answer was lost. An
+            # attempt that is already `not_run`, or that another begin
+            # recorded, never runs.
+            own = self.sent and current.state is records.State.STARTED
+            return Verdict(make_reply(RUN if own else UNKNOWN))
+        elif current.state is records.State.STARTED:
+            return Verdict(make_reply(UNKNOWN), doubtful=True)
+        record = records.Record(
+            self.id, self.request, self.attempt, records.State.STARTED
+        )
+        return Verdict(make_reply(RUN), record.encode())
+
+
+@attrs.define(eq=False)
+class Finish(Change):
+    """Records an outcome, or with None that the call did not run."""
+
+    outcome: t.Optional[control_pb2.Outcome] = attrs.field(
+        default=None, kw_only=True
+    )
+
+    def decide(
+        self, current: t.Optional[records.Record], size: int
+    ) -> Verdict:
+        if current is None or current.attempt != self.attempt:
+            return Verdict(control_pb2.Empty(), doubtful=True)
+        if current.state is not records.State.STARTED:
+            return Verdict(control_pb2.Empty())
+        if self.outcome is None:
+            record = attrs.evolve(current, state=records.State.NOT_RUN)
+        else:
+            record = attrs.evolve(
+                current,
+                state=records.State.FINISHED,
+                outcome=records.shorten(self.outcome, size),
+            )
+        return Verdict(control_pb2.Empty(), record.encode())
+
+
+def make_reply(
+    decision: int,
+    outcome: t.Optional[control_pb2.Outcome] = None,
+    message: str = "",
+) -> control_pb2.BeginCallReply:
+    """Return the reply to a begin."""
+    return control_pb2.BeginCallReply(
+        decision=decision, outcome=outcome, message=message
+    )
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -5,11 +5,13 @@
 import random
 import uuid
 
+from sesamefold import buckets
 from sesamefold import defaults
 from sesamefold import exceptions
 from sesamefold import expiry
 from sesamefold import journal
 from sesamefold import keyvalue
+from sesamefold import records
 from sesamefold import rendezvous
 from sesamefold.wire import control_pb2
 from tests import journal_fakes
@@ -33,9 +35,9 @@
 
 def locate(key):
     """Return the key and the shard of a bucket, and the id of the call."""
-    parsed = journal.parse_key(key)
-    call = journal._identify("acme", parsed)
-    return (*journal._locate(parsed, call), call)
+    parsed = records.parse_key(key)
+    call = records.identify("acme", parsed)
+    return (*records.locate(parsed, call), call)
 
 
 async def begin(item, attempt, key=None, **fields):
@@ -103,10 +105,10 @@
         """Return the state of a call as the service holds it."""
         bucket, _, call = locate(key or make_key())
         entry = self.service.entries.get(bucket)
-        records = journal.decode_bucket(entry.value) if entry else {}
-        if call not in records:
+        calls = records.decode_bucket(entry.value) if entry else {}
+        if call not in calls:
             return None
-        return journal.Record.decode(records[call]).state
+        return records.Record.decode(calls[call]).state
 
 
 class LostAnswersTest(JournalTestCase):
@@ -135,7 +137,7 @@
                     for item, attempt in calls
                 ]
                 self.assertEqual([RUN, UNKNOWN, UNKNOWN], decisions)
-                self.assertEqual(journal.State.STARTED, self.read_state(key))
+                self.assertEqual(records.State.STARTED, self.read_state(key))
 
     async def test_outage(self):
         """Guards against a call that runs while nothing can be recorded."""
@@ -167,7 +169,7 @@
         self.service.faults["put"] = [journal_fakes.LOST]
         self.service.faults["get"] = [None] + [journal_fakes.DOWN] * 12
         self.assertEqual(REFUSED, await decide(self.owner, "1"))
-        self.assertEqual(journal.State.STARTED, self.read_state())
+        self.assertEqual(records.State.STARTED, self.read_state())
         self.service.faults.clear()
         await asyncio.sleep(30.0)
         self.assertEqual(RUN, await decide(self.owner, "2"))
@@ -244,7 +246,7 @@
         decision = await decide(item, "1", deadline=journal_fakes.START + 1.0)
         self.assertEqual(REFUSED, decision)
         await item.stop()
-        self.assertEqual(journal.State.NOT_RUN, self.read_state())
+        self.assertEqual(records.State.NOT_RUN, self.read_state())
 
 
 class RulesTest(JournalTestCase):
@@ -338,8 +340,8 @@
         ]
         await begin(self.owner, "1", keys[0], forwarded=True)
         entry = self.service.entries[bucket]
-        record = journal.Record(bytes(16), b"", b"", journal.State.STARTED)
-        count = journal.BUCKET_BYTES // journal._RESERVED_BYTES - 1
+        record = records.Record(bytes(16), b"", b"", records.State.STARTED)
+        count = records.BUCKET_BYTES // records.RESERVED_BYTES - 1
         filler = b"".join(
             number.to_bytes(16, "big") + record.encode()[16:]
             for number in range(count)
@@ -366,7 +368,7 @@
             await gather(begin(item, "1", key) for key in part)
             await gather(finish(item, "1", key, LARGE) for key in part)
         size = max(len(e.value) for e in self.service.entries.values())
-        self.assertAlmostEqual(journal.BODIES_BYTES, size, delta=8192)
+        self.assertAlmostEqual(records.BODIES_BYTES, size, delta=8192)
 
     async def test_expiry(self):
         """Guards against buckets that are deleted too early or never."""
@@ -447,7 +449,7 @@
         self.assertLess(rate, 2.2 * 8 / defaults.JOURNAL_WRITE_INTERVAL)
         await asyncio.sleep(1.0)
         cached = len(self.owner._buckets)
-        self.assertLessEqual(cached, journal.CACHED_BUCKETS)
+        self.assertLessEqual(cached, buckets.CACHED_BUCKETS)
 
 
 class InterleavingsTest(JournalTestCase):
--- a/tools/measure_journal.py
+++ b/tools/measure_journal.py
@@ -21,6 +21,7 @@
 from sesamefold import exceptions
 from sesamefold import journal
 from sesamefold import keyvalue
+from sesamefold import records
 from sesamefold.wire import control_pb2
 
 ANSWER_SECONDS = 0.003
@@ -187,11 +188,11 @@
         ),
     }
     for name, outcome in outcomes.items():
-        record = journal.Record(
+        record = records.Record(
             bytes(16),
             bytes(8),
             bytes(8),
-            journal.State.FINISHED if outcome else journal.State.STARTED,
+            records.State.FINISHED if outcome else records.State.STARTED,
             outcome,
         )
         yield f"{name:<30} {len(record.encode()):>5} bytes"
@@ -199,19 +200,19 @@
 
 def measure_bucket(count: int) -> str:
     """Return the memory of a bucket while it is written."""
-    records = [
-        journal.Record(
+    encoded = [
+        records.Record(
             index.to_bytes(16, "big"),
             bytes(8),
             bytes(8),
-            journal.State.STARTED,
+            records.State.STARTED,
         ).encode()
         for index in range(count)
     ]
-    value = journal.encode_bucket(records)
+    value = records.encode_bucket(encoded)
     gc.collect()
     tracemalloc.start()
-    cached = journal.decode_bucket(value)
+    cached = records.decode_bucket(value)
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     return f"bucket of {len(cached)} records {size / count:>6.0f} bytes/record"
