--- a/src/sesamefold/buckets.py
+++ b/src/sesamefold/buckets.py
@@ -26,11 +26,15 @@
 # of its 2,000 reads a second.
 RETRY_SECONDS = 0.05
 RETRY_LIMIT_SECONDS = 2.0
-# Buckets and bytes of buckets that stay in memory between writes. A record of
-# 33 bytes takes 154 bytes of memory, and control has about 15 MB for all of
-# its state.
-CACHED_BUCKETS = 32
-CACHED_BYTES = 2 * 1024 * 1024
+# Buckets that stay in memory between writes. A control that owns all shards
+# finds the outcomes of calls of up to REQUEST_SECONDS without a read.
+CACHED_BUCKETS = 200
+# Memory of these buckets, bytes; see defaults.DIRECTORY_ENTRIES for the share
+# of control's memory.
+CACHED_BYTES = 3 * 1024 * 1024
+# Memory of a record beyond its own bytes: a record of 33 bytes was measured
+# to take 154.
+RECORD_OVERHEAD_BYTES = 121
 
 
 @attrs.define(eq=False)
@@ -54,6 +58,10 @@
         self.version = 0 if entry is None else entry.version
         self.size = sum(map(records_module.weigh, self.records.values()))
 
+    def estimate_memory(self) -> int:
+        """Return the memory of the records, bytes."""
+        return self.size + RECORD_OVERHEAD_BYTES * len(self.records)
+
 
 class Buckets:
     """The buckets in use, each written by one task at a time.
@@ -269,10 +277,10 @@
         """Drop the least recently used buckets beyond the bounds."""
         idle = [b for b in self._buckets.values() if b.task is None]
         count = len(self._buckets)
-        total = sum(bucket.size for bucket in self._buckets.values())
+        total = sum(b.estimate_memory() for b in self._buckets.values())
         for bucket in idle:
             if count <= CACHED_BUCKETS and total <= CACHED_BYTES:
                 break
             del self._buckets[bucket.key]
             count -= 1
-            total -= bucket.size
+            total -= bucket.estimate_memory()
--- a/src/sesamefold/defaults.py
+++ b/src/sesamefold/defaults.py
@@ -43,7 +43,9 @@
 # Journal of non-idempotent calls.
 JOURNAL_SHARDS = 8
 # A bucket holds the keys issued in one period, seconds; divides an hour. Each
-# write sends a whole bucket, so the bytes written grow with the period.
+# write sends a whole bucket: 50 calls/s were measured to write 123 KB/s with
+# 5 s, 246 KB/s with 10 s and 1,056 KB/s with a minute. The 1.49 writes for
+# each call of 10 s on average grow to 1.67 from 10 s to 5 s.
 JOURNAL_PERIOD_SECONDS = 5
 JOURNAL_WRITE_INTERVAL = 0.04
 JOURNAL_BODY_BYTES = 4096
@@ -69,8 +71,13 @@
 PLATFORM_BACKOFF_LIMIT = 5.0
 PLATFORM_TIMEOUT = 2.0
 
-# Block directory.
-DIRECTORY_ENTRIES = 50_000
+# Block directory. Of the 15 MB that control has for state, the journal cache
+# takes 3.1 MB, the configuration with the chunks of 19,000 customers 2.3 MB
+# and 400 entry hosts with 292 backend servers 0.4 MB, which leaves 9.2 MB.
+# An entry with an engine and a store takes 337 bytes in a shard in use, so
+# 20,000 take 6.4 MB; from 21,846 entries on the table doubles, and 25,000
+# would take 9.3 MB (tools/measure_journal.py).
+DIRECTORY_ENTRIES = 20_000
 DIRECTORY_LOOKUP_SECONDS = 0.02
 DIRECTORY_RESYNC_INTERVAL = 10.0
 
--- a/tools/measure_journal.py
+++ b/tools/measure_journal.py
@@ -1,7 +1,8 @@
-"""Measures the journal and the block directory.
+"""Measures the journal, the block directory and other state of control.
 
 Prints key-value writes for each call and added latency at several rates,
-bytes of a record, and memory of a directory entry. The key-value service is
+bytes of a record, and memory of a directory entry, of the configuration and
+of the hosts. The key-value service is
 a double in this process that answers after a fixed time.
 """
 
@@ -16,11 +17,16 @@
 import typing as t
 import uuid
 
+from sesamefold import backends
+from sesamefold import buckets
+from sesamefold import configuration
 from sesamefold import deadline as deadlines
 from sesamefold import directory
 from sesamefold import exceptions
+from sesamefold import hostlist
 from sesamefold import journal
 from sesamefold import keyvalue
+from sesamefold import membership
 from sesamefold import records
 from sesamefold.wire import control_pb2
 
@@ -219,9 +225,13 @@
 
 
 def measure_directory(count: int, stores: bool) -> str:
-    """Return the memory of a shard with `count` entries."""
+    """Return the memory of a shard with `count` entries.
+
+    Twice as many entries were evicted before, as in a shard in use: the table
+    then has more free room than one that was only filled.
+    """
     rng = random.Random(1)
-    names = [rng.randbytes(32).hex() for _ in range(count)]
+    names = [rng.randbytes(32).hex() for _ in range(3 * count)]
     engines = [
         control_pb2.Holder(kind="engine", name=f"engine-{number}")
         for number in range(20)
@@ -253,6 +263,127 @@
     )
 
 
+def make_configuration() -> configuration.Configuration:
+    """Return 12 data centres with 38 models, as the design targets have."""
+    centres = [f"region-{n % 5}-{n}" for n in range(12)]
+    models = [f"model-{n}" for n in range(38)]
+    groups = [
+        configuration.Group(f"{model}-{centre}", centre, "engine", model=model)
+        for model in models
+        for centre in centres
+    ]
+    return configuration.Configuration(
+        regions=tuple(f"region-{n}" for n in range(5)),
+        data_centres={
+            name: configuration.DataCentre(name, name[:8]) for name in centres
+        },
+        models={name: configuration.Model(name, "v1") for name in models},
+        groups={group.name: group for group in groups},
+        services={
+            f"service-{name}": configuration.Service(
+                f"service-{name}", "model", name, (f"service-{models[0]}",)
+            )
+            for name in models
+        },
+    )
+
+
+def make_report(number: int) -> control_pb2.BackendState:
+    """Return the state of one backend server."""
+    return control_pb2.BackendState(
+        name=f"backend-{number}",
+        address=f"10.1.{number // 250}.{number % 250}:9000",
+        group=f"group-{number % 38}",
+        data_centre="data-centre-0",
+        state="warm",
+        epoch=str(uuid.uuid4()),
+        versions=[f"model-{number % 38}@v1"],
+        measured_at=1e9,
+    )
+
+
+def make_hosts() -> t.List[t.Any]:
+    """Return what a control keeps of 400 nodes and its 292 servers."""
+    hosts = [
+        hostlist.Host(
+            name=f"entry-{n}",
+            kind="entry",
+            data_centre=f"data-centre-{n % 12}",
+            address=f"10.0.{n // 250}.{n % 250}:8000",
+            control_address=f"10.0.{n // 250}.{n % 250}:8001",
+        )
+        for n in range(400)
+    ]
+    peers = [
+        membership.Peer(
+            control_pb2.Member(
+                name=host.name,
+                data_centre=host.data_centre,
+                control_address=host.control_address,
+                gateway_address=host.address,
+                incarnation=str(uuid.uuid4()),
+            ),
+            1e9 + number,
+        )
+        for number, host in enumerate(hosts[:34])
+    ]
+    servers = [
+        backends.Record(
+            hostlist.Host(
+                name=f"backend-{n}",
+                kind="backend",
+                data_centre="data-centre-0",
+                address=f"10.1.{n // 250}.{n % 250}:9000",
+                group=f"group-{n % 38}",
+            ),
+            report=make_report(n),
+            source=f"entry-{n % 34}",
+            refreshed_at=1e9 + n,
+            shown=make_report(n),
+        )
+        for n in range(292)
+    ]
+    return [hosts, peers, servers]
+
+
+def measure_state(name: str, make: t.Callable[[], t.Any]) -> str:
+    """Return the memory of what `make` returns."""
+    gc.collect()
+    tracemalloc.start()
+    made = make()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del made
+    return f"{name:<30} {size / 1024 / 1024:>6.2f} MB"
+
+
+def make_customers() -> t.List[bytes]:
+    """Return chunks of 64 of 19,000 customers, which a control passes on."""
+    customers = [
+        configuration.Customer(f"customer-{n}", os.urandom(32).hex(), 10)
+        for n in range(19_000)
+    ]
+    return [
+        configuration.encode_records(customers[n : n + 64])
+        for n in range(0, len(customers), 64)
+    ]
+
+
+def make_cache() -> t.List[t.Dict[bytes, bytes]]:
+    """Return journal buckets up to the bounds of the cache."""
+    count = buckets.CACHED_BYTES // (
+        records.RESERVED_BYTES + buckets.RECORD_OVERHEAD_BYTES
+    )
+    return [
+        {
+            os.urandom(16): os.urandom(33)
+            for _ in range(count // buckets.CACHED_BUCKETS)
+        }
+        for _ in range(buckets.CACHED_BUCKETS)
+    ]
+
+
 def main() -> None:
     """Print all figures."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -265,7 +396,7 @@
         help="mean time from the intent to the outcome",
     )
     parser.add_argument(
-        "--rates", type=float, nargs="+", default=[50.0, 200.0, 1000.0]
+        "--rates", type=float, nargs="*", default=[50.0, 200.0, 1000.0]
     )
     options = parser.parse_args()
     random.seed(1)
@@ -285,8 +416,12 @@
     print("\n".join(measure_records()))
     print(measure_bucket(7500))
     for stores in (False, True):
-        for count in (10_000, 25_000, 50_000):
+        for count in (10_000, 20_000, 25_000, 30_000, 50_000):
             print(measure_directory(count, stores))
+    print(measure_state("journal cache", make_cache))
+    print(measure_state("configuration", make_configuration))
+    print(measure_state("chunks of customers", make_customers))
+    print(measure_state("hosts", make_hosts))
 
 
 if __name__ == "__main__":
