--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -5,10 +5,13 @@
 import random
 import uuid
 
+from sesamefold import buckets
 from sesamefold import defaults
 from sesamefold import exceptions
+from sesamefold import expiry
 from sesamefold import journal
 from sesamefold import keyvalue
+from sesamefold import records
 from sesamefold import rendezvous
 from sesamefold.wire import control_pb2
 from tests import journal_fakes
@@ -32,9 +35,9 @@
 
 def locate(key):
     """Return the key and the shard of a bucket, and the id of the call."""
-    parsed = journal.parse_key(key)
-    call = journal._identify("acme", parsed)
-    return (*journal._locate(parsed, call), call)
+    parsed = records.parse_key(key)
+    call = records.identify("acme", parsed)
+    return (*records.locate(parsed, call), call)
 
 
 async def begin(item, attempt, key=None, **fields):
@@ -102,10 +105,10 @@
         """Return the state of a call as the service holds it."""
         bucket, _, call = locate(key or make_key())
         entry = self.service.entries.get(bucket)
-        records = journal.decode_bucket(entry.value) if entry else {}
-        if call not in records:
+        calls = records.decode_bucket(entry.value) if entry else {}
+        if call not in calls:
             return None
-        return journal.Record.decode(records[call]).state
+        return records.Record.decode(calls[call]).state
 
 
 class LostAnswersTest(JournalTestCase):
@@ -134,7 +137,7 @@
                     for item, attempt in calls
                 ]
                 self.assertEqual([RUN, UNKNOWN, UNKNOWN], decisions)
-                self.assertEqual(journal.State.STARTED, self.read_state(key))
+                self.assertEqual(records.State.STARTED, self.read_state(key))
 
     async def test_outage(self):
         """Guards against a call that runs while nothing can be recorded."""
@@ -166,7 +169,7 @@
         self.service.faults["put"] = [journal_fakes.LOST]
         self.service.faults["get"] = [None] + [journal_fakes.DOWN] * 12
         self.assertEqual(REFUSED, await decide(self.owner, "1"))
-        self.assertEqual(journal.State.STARTED, self.read_state())
+        self.assertEqual(records.State.STARTED, self.read_state())
         self.service.faults.clear()
         await asyncio.sleep(30.0)
         self.assertEqual(RUN, await decide(self.owner, "2"))
@@ -243,7 +246,7 @@
         decision = await decide(item, "1", deadline=journal_fakes.START + 1.0)
         self.assertEqual(REFUSED, decision)
         await item.stop()
-        self.assertEqual(journal.State.NOT_RUN, self.read_state())
+        self.assertEqual(records.State.NOT_RUN, self.read_state())
 
 
 class RulesTest(JournalTestCase):
@@ -337,8 +340,8 @@
         ]
         await begin(self.owner, "1", keys[0], forwarded=True)
         entry = self.service.entries[bucket]
-        record = journal.Record(bytes(16), b"", b"", journal.State.STARTED)
-        count = journal.BUCKET_BYTES // journal._RESERVED_BYTES - 1
+        record = records.Record(bytes(16), b"", b"", records.State.STARTED)
+        count = records.BUCKET_BYTES // records.RESERVED_BYTES - 1
         filler = b"".join(
             number.to_bytes(16, "big") + record.encode()[16:]
             for number in range(count)
@@ -365,21 +368,57 @@
             await gather(begin(item, "1", key) for key in part)
             await gather(finish(item, "1", key, LARGE) for key in part)
         size = max(len(e.value) for e in self.service.entries.values())
-        self.assertAlmostEqual(journal.BODIES_BYTES, size, delta=8192)
+        self.assertAlmostEqual(records.BODIES_BYTES, size, delta=8192)
 
     async def test_expiry(self):
         """Guards against buckets that are deleted too early or never."""
-        now = int(journal_fakes.START // 60)
-        for age in (0, 24 * 60 + 50, 25 * 60 - 1, 25 * 60 + 1, 26 * 60):
+        now = int(journal_fakes.START // 3600)
+        for age in (0, 24, 25, 26, 30, 100):
             for shard in range(3):
-                key = f"journal/{now - age}/{shard}"
+                key = f"journal/{now - age}/719/{shard}"
                 await self.service.put(key, b"\x01", 0, None)
         await self.service.put("journal/other", b"", 0, None)
-        items = self.journals.values()
-        deleted = await gather(item.delete_expired() for item in items)
-        self.assertEqual([0, 0, 6], sorted(deleted))
-        self.assertEqual(1, self.service.calls["list_keys"])
-        self.assertEqual(10, len(self.service.entries))
+        deleted, listings = await self.expire_rounds(7)
+        self.assertEqual([0, 0, 9], sorted(deleted))
+        # The last 7 days, since no mark tells where to start.
+        self.assertEqual(expiry.UNMARKED_HOURS, listings)
+        hours = {key.split("/")[1] for key in self.service.entries}
+        kept = {str(now - age) for age in (0, 24, 25)}
+        self.assertEqual({"other", "expired", *kept}, hours)
+
+    async def test_expiry_after_an_outage(self):
+        """Guards against hours that are skipped, or listed without bound."""
+        end = int(journal_fakes.START // 3600) - 25
+        start = end - 300
+        mark = str(start).encode()
+        await self.service.put(expiry.MARK_KEY, mark, 0, None)
+        keys = [f"journal/{start}/{n // 8}/{n % 8}" for n in range(2500)]
+        for key in keys + [f"journal/{end - 1}/0/0"]:
+            self.service.entries[key] = keyvalue.Entry(key, b"\x01", 1)
+        deleted, listings = await self.expire_rounds(1)
+        self.assertEqual([0, 0, expiry.ROUND_DELETIONS], sorted(deleted))
+        self.assertEqual(1, listings)
+        self.service.faults["list_keys"] = [journal_fakes.DOWN]
+        with self.assertRaises(exceptions.PlatformUnavailable):
+            await self.expire_rounds(1)
+        deleted, listings = await self.expire_rounds(20)
+        self.assertEqual([0, 0, 1501], sorted(deleted))
+        self.assertLessEqual(listings, 302)
+        self.assertEqual([expiry.MARK_KEY], list(self.service.entries))
+
+    async def expire_rounds(self, rounds):
+        """Return the deletions of each control, and the listings."""
+        self.service.calls.clear()
+        totals = [0] * len(self.journals)
+        for _ in range(rounds):
+            before = self.service.calls["list_keys"]
+            for number, item in enumerate(self.journals.values()):
+                totals[number] += await item.delete_expired()
+            self.assertLessEqual(
+                self.service.calls["list_keys"] - before,
+                expiry.ROUND_LISTINGS,
+            )
+        return totals, self.service.calls["list_keys"]
 
     async def test_group_commit(self):
         """Guards against one write for each call, or two for slow ones."""
@@ -397,9 +436,12 @@
         await asyncio.gather(*finishing)
         self.assertLess(self.service.calls["put"], 110)
 
-    async def test_many_minutes(self):
+    async def test_many_periods(self):
         """Guards against a write rate that grows with the age of keys."""
-        keys = [make_key(1, journal_fakes.START - 60 * n) for n in range(300)]
+        period = defaults.JOURNAL_PERIOD_SECONDS
+        keys = [
+            make_key(1, journal_fakes.START - period * n) for n in range(300)
+        ]
         await gather(begin(self.owner, "1", k, forwarded=True) for k in keys)
         rate = self.service.calls["put"] / (
             journal_fakes.read_clock() - journal_fakes.START
@@ -407,7 +449,7 @@
         self.assertLess(rate, 2.2 * 8 / defaults.JOURNAL_WRITE_INTERVAL)
         await asyncio.sleep(1.0)
         cached = len(self.owner._buckets)
-        self.assertLessEqual(cached, journal.CACHED_BUCKETS)
+        self.assertLessEqual(cached, buckets.CACHED_BUCKETS)
 
 
 class InterleavingsTest(JournalTestCase):
