Add the process setting placement with three baselines

Cause: the choice of an engine could not be compared with simpler rules.

The process setting placement chooses one; the default is estimate, as before. The baselines neither export blocks to stores nor import them.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -287,6 +287,7 @@
             self.state.in_flight,
             self.state.get_rates(self.model.name),
             self.state.generator,
+            routing.PLACEMENTS[self.state.settings.placement],
         )
 
     def _make_run(
--- a/src/sesamefold/exports.py
+++ b/src/sesamefold/exports.py
@@ -6,6 +6,7 @@
 from sesamefold import deadline as deadlines
 from sesamefold import engines
 from sesamefold import exceptions
+from sesamefold import routing
 from sesamefold import state as states
 from sesamefold.wire import control_pb2
 
@@ -31,7 +32,8 @@
         holders: t.Mapping[str, t.Sequence[control_pb2.Holder]],
     ) -> None:
         """Export the blocks that no store of the region holds."""
-        store = self._choose_store()
+        placement = routing.PLACEMENTS[self._state.settings.placement]
+        store = self._choose_store() if placement.imports else None
         if store is None:
             return
         missing = [
--- a/src/sesamefold/routing.py
+++ b/src/sesamefold/routing.py
@@ -74,18 +74,90 @@
     imported_tokens: int = 0
 
 
+class Placement(t.Protocol):
+    """A rule for the order in which servers are tried."""
+
+    @property
+    def imports(self) -> bool:
+        """Tell whether blocks are exported to and imported from stores."""
+
+    def weigh(self, choice: Choice, load: int) -> t.Tuple[float, ...]:
+        """Return a key; the server with the lowest key is tried first.
+
+        `load` is the number of runs on the server. Ties are broken at random.
+        """
+
+
+@attrs.frozen
+class RandomPlacement:
+    """Any usable server with the same probability."""
+
+    imports: bool = False
+
+    def weigh(self, choice: Choice, load: int) -> t.Tuple[float, ...]:
+        """Return the same key for all servers."""
+        return ()
+
+
+@attrs.frozen
+class LeastLoadedPlacement:
+    """The server with the fewest runs."""
+
+    imports: bool = False
+
+    def weigh(self, choice: Choice, load: int) -> t.Tuple[float, ...]:
+        """Return the load."""
+        return (load,)
+
+
+@attrs.frozen
+class AffinityPlacement:
+    """The server with the longest cached prefix, then the fewest runs."""
+
+    imports: bool = False
+
+    def weigh(self, choice: Choice, load: int) -> t.Tuple[float, ...]:
+        """Return the cached tokens, negated, and the load."""
+        return (-choice.cached_tokens, load)
+
+
+@attrs.frozen
+class EstimatePlacement:
+    """The server with the shortest estimated time to the first token.
+
+    Warm servers come before cold ones whose estimate ties.
+    """
+
+    imports: bool = True
+
+    def weigh(self, choice: Choice, load: int) -> t.Tuple[float, ...]:
+        """Return the rounded estimate and whether the server is cold."""
+        return (round(choice.seconds / _RESOLUTION), choice.cold)
+
+
+# Values of the process setting `placement`.
+PLACEMENTS: t.Mapping[str, Placement] = {
+    "random": RandomPlacement(),
+    "least_loaded": LeastLoadedPlacement(),
+    "affinity": AffinityPlacement(),
+    "estimate": EstimatePlacement(),
+}
+
+
 def rank_backends(
     query: Query,
     backends: t.Iterable[control_pb2.BackendState],
     in_flight: t.Mapping[str, int],
     rates: Rates,
     generator: random.Random,
+    placement: Placement = PLACEMENTS["estimate"],
 ) -> t.List[Choice]:
-    """Return the usable servers, the shortest estimate first.
+    """Return the usable servers in the order of the placement.
 
-    `in_flight` counts the gateway's own runs by server. Warm servers come
-    before cold ones whose estimate ties; other ties are broken at random.
+    `in_flight` counts the gateway's own runs by server.
     """
+    if not placement.imports:
+        query = attrs.evolve(query, stores={})
     wanted = configuration.name_version(query.model, query.version)
     choices = [
         _estimate(query, backend, in_flight.get(backend.name, 0), rates)
@@ -96,7 +168,11 @@
     ]
     generator.shuffle(choices)
     return sorted(
-        choices, key=lambda c: (round(c.seconds / _RESOLUTION), c.cold)
+        choices,
+        key=lambda choice: placement.weigh(
+            choice,
+            _count_runs(choice.backend, in_flight.get(choice.backend.name, 0)),
+        ),
     )
 
 
@@ -134,17 +210,24 @@
     )
 
 
+def _count_runs(backend: control_pb2.BackendState, in_flight: int) -> int:
+    """Return the runs on a server.
+
+    Reports lag, so the gateway's own runs count when they exceed the report.
+    """
+    return max(backend.running + backend.queued, in_flight)
+
+
 def _estimate_wait(
     backend: control_pb2.BackendState, in_flight: int, rates: Rates
 ) -> float:
     """Return the seconds until a new run starts.
 
-    Reports lag, so the gateway's own runs count when they exceed the report.
     Below the limit, each run still slows the others a little; this also
     spreads requests over idle servers.
     """
     limit = max(1, backend.limit)
-    load = max(backend.running + backend.queued, in_flight)
+    load = _count_runs(backend, in_flight)
     ahead = max(0, load + 1 - limit)
     shared = min(load, limit) / limit
     return rates.run_seconds * (ahead / limit + 0.05 * shared)
--- a/src/sesamefold/settings.py
+++ b/src/sesamefold/settings.py
@@ -58,8 +58,13 @@
     handle_keys: t.Tuple[HandleKey, ...] = ()
     drain_delay: float = 2.0  # seconds between not ready and closing
     drain_time: float = 60.0  # seconds that streams get to finish
+    placement: str = "estimate"  # one of PLACEMENTS
 
 
+# Rules for the choice of a backend server; `routing` implements them. The
+# control reads settings too, and does not import `routing`.
+PLACEMENTS = ("random", "least_loaded", "affinity", "estimate")
+
 _NAME = documents.check_text(
     r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}",
     "a name of letters, digits, '.', '_' and '-'",
@@ -114,6 +119,7 @@
     "handle_keys": documents.Field(_check_keys),
     "drain_delay": documents.Field(documents.check_number(0, 600)),
     "drain_time": documents.Field(documents.check_number(0, 86400)),
+    "placement": documents.Field(documents.check_choice(*PLACEMENTS)),
 }
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,6 +5,7 @@
 import unittest
 
 from sesamefold import routing
+from sesamefold import settings
 from sesamefold.wire import control_pb2
 from tests import gateway_fakes
 
@@ -136,3 +137,41 @@
             for _ in range(300)
         )
         self.assertGreater(min(counts.values()), 60)
+
+    def test_placements(self):
+        """Guards against baselines that import or ignore their rule."""
+        build = gateway_fakes.build_backend
+        holders = [
+            *((block, hold("store", "near")) for block in BLOCKS),
+            ("b1", hold("engine", "a")),
+            ("b1", hold("engine", "b")),
+            ("b2", hold("engine", "b")),
+        ]
+        backends = [
+            build("a", running=1),
+            build("b", running=6),
+            build("c", running=3),
+        ]
+        table = [
+            ("random", {"a", "b", "c"}, False),
+            ("least_loaded", {"a"}, False),
+            ("affinity", {"b"}, False),
+            ("estimate", {"a"}, True),
+        ]
+        self.assertEqual(settings.PLACEMENTS, tuple(routing.PLACEMENTS))
+        for name, expected, imports in table:
+            with self.subTest(name):
+                chosen = [
+                    routing.rank_backends(
+                        make_query(holders),
+                        backends,
+                        # Reports lag behind the gateway's own runs.
+                        {"c": 4},
+                        routing.Rates(),
+                        random.Random(seed),
+                        routing.PLACEMENTS[name],
+                    )[0]
+                    for seed in range(20)
+                ]
+                self.assertEqual(expected, {c.backend.name for c in chosen})
+                self.assertEqual(imports, any(c.imports for c in chosen))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -34,6 +34,7 @@
         environ = {
             "SESAMEFOLD_HOST": "lima-2",
             "SESAMEFOLD_DRAIN_TIME": "7.5",
+            "SESAMEFOLD_PLACEMENT": "affinity",
             "SESAMEFOLD_HANDLE_KEYS": f"b:{SECRET},a:0123456789abcdef",
             "SESAMEFOLD_PLATFORM": "read by the command line",
             "HOME": "ignored",
@@ -50,6 +51,7 @@
                 ),
                 drain_delay=1.0,
                 drain_time=7.5,
+                placement="affinity",
             ),
             self.load(TEXT, environ),
         )
