--- a/standins/engine.py
+++ b/standins/engine.py
@@ -36,6 +36,7 @@
     once; further ones wait. A cold engine crashes when it gets more than
     `cold_limit` requests at once, and becomes warm after `warm_up`. Weights
     are fetched from the URL `weights`, or take `load_seconds` without one.
+    Connections to stores come from the address `source`, if it is set.
     Every `lose_event_every`th cache event is lost; 0 loses none. Exported
     blocks have at least `block_bytes` bytes.
     """
@@ -63,6 +64,7 @@
     weights: str = ""
     verifies_imports: bool = True
     crash_words: t.Tuple[str, ...] = ()
+    source: str = ""
 
 
 class Context:
@@ -277,7 +279,12 @@
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Listen and begin to warm up."""
-        self._session = aiohttp.ClientSession()
+        source = self.options.source
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                local_addr=(source, 0) if source else None
+            )
+        )
         address = await super().start(host, port)
         self._warm_up()
         return address
--- a/standins/store.py
+++ b/standins/store.py
@@ -23,6 +23,8 @@
 class Options:
     """Sizes in bytes, rates in bytes per second; a rate of 0 is unlimited.
 
+    Reads from addresses that do not start with `near` also share the rate
+    `far_rate`, as over a link between regions; an empty `near` fits all.
     Writes that are not sealed within `unsealed_seconds` are dropped.
     """
 
@@ -31,6 +33,8 @@
     read_rate: float = 0.0
     write_rate: float = 0.0
     unsealed_seconds: float = 60.0
+    near: str = ""
+    far_rate: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -83,6 +87,7 @@
         self._epoch = uuid.uuid4().hex[:12]
         self._numbers = itertools.count(1)
         self._reads = server.RateLimit(self.options.read_rate)
+        self._far_reads = server.RateLimit(self.options.far_rate)
         self._writes = server.RateLimit(self.options.write_rate)
         self._directory: t.Optional[tempfile.TemporaryDirectory] = None
 
@@ -274,9 +279,13 @@
             }
         )
         await response.prepare(request)
+        far = not (request.remote or "").startswith(self.options.near)
         for start in range(0, len(data), CHUNK_BYTES):
             chunk = data[start : start + CHUNK_BYTES]
             await self._reads.take(len(chunk))
+            if far:
+                await self._far_reads.take(len(chunk))
+                self.counters["bytes_read_far"] += len(chunk)
             await response.write(chunk)
             self.counters["bytes_read"] += len(chunk)
         await response.write_eof()
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -40,9 +40,12 @@
     body: t.Mapping[str, t.Any],
     answer: Answer,
     on_token: t.Callable[[Answer], t.Awaitable[None]] | None = None,
+    deadline: float | None = None,
 ) -> Answer:
     """Send a prompt, or resume it when `answer` has a handle.
 
+    `deadline` is in Unix seconds.
+
     The answer is extended in place, so that after a lost connection the same
     object can be passed again with the URL of another gateway.
     """
@@ -50,6 +53,8 @@
     if answer.handle:
         headers["Sesamefold-Resume"] = answer.handle
         headers["Last-Event-ID"] = str(answer.offset)
+    if deadline is not None:
+        headers["Sesamefold-Deadline"] = str(deadline)
     async with session.post(
         f"{url}/v1/completions",
         json={**body, "stream": True},
--- a/tools/topology.py
+++ b/tools/topology.py
@@ -39,6 +39,7 @@
     cold_limit: int = 2
     warm_limit: int = 16
     host_list_lag: float = 0.2
+    link_rate: float = 0.0  # reads between regions, bytes/s; 0 is unlimited
     settings: t.Mapping[str, t.Any] = attrs.field(factory=dict)
 
     def write_text(
@@ -80,6 +81,11 @@
             sort_keys=False,
         )
 
+    def _name_network(self, region: str) -> str:
+        """Return the start of the addresses of a region's engines."""
+        regions = sorted(set(self.data_centres.values()))
+        return f"127.0.{regions.index(region) + 1}."
+
     def _write_groups(self) -> t.Dict[str, t.Any]:
         engines = {
             f"atlas-{name}": {
@@ -109,8 +115,13 @@
             starter.start_standin("keyvalue"),
             starter.start_standin("hostlist", f"--lag={self.host_list_lag}"),
             *(
-                starter.start_standin("store", *self.store_options)
-                for _ in regions
+                starter.start_standin(
+                    "store",
+                    *self.store_options,
+                    f"--near={self._name_network(region)}",
+                    f"--far-rate={self.link_rate}",
+                )
+                for region in regions
             ),
         )
         system = launcher.System(
@@ -154,12 +165,14 @@
     ) -> None:
         """Start an engine or a plain service and list it."""
         name = f"{kind}-{data_centre}-{number}"
+        region = self.data_centres[data_centre]
         if kind == "atlas":
             child = await system.launcher.start_standin(
                 "engine",
                 f"--model={MODEL}",
                 f"--versions={VERSION}",
                 f"--cold-limit={self.cold_limit}",
+                f"--source={self._name_network(region)}1",
                 *self.engine_options,
             )
         else:
