Export new blocks at the first token of the answer

Cause: the export started after the answer had ended, when the engine may already have evicted the blocks.

Change: the gateway schedules the export with the first token, while the engine still uses the prompt's blocks. Interrupted answers are exported too.

--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -250,18 +250,12 @@
         completion: completions.Completion,
         begun: float,
     ) -> web.StreamResponse:
-        answer = _Answer(self._state, completion, begun)
+        answer = _Answer(self._state, completion, begun, self._exports)
         try:
             async with asyncio.timeout(completion.deadline.remaining()):
                 response = await answer.send(request)
         except TimeoutError:
             raise completion.build_timeout() from None
-        if completion.finished:
-            self._exports.schedule(
-                completion.engine_address,
-                completion.block_names,
-                completion.holders,
-            )
         return response
 
 
@@ -273,9 +267,11 @@
         state: states.State,
         completion: completions.Completion,
         begun: float,
+        exporter: exports.Exports,
     ) -> None:
         self._state = state
         self._completion = completion
+        self._exports = exporter
         self._form = streams.Format(
             completion.request_id,
             completion.prompt.name,
@@ -439,11 +435,19 @@
         )
 
     def _note_token(self) -> None:
-        if not self._first_token:
-            self._first_token = time.monotonic()
-            self._state.metrics.first_token.observe(
-                self._first_token - self._begun
-            )
+        if self._first_token:
+            return
+        self._first_token = time.monotonic()
+        self._state.metrics.first_token.observe(
+            self._first_token - self._begun
+        )
+        # The engine has the prompt's blocks now and may evict them once the
+        # run has ended.
+        self._exports.schedule(
+            self._completion.engine_address,
+            self._completion.block_names,
+            self._completion.holders,
+        )
 
     def _count(self) -> None:
         metrics = self._state.metrics
--- a/src/sesamefold/exports.py
+++ b/src/sesamefold/exports.py
@@ -1,4 +1,4 @@
-"""Export of new blocks to the store of the region after a run."""
+"""Export of new blocks to the store of the region during a run."""
 
 import asyncio
 import typing as t
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -194,6 +194,20 @@
         names = self.bench.control.lookups[0]
         self.assertEqual(list(names), self.bench.control.stored)
 
+    async def test_export_during_the_answer(self):
+        """Guards against blocks that are evicted before their export.
+
+        The engine hangs after the second token, so the answer does not end.
+        """
+        for engine in self.bench.engines.values():
+            engine.faults.append(gateway_fakes.Fault("hang", at=3))
+        async with self.bench.post({"stream": True}) as response:
+            self.assertEqual(200, response.status)
+            await gateway_fakes.wait_until(lambda: self.bench.control.stored)
+            self.assertFalse(response.content.at_eof())
+        names = self.bench.control.lookups[0]
+        self.assertEqual(list(names), self.bench.control.stored)
+
 
 class RefusalTest(GatewayCase):
     async def test_dependency_down(self):
