Report stored blocks to the directories of other data centres

Cause: a data centre's directory knew only the store entries that its own gateways had exported. A prompt that returned through another data centre was recomputed, and nothing was ever imported from another region.

Change: a control that gets a report sends the entries of stores to the other data centres as well, directly to the shard's owner among their listed hosts. Entries of engines stay local. Importing engines verify the entries as before.

An exported block costs one entry per other data centre on the links.

--- a/src/sesamefold/directory.py
+++ b/src/sesamefold/directory.py
@@ -279,7 +279,8 @@
 
         A part whose owner does not answer is lost; a later listing of the
         engine's blocks restores it. Of a block that is in both lists, the
-        removal is applied first.
+        removal is applied first. Entries of stores also go to the other data
+        centres, whose engines can import them.
         """
         parts: t.Dict[str, control_pb2.ReportBlocksRequest] = {}
         for field in ("removed", "stored"):
@@ -299,6 +300,8 @@
         own = parts.pop(self._peers.name, None)
         if own is not None:
             self._apply(own)
+        if not request.forwarded:
+            parts.update(self._split_remote(request.stored))
         await asyncio.gather(
             *(
                 self._call(owner, "ReportBlocks", part, REPORT_SECONDS)
@@ -307,6 +310,31 @@
         )
         return control_pb2.Empty()
 
+    def _split_remote(
+        self, stored: t.Iterable[control_pb2.BlockEntry]
+    ) -> t.Dict[str, control_pb2.ReportBlocksRequest]:
+        """Return the entries of stores by the owner in other data centres.
+
+        The owner is chosen among the listed hosts, so an entry is lost for a
+        data centre while one of its hosts is listed but down.
+        """
+        remote = self._peers.list_remote_hosts()
+        parts: t.Dict[str, control_pb2.ReportBlocksRequest] = {}
+        for entry in stored:
+            shard = _shard_of(entry.block)
+            holders = [h for h in entry.holders if h.kind == STORE]
+            if shard < 0 or not holders:
+                continue
+            for hosts in remote.values():
+                owner = rendezvous.choose_owner(f"directory/{shard}", hosts)
+                part = parts.setdefault(
+                    owner, control_pb2.ReportBlocksRequest(forwarded=True)
+                )
+                part.stored.append(
+                    control_pb2.BlockEntry(block=entry.block, holders=holders)
+                )
+        return parts
+
     def drop_holder(self, kind: str, name: str) -> None:
         """Remove an engine or a store from the entries of this control.
 
--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -171,6 +171,18 @@
         )
         return sorted({*others, *self.list_members()})
 
+    def list_remote_hosts(self) -> t.Dict[str, t.List[str]]:
+        """Return the listed entry hosts of each other data centre."""
+        remote: t.Dict[str, t.List[str]] = {}
+        for host in self._hosts.values():
+            if (
+                host.kind == "entry"
+                and host.state == "live"
+                and host.data_centre != self.data_centre
+            ):
+                remote.setdefault(host.data_centre, []).append(host.name)
+        return remote
+
     def list_hosts(self, data_centre: str) -> t.List[hostlist.Host]:
         """Return the listed entry hosts of a data centre."""
         return [
--- a/src/sesamefold/peers.py
+++ b/src/sesamefold/peers.py
@@ -16,6 +16,9 @@
     def list_entry_hosts(self) -> t.List[str]:
         """Return the live entry hosts of all data centres, this one too."""
 
+    def list_remote_hosts(self) -> t.Dict[str, t.List[str]]:
+        """Return the listed entry hosts of each other data centre."""
+
     def get_stub(self, name: str) -> control_pb2_grpc.ControlStub:
         """Return the stub of an entry host's control daemon.
 
--- a/tests/journal_fakes.py
+++ b/tests/journal_fakes.py
@@ -146,13 +146,15 @@
     """Controls that call each other.
 
     A method is keyed as (host, method). `names` are the hosts that run and
-    the default view of each; `views` overrides what one host sees.
+    the default view of each; `views` overrides what one host sees. `remote`
+    maps a host to the hosts of other data centres that it sees.
     """
 
     def __init__(self, names):
         super().__init__()
         self.names = list(names)
         self.views = {}
+        self.remote = {}
         self._handlers = {}
         self._late = set()
 
@@ -210,6 +212,9 @@
 
     list_entry_hosts = list_members
 
+    def list_remote_hosts(self):
+        return self._network.remote.get(self.name, {})
+
     def get_stub(self, name):
         if name not in self._network.names:
             raise exceptions.ControlUnavailable(f"{name} is not known")
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -72,6 +72,35 @@
         self.assertEqual({1, 2}, set(self.network.calls.values()))
         self.assertEqual(8, sum(self.network.calls.values()))
 
+    async def test_other_data_centres(self):
+        """Guards against stored blocks that only one data centre finds.
+
+        Engines of other data centres are no use to a data centre, and a
+        report must not return to where it came from.
+        """
+        self.network.names = list("abcdef")
+        local, remote = list("abc"), list("def")
+        for name in local + remote:
+            own, other = local, remote
+            if name in remote:
+                own, other = remote, local
+                self.directories[name] = self.start(name)
+            self.network.views[name] = own
+            self.network.remote[name] = {"other": other}
+        stored = make_store("g1")
+        await self.report(BLOCKS, make_engine(), stored)
+        for name in remote:
+            found = await self.lookup(name, BLOCKS)
+            self.assertEqual({b: [stored] for b in BLOCKS}, found)
+        for name in local:
+            found = await self.lookup(name, BLOCKS)
+            self.assertEqual(
+                {b: [make_engine(), stored] for b in BLOCKS}, found
+            )
+        self.network.calls.clear()
+        await self.report(BLOCKS[:1], make_engine())
+        self.assertLessEqual(sum(self.network.calls.values()), 1)
+
     async def test_shards_that_do_not_answer(self):
         """Guards against a lookup that fails or waits for a lost shard."""
         await self.report(BLOCKS, make_engine())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -163,6 +163,7 @@
         out = control_fakes.make_host("y", data_centre="dd", state="leaving")
         self.membership.apply_listing(hostlist.Listing(1, (other, out)))
         self.assertEqual(["a", "x"], self.membership.list_entry_hosts())
+        self.assertEqual({"dd": ["x"]}, self.membership.list_remote_hosts())
         with self.assertRaises(exceptions.ControlUnavailable):
             self.membership.get_stub("z")
 
