--- a/src/sesamefold/answers.py
+++ b/src/sesamefold/answers.py
@@ -12,6 +12,7 @@
 from sesamefold import defaults
 from sesamefold import engines
 from sesamefold import exceptions
+from sesamefold import exports
 from sesamefold import forwarding
 from sesamefold import state as states
 from sesamefold import streams
@@ -29,9 +30,11 @@
         state: states.State,
         completion: completions.Completion,
         begun: float,
+        exporter: exports.Exports,
     ) -> None:
         self._state = state
         self._completion = completion
+        self._exports = exporter
         self._form = streams.Format(
             completion.request_id,
             completion.prompt.name,
@@ -195,11 +198,19 @@
         )
 
     def _note_token(self) -> None:
-        if not self._first_token:
-            self._first_token = time.monotonic()
-            self._state.metrics.first_token.observe(
-                self._first_token - self._begun
-            )
+        if self._first_token:
+            return
+        self._first_token = time.monotonic()
+        self._state.metrics.first_token.observe(
+            self._first_token - self._begun
+        )
+        # The engine has the prompt's blocks now and may evict them once the
+        # run has ended.
+        self._exports.schedule(
+            self._completion.engine_address,
+            self._completion.block_names,
+            self._completion.holders,
+        )
 
     def _count(self) -> None:
         metrics = self._state.metrics
--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -245,18 +245,12 @@
         completion: completions.Completion,
         begun: float,
     ) -> web.StreamResponse:
-        answer = answers.Answer(self._state, completion, begun)
+        answer = answers.Answer(self._state, completion, begun, self._exports)
         try:
             async with asyncio.timeout(completion.deadline.remaining()):
                 response = await answer.send(request)
         except TimeoutError:
             raise completion.build_timeout() from None
-        if completion.finished:
-            self._exports.schedule(
-                completion.engine_address,
-                completion.block_names,
-                completion.holders,
-            )
         return response
 
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -362,3 +362,21 @@
             self.assertEqual(before, after)
         finally:
             frozen.control.send_signal(signal.SIGCONT)
+
+
+class LeavingServerTest(SystemTest):
+    topology = topology.Topology(
+        data_centres={"north-1": "north"}, engines=3, services=0
+    )
+
+    async def test_server_listed_as_leaving(self):
+        """Guards against new work for a leaving server."""
+        await topology.list_backend(
+            self.system, "atlas-north-1-1", state="leaving"
+        )
+        await asyncio.sleep(OUT_SECONDS)
+        before = await self.sum_counter("atlas-north-1-1", "runs")
+        for index in range(12):
+            await self.send_checked(self.hosts[index % 2], self.make_prompt())
+        after = await self.sum_counter("atlas-north-1-1", "runs")
+        self.assertEqual(before, after)
