Share crashes of requests within the data centre

A request that crashes servers and is sent again through each gateway lost two servers per gateway, because each gateway counted only its own crashes.

Gateways report the digest of the requests in flight at a crash to their control. The controls merge the records and send them to the members with urgent heartbeats, and to the gateways with WatchBackends; a host that starts late gets all of them. A suspect that completes is cleared everywhere. Records expire after 600 s; at most 2,000 requests with 4 crashes each are kept. Hosts that start together did not know each other for up to 2 s, so a host now polls the host list each 0.25 s until it is listed.

--- a/src/sesamefold/backends.py
+++ b/src/sesamefold/backends.py
@@ -22,6 +22,7 @@
 from sesamefold import membership as memberships
 from sesamefold import notification
 from sesamefold import rendezvous
+from sesamefold import suspicions as suspicions_module
 from sesamefold.wire import control_pb2
 
 _log = logbook.Logger("backends")
@@ -149,6 +150,9 @@
         self._polls: t.Dict[str, Poll] = {}
         self._tasks: t.Dict[str, t.Tuple[str, asyncio.Task]] = {}
         self._number = 0
+        self._suspicions = suspicions_module.Suspicions(
+            count_change=self._count_change, clock=clock
+        )
         # Owners by server, valid for one set of members.
         self._members: t.Tuple[str, ...] = ()
         self._owners: t.Dict[str, t.Optional[str]] = {}
@@ -187,6 +191,7 @@
     async def watch(self) -> t.AsyncIterator[control_pb2.BackendStates]:
         """Yield all states, then changes."""
         sent: t.Dict[str, control_pb2.BackendState] = {}
+        number = 0  # of the last change that was looked at
         full = True
         while True:
             event = self.changed.event
@@ -199,9 +204,14 @@
             ]
             removed = sorted(sent.keys() - now.keys())
             sent = now
-            if full or states or removed:
+            suspicions = self._suspicions.collect(number)
+            number = self._number
+            if full or states or removed or suspicions:
                 yield control_pb2.BackendStates(
-                    full=full, states=states, removed=removed
+                    full=full,
+                    states=states,
+                    removed=removed,
+                    suspicions=suspicions,
                 )
                 full = False
             worse = self._worse.event
@@ -241,6 +251,26 @@
         except (grpc.RpcError, exceptions.ControlUnavailable) as error:
             _log.warning("{} took no failure report: {!r}", owner, error)
 
+    def report_suspicions(
+        self, suspicions: t.Iterable[control_pb2.Suspicion]
+    ) -> None:
+        """Take in suspicions of the own gateway and tell the members.
+
+        With the next regular heartbeat, the caller of a crash-causing request
+        could send it through another gateway that doesn't know the crash.
+        """
+        if self._merge_suspicions(suspicions):
+            self._membership.send_now()
+
+    def _merge_suspicions(
+        self, suspicions: t.Iterable[control_pb2.Suspicion]
+    ) -> bool:
+        changed = self._suspicions.merge(suspicions)
+        if changed:
+            self.changed.notify()
+            self._worse.notify()
+        return changed
+
     # Exchange with the members.
 
     def collect(
@@ -257,6 +287,23 @@
             and record.number > after
         ], self._number
 
+    def collect_suspicions(
+        self, peer: str, incarnation: str
+    ) -> t.List[control_pb2.Suspicion]:
+        """Return the suspicions that a peer lacks.
+
+        Those of other hosts are included: a host that starts late gets them
+        even if the gateways that saw the crashes are gone.
+        """
+        known, number = self._confirmed.get(peer, ("", 0))
+        return self._suspicions.collect(number if known == incarnation else 0)
+
+    def receive_suspicions(
+        self, suspicions: t.Iterable[control_pb2.Suspicion]
+    ) -> None:
+        """Take in suspicions that a member sent."""
+        self._merge_suspicions(suspicions)
+
     def confirm(self, peer: str, incarnation: str, mark: int) -> None:
         """Note that a peer has received what `collect` returned.
 
@@ -359,8 +406,11 @@
             self.changed.notify()
 
     def _note_change(self, record: Record) -> None:
+        record.number = self._count_change()
+
+    def _count_change(self) -> int:
         self._number += 1
-        record.number = self._number
+        return self._number
 
     def _publish(
         self, record: Record, state: control_pb2.BackendState
--- a/src/sesamefold/client.py
+++ b/src/sesamefold/client.py
@@ -243,3 +243,11 @@
     ) -> None:
         """Report that a backend server failed."""
         await self._call(self.stub.ReportFailure, request, deadline)
+
+    async def report_suspicions(
+        self,
+        request: control_pb2.ReportSuspicionsRequest,
+        deadline: t.Optional[deadlines.Deadline] = None,
+    ) -> None:
+        """Report requests that were in flight at crashes."""
+        await self._call(self.stub.ReportSuspicions, request, deadline)
--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -218,7 +218,10 @@
                 raise self.state_executed(error) from error
             try:
                 guard = await self.state.quarantine.start(
-                    self.identity, place.backend.name, self.deadline
+                    self.identity,
+                    place.backend.name,
+                    self.deadline,
+                    place.backend.epoch,
                 )
             except BaseException:
                 self.places.release(place)
--- a/src/sesamefold/control.py
+++ b/src/sesamefold/control.py
@@ -138,6 +138,11 @@
         )
         return control_pb2.Empty()
 
+    @_serve
+    async def ReportSuspicions(self, request, context):
+        self._control.backends.report_suspicions(request.suspicions)
+        return control_pb2.Empty()
+
     async def _delegate(self, part, method, request, context):
         target = self._control.parts.get(part)
         if target is None:
--- a/src/sesamefold/defaults.py
+++ b/src/sesamefold/defaults.py
@@ -71,5 +71,12 @@
 DIRECTORY_LOOKUP_SECONDS = 0.02
 DIRECTORY_RESYNC_INTERVAL = 10.0
 
+# Requests that were in flight at crashes: time that a crash counts against
+# a request, seconds; most requests that a process keeps, and most crashes of
+# each. The largest set is about 0.3 MB as a message.
+QUARANTINE_SECONDS = 600.0
+QUARANTINE_REQUESTS = 2000
+QUARANTINE_CRASHES = 4
+
 # Share of successful requests that may be retried.
 RETRY_BUDGET = 0.1
--- a/src/sesamefold/gateway.py
+++ b/src/sesamefold/gateway.py
@@ -238,6 +238,11 @@
     def _apply_backends(self, message: control_pb2.BackendStates) -> None:
         if message.full:
             self.gateway_state.backends.clear()
+            # The control may have restarted or missed reports meanwhile.
+            known = self.gateway_state.quarantine.collect()
+            if known:
+                self.gateway_state.report_suspicions(known)
+        self.gateway_state.quarantine.merge(message.suspicions)
         for backend in message.states:
             self.gateway_state.backends[backend.name] = backend
         for name in message.removed:
--- a/src/sesamefold/limits.py
+++ b/src/sesamefold/limits.py
@@ -12,6 +12,8 @@
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import exceptions
+from sesamefold import suspicions
+from sesamefold.wire import control_pb2
 
 # Queueing delay at a backend server above which its limit is lowered,
 # seconds. The target for the first token is 0.72 s, and computing the prompt
@@ -35,10 +37,6 @@
 RETRY_RESERVE = 3.0
 RETRY_SAVINGS = 20.0
 
-# Time that a suspicion or a verdict lasts, seconds.
-QUARANTINE_SECONDS = 600.0
-QUARANTINE_REQUESTS = 10_000
-
 Slot = t.TypeVar("Slot")
 
 
@@ -395,16 +393,13 @@
 
     identity: Identity
     server: str
+    epoch: str = ""
+    # The crashes of the request that were known when the run began.
+    known: t.Tuple[bytes, ...] = ()
     alone: bool = False
     ended: bool = False
 
 
-@attrs.define
-class _Suspicion:
-    crashes: int
-    until: float  # Unix seconds
-
-
 class Quarantine:
     """Keeps a request that crashes backend servers away from them.
 
@@ -414,21 +409,33 @@
     completes is cleared. A request that was in flight at two crashes is
     refused until its verdict expires.
 
+    The gateways of a data centre share the crashes through their controls:
+    `report` gets each change, and `merge` takes in those of the others. So a
+    request that is sent again after each failure loses two servers, through
+    whichever gateways it comes. Attempts that overlap in time may lose more:
+    one server for each attempt that began before the first crash was known
+    at its gateway, and one for each gateway whose suspect began before the
+    second crash was known there. Suspects run one at a time per gateway, not
+    per data centre: with G gateways at most G of them run at once, and two
+    of them may be on one server.
+
     `clock` returns Unix seconds.
     """
 
     def __init__(
         self,
         *,
-        seconds: float = QUARANTINE_SECONDS,
-        capacity: int = QUARANTINE_REQUESTS,
+        seconds: float = defaults.QUARANTINE_SECONDS,
+        capacity: int = defaults.QUARANTINE_REQUESTS,
+        report: t.Callable[
+            [t.List[control_pb2.Suspicion]], None
+        ] = lambda _: None,
         clock: t.Callable[[], float] = time.time,
     ) -> None:
-        self._seconds = seconds
-        self._capacity = capacity
+        self.report = report
         self._clock = clock
-        self._suspicions: "collections.OrderedDict[Identity, _Suspicion]" = (
-            collections.OrderedDict()
+        self._suspicions = suspicions.Suspicions(
+            seconds=seconds, capacity=capacity, clock=clock
         )
         self._runs: t.Dict[str, t.Set[Run]] = {}
         # Servers that a suspect uses or waits for.
@@ -438,13 +445,19 @@
 
     def count_crashes(self, identity: Identity) -> int:
         """Return at how many crashes a request was in flight."""
-        suspicion = self._suspicions.get(identity)
-        if suspicion is None:
-            return 0
-        if suspicion.until <= self._clock():
-            del self._suspicions[identity]
-            return 0
-        return suspicion.crashes
+        return len(self._list_crashes(identity))
+
+    def _list_crashes(self, identity: Identity) -> t.Tuple[bytes, ...]:
+        digest = suspicions.digest_request(*identity)
+        return self._suspicions.list_crashes(digest)
+
+    def merge(self, changes: t.Iterable[control_pb2.Suspicion]) -> None:
+        """Take in the crashes that other gateways saw."""
+        self._suspicions.merge(changes)
+
+    def collect(self) -> t.List[control_pb2.Suspicion]:
+        """Return all that is known, for a control that may have lost it."""
+        return self._suspicions.collect()
 
     def check(self, identity: Identity) -> None:
         """Raise `exceptions.RequestQuarantined` for a refused request."""
@@ -458,6 +471,7 @@
         identity: Identity,
         server: str,
         deadline: deadlines.Deadline,
+        epoch: str = "",
     ) -> t.Optional[Run]:
         """Register a run; return None while a suspect has the server.
 
@@ -467,17 +481,21 @@
         """
         self.check(identity)
         if self.count_crashes(identity):
-            return await self._start_alone(identity, server, deadline)
+            return await self._start_alone(identity, server, deadline, epoch)
         if server in self._reserved:
             return None
-        return self._add_run(Run(identity, server))
+        return self._add_run(Run(identity, server, epoch))
 
     def finish(self, run: Run, completed: bool) -> None:
-        """End a run; a suspect that completed is cleared."""
+        """End a run; a suspect that completed is cleared.
+
+        It is cleared of the crashes from before the run.
+        """
         if run.ended:
             return
-        if completed:
-            self._suspicions.pop(run.identity, None)
+        if completed and run.known:
+            digest = suspicions.digest_request(*run.identity)
+            self.report([self._suspicions.dismiss(digest, run.known)])
         self._end(run)
 
     def report_crash(self, run: Run) -> None:
@@ -491,13 +509,16 @@
     def report_restart(self, server: str) -> None:
         """Report that a server crashed with all runs that are on it."""
         runs = list(self._runs.get(server, ()))
-        until = self._clock() + self._seconds
-        for identity in {run.identity for run in runs}:
-            crashes = self.count_crashes(identity) + 1
-            self._suspicions[identity] = _Suspicion(crashes, until)
-            self._suspicions.move_to_end(identity)
-        while len(self._suspicions) > self._capacity:
-            self._suspicions.popitem(last=False)
+        first = {run.identity: run for run in reversed(runs)}
+        changes = [
+            self._suspicions.add(
+                suspicions.digest_request(*identity),
+                suspicions.name_crash(server, run.epoch, run.known),
+            )
+            for identity, run in first.items()
+        ]
+        if changes:
+            self.report(changes)
         for run in runs:
             self._end(run)
 
@@ -506,6 +527,7 @@
         identity: Identity,
         server: str,
         deadline: deadlines.Deadline,
+        epoch: str,
     ) -> Run:
         try:
             async with asyncio.timeout(deadline.remaining(self._clock())):
@@ -518,7 +540,10 @@
                     # Another copy of the request may have crashed a server
                     # while this one waited.
                     self.check(identity)
-                    return self._add_run(Run(identity, server, alone=True))
+                    known = self._list_crashes(identity)
+                    return self._add_run(
+                        Run(identity, server, epoch, known, alone=True)
+                    )
                 except BaseException:
                     self._reserved.discard(server)
                     self._turn.release()
--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -40,6 +40,12 @@
 # The host of a pair that answers waits this long before it calls, seconds.
 _PATIENCE_SECONDS = 1.5 * defaults.HEARTBEAT_INTERVAL
 
+# Until this host is listed, the list is polled this often, seconds. Hosts that
+# start together don't know each other before, and share no crashes. The later
+# listed host of a pair finds the other one and calls it.
+_UNLISTED_INTERVAL = 0.25
+_UNLISTED_SECONDS = 10.0
+
 # How long the last heartbeat of a leaving host may take, seconds.
 _FAREWELL_SECONDS = 1.0
 
@@ -71,6 +77,11 @@
     ) -> t.Tuple[t.List[control_pb2.BackendState], int]:
         """Return the states that a peer lacks, and a mark for `confirm`."""
 
+    def collect_suspicions(
+        self, peer: str, incarnation: str
+    ) -> t.List[control_pb2.Suspicion]:
+        """Return the suspicions that a peer lacks, up to the same mark."""
+
     def confirm(self, peer: str, incarnation: str, mark: int) -> None:
         """Note that a peer has received what `collect` returned."""
 
@@ -82,6 +93,11 @@
     ) -> None:
         """Take in states that a peer sent at an instant."""
 
+    def receive_suspicions(
+        self, suspicions: t.Iterable[control_pb2.Suspicion]
+    ) -> None:
+        """Take in suspicions that a peer sent."""
+
 
 class Membership(mode.Service):
     """Knows the entry hosts; implements `peers.Peers`.
@@ -277,6 +293,7 @@
 
     @mode.Service.task
     async def _poll_host_list(self) -> None:
+        fast_until = time.monotonic() + _UNLISTED_SECONDS
         while not self.should_stop:
             try:
                 listing = await self._host_list.fetch(
@@ -292,9 +309,12 @@
                     self.apply_listing(listing)
             except exceptions.PlatformError as error:
                 _log.warning("the host list did not answer: {}", error)
-            await self.sleep(
-                defaults.HOST_LIST_INTERVAL * self._random.uniform(0.8, 1.2)
+            fast = self.name not in self._hosts
+            fast = fast and time.monotonic() < fast_until
+            interval = (
+                _UNLISTED_INTERVAL if fast else defaults.HOST_LIST_INTERVAL
             )
+            await self.sleep(interval * self._random.uniform(0.8, 1.2))
 
     # Heartbeats.
 
@@ -319,11 +339,14 @@
                     request.states,
                     min(request.deadline - defaults.HEARTBEAT_TIMEOUT, now),
                 )
+                self.reports.receive_suspicions(request.suspicions)
                 if request.received_from == self.member.incarnation:
                     self.reports.confirm(
                         sender.name, sender.incarnation, request.received_mark
                     )
-        states, mark = self._collect(sender.name, sender.incarnation)
+        states, suspicions, mark = self._collect(
+            sender.name, sender.incarnation
+        )
         return control_pb2.HeartbeatReply(
             receiver=control_pb2.Member(
                 name=self.name,
@@ -335,14 +358,19 @@
             states=states,
             platform_down=self.is_platform_down(),
             mark=mark,
+            suspicions=suspicions,
         )
 
     def _collect(
         self, name: str, incarnation: str
-    ) -> t.Tuple[t.List[control_pb2.BackendState], int]:
+    ) -> t.Tuple[
+        t.List[control_pb2.BackendState], t.List[control_pb2.Suspicion], int
+    ]:
         if self.reports is None or name not in self._peers:
-            return [], 0
-        return self.reports.collect(name, incarnation)
+            return [], [], 0
+        states, mark = self.reports.collect(name, incarnation)
+        suspicions = self.reports.collect_suspicions(name, incarnation)
+        return states, suspicions, mark
 
     def _hear(
         self,
@@ -423,7 +451,7 @@
         peer = self._peers[name]
         stub = self.get_stub(name)
         incarnation, received_mark = peer.received
-        states, mark = self._collect(name, peer.member.incarnation)
+        states, suspicions, mark = self._collect(name, peer.member.incarnation)
         sent_at = self._clock()
         reply = await stub.Heartbeat(
             control_pb2.HeartbeatRequest(
@@ -434,6 +462,7 @@
                 platform_down=self.is_platform_down(),
                 received_mark=received_mark,
                 received_from=incarnation,
+                suspicions=suspicions,
             ),
             timeout=seconds,
         )
@@ -451,6 +480,7 @@
         if self.reports is not None:
             self.reports.confirm(name, receiver.incarnation, mark)
             self.reports.receive(receiver, reply.states, sent_at)
+            self.reports.receive_suspicions(reply.suspicions)
             peer.received = (receiver.incarnation, reply.mark)
 
     def send_now(self) -> None:
--- a/src/sesamefold/state.py
+++ b/src/sesamefold/state.py
@@ -75,6 +75,16 @@
     tasks: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
     calls: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
 
+    def __attrs_post_init__(self) -> None:
+        self.quarantine.report = self.report_suspicions
+
+    def report_suspicions(
+        self, suspicions: t.List[control_pb2.Suspicion]
+    ) -> None:
+        """Tell the control of requests that were in flight at crashes."""
+        report = control_pb2.ReportSuspicionsRequest(suspicions=suspicions)
+        self.spawn(self.call_quietly(self.stub.ReportSuspicions, report, 1.0))
+
     def is_in_service(self) -> bool:
         """Tell whether this data centre takes new work."""
         return self.configuration.is_in_service(self.settings.data_centre)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,6 +5,7 @@
 import random
 
 from sesamefold import deadline as deadlines
+from sesamefold import defaults
 from sesamefold import exceptions
 from sesamefold import limits
 from tests import journal_fakes
@@ -307,7 +308,7 @@
         with self.assertRaises(exceptions.RequestQuarantined):
             await self.start("x", "e2")
         self.assertIsNotNone(await self.start("x", "e2", customer="globex"))
-        await asyncio.sleep(limits.QUARANTINE_SECONDS)
+        await asyncio.sleep(defaults.QUARANTINE_SECONDS)
         self.assertIsNotNone(await self.start("x", "e2"))
 
     async def test_incomplete_run_stays_suspect(self):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -339,3 +339,48 @@
                 continue
             return version
         return self.fail("an answer of neither version")
+
+
+class CrashingRequestTest(SystemTest):
+    topology = topology.Topology(
+        data_centres={"north-1": "north"}, engines=3, services=0
+    )
+
+    async def test_request_that_crashes_its_servers(self):
+        """Guards against the loss of all servers to one request.
+
+        Its caller sends it again through each gateway in turn. Another
+        customer's prompts beside it are answered, and not refused for the
+        crashes.
+        """
+        for engine in self.system.backends.values():
+            await self.system.inject_fault(engine, crash_words=["poison"])
+        prompt = topology.Prompt("ada", "poison " * 50)
+        stop = asyncio.Event()
+        answered = []
+
+        async def send_others(host):
+            while not stop.is_set():
+                other = self.make_prompt(100, 8, customer="bela")
+                await self.send_checked(host, other)
+                answered.append(host.name)
+                await asyncio.sleep(0.05)
+
+        others = [
+            asyncio.create_task(send_others(host)) for host in self.hosts
+        ]
+        codes = []
+        for index in range(6):
+            try:
+                await self.send(self.hosts[index % 2], prompt)
+            except caller.CallError as error:
+                codes.append(error.error["code"])
+            except aiohttp.ClientError as error:
+                codes.append(repr(error))
+            await asyncio.sleep(0.5)
+        stop.set()
+        await asyncio.gather(*others)
+        crashes = await self.sum_counter("atlas", "crashes_by_word")
+        self.assertLessEqual(crashes, 2, codes)
+        self.assertEqual(1209, codes[-1], codes)
+        self.assertEqual(2, len(set(answered)))
