--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -40,6 +40,15 @@
 # The host of a pair that answers waits this long before it calls, seconds.
 _PATIENCE_SECONDS = 1.5 * defaults.HEARTBEAT_INTERVAL
 
+# Until this host is listed, the list is polled this often, seconds. Hosts that
+# start together don't know each other before, and share no crashes. The later
+# listed host of a pair finds the other one and calls it.
+_UNLISTED_INTERVAL = 0.25
+_UNLISTED_SECONDS = 10.0
+
+# Pause before an urgent heartbeat that failed is sent again, seconds.
+_RETRY_SECONDS = 0.2
+
 # How long the last heartbeat of a leaving host may take, seconds.
 _FAREWELL_SECONDS = 1.0
 
@@ -71,6 +80,11 @@
     ) -> t.Tuple[t.List[control_pb2.BackendState], int]:
         """Return the states that a peer lacks, and a mark for `confirm`."""
 
+    def collect_suspicions(
+        self, peer: str, incarnation: str
+    ) -> t.List[control_pb2.Suspicion]:
+        """Return the suspicions that a peer lacks, up to the same mark."""
+
     def confirm(self, peer: str, incarnation: str, mark: int) -> None:
         """Note that a peer has received what `collect` returned."""
 
@@ -82,6 +96,11 @@
     ) -> None:
         """Take in states that a peer sent at an instant."""
 
+    def receive_suspicions(
+        self, suspicions: t.Iterable[control_pb2.Suspicion]
+    ) -> None:
+        """Take in suspicions that a peer sent."""
+
 
 class Membership(mode.Service):
     """Knows the entry hosts; implements `peers.Peers`.
@@ -218,6 +237,14 @@
         """Return what is known of the other hosts of the data centre."""
         return dict(self._peers)
 
+    def has_heard_members(self) -> bool:
+        """Tell whether all members have sent or answered a heartbeat."""
+        return self.listed and all(
+            peer.heard or peer.member.leaving
+            for peer in self._peers.values()
+            if self.is_alive(peer)
+        )
+
     def is_alive(self, peer: Peer) -> bool:
         """Tell whether a peer's deadline has not passed."""
         return peer.deadline > self._clock()
@@ -289,6 +316,7 @@
 
     @mode.Service.task
     async def _poll_host_list(self) -> None:
+        fast_until = time.monotonic() + _UNLISTED_SECONDS
         while not self.should_stop:
             try:
                 listing = await self._host_list.fetch(
@@ -304,9 +332,12 @@
                     self.apply_listing(listing)
             except exceptions.PlatformError as error:
                 _log.warning("the host list did not answer: {}", error)
-            await self.sleep(
-                defaults.HOST_LIST_INTERVAL * self._random.uniform(0.8, 1.2)
+            fast = self.name not in self._hosts
+            fast = fast and time.monotonic() < fast_until
+            interval = (
+                _UNLISTED_INTERVAL if fast else defaults.HOST_LIST_INTERVAL
             )
+            await self.sleep(interval * self._random.uniform(0.8, 1.2))
 
     # Heartbeats.
 
@@ -331,11 +362,14 @@
                     request.states,
                     min(request.deadline - defaults.HEARTBEAT_TIMEOUT, now),
                 )
+                self.reports.receive_suspicions(request.suspicions)
                 if request.received_from == self.member.incarnation:
                     self.reports.confirm(
                         sender.name, sender.incarnation, request.received_mark
                     )
-        states, mark = self._collect(sender.name, sender.incarnation)
+        states, suspicions, mark = self._collect(
+            sender.name, sender.incarnation
+        )
         return control_pb2.HeartbeatReply(
             receiver=control_pb2.Member(
                 name=self.name,
@@ -347,14 +381,19 @@
             states=states,
             platform_down=self.is_platform_down(),
             mark=mark,
+            suspicions=suspicions,
         )
 
     def _collect(
         self, name: str, incarnation: str
-    ) -> t.Tuple[t.List[control_pb2.BackendState], int]:
+    ) -> t.Tuple[
+        t.List[control_pb2.BackendState], t.List[control_pb2.Suspicion], int
+    ]:
         if self.reports is None or name not in self._peers:
-            return [], 0
-        return self.reports.collect(name, incarnation)
+            return [], [], 0
+        states, mark = self.reports.collect(name, incarnation)
+        suspicions = self.reports.collect_suspicions(name, incarnation)
+        return states, suspicions, mark
 
     def _hear(
         self,
@@ -407,6 +446,7 @@
         hurry = False
         while not self.should_stop and name in self._peers:
             urgent = self._urgent.event
+            again = False
             try:
                 if hurry or self._has_to_call(name):
                     await self._send_heartbeat(
@@ -415,10 +455,13 @@
                     _heartbeats.labels("answered").inc()
             except (grpc.RpcError, exceptions.ControlUnavailable):
                 _heartbeats.labels("failed").inc()
-            hurry = await notification.wait(
-                urgent,
-                defaults.HEARTBEAT_INTERVAL * self._random.uniform(0.9, 1.1),
+                peer = self._peers.get(name)
+                again = hurry and peer is not None and self.is_alive(peer)
+            interval = _RETRY_SECONDS if again else defaults.HEARTBEAT_INTERVAL
+            woken = await notification.wait(
+                urgent, interval * self._random.uniform(0.9, 1.1)
             )
+            hurry = woken or again
 
     def _has_to_call(self, name: str) -> bool:
         """Tell whether this host of a pair calls the other one.
@@ -435,7 +478,7 @@
         peer = self._peers[name]
         stub = self.get_stub(name)
         incarnation, received_mark = peer.received
-        states, mark = self._collect(name, peer.member.incarnation)
+        states, suspicions, mark = self._collect(name, peer.member.incarnation)
         sent_at = self._clock()
         reply = await stub.Heartbeat(
             control_pb2.HeartbeatRequest(
@@ -446,6 +489,7 @@
                 platform_down=self.is_platform_down(),
                 received_mark=received_mark,
                 received_from=incarnation,
+                suspicions=suspicions,
             ),
             timeout=seconds,
         )
@@ -463,6 +507,7 @@
         if self.reports is not None:
             self.reports.confirm(name, receiver.incarnation, mark)
             self.reports.receive(receiver, reply.states, sent_at)
+            self.reports.receive_suspicions(reply.suspicions)
             peer.received = (receiver.incarnation, reply.mark)
 
     def send_now(self) -> None:
