--- a/src/sesamefold/calls.py
+++ b/src/sesamefold/calls.py
@@ -136,7 +136,6 @@
         if call.is_repeatable():
             return await self._run_repeatable(call)
         check_key(call.key)
-        self._choose_backend(call, ())
         # The outcome is recorded even if the caller goes away.
         task = self._state.spawn_call(self._run_once(call))
         return await asyncio.shield(task)
