Cut the operator's text at pairs of lines

Cause: a line that all customers share, whose hash is a cut, made one chunk per customer; with 19,000 of them the list of chunks exceeded 1 MB and the edit was refused.

Change: the hash covers a line and the one before it.

--- a/src/sesamefold/revisions.py
+++ b/src/sesamefold/revisions.py
@@ -210,15 +210,21 @@
 
 
 def split_text(text: str) -> t.Iterator[bytes]:
-    """Yield the UTF-8 of a text in runs of lines, cut by their hash."""
+    """Yield the UTF-8 of a text in runs of lines, cut by their hash.
+
+    The hash covers a line and the one before it: a line that every customer
+    has, such as an equal share, would else cut at all of its places.
+    """
     run: t.List[bytes] = []
     size = 0
+    before = 0
     for line in text.encode().splitlines(keepends=True):
         for start in range(0, len(line), MAX_TEXT_RUN_BYTES):
             part = line[start : start + MAX_TEXT_RUN_BYTES]
             run.append(part)
             size += len(part)
-            boundary = zlib.crc32(part) % LINES_PER_CHUNK == 0
+            boundary = zlib.crc32(part, before) % LINES_PER_CHUNK == 0
+            before = zlib.crc32(part)
             if boundary or size >= MAX_TEXT_RUN_BYTES:
                 yield b"".join(run)
                 run, size = [], 0
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import itertools
 import typing as t
 import unittest
 from unittest import mock
+import zlib
 
 from sesamefold import audit
 from sesamefold import configuration
@@ -164,6 +166,23 @@
             head.audit[-1]["changes"],
         )
 
+    def test_repeated_lines_do_not_cut_the_text(self) -> None:
+        """Guards against a chunk per customer when all have one line.
+
+        19,000 of them made the list of chunks larger than a value may be.
+        """
+        share = next(
+            f"    share: {number}"
+            for number in itertools.count(1)
+            if zlib.crc32(f"    share: {number}\n".encode())
+            % revisions.LINES_PER_CHUNK
+            == 0
+        )
+        text = "".join(f"  c{n}:\n{share}\n" for n in range(5000))
+        chunks = list(revisions.split_text(text))
+        self.assertEqual(text.encode(), b"".join(chunks))
+        self.assertLess(len(chunks), 5000 // 8)
+
     async def test_lost_answers_are_settled(self) -> None:
         """Guards against an edit that is reported wrongly or made twice."""
         for name, script in (
