--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -14,9 +14,9 @@
 from sesamefold import engines
 from sesamefold import exceptions
 from sesamefold import handles
-from sesamefold import limits
 from sesamefold import lookups
 from sesamefold import prompts
+from sesamefold import quarantine as quarantines
 from sesamefold import routing
 from sesamefold import runs
 from sesamefold import state as states
@@ -71,13 +71,12 @@
     engine_address: str = ""
     origin: streams.Origin = attrs.field(init=False)
     verifier: streams.Verifier = attrs.field(init=False)
-    identity: limits.Identity = attrs.field(init=False)
+    identity: quarantines.Identity = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         dropped = self.state.metrics.events
-        self.identity = (
-            self.customer.name,
-            bytes.fromhex(self.body_sha256),
+        self.identity = quarantines.make_identity(
+            self.customer.name, self.body_sha256
         )
         self.origin = streams.Origin(self.state.settings.data_centre)
         self.verifier = streams.Verifier(
@@ -185,7 +184,7 @@
 
     async def _acquire_place(
         self,
-    ) -> t.Tuple[admission.Place, limits.Run]:
+    ) -> t.Tuple[admission.Place, quarantines.Run]:
         """Return a place, and the registration of the run on its server.
 
         A server on which a suspect request runs is left to it.
@@ -418,7 +417,7 @@
     async def _record_failure(
         self,
         place: admission.Place,
-        guard: limits.Run,
+        guard: quarantines.Run,
         run: runs.Run,
         error: exceptions.BackendFailed,
     ) -> None:
--- a/src/sesamefold/state.py
+++ b/src/sesamefold/state.py
@@ -21,6 +21,7 @@
 from sesamefold import failover
 from sesamefold import limits
 from sesamefold import metrics as metrics_module
+from sesamefold import quarantine as quarantines
 from sesamefold import routing
 from sesamefold import settings as settings_module
 from sesamefold.wire import control_pb2
@@ -73,7 +74,9 @@
     members: int = 1
     leaving: bool = False
     retries: limits.RetryBudget = attrs.field(factory=limits.RetryBudget)
-    quarantine: limits.Quarantine = attrs.field(factory=limits.Quarantine)
+    quarantine: quarantines.Quarantine = attrs.field(
+        factory=quarantines.Quarantine
+    )
     tasks: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
     calls: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import collections
+import hashlib
 import random
 
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import exceptions
 from sesamefold import limits
+from sesamefold import quarantine as quarantines
 from tests import journal_fakes
 
 RUN_SECONDS = 0.1
@@ -207,12 +209,19 @@
                 self.assertEqual(expected, retries)
 
 
+def make_identity(customer, name):
+    digest = hashlib.sha256(name.encode()).hexdigest()
+    return quarantines.make_identity(customer, digest)
+
+
 class QuarantineTest(journal_fakes.VirtualTimeTestCase):
     async def asyncSetUp(self):
-        self.quarantine = limits.Quarantine(clock=journal_fakes.read_clock)
+        self.quarantine = quarantines.Quarantine(
+            clock=journal_fakes.read_clock
+        )
 
     async def start(self, name, server, seconds=5.0, customer="acme"):
-        identity = limits.identify_request(customer, name.encode())
+        identity = make_identity(customer, name)
         return await self.quarantine.start(identity, server, after(seconds))
 
     async def crash(self, name, server):
@@ -292,7 +301,7 @@
 
     async def test_capacity(self):
         """Guards against memory that grows with each crash."""
-        self.quarantine = limits.Quarantine(
+        self.quarantine = quarantines.Quarantine(
             capacity=2, clock=journal_fakes.read_clock
         )
         for name in "xyz":
@@ -323,13 +332,14 @@
 class SharedQuarantineTest(journal_fakes.VirtualTimeTestCase):
     async def asyncSetUp(self):
         self.first, self.second = (
-            limits.Quarantine(clock=journal_fakes.read_clock) for _ in range(2)
+            quarantines.Quarantine(clock=journal_fakes.read_clock)
+            for _ in range(2)
         )
         self.first.report = self.second.merge
         self.second.report = self.first.merge
 
     async def start(self, quarantine, name="x", server="e1", epoch="1"):
-        identity = limits.identify_request("acme", name.encode())
+        identity = make_identity("acme", name)
         return await quarantine.start(identity, server, after(5.0), epoch)
 
     async def test_verdict_of_two_gateways(self):
