Test that a stream survives the kill of its host's control

Cause: only kills of gateways and engines during streams were tested.

It was not seen failing: no mechanism is specific to it.

Conclusion: each process of an entry host may be killed during a stream.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -136,6 +136,17 @@
             prompt.check(answer)
         self.assertEqual(0, await host.gateway.process.wait())
 
+    async def test_control_killed_during_a_stream(self):
+        """Guards against a stream that ends with its host's control."""
+        host = self.hosts[0]
+        prompt = self.make_prompt(max_tokens=40)
+
+        async def kill_at_five(answer):
+            if answer.offset == 5:
+                await host.control.kill()
+
+        prompt.check(await self.send(host, prompt, on_token=kill_at_five))
+
     async def test_killed_processes_during_streams(self):
         """Guards against lost or mixed answers after kills.
 
