--- /dev/null
+++ b/src/sesamefold/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host as one process: routing, limits, retries and orders."""
--- /dev/null
+++ b/src/sesamefold/entry/dispatch.py
@@ -0,0 +1,309 @@
+"""Serving of one request: attempts, retries and resumed streams."""
+
+import asyncio
+import typing as t
+
+import attrs
+
+from sesamefold.entry import catalog as catalogs
+from sesamefold.entry import clock
+from sesamefold.entry import decisions
+from sesamefold.entry import events
+from sesamefold.entry import placement
+from sesamefold.entry import requests
+from sesamefold.entry import throttle
+from sesamefold.entry import topology
+from sesamefold.entry import upstream
+from sesamefold import exceptions
+
+# Share of the bound on withdrawn keys at which a confirmation of the
+# configuration is too old to send a keyed request, so that clocks that run
+# differently and the sending itself have room.
+CONFIRMATION_SHARE = 0.9
+# When callers of a refused request should come back, seconds.
+RETRY_AFTER_SECONDS = 0.3
+# Longest silence of a resumable stream before it goes on elsewhere, seconds.
+# Servers pause for some hundred milliseconds while they read long prompts.
+STREAM_SILENCE_SECONDS = 1.2
+
+
+class Writer(t.Protocol):
+    """The answer to a caller."""
+
+    async def start(self, head: requests.ReplyHead) -> None:
+        """Send the head of the answer."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    async def finish(self) -> None:
+        """End the answer as complete."""
+
+
+class Refused(exceptions.RoutingError):
+    """The request was not run; the caller may come back."""
+
+    code = 1217
+    executed = exceptions.NO
+
+
+class BrokenOff(exceptions.RoutingError):
+    """The answer had begun and cannot be completed."""
+
+    code = 1218
+
+
+class _Failed(Exception):
+    """The server ran the request and answered with a failure."""
+
+    def __init__(self, head: requests.ReplyHead, body: bytes) -> None:
+        super().__init__(f"status {head.status}")
+        self.head = head
+        self.body = body
+
+
+@attrs.define
+class _Answer:
+    """The answer of one call, over all of its attempts."""
+
+    writer: Writer
+    started: bool = False
+
+
+@attrs.define
+class Dispatcher:
+    """Serves calls; the parts that decide are given.
+
+    `confirmation_seconds` bounds the age of the configuration's confirmation
+    for requests with a key, None where it may have any age.
+    """
+
+    catalog: catalogs.Catalog
+    placement: placement.Placement
+    retries: throttle.RetryThrottle
+    upstream: upstream.Upstream
+    log: decisions.DecisionLog
+    confirmation_seconds: t.Optional[float]
+
+    async def serve(self, call: requests.Call, writer: Writer) -> None:
+        """Serve a call until its answer is complete.
+
+        Raises `Refused` when no server ran it, `exceptions.RunTimeout` and
+        `upstream.ReplyBroken` when one may have, and `BrokenOff` when a part
+        of the answer was sent.
+        """
+        answer = _Answer(writer)
+        try:
+            async with asyncio.timeout(call.remaining()):
+                await self._serve(call, answer)
+        except TimeoutError:
+            self._raise_end(
+                answer, call, exceptions.RunTimeout("the deadline passed")
+            )
+
+    async def _serve(self, call: requests.Call, answer: _Answer) -> None:
+        sent = False
+        while True:
+            server, cold = self._choose(call, answer, sent)
+            if not sent:
+                self.retries.record_request(call.service)
+            call.tried.append(server.id)
+            try:
+                await self._attempt(call, answer, server, cold)
+                return
+            except upstream.NotExecuted as error:
+                self._note(call, server, error)
+                self._require_retry(call, answer, error, sent)
+            except (upstream.ReplyBroken, _Failed) as error:
+                sent = True
+                self._note(call, server, error)
+                if isinstance(error, _Failed):
+                    if not self._may_retry(call, answer):
+                        await self._pass_failure(answer, error)
+                        return
+                elif not self._may_retry(call, answer):
+                    self._raise_end(answer, call, error)
+
+    def _choose(
+        self, call: requests.Call, answer: _Answer, sent: bool
+    ) -> t.Tuple[topology.Server, bool]:
+        self._check_confirmation(call, answer, sent)
+        chosen = self.placement.choose(call)
+        if chosen is None:
+            error = Refused("no backend server is usable")
+            self._raise_end(answer, call, _as_unknown(error, sent))
+        return chosen
+
+    def _check_confirmation(
+        self, call: requests.Call, answer: _Answer, sent: bool
+    ) -> None:
+        """Refuse a key that may have been withdrawn meanwhile."""
+        if self.confirmation_seconds is None or call.customer is None:
+            return
+        age = clock.read_time() - self.catalog.confirmed_at
+        if age > CONFIRMATION_SHARE * self.confirmation_seconds:
+            error = Refused(f"the configuration was confirmed {age:.1f} s ago")
+            self._raise_end(answer, call, _as_unknown(error, sent))
+
+    def _may_retry(self, call: requests.Call, answer: _Answer) -> bool:
+        """Tell whether a request that may have run can be sent again."""
+        if answer.started and not call.route.resumable:
+            return False
+        return (
+            call.route.may_repeat()
+            and len(call.tried) < call.route.max_servers
+            and call.remaining() > 0
+            and self.retries.try_spend(call.service)
+        )
+
+    def _require_retry(
+        self,
+        call: requests.Call,
+        answer: _Answer,
+        error: upstream.NotExecuted,
+        sent: bool,
+    ) -> None:
+        """Raise unless a request that did not run can be sent again."""
+        if len(call.tried) >= max(2, call.route.max_servers) or not (
+            self.retries.try_spend(call.service)
+        ):
+            refusal = Refused(f"no server took it: {error.message}")
+            self._raise_end(answer, call, _as_unknown(refusal, sent))
+
+    def _raise_end(
+        self,
+        answer: _Answer,
+        call: requests.Call,
+        error: exceptions.RoutingError,
+    ) -> t.NoReturn:
+        if answer.started:
+            raise BrokenOff(error.message) from error
+        if isinstance(error, exceptions.RunTimeout) and not call.tried:
+            raise Refused("no server was free before the deadline")
+        raise error
+
+    def _note(
+        self, call: requests.Call, server: topology.Server, error: Exception
+    ) -> None:
+        self.log.write(
+            "attempt_failed",
+            request=call.request_id,
+            server=server.id,
+            attempt=len(call.tried),
+            reason=str(error)[:200],
+            error=type(error).__name__,
+        )
+        if isinstance(error, upstream.NotExecuted):
+            if not error.reachable:
+                self.placement.suspect(server, error.message, reachable=False)
+            return
+        self.placement.record_outcome(server, failed=True)
+        if isinstance(error, upstream.ReplyBroken):
+            self.placement.suspect(server, error.message, reachable=True)
+
+    async def _attempt(
+        self,
+        call: requests.Call,
+        answer: _Answer,
+        server: topology.Server,
+        cold: bool,
+    ) -> None:
+        dispatch = self._make_dispatch(call, server)
+        self.log.write(
+            "sent",
+            request=call.request_id,
+            server=server.id,
+            attempt=len(call.tried),
+            cold=cold or None,
+            left=round(dispatch.seconds_left, 3),
+            version=self.catalog.require_configuration().version,
+        )
+        self.placement.record_sent(server, cold)
+        try:
+            async with self.upstream.send(server, call, dispatch) as reply:
+                self.placement.record_reply(server, reply.head)
+                await self._pass_reply(call, answer, reply)
+        finally:
+            self.placement.record_end(server)
+        self.placement.record_outcome(server, failed=False)
+
+    def _make_dispatch(
+        self, call: requests.Call, server: topology.Server
+    ) -> requests.Dispatch:
+        customer = call.customer
+        isolated = customer is not None and customer.isolated
+        return requests.Dispatch(
+            server_id=server.id,
+            seconds_left=call.remaining(),
+            customer=customer.name if customer else None,
+            priority=call.get_priority(),
+            cache_salt=customer.name if customer and isolated else None,
+            last_event=call.last_event,
+        )
+
+    async def _pass_reply(
+        self, call: requests.Call, answer: _Answer, reply: upstream.Reply
+    ) -> None:
+        success = 200 <= reply.head.status < 300
+        if not success:
+            raise _Failed(reply.head, await reply.read_body())
+        if call.route.streamed:
+            await self._pass_stream(call, answer, reply)
+            return
+        body = await reply.read_body()
+        await answer.writer.start(reply.head)
+        answer.started = True
+        await answer.writer.write(body)
+        await answer.writer.finish()
+
+    async def _pass_stream(
+        self, call: requests.Call, answer: _Answer, reply: upstream.Reply
+    ) -> None:
+        buffer = events.EventBuffer()
+        chunks = reply.read_chunks()
+        while True:
+            chunk = await self._read_chunk(call, chunks)
+            if chunk is None:
+                break
+            whole = buffer.feed(chunk)
+            if not whole:
+                continue
+            if not answer.started:
+                await answer.writer.start(reply.head)
+                answer.started = True
+            await answer.writer.write(whole)
+            call.last_event = buffer.last_id or call.last_event
+        if buffer.partial:
+            raise upstream.ReplyBroken("the stream ends within an event")
+        if not answer.started:
+            await answer.writer.start(reply.head)
+            answer.started = True
+        await answer.writer.finish()
+
+    async def _read_chunk(
+        self, call: requests.Call, chunks: t.AsyncIterator[bytes]
+    ) -> t.Optional[bytes]:
+        """Return the next bytes of a stream, None at its end."""
+        if not call.route.resumable:
+            return await anext(chunks, None)
+        try:
+            async with asyncio.timeout(
+                max(STREAM_SILENCE_SECONDS, 4 * call.route.event_gap_target)
+            ):
+                return await anext(chunks, None)
+        except TimeoutError:
+            raise upstream.ReplyBroken("the stream fell silent") from None
+
+    async def _pass_failure(self, answer: _Answer, failed: _Failed) -> None:
+        if answer.started:
+            raise BrokenOff(str(failed))
+        await answer.writer.start(failed.head)
+        await answer.writer.write(failed.body)
+        await answer.writer.finish()
+
+
+def _as_unknown(
+    error: exceptions.RoutingError, sent: bool
+) -> exceptions.RoutingError:
+    """Return the error for a request that an earlier server may have run."""
+    return upstream.ReplyBroken(error.message) if sent else error
--- /dev/null
+++ b/src/sesamefold/entry/host.py
@@ -0,0 +1,184 @@
+"""The entry host's process."""
+
+import asyncio
+import signal
+import sys
+import typing as t
+
+from aiohttp import web
+import attrs
+import mode
+
+from sesamefold.entry import catalog as catalogs
+from sesamefold.entry import clock
+from sesamefold.entry import decisions
+from sesamefold.entry import dispatch
+from sesamefold.entry import follower
+from sesamefold.entry import frontend
+from sesamefold.entry import members as member_lists
+from sesamefold.entry import metrics as entry_metrics
+from sesamefold.entry import placement
+from sesamefold.entry import requests
+from sesamefold.entry import settings as entry_settings
+from sesamefold.entry import store
+from sesamefold.entry import throttle
+from sesamefold.entry import upstream
+
+# Time after the signal to stop in which new requests are still taken, seconds.
+# The balancer asks once a second and takes a host out after two misses.
+DRAIN_SECONDS = 3.2
+# Part of the time to stop that is left for closing, seconds.
+CLOSING_SECONDS = 0.7
+# Time between two looks at the requests in progress while stopping, seconds.
+DRAIN_POLL = 0.05
+
+
+@attrs.frozen
+class Platform:
+    """The adapters that an entry host needs of its platform."""
+
+    source: store.Source
+    records: store.Records
+    codec: requests.Codec
+
+
+class EntryHost(mode.Service):
+    """Holds the parts of an entry host and runs their tasks.
+
+    The parts borrow the catalog, the log and the settings from here.
+    """
+
+    def __init__(
+        self, settings: entry_settings.EntrySettings, platform: Platform
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.platform = platform
+        # Named apart from `log`, which belongs to mode.Service.
+        self.decisions = decisions.DecisionLog(
+            sys.stdout.fileno(), settings.host
+        )
+        self.metrics = entry_metrics.EntryMetrics()
+        self.catalog = catalogs.Catalog(self.decisions)
+        self.members = member_lists.Members(
+            settings.host, platform.records, self.decisions
+        )
+        self.placement = placement.Placement(
+            self.catalog,
+            throttle.ColdThrottle(settings.host, self.members.names),
+            settings.regions,
+            settings.region,
+            self.decisions,
+        )
+        self._runners: t.List[web.ServerRunner] = []
+
+    async def on_start(self) -> None:
+        """Open the listening sockets."""
+        self.decisions.write(
+            "start",
+            data_centre=self.settings.data_centre,
+            address=":".join(map(str, self.settings.listen_address)),
+        )
+        self.session = upstream.make_session()
+        dispatcher = dispatch.Dispatcher(
+            self.catalog,
+            self.placement,
+            throttle.RetryThrottle(self.settings.retries, self.members.names),
+            upstream.Upstream(self.session, self.platform.codec),
+            self.decisions,
+            self.settings.key_withdrawal_seconds,
+        )
+        self.frontend = frontend.Frontend(
+            self.catalog,
+            dispatcher,
+            self.platform.codec,
+            self.decisions,
+            self.metrics,
+        )
+        await self._listen(self.settings.ready_address, self._answer_ready)
+        if self.settings.metrics_address is not None:
+            await self._listen(
+                self.settings.metrics_address, self._answer_metrics
+            )
+        await self._listen(self.settings.listen_address, self.frontend.handle)
+
+    async def _listen(
+        self, address: t.Tuple[str, int], handler: t.Any
+    ) -> None:
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=frontend.IDLE_SECONDS,
+            auto_decompress=False,
+        )
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, *address, backlog=1024).start()
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send new connections here."""
+        if self.frontend.draining or not self.catalog.servers_known:
+            return False
+        if self.catalog.configuration is None:
+            return False
+        bound = self.settings.key_withdrawal_seconds
+        age = clock.read_time() - self.catalog.confirmed_at
+        return bound is None or age < dispatch.CONFIRMATION_SHARE * bound
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self.is_ready() else 503)
+
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        body, content_type = self.metrics.render()
+        return web.Response(body=body, headers={"Content-Type": content_type})
+
+    @mode.Service.task
+    async def _write_decisions(self) -> None:
+        await self.decisions.run()
+
+    @mode.Service.task
+    async def _follow_operations(self) -> None:
+        await self._follow(store.Topic.OPERATIONS)
+
+    @mode.Service.task
+    async def _follow_servers(self) -> None:
+        await self._follow(store.Topic.SERVERS)
+
+    async def _follow(self, topic: store.Topic) -> None:
+        await follower.Follower(
+            self.platform.source, topic, self.catalog, self.decisions
+        ).run()
+
+    @mode.Service.task
+    async def _keep_membership(self) -> None:
+        await self.members.run()
+
+    async def drain(self) -> None:
+        """Refuse readiness, finish the requests in progress, then return."""
+        stopped_at = clock.read_time()
+        self.frontend.draining = True
+        self.decisions.write("stop", in_progress=self.frontend.in_progress)
+        end = stopped_at + self.settings.shutdown_seconds - CLOSING_SECONDS
+        await asyncio.sleep(DRAIN_SECONDS)
+        while self.frontend.in_progress and clock.read_time() < end:
+            await asyncio.sleep(DRAIN_POLL)
+        self.decisions.write("stopped", unfinished=self.frontend.in_progress)
+
+    async def on_stop(self) -> None:
+        """Close the sockets and write the last lines."""
+        await self.session.close()
+        self.decisions.flush()
+
+
+async def run(host: EntryHost) -> None:
+    """Run an entry host until SIGTERM or SIGINT."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await host.start()
+    await stopping.wait()
+    await host.drain()
+    await host.stop()
--- /dev/null
+++ b/src/sesamefold/entry/members.py
@@ -0,0 +1,87 @@
+"""Entry hosts that are alive, by leases in the platform's store."""
+
+import asyncio
+import random
+import typing as t
+
+import attrs
+
+from sesamefold.entry import clock
+from sesamefold.entry import decisions
+from sesamefold.entry import store
+from sesamefold import exceptions
+
+PREFIX = "sesamefold/members/"
+# Lease of an entry host's record, seconds. Long enough that a paused host or
+# a short outage of the store does not change the shares of the others.
+LEASE_SECONDS = 8.0
+# Time between two renewals, seconds; two may fail.
+RENEWAL_INTERVAL = 2.5
+# Time between two reads of the members, seconds.
+READ_INTERVAL = 4.0
+# Time for which a member that is no longer listed still counts, seconds. It
+# may be cut off from the store and still serve.
+DEPARTURE_SECONDS = 6.0
+
+
+@attrs.define
+class Members:
+    """Keeps this host's record and the names of the others.
+
+    While nothing was read yet, only this host is known, and shares of a
+    fleet-wide limit must not be used: `names` is empty then.
+    """
+
+    host: str
+    records: store.Records
+    log: decisions.DecisionLog
+    read_time: t.Callable[[], float] = clock.read_time
+    _seen: t.Dict[str, float] = attrs.field(factory=dict)
+    _lease: t.Optional[int] = None
+
+    def names(self) -> t.Collection[str]:
+        """Return the entry hosts that may be serving."""
+        return self._seen.keys()
+
+    async def run(self) -> None:
+        """Renew the record and read the others until cancelled."""
+        next_read = 0.0
+        while True:
+            try:
+                await self._renew()
+                if self.read_time() >= next_read:
+                    await self._read()
+                    next_read = self.read_time() + READ_INTERVAL
+            except exceptions.PlatformError as error:
+                self.log.write("members_stale", reason=error.message)
+                self._lease = None
+            await asyncio.sleep(RENEWAL_INTERVAL * random.uniform(0.8, 1.0))
+
+    async def _renew(self) -> None:
+        if self._lease is not None:
+            await self.records.renew_lease(self._lease)
+            return
+        lease = await self.records.grant_lease(LEASE_SECONDS)
+        key = f"{PREFIX}{self.host}"
+        try:
+            await self.records.create(key, self.host.encode(), lease)
+        except exceptions.VersionConflict:
+            # The record of an earlier life, or of a lost answer; it ends with
+            # its lease, and until then it serves as well.
+            await self.records.end_lease(lease)
+            return
+        self._lease = lease
+
+    async def _read(self) -> None:
+        now = self.read_time()
+        records = await self.records.list_records(PREFIX)
+        listed = {record.key.removeprefix(PREFIX) for record in records}
+        before = set(self._seen)
+        self._seen.update((name, now) for name in listed | {self.host})
+        self._seen = {
+            name: at
+            for name, at in self._seen.items()
+            if now - at <= DEPARTURE_SECONDS
+        }
+        if before != set(self._seen):
+            self.log.write("members", names=sorted(self._seen))
--- /dev/null
+++ b/src/sesamefold/entry/metrics.py
@@ -0,0 +1,39 @@
+"""Metrics of an entry host; label values come from bounded sets."""
+
+import typing as t
+
+import prometheus_client
+from prometheus_client import exposition
+
+_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.72, 1.0, 2.0, 5.0, 10.0, 30.0)
+
+
+class EntryMetrics:
+    """Collectors of one entry host, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            "sesamefold_requests",
+            "Requests of callers by result code, 0 for success.",
+            ("code",),
+            registry=self.registry,
+        )
+        self.seconds = prometheus_client.Histogram(
+            "sesamefold_request_seconds",
+            "Time from the request's arrival to the end of its answer.",
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+
+    def count_request(self, code: int, seconds: float) -> None:
+        """Count a finished request."""
+        self.requests.labels(str(code)).inc()
+        self.seconds.observe(seconds)
+
+    def render(self) -> t.Tuple[bytes, str]:
+        """Return the exposition text and its content type."""
+        return (
+            exposition.generate_latest(self.registry),
+            exposition.CONTENT_TYPE_LATEST,
+        )
--- /dev/null
+++ b/src/sesamefold/entry/requests.py
@@ -0,0 +1,156 @@
+"""A caller's request and a backend server's reply, decoded."""
+
+import typing as t
+
+import attrs
+import multidict
+
+from sesamefold.entry import clock
+from sesamefold.entry import topology
+
+Headers = multidict.CIMultiDict[str]
+
+
+@attrs.frozen
+class PromptPart:
+    """A part of a prompt that requests may share."""
+
+    id: str
+    tokens: int
+
+
+@attrs.frozen
+class Prompt:
+    """The size of a generation.
+
+    `parts` are in the order of the prompt; the last belongs to the request
+    or its session. `output_tokens` is the most that is generated,
+    `expected_output` the caller's estimate.
+    """
+
+    model: str
+    tokens: int
+    output_tokens: int
+    parts: t.Tuple[PromptPart, ...] = ()
+    expected_output: t.Optional[int] = None
+
+
+@attrs.frozen
+class Intake:
+    """What the headers of a caller's request say.
+
+    `forwarded` are the headers that backend servers get as they are.
+    `wait_seconds` is how long the caller waits, None if it does not say.
+    """
+
+    request_id: str
+    forwarded: Headers
+    wait_seconds: t.Optional[float] = None
+    api_key: t.Optional[str] = None
+    prompt: t.Optional[Prompt] = None
+    last_event: t.Optional[str] = None
+
+
+@attrs.define
+class Call:
+    """A request while it is served.
+
+    `target` is the path and query as the caller sent them. `arrived` and
+    `deadline` are instants of `clock.read_time`.
+    """
+
+    intake: Intake
+    route: topology.Route
+    service: str
+    customer: t.Optional[topology.Customer]
+    method: str
+    target: str
+    body: bytes
+    arrived: float
+    deadline: float
+    last_event: t.Optional[str] = None
+    tried: t.List[str] = attrs.field(factory=list)
+
+    @property
+    def request_id(self) -> str:
+        """Return the id that the caller gave this request."""
+        return self.intake.request_id
+
+    def remaining(self) -> float:
+        """Return the seconds left, 0.0 when the deadline has passed."""
+        return max(0.0, self.deadline - clock.read_time())
+
+    def list_regions(self) -> t.Optional[t.FrozenSet[str]]:
+        """Return the regions that may serve it, None for every region."""
+        bounds = [self.route.regions]
+        if self.customer is not None:
+            bounds.append(self.customer.regions)
+        named = [regions for regions in bounds if regions]
+        return frozenset.intersection(*named) if named else None
+
+    def get_priority(self) -> int:
+        """Return the rank of the request; 0 is the most urgent."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
+
+@attrs.frozen
+class Dispatch:
+    """What a backend server is told besides the caller's own headers."""
+
+    server_id: str
+    seconds_left: float
+    customer: t.Optional[str]
+    priority: int
+    cache_salt: t.Optional[str] = None
+    last_event: t.Optional[str] = None
+
+
+@attrs.frozen
+class ServerLoad:
+    """Requests that run and wait at a server, and its places."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@attrs.frozen
+class ReplyHead:
+    """What the head of a backend server's reply says.
+
+    `not_executed` is the server's promise that it did not run the request.
+    `sealed` tells whether the reply bears the server's seal, without which a
+    success is not genuine. `forwarded` are the headers that callers get.
+    """
+
+    status: int
+    request_id: t.Optional[str]
+    not_executed: bool
+    sealed: bool
+    encoded: bool
+    content_length: t.Optional[int]
+    forwarded: Headers
+    load: t.Optional[ServerLoad] = None
+    weights: t.Optional[int] = None
+
+
+class Codec(t.Protocol):
+    """The headers of one HTTP interface."""
+
+    def read_request(self, headers: t.Mapping[str, str]) -> Intake:
+        """Decode a caller's headers; raises `MalformedRequest`."""
+
+    def write_request(self, intake: Intake, dispatch: Dispatch) -> Headers:
+        """Return the headers of a request to a backend server."""
+
+    def read_reply(
+        self, status: int, headers: t.Mapping[str, str]
+    ) -> ReplyHead:
+        """Decode the head of a backend server's reply."""
+
+    def write_refusal(
+        self, request_id: t.Optional[str], retry_seconds: t.Optional[float]
+    ) -> Headers:
+        """Return the headers of an answer of the entry host's own."""
--- /dev/null
+++ b/src/sesamefold/entry/store.py
@@ -0,0 +1,81 @@
+"""The platform's store, as the entry host uses it."""
+
+import enum
+import typing as t
+
+import attrs
+
+from sesamefold.entry import changes
+from sesamefold import exceptions
+
+
+class HistoryLost(exceptions.PlatformError):
+    """The store no longer has the changes after the given revision."""
+
+    code = 1507
+
+
+class Topic(enum.Enum):
+    """The two sets of records that an entry host follows."""
+
+    OPERATIONS = "operations"
+    SERVERS = "servers"
+
+
+class Source(t.Protocol):
+    """Records of the operator and the backend servers, decoded.
+
+    Methods raise `exceptions.PlatformUnavailable` when the store does not
+    answer in time.
+    """
+
+    async def read_all(self, topic: Topic) -> changes.Batch:
+        """Return all records of a topic, as current as the store's head."""
+
+    async def watch(
+        self, topic: Topic, after: int, seconds: float
+    ) -> changes.Batch:
+        """Return the changes after a revision, waiting up to `seconds`.
+
+        Raises `HistoryLost`.
+        """
+
+
+@attrs.frozen
+class Record:
+    """A record of the entry hosts themselves.
+
+    `revision` is that of the last write, `created` that of the first.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+    created: int
+
+
+class Records(t.Protocol):
+    """The entry hosts' own records, and leases that end them.
+
+    Methods raise `exceptions.PlatformUnavailable` when the call had no
+    effect, and writes `exceptions.OutcomeUnknown` when they may have.
+    """
+
+    async def list_records(self, prefix: str) -> t.List[Record]:
+        """Return the records whose keys begin with `prefix`."""
+
+    async def create(self, key: str, value: bytes, lease: int) -> int:
+        """Create a record under a lease and return its revision.
+
+        Raises `exceptions.VersionConflict` when the key exists and
+        `exceptions.LeaseExpired`.
+        """
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Return the id of a new lease that ends `seconds` from now."""
+
+    async def renew_lease(self, lease: int) -> None:
+        """Extend a lease by its time; raises `exceptions.LeaseExpired`."""
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and remove its records."""
--- /dev/null
+++ b/src/sesamefold/entry/topology.py
@@ -0,0 +1,178 @@
+"""What an entry host knows of routes, customers and backend servers."""
+
+import functools
+import hashlib
+import typing as t
+
+import attrs
+
+from sesamefold import exceptions
+
+
+@attrs.frozen
+class ServiceShare:
+    """A service of a route, with its weight among the route's services."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """How requests for one host name and path prefix are served.
+
+    `idempotent` tells whether a request may run more than once; `resumable`
+    whether its stream may go on at another server after the last event.
+    `timeout` is the longest time that a caller is kept waiting and
+    `first_byte_target` the time of a fully useful answer, both in seconds.
+    `event_gap_target` is the longest useful pause of a stream, in seconds.
+    An empty `regions` means every region.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    services: t.Tuple[ServiceShare, ...]
+    idempotent: bool
+    streamed: bool
+    resumable: bool
+    public: bool
+    max_servers: int
+    timeout: float
+    first_byte_target: float
+    event_gap_target: float
+    priority: int
+    regions: t.FrozenSet[str] = frozenset()
+
+    def may_repeat(self) -> bool:
+        """Tell whether a request may be sent again after it has run."""
+        return self.idempotent or self.resumable
+
+    def list_services(self, request_id: str) -> t.List[str]:
+        """Return the service for a request first, then the others.
+
+        The weights divide the requests; the request id decides.
+        """
+        if len(self.services) == 1:
+            return [self.services[0].service]
+        digest = hashlib.blake2b(request_id.encode(), digest_size=8).digest()
+        point = int.from_bytes(digest, "big") / 2**64
+        point *= sum(share.weight for share in self.services)
+        for share in self.services:
+            point -= share.weight
+            if point < 0:
+                return [share.service]
+        return [self.services[-1].service]
+
+
+@attrs.frozen
+class EngineTraits:
+    """What a model engine offers: batch places and cache memory in tokens."""
+
+    slots: int
+    cache_tokens: int
+
+
+@attrs.frozen
+class Service:
+    """A group of equal backend servers.
+
+    `cold_rate` is the number of requests a second that a cold server bears;
+    0 means that cold servers need no limit.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    cold_rate: float
+    engine: t.Optional[EngineTraits] = None
+
+
+@attrs.frozen
+class Customer:
+    """A customer, with an own priority if it has one."""
+
+    name: str
+    priority: t.Optional[int] = None
+    isolated: bool = False
+    regions: t.FrozenSet[str] = frozenset()
+
+
+@attrs.frozen
+class ClientLimits:
+    """Bounds on what a caller may send, and on idle connections."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    idle_seconds: float
+
+
+@attrs.frozen
+class Configuration:
+    """One accepted configuration; it never changes.
+
+    `customers` maps an API key to its customer. An empty map means that
+    requests need no key.
+    """
+
+    version: int
+    routes: t.Tuple[Route, ...]
+    services: t.Mapping[str, Service]
+    customers: t.Mapping[str, Customer]
+    limits: ClientLimits
+
+    @functools.cached_property
+    def _by_host(self) -> t.Dict[str, t.List[Route]]:
+        hosts: t.Dict[str, t.List[Route]] = {}
+        for route in sorted(
+            self.routes, key=lambda r: len(r.path_prefix), reverse=True
+        ):
+            hosts.setdefault(route.host.lower(), []).append(route)
+        return hosts
+
+    def find_route(self, host: str, path: str) -> Route:
+        """Return the route with the longest prefix of `path`.
+
+        Raises `exceptions.UnknownPath` when there is none.
+        """
+        name = host.rpartition(":")[0] or host
+        for route in self._by_host.get(name.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        raise exceptions.UnknownPath(f"no route for {host}{path}")
+
+    def find_customer(
+        self, route: Route, key: t.Optional[str]
+    ) -> t.Optional[Customer]:
+        """Return the customer that holds `key`, None where none is needed.
+
+        Raises `exceptions.Unauthenticated`.
+        """
+        if not self.customers or route.public:
+            return None
+        customer = self.customers.get(key) if key else None
+        if customer is None:
+            raise exceptions.Unauthenticated("the API key is not known")
+        return customer
+
+
+@attrs.frozen
+class Server:
+    """A backend server as it last reported itself.
+
+    `started_at` is the Unix time in milliseconds of its start and `sequence`
+    grows with each report of one life. `cold_until` is in seconds of
+    `clock.read_time`. `weights` maps the names of its models to the versions
+    of their weights.
+    """
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool
+    started_at: int
+    sequence: int
+    cold_until: float = 0.0
+    weights: t.Mapping[str, int] = attrs.field(factory=dict)
--- /dev/null
+++ b/src/sesamefold/entry/upstream.py
@@ -0,0 +1,181 @@
+"""Requests from the entry host to backend servers."""
+
+import contextlib
+import typing as t
+
+import aiohttp
+import yarl
+
+from sesamefold.entry import requests
+from sesamefold.entry import topology
+from sesamefold import exceptions
+from sesamefold import transport
+
+# Time to set up a connection to a server, seconds. Ten round trips between
+# regions; a server without power does not answer at all.
+CONNECT_SECONDS = 0.4
+# Most bytes of a reply that is not a stream.
+MAX_REPLY_BYTES = 8 * 1024 * 1024
+# Idle time after which a connection to a server is not used again, seconds.
+# Servers close idle connections, and a request that crosses the close of one
+# may have run.
+KEEPALIVE_SECONDS = 4.0
+# Headers that aiohttp would add to those of the caller.
+_AUTOMATIC_HEADERS = (
+    "User-Agent",
+    "Accept",
+    "Accept-Encoding",
+    "Content-Type",
+)
+
+
+class NotExecuted(exceptions.RoutingError):
+    """The server certainly did not run the request.
+
+    `reachable` tells that the server itself refused it.
+    """
+
+    code = 1215
+    executed = exceptions.NO
+
+    def __init__(self, message: str, reachable: bool) -> None:
+        super().__init__(message)
+        self.reachable = reachable
+
+
+class ReplyBroken(exceptions.RoutingError):
+    """The reply is missing, broken off or not genuine; it may have run."""
+
+    code = 1216
+    status = 502
+
+
+class Reply:
+    """A reply whose head has arrived."""
+
+    def __init__(
+        self, response: aiohttp.ClientResponse, head: requests.ReplyHead
+    ) -> None:
+        self.head = head
+        self._response = response
+        self._protocol = (
+            response.connection.protocol if response.connection else None
+        )
+        self._open_ended = (
+            "Content-Length" not in response.headers
+            and "Transfer-Encoding" not in response.headers
+        )
+
+    async def read_chunks(self) -> t.AsyncIterator[bytes]:
+        """Yield the body as it arrives; raises `ReplyBroken`."""
+        try:
+            async for chunk in self._response.content.iter_any():
+                yield chunk
+        except transport.CALL_ERRORS as error:
+            raise ReplyBroken(transport.describe(error)) from error
+        if self._open_ended and self._was_reset():
+            raise ReplyBroken("the connection was reset")
+
+    async def read_body(self) -> bytes:
+        """Return the whole body; raises `ReplyBroken`."""
+        chunks = []
+        size = 0
+        async for chunk in self.read_chunks():
+            size += len(chunk)
+            if size > MAX_REPLY_BYTES:
+                raise ReplyBroken("the reply is too large")
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    def _was_reset(self) -> bool:
+        """Tell whether a body without a length ended by a reset.
+
+        aiohttp ends such a body at every loss of the connection.
+        """
+        if self._protocol is None:
+            return False
+        error = self._protocol.exception()
+        return error is not None and not isinstance(
+            error, aiohttp.ServerDisconnectedError
+        )
+
+
+class Upstream:
+    """Sends requests to backend servers over kept connections."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, codec: requests.Codec
+    ) -> None:
+        self._session = session
+        self._codec = codec
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        server: topology.Server,
+        call: requests.Call,
+        dispatch: requests.Dispatch,
+    ) -> t.AsyncIterator[Reply]:
+        """Send a request and return its reply once the head is there.
+
+        Leaving the context ends the request at the server when its reply
+        has not been read to the end. Raises `NotExecuted` and `ReplyBroken`.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                response = await stack.enter_async_context(
+                    self._session.request(
+                        call.method,
+                        yarl.URL(
+                            f"http://{server.address}{call.target}",
+                            encoded=True,
+                        ),
+                        headers=self._codec.write_request(
+                            call.intake, dispatch
+                        ),
+                        data=call.body or None,
+                        skip_auto_headers=_AUTOMATIC_HEADERS,
+                        allow_redirects=False,
+                        timeout=aiohttp.ClientTimeout(
+                            total=None, sock_connect=CONNECT_SECONDS
+                        ),
+                    )
+                )
+            except transport.CALL_ERRORS as error:
+                raise _convert(error) from error
+            head = self._codec.read_reply(response.status, response.headers)
+            reply = Reply(response, head)
+            if head.not_executed:
+                # Reading it to the end keeps the connection usable.
+                await reply.read_body()
+            _check(head, call)
+            yield reply
+
+
+def _convert(error: BaseException) -> exceptions.RoutingError:
+    message = transport.describe(error)
+    if transport.is_unsent(error):
+        return NotExecuted(message, reachable=False)
+    return ReplyBroken(message)
+
+
+def _check(head: requests.ReplyHead, call: requests.Call) -> None:
+    """Accept the head of a genuine reply to this request.
+
+    Raises `NotExecuted` and `ReplyBroken` for all others.
+    """
+    if head.not_executed:
+        raise NotExecuted(f"the server answered {head.status}", reachable=True)
+    if head.request_id != call.request_id:
+        raise ReplyBroken("the reply belongs to another request")
+    if head.encoded:
+        raise ReplyBroken("the reply has an encoding nobody asked for")
+    if 200 <= head.status < 300 and not head.sealed:
+        raise ReplyBroken("a success without the server's seal")
+
+
+def make_session() -> aiohttp.ClientSession:
+    """Return the session for requests to backend servers."""
+    return transport.make_session(
+        keepalive_seconds=KEEPALIVE_SECONDS, auto_decompress=False
+    )
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -97,6 +97,14 @@
     status = 404
 
 
+class CallerLeft(RequestError):
+    """The caller closed its connection before the answer was complete."""
+
+    code = 1109
+    status = 499
+    executed = UNKNOWN
+
+
 class RoutingError(SesamefoldError):
     """No backend server could answer the request."""
 
--- /dev/null
+++ b/src/sesamefold/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the product and its users' platform."""
--- /dev/null
+++ b/src/sesamefold/platform/headers.py
@@ -0,0 +1,192 @@
+"""Headers of requests and replies, decoded into product types."""
+
+import typing as t
+
+import multidict
+
+from sesamefold.entry import requests
+from sesamefold import exceptions
+from sesamefold.platform import wire
+
+_MS = 1000.0
+_MISDIRECTED = 421
+# Headers of one connection, and those that are computed anew.
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Names in these spaces belong to the platform; a caller may send only those
+# that are listed after them.
+_RESERVED_SPACES = ("sesamefold-", "kv-")
+_RESERVED_NAMES = frozenset({"api-key", "wait-ms"})
+_CALLER_NAMES = frozenset(
+    name.lower()
+    for name in (
+        wire.REQUEST_ID,
+        wire.MODEL,
+        wire.TOKENS,
+        wire.PROMPT_PARTS,
+        wire.OUTPUT_ESTIMATE,
+    )
+)
+# Reserved names in replies that callers get.
+_REPLY_NAMES = frozenset(
+    name.lower() for name in (wire.REQUEST_ID, wire.SEAL, wire.WEIGHTS)
+)
+
+
+class HeaderCodec:
+    """The headers of the platform's callers and backend servers."""
+
+    def read_request(
+        self, headers: "multidict.CIMultiDictProxy[str]"
+    ) -> requests.Intake:
+        """Decode a caller's headers.
+
+        Raises `exceptions.MalformedRequest`.
+        """
+        for name in (wire.REQUEST_ID, wire.API_KEY, *_CALLER_NAMES):
+            if len(headers.getall(name, ())) > 1:
+                raise exceptions.MalformedRequest(f"{name} is repeated")
+        request_id = headers.get(wire.REQUEST_ID)
+        if not request_id:
+            raise exceptions.MalformedRequest(f"no {wire.REQUEST_ID}")
+        wait_ms = _parse_number(headers.get(wire.DEADLINE))
+        return requests.Intake(
+            request_id=request_id,
+            forwarded=_select(headers, _CALLER_NAMES, {"last-event-id"}),
+            wait_seconds=None if wait_ms is None else wait_ms / _MS,
+            api_key=headers.get(wire.API_KEY),
+            prompt=_parse_prompt(headers),
+            last_event=headers.get(wire.LAST_EVENT),
+        )
+
+    def write_request(
+        self, intake: requests.Intake, dispatch: requests.Dispatch
+    ) -> requests.Headers:
+        """Return the headers of a request to a backend server."""
+        headers = multidict.CIMultiDict(intake.forwarded)
+        headers[wire.DEADLINE] = str(max(1, int(dispatch.seconds_left * _MS)))
+        headers[wire.EXPECTED_SERVER] = dispatch.server_id
+        if dispatch.customer is not None:
+            headers[wire.CUSTOMER] = dispatch.customer
+        if intake.prompt is not None:
+            headers[wire.PRIORITY] = str(min(9, max(0, dispatch.priority)))
+        if dispatch.cache_salt is not None:
+            headers[wire.CACHE_SALT] = dispatch.cache_salt
+        if dispatch.last_event is not None:
+            headers[wire.LAST_EVENT] = dispatch.last_event
+        return headers
+
+    def read_reply(
+        self, status: int, headers: t.Mapping[str, str]
+    ) -> requests.ReplyHead:
+        """Decode the head of a backend server's reply."""
+        length = _parse_number(headers.get("Content-Length"))
+        weights = _parse_number(headers.get(wire.WEIGHTS))
+        return requests.ReplyHead(
+            status=status,
+            request_id=headers.get(wire.REQUEST_ID),
+            not_executed=(
+                wire.NOT_EXECUTED in headers or status == _MISDIRECTED
+            ),
+            sealed=wire.SEAL in headers,
+            encoded="Content-Encoding" in headers,
+            content_length=None if length is None else int(length),
+            forwarded=_select(headers, _REPLY_NAMES, set()),
+            load=_parse_load(headers.get(wire.SERVER_LOAD)),
+            weights=None if weights is None else int(weights),
+        )
+
+    def write_refusal(
+        self, request_id: t.Optional[str], retry_seconds: t.Optional[float]
+    ) -> requests.Headers:
+        """Return the headers of an answer of the entry host's own."""
+        headers: requests.Headers = multidict.CIMultiDict()
+        if request_id is not None:
+            headers[wire.REQUEST_ID] = request_id
+        if retry_seconds is not None:
+            headers["Retry-After"] = f"{retry_seconds:.2f}"
+        return headers
+
+
+def _select(
+    headers: t.Mapping[str, str],
+    reserved: t.Container[str],
+    dropped: t.Container[str],
+) -> requests.Headers:
+    """Return the headers that go on to the other side.
+
+    Names that the platform reserves go on only if they are in `reserved`;
+    a spelling with underscores counts as the name with hyphens.
+    """
+    named = {
+        name.strip().lower()
+        for name in headers.get("Connection", "").split(",")
+    } - set(_CALLER_NAMES)
+    selected: requests.Headers = multidict.CIMultiDict()
+    for name, value in headers.items():
+        plain = name.lower()
+        folded = plain.replace("_", "-")
+        if plain in _HOP_BY_HOP or plain in named or plain in dropped:
+            continue
+        owned = folded.startswith(_RESERVED_SPACES) or (
+            folded in _RESERVED_NAMES
+        )
+        if owned and plain not in reserved:
+            continue
+        selected.add(name, value)
+    return selected
+
+
+def _parse_number(text: t.Optional[str]) -> t.Optional[float]:
+    """Return a number that is not negative, None for any other text."""
+    if text is None or not text.strip().replace(".", "", 1).isdigit():
+        return None
+    return float(text)
+
+
+def _parse_prompt(
+    headers: t.Mapping[str, str],
+) -> t.Optional[requests.Prompt]:
+    model, tokens = headers.get(wire.MODEL), headers.get(wire.TOKENS)
+    if model is None or tokens is None:
+        return None
+    sizes = [_parse_number(text) for text in tokens.split(",")]
+    if len(sizes) != 2 or None in sizes:
+        raise exceptions.MalformedRequest(f"{wire.TOKENS} has no two numbers")
+    estimate = _parse_number(headers.get(wire.OUTPUT_ESTIMATE))
+    return requests.Prompt(
+        model=model,
+        tokens=int(t.cast(float, sizes[0])),
+        output_tokens=int(t.cast(float, sizes[1])),
+        parts=tuple(_parse_parts(headers.get(wire.PROMPT_PARTS, ""))),
+        expected_output=None if estimate is None else int(estimate),
+    )
+
+
+def _parse_parts(text: str) -> t.Iterator[requests.PromptPart]:
+    for entry in filter(None, text.split(",")):
+        part_id, _, tokens = entry.strip().partition(":")
+        if not tokens.isdigit():
+            raise exceptions.MalformedRequest("a part of the prompt is broken")
+        yield requests.PromptPart(part_id, int(tokens))
+
+
+def _parse_load(text: t.Optional[str]) -> t.Optional[requests.ServerLoad]:
+    """Return the load, None when it is missing or broken."""
+    numbers = (text or "").split(",")
+    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+        return None
+    return requests.ServerLoad(*(int(n) for n in numbers))
--- /dev/null
+++ b/src/sesamefold/platform/settings.py
@@ -0,0 +1,64 @@
+"""The platform's settings file, decoded into the product's settings."""
+
+import pathlib
+import tomllib
+import typing as t
+
+from sesamefold.entry import settings as entry_settings
+from sesamefold.entry import throttle
+from sesamefold import exceptions
+
+PATH_VARIABLE = "SESAMEFOLD_CONFIG"
+# Port offset of the metrics among the ports for the system's own use.
+METRICS_PORT_INDEX = 0
+_MS = 1000.0
+
+
+def load_settings(path: pathlib.Path) -> entry_settings.EntrySettings:
+    """Read a settings file; raises `exceptions.SettingsError`."""
+    try:
+        return decode_settings(tomllib.loads(path.read_text()))
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        raise exceptions.SettingsError(
+            f"{path}: {type(error).__name__}: {error}"
+        ) from error
+
+
+def decode_settings(
+    body: t.Mapping[str, t.Any],
+) -> entry_settings.EntrySettings:
+    """Return the settings of a parsed file."""
+    bounds = body["bounds"]
+    listen = body["listen_addrs"]
+    inner = body.get("inner_ports") or ()
+    # Whether a host without the store must refuse keys, not whether it is
+    # closed.
+    keys_expire = bool(bounds.get("revoke_fail_closed"))
+    return entry_settings.EntrySettings(
+        host=body["node_name"],
+        data_centre=body["zone"],
+        region=body["region"],
+        regions=dict(body["zones"]),
+        listen_address=_split(listen["front"]),
+        ready_address=_split(listen["ready"]),
+        metrics_address=(
+            (body["ip"], inner[METRICS_PORT_INDEX]) if inner else None
+        ),
+        store_address=body["platform"]["address"],
+        retries=throttle.RetryLimits(
+            ratio=bounds["retry_budget_ratio"],
+            extra=bounds["retry_budget_extra"],
+            window=bounds["budget_window_s"],
+        ),
+        key_withdrawal_seconds=(
+            bounds["revoke_ms"] / _MS if keys_expire else None
+        ),
+        shutdown_seconds=bounds["grace_s"],
+        order_pause_seconds=bounds["lease_ms"] / _MS,
+        lease_min_seconds=body["platform"].get("ttl_min_ms", _MS) / _MS,
+    )
+
+
+def _split(address: str) -> t.Tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/src/sesamefold/transport.py
+++ b/src/sesamefold/transport.py
@@ -43,17 +43,22 @@
         raise ConnectionLost(describe(error)) from error
 
 
-def make_session(**options: t.Any) -> aiohttp.ClientSession:
+def make_session(
+    keepalive_seconds: float = 15.0, **options: t.Any
+) -> aiohttp.ClientSession:
     """Return the session of a process, for adapters and plain services.
 
     It sends each request at most once, so a call fails when a kept connection
     turns out to be closed. It keeps no cookies, which would pass from one
     customer's call to another's, and has no limit of connections, because
     waiting for one would count as time to connect. Redirects are followed
-    unless the call disables them.
+    unless the call disables them. A connection that was idle for
+    `keepalive_seconds` is not used again.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
+        connector=aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=keepalive_seconds
+        ),
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(_prevent_repeats,),
         **options,
