Order new weights and keep context in the platform's stores

Change: one host orders at a time by a lease, with the engine's count of orders as a condition; contexts are fetched, saved and freed under a bound on the engines' clock.

--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -195,6 +195,15 @@
         self.reported_at.pop(server_id, None)
         self.log.write("server_removed", server=server_id)
 
+    def note_weights(
+        self, server_id: str, weights: t.Mapping[str, int]
+    ) -> None:
+        """Take the weights that a server itself has told."""
+        server = self.servers.get(server_id)
+        if server is not None and dict(server.weights) != dict(weights):
+            self.servers[server_id] = attrs.evolve(server, weights=weights)
+            self.log.write("weights", server=server_id, weights=dict(weights))
+
     def list_servers(self, service: str) -> t.List[topology.Server]:
         """Return the servers of a service that may get new requests."""
         now = self.read_time()
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -7,6 +7,7 @@
 
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
+from sesamefold.entry import contexts
 from sesamefold.entry import decisions
 from sesamefold.entry import events
 from sesamefold.entry import placement
@@ -80,6 +81,7 @@
 
     catalog: catalogs.Catalog
     placement: placement.Placement
+    contexts: contexts.Contexts
     retries: throttle.RetryThrottle
     upstream: upstream.Upstream
     log: decisions.DecisionLog
@@ -209,12 +211,16 @@
         cold: bool,
     ) -> None:
         dispatch = self._make_dispatch(call, server)
+        context = dispatch.context
         self.log.write(
             "sent",
             request=call.request_id,
             server=server.id,
             attempt=len(call.tried),
             cold=cold or None,
+            weights=context.version if context else None,
+            fetched=context.count_fetched() if context else None,
+            saved=context.count_saved() if context else None,
             left=round(dispatch.seconds_left, 3),
             version=self.catalog.require_configuration().version,
         )
@@ -231,13 +237,12 @@
         self, call: requests.Call, server: topology.Server
     ) -> requests.Dispatch:
         customer = call.customer
-        isolated = customer is not None and customer.isolated
         return requests.Dispatch(
             server_id=server.id,
             seconds_left=call.remaining(),
             customer=customer.name if customer else None,
             priority=call.get_priority(),
-            cache_salt=customer.name if customer and isolated else None,
+            context=self.contexts.plan(call, server),
             last_event=call.last_event,
         )
 
--- /dev/null
+++ b/src/sesamefold/entry/election.py
@@ -0,0 +1,121 @@
+"""Choice of the entry host that orders, by a lease."""
+
+import asyncio
+import typing as t
+
+import attrs
+
+from sesamefold.entry import clock
+from sesamefold.entry import decisions
+from sesamefold.entry import store
+from sesamefold import exceptions
+
+HOLDER_KEY = "sesamefold/orderer"
+# Who held the lease last. It outlives the lease, so that a host knows
+# whether another one may have sent orders just before.
+LAST_HOLDER_KEY = "sesamefold/last-orderer"
+# Lease of the host that orders, seconds.
+LEASE_SECONDS = 2.0
+# Time between two renewals, seconds.
+RENEWAL_INTERVAL = 0.6
+# Part of the lease after which its holder no longer acts, so that an order
+# in flight arrives before the lease ends.
+SAFE_SHARE = 0.75
+# What is added to the pause between two holders' orders, seconds. An order
+# may travel that long.
+PAUSE_MARGIN = 0.5
+
+
+@attrs.define
+class Election:
+    """The lease of the host that orders.
+
+    A holder acts only while its lease is certain by its own clock, and a new
+    holder first waits until the orders of the one before are `pause_seconds`
+    old.
+    """
+
+    host: str
+    records: store.Records
+    pause_seconds: float
+    log: decisions.DecisionLog
+    read_time: t.Callable[[], float] = clock.read_time
+    _lease: t.Optional[int] = None
+    _fence: t.Optional[int] = None
+    _act_from: float = float("inf")
+    _act_until: float = float("-inf")
+
+    def may_act(self) -> bool:
+        """Tell whether this host may order now."""
+        return self._act_from <= self.read_time() < self._act_until
+
+    def get_fence(self) -> t.Optional[int]:
+        """Return the fencing number, None when this host may not order."""
+        return self._fence if self.may_act() else None
+
+    def is_holder(self) -> bool:
+        """Tell whether this host has the lease, as far as it knows."""
+        return self.read_time() < self._act_until
+
+    async def campaign(self) -> None:
+        """Try to become the holder."""
+        if self._lease is not None:
+            return
+        try:
+            await self._campaign()
+        except exceptions.VersionConflict:
+            self.log.write("election_lost")
+        except exceptions.PlatformError as error:
+            self.log.write("election_failed", reason=error.message)
+
+    async def _campaign(self) -> None:
+        started = self.read_time()
+        previous = {
+            record.key: record
+            for record in await self.records.list_records(HOLDER_KEY)
+            + await self.records.list_records(LAST_HOLDER_KEY)
+        }
+        if HOLDER_KEY in previous:
+            return
+        last = previous.get(LAST_HOLDER_KEY)
+        lease = await self.records.grant_lease(LEASE_SECONDS)
+        name = self.host.encode()
+        revision = await self.records.write(
+            {HOLDER_KEY: 0, LAST_HOLDER_KEY: last.revision if last else 0},
+            [
+                store.Write(HOLDER_KEY, name, lease),
+                store.Write(LAST_HOLDER_KEY, name),
+            ],
+        )
+        now = self.read_time()
+        pause = self.pause_seconds + PAUSE_MARGIN
+        if last is None or last.value == name:
+            pause = 0.0
+        self._lease, self._fence = lease, revision
+        self._act_from = now + pause
+        self._act_until = started + SAFE_SHARE * LEASE_SECONDS
+        self.log.write("elected", fence=revision, pause=round(pause, 2))
+
+    async def run(self) -> None:
+        """Renew the lease while this host has it, until cancelled."""
+        while True:
+            await asyncio.sleep(RENEWAL_INTERVAL)
+            if self._lease is not None:
+                await self._renew(self._lease)
+
+    async def _renew(self, lease: int) -> None:
+        started = self.read_time()
+        try:
+            await self.records.renew_lease(lease)
+        except exceptions.LeaseExpired:
+            self._resign("the lease has ended")
+        except exceptions.PlatformError as error:
+            if self.read_time() >= self._act_until:
+                self._resign(error.message)
+        else:
+            self._act_until = started + SAFE_SHARE * LEASE_SECONDS
+
+    def _resign(self, reason: str) -> None:
+        self._lease = self._fence = None
+        self._act_from, self._act_until = float("inf"), float("-inf")
+        self.log.write("resigned", reason=reason)
--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -66,7 +66,11 @@
 
 @attrs.define
 class Frontend:
-    """Takes the requests of callers."""
+    """Takes the requests of callers.
+
+    While `draining`, each answer closes its connection; while `refusing`, no
+    new request is served.
+    """
 
     catalog: catalogs.Catalog
     dispatcher: dispatch.Dispatcher
@@ -74,6 +78,7 @@
     log: decisions.DecisionLog
     metrics: entry_metrics.EntryMetrics
     draining: bool = False
+    refusing: bool = False
     in_progress: int = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -116,6 +121,8 @@
         intake: requests.Intake,
         arrived: float,
     ) -> requests.Call:
+        if self.refusing:
+            raise exceptions.ShuttingDown("the entry host stops")
         configuration = self.catalog.require_configuration()
         path = request.raw_path.partition("?")[0]
         route = configuration.find_route(request.headers.get("Host", ""), path)
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -11,12 +11,15 @@
 
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
+from sesamefold.entry import contexts
 from sesamefold.entry import decisions
 from sesamefold.entry import dispatch
+from sesamefold.entry import election
 from sesamefold.entry import follower
 from sesamefold.entry import frontend
 from sesamefold.entry import members as member_lists
 from sesamefold.entry import metrics as entry_metrics
+from sesamefold.entry import orders
 from sesamefold.entry import placement
 from sesamefold.entry import requests
 from sesamefold.entry import settings as entry_settings
@@ -26,7 +29,10 @@
 
 # Time after the signal to stop in which new requests are still taken, seconds.
 # The balancer asks once a second and takes a host out after two misses.
-DRAIN_SECONDS = 3.2
+DRAIN_SECONDS = 2.8
+# Time after that in which new requests are refused before the process ends,
+# seconds. Callers learn from the refusal that the connection closes.
+REFUSAL_SECONDS = 0.6
 # Part of the time to stop that is left for closing, seconds.
 CLOSING_SECONDS = 0.7
 # Time between two looks at the requests in progress while stopping, seconds.
@@ -40,6 +46,8 @@
     source: store.Source
     records: store.Records
     codec: requests.Codec
+    control: orders.EngineControl
+    stores: contexts.StoreControl
 
 
 class EntryHost(mode.Service):
@@ -70,6 +78,21 @@
             settings.region,
             self.decisions,
         )
+        self.contexts = contexts.Contexts(
+            settings.host,
+            settings.region,
+            settings.regions,
+            self.catalog,
+            platform.stores,
+            self.members.names,
+            self.decisions,
+        )
+        self.election = election.Election(
+            settings.host,
+            platform.records,
+            settings.order_pause_seconds,
+            self.decisions,
+        )
         self._runners: t.List[web.ServerRunner] = []
 
     async def on_start(self) -> None:
@@ -83,6 +106,7 @@
         dispatcher = dispatch.Dispatcher(
             self.catalog,
             self.placement,
+            self.contexts,
             throttle.RetryThrottle(self.settings.retries, self.members.names),
             upstream.Upstream(self.session, self.platform.codec),
             self.decisions,
@@ -155,6 +179,25 @@
     async def _keep_membership(self) -> None:
         await self.members.run()
 
+    @mode.Service.task
+    async def _follow_stores(self) -> None:
+        await self.contexts.run()
+
+    @mode.Service.task
+    async def _keep_election(self) -> None:
+        await self.election.run()
+
+    @mode.Service.task
+    async def _roll_out_weights(self) -> None:
+        await orders.WeightsRollout(
+            self.settings.host,
+            self.catalog,
+            self.platform.control,
+            self.election,
+            self.members.names,
+            self.decisions,
+        ).run()
+
     async def drain(self) -> None:
         """Refuse readiness, finish the requests in progress, then return."""
         stopped_at = clock.read_time()
@@ -162,6 +205,8 @@
         self.decisions.write("stop", in_progress=self.frontend.in_progress)
         end = stopped_at + self.settings.shutdown_seconds - CLOSING_SECONDS
         await asyncio.sleep(DRAIN_SECONDS)
+        self.frontend.refusing = True
+        await asyncio.sleep(REFUSAL_SECONDS)
         while self.frontend.in_progress and clock.read_time() < end:
             await asyncio.sleep(DRAIN_POLL)
         self.decisions.write("stopped", unfinished=self.frontend.in_progress)
--- a/src/sesamefold/entry/members.py
+++ b/src/sesamefold/entry/members.py
@@ -64,7 +64,9 @@
         lease = await self.records.grant_lease(LEASE_SECONDS)
         key = f"{PREFIX}{self.host}"
         try:
-            await self.records.create(key, self.host.encode(), lease)
+            await self.records.write(
+                {key: 0}, [store.Write(key, self.host.encode(), lease)]
+            )
         except exceptions.VersionConflict:
             # The record of an earlier life, or of a lost answer; it ends with
             # its lease, and until then it serves as well.
--- /dev/null
+++ b/src/sesamefold/entry/orders.py
@@ -0,0 +1,231 @@
+"""Orders to engines to load new weights, by one entry host at a time."""
+
+import asyncio
+import typing as t
+
+import attrs
+
+from sesamefold.entry import catalog as catalogs
+from sesamefold.entry import clock
+from sesamefold.entry import decisions
+from sesamefold.entry import election
+from sesamefold.entry import topology
+from sesamefold import exceptions
+from sesamefold import rendezvous
+
+# Share of a service's engines that load weights at the same time. More at
+# once load more slowly; the users' sheets give 2 of 5, 3 of 9, 18 of 45 and
+# 28 of 70.
+CONCURRENT_SHARE = 0.37
+# Time between two looks at the engines, seconds.
+POLL_INTERVAL = 0.15
+# Time after which an order whose effect is not seen is sent again, seconds.
+# Loading takes about a second, and the runs before it another.
+ORDER_SECONDS = 4.0
+# Time after the answer to an order from which the engine is asked for its
+# state, and between two questions, seconds.
+FIRST_REPORT_SECONDS = 1.0
+REPORT_INTERVAL = 0.4
+# Time without progress of the rollout after which a host of rank 0 tries to
+# become the one that orders, and what each further rank waits longer, seconds.
+STALL_SECONDS = 0.1
+RANK_SECONDS = 0.7
+
+
+@attrs.frozen
+class EngineReport:
+    """What an engine says of itself.
+
+    `orders_accepted` counts the orders of the engine's life.
+    """
+
+    weights: t.Mapping[str, int]
+    orders_accepted: int
+    busy: bool
+
+
+class OrderRefused(exceptions.RoutingError):
+    """The engine did not accept the order."""
+
+    code = 1219
+
+
+class EngineControl(t.Protocol):
+    """Orders to engines.
+
+    Methods raise `exceptions.BackendUnreachable` when the engine does not
+    answer in time.
+    """
+
+    async def read_report(self, server: topology.Server) -> EngineReport:
+        """Return an engine's report of itself."""
+
+    async def order_weights(
+        self,
+        server: topology.Server,
+        order: "WeightsOrder",
+    ) -> None:
+        """Order new weights; raises `OrderRefused`."""
+
+
+@attrs.frozen
+class WeightsOrder:
+    """An order to load a version of a model's weights.
+
+    `orders_accepted` must equal the engine's count, so that an order that is
+    carried out late, after a newer one, has no effect. `fence` grows with
+    each host that orders.
+    """
+
+    model: str
+    version: int
+    holder: str
+    fence: int
+    orders_accepted: int
+
+
+@attrs.define
+class _Pending:
+    """An order whose effect has not been seen yet."""
+
+    version: int
+    retry_at: float
+    report_at: float
+
+
+@attrs.define
+class WeightsRollout:
+    """Brings the engines to the named weights.
+
+    One entry host orders at a time, by a lease in the platform's store, and
+    orders only while it is certain of the lease.
+    """
+
+    host: str
+    catalog: catalogs.Catalog
+    control: EngineControl
+    election: election.Election
+    members: t.Callable[[], t.Collection[str]]
+    log: decisions.DecisionLog
+    read_time: t.Callable[[], float] = clock.read_time
+    _pending: t.Dict[str, _Pending] = attrs.field(factory=dict)
+    _stale_seen: t.Optional[t.FrozenSet[t.Tuple[str, int]]] = None
+    _stalled_since: float = 0.0
+
+    async def run(self) -> None:
+        """Order until cancelled."""
+        while True:
+            stale = self._list_stale()
+            self._note_progress(stale)
+            if self.election.may_act():
+                await self._order(stale)
+            elif stale and self._is_stalled():
+                self._stalled_since = self.read_time()
+                await self.election.campaign()
+            await asyncio.sleep(POLL_INTERVAL)
+
+    def _list_stale(self) -> t.List[t.Tuple[topology.Server, str, int]]:
+        """Return the engines with old weights, the model and new version."""
+        return [
+            (server, model, self.catalog.weights[model])
+            for server in list(self.catalog.servers.values())
+            if not server.draining
+            for model, version in server.weights.items()
+            if version < self.catalog.weights.get(model, 0)
+        ]
+
+    def _note_progress(
+        self, stale: t.List[t.Tuple[topology.Server, str, int]]
+    ) -> None:
+        seen = frozenset((server.id, version) for server, _, version in stale)
+        if seen != self._stale_seen:
+            self._stale_seen = seen
+            self._stalled_since = self.read_time()
+
+    def _is_stalled(self) -> bool:
+        ranked = rendezvous.rank_owners("orders", self.members())
+        rank = ranked.index(self.host) if self.host in ranked else len(ranked)
+        wait = STALL_SECONDS + rank * RANK_SECONDS
+        return self.read_time() >= self._stalled_since + wait
+
+    async def _order(
+        self, stale: t.List[t.Tuple[topology.Server, str, int]]
+    ) -> None:
+        self._forget_done({server.id for server, _, _ in stale})
+        now = self.read_time()
+        engines = len([s for s in self.catalog.servers.values() if s.weights])
+        places = max(1, round(CONCURRENT_SHARE * engines))
+        starting: t.List[t.Tuple[topology.Server, str, int]] = []
+        for server, model, version in stale:
+            pending = self._pending.get(server.id)
+            if pending is None:
+                if len(self._pending) + len(starting) < places:
+                    starting.append((server, model, version))
+            elif now >= pending.report_at:
+                pending.report_at = now + REPORT_INTERVAL
+                starting.append((server, model, version))
+        await asyncio.gather(
+            *(self._advance(*entry, now=now) for entry in starting)
+        )
+
+    def _forget_done(self, stale: t.Set[str]) -> None:
+        self._pending = {
+            server_id: pending
+            for server_id, pending in self._pending.items()
+            if server_id in stale
+        }
+
+    async def _advance(
+        self, server: topology.Server, model: str, version: int, now: float
+    ) -> None:
+        """Ask an engine for its state, and order what it lacks."""
+        pending = self._pending.setdefault(
+            server.id,
+            _Pending(version, now, now + FIRST_REPORT_SECONDS),
+        )
+        try:
+            report = await self.control.read_report(server)
+            if report.weights.get(model, 0) >= version:
+                self.catalog.note_weights(server.id, report.weights)
+                self._pending.pop(server.id, None)
+                return
+            if report.busy or (
+                pending.version == version and now < pending.retry_at
+            ):
+                return
+            await self._send(server, model, version, report, pending)
+        except (OrderRefused, exceptions.BackendUnreachable) as error:
+            self.log.write(
+                "order_failed", server=server.id, reason=error.message
+            )
+            pending.report_at = self.read_time() + REPORT_INTERVAL
+
+    async def _send(
+        self,
+        server: topology.Server,
+        model: str,
+        version: int,
+        report: EngineReport,
+        pending: _Pending,
+    ) -> None:
+        fence = self.election.get_fence()
+        if fence is None:
+            return
+        now = self.read_time()
+        pending.version = version
+        pending.retry_at = now + ORDER_SECONDS
+        pending.report_at = now + FIRST_REPORT_SECONDS
+        self.log.write(
+            "order",
+            server=server.id,
+            model=model,
+            version=version,
+            fence=fence,
+            orders_accepted=report.orders_accepted,
+        )
+        await self.control.order_weights(
+            server,
+            WeightsOrder(
+                model, version, self.host, fence, report.orders_accepted
+            ),
+        )
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -146,7 +146,7 @@
         mean = sum(loads.values()) / len(loads)
         limit = AFFINITY_FACTOR * mean + AFFINITY_SLACK
         by_id = {s.id: s for s in servers}
-        session = prompt.parts[-1].id if prompt.parts else prompt.model
+        session = prompt.get_session()
         for server_id in rendezvous.rank_owners(session, loads):
             if loads[server_id] <= limit:
                 return by_id[server_id]
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -34,6 +34,15 @@
     parts: t.Tuple[PromptPart, ...] = ()
     expected_output: t.Optional[int] = None
 
+    def list_shared(self) -> t.Tuple[PromptPart, ...]:
+        """Return the parts that other requests may share."""
+        return self.parts[:-1]
+
+    def get_session(self) -> str:
+        """Return the name of the context that the prompt continues."""
+        shared = self.list_shared() or self.parts
+        return shared[-1].id if shared else self.model
+
 
 @attrs.frozen
 class Intake:
@@ -95,6 +104,39 @@
         return self.route.priority
 
 
+@attrs.frozen
+class ContextFetch:
+    """A store that holds a part of a prompt, and the part's tokens."""
+
+    address: str
+    tokens: int
+
+
+@attrs.frozen
+class ContextPlan:
+    """Where the context of a prompt comes from and goes to.
+
+    `salt` is the name space of the context and `version` that of the weights
+    that the engine must have. `fetches` and `saves` have one entry for each
+    part of the prompt, or none at all. A fetch that has not ended at
+    `fetch_until`, in seconds of the engines' clock, is thrown away.
+    """
+
+    salt: str
+    version: int
+    fetches: t.Tuple[t.Optional[ContextFetch], ...] = ()
+    saves: t.Tuple[t.Optional[str], ...] = ()
+    fetch_until: float = 0.0
+
+    def count_fetched(self) -> int:
+        """Return the tokens that come from stores."""
+        return sum(fetch.tokens for fetch in self.fetches if fetch)
+
+    def count_saved(self) -> int:
+        """Return the number of parts that go to stores."""
+        return sum(address is not None for address in self.saves)
+
+
 @attrs.frozen
 class Dispatch:
     """What a backend server is told besides the caller's own headers."""
@@ -103,7 +145,7 @@
     seconds_left: float
     customer: t.Optional[str]
     priority: int
-    cache_salt: t.Optional[str] = None
+    context: t.Optional[ContextPlan] = None
     last_event: t.Optional[str] = None
 
 
--- a/src/sesamefold/entry/store.py
+++ b/src/sesamefold/entry/store.py
@@ -54,6 +54,15 @@
     created: int
 
 
+@attrs.frozen
+class Write:
+    """A value to write, under a lease if it has one."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
 class Records(t.Protocol):
     """The entry hosts' own records, and leases that end them.
 
@@ -64,11 +73,14 @@
     async def list_records(self, prefix: str) -> t.List[Record]:
         """Return the records whose keys begin with `prefix`."""
 
-    async def create(self, key: str, value: bytes, lease: int) -> int:
-        """Create a record under a lease and return its revision.
+    async def write(
+        self, expected: t.Mapping[str, int], writes: t.Sequence[Write]
+    ) -> int:
+        """Write all records or none, and return their revision.
 
-        Raises `exceptions.VersionConflict` when the key exists and
-        `exceptions.LeaseExpired`.
+        `expected` are the revisions that keys must have, 0 for a key that
+        must not exist. Raises `exceptions.VersionConflict` when one has
+        another and `exceptions.LeaseExpired`.
         """
 
     async def grant_lease(self, seconds: float) -> int:
--- a/src/sesamefold/entry/topology.py
+++ b/src/sesamefold/entry/topology.py
@@ -73,6 +73,15 @@
     cache_tokens: int
 
 
+@attrs.frozen
+class CacheStore:
+    """A store of cached context, with its room in tokens."""
+
+    address: str
+    data_centre: str
+    capacity_tokens: int
+
+
 @attrs.frozen
 class Service:
     """A group of equal backend servers.
@@ -86,6 +95,7 @@
     max_connections: int
     cold_rate: float
     engine: t.Optional[EngineTraits] = None
+    cache_store: t.Optional[CacheStore] = None
 
 
 @attrs.frozen
--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -103,16 +103,22 @@
                 break
         return items, int(revision or 0)
 
-    async def create(self, key: str, value: bytes, lease: int) -> int:
-        """Create a record under a lease and return its revision."""
+    async def write(
+        self, expected: t.Mapping[str, int], writes: t.Sequence[store.Write]
+    ) -> int:
+        """Write all records or none."""
         body = {
-            "expected": [{"key": key, "revision": 0}],
+            "expected": [
+                {"key": key, "revision": revision}
+                for key, revision in expected.items()
+            ],
             "writes": [
                 {
-                    "key": key,
-                    "value": base64.b64encode(value).decode(),
-                    "lease": lease,
+                    "key": write.key,
+                    "value": base64.b64encode(write.value).decode(),
+                    "lease": write.lease,
                 }
+                for write in writes
             ],
             "deletes": [],
         }
@@ -120,7 +126,11 @@
         if status == 404:
             raise exceptions.LeaseExpired("the lease has ended")
         if status == 412:
-            raise exceptions.VersionConflict(key, 0, 1)
+            raise exceptions.VersionConflict(
+                ", ".join(expected),
+                0,
+                answer["items"][0]["revision"] if answer["items"] else 0,
+            )
         _require(status == 200, status)
         return int(answer["revision"])
 
--- a/src/sesamefold/platform/daemon.py
+++ b/src/sesamefold/platform/daemon.py
@@ -7,8 +7,10 @@
 
 from sesamefold.entry import host as entry_host
 from sesamefold.platform import client
+from sesamefold.platform import engines
 from sesamefold.platform import headers
 from sesamefold.platform import settings as platform_settings
+from sesamefold.platform import stores
 from sesamefold import transport
 
 
@@ -18,7 +20,11 @@
     async with transport.make_session() as session:
         store_client = client.StoreClient(session, settings.store_address)
         platform = entry_host.Platform(
-            store_client, store_client, headers.HeaderCodec()
+            store_client,
+            store_client,
+            headers.HeaderCodec(),
+            engines.EngineClient(session),
+            stores.ContextStoreClient(session),
         )
         await entry_host.run(entry_host.EntryHost(settings, platform))
 
--- a/src/sesamefold/platform/headers.py
+++ b/src/sesamefold/platform/headers.py
@@ -10,6 +10,7 @@
 
 _MS = 1000.0
 _MISDIRECTED = 421
+_NO_ADDRESS = "-"
 # Headers of one connection, and those that are computed anew.
 _HOP_BY_HOP = frozenset(
     {
@@ -83,8 +84,8 @@
             headers[wire.CUSTOMER] = dispatch.customer
         if intake.prompt is not None:
             headers[wire.PRIORITY] = str(min(9, max(0, dispatch.priority)))
-        if dispatch.cache_salt is not None:
-            headers[wire.CACHE_SALT] = dispatch.cache_salt
+        if dispatch.context is not None:
+            headers.update(_write_context(dispatch.context))
         if dispatch.last_event is not None:
             headers[wire.LAST_EVENT] = dispatch.last_event
         return headers
@@ -121,6 +122,26 @@
         return headers
 
 
+def _write_context(plan: requests.ContextPlan) -> t.Dict[str, str]:
+    headers = {
+        wire.CACHE_SALT: plan.salt,
+        wire.EXPECTED_WEIGHTS: str(plan.version),
+    }
+    if any(plan.fetches):
+        # Without a number of tokens, an engine would also read what is
+        # reserved and not yet written.
+        headers[wire.FETCH_FROM] = ",".join(
+            f"{fetch.address}/{fetch.tokens}" if fetch else _NO_ADDRESS
+            for fetch in plan.fetches
+        )
+        headers[wire.FETCH_UNTIL] = str(int(plan.fetch_until * _MS))
+    if any(plan.saves):
+        headers[wire.SAVE_TO] = ",".join(
+            address or _NO_ADDRESS for address in plan.saves
+        )
+    return headers
+
+
 def _select(
     headers: t.Mapping[str, str],
     reserved: t.Container[str],
--- a/src/sesamefold/platform/records.py
+++ b/src/sesamefold/platform/records.py
@@ -142,6 +142,7 @@
         health_path=body.get("health_path", ""),
         max_connections=int(body.get("max_connections") or 0),
         cold_rate=float(body.get("cold_per_s") or 0.0),
+        cache_store=_decode_cache_store(body),
         engine=(
             topology.EngineTraits(engine["slots"], engine["kv_capacity"])
             if engine
@@ -150,6 +151,16 @@
     )
 
 
+def _decode_cache_store(body: Body) -> t.Optional[topology.CacheStore]:
+    if not body.get("kv_store_addr"):
+        return None
+    return topology.CacheStore(
+        address=body["kv_store_addr"],
+        data_centre=body["zone"],
+        capacity_tokens=int(body["kv_capacity"]),
+    )
+
+
 def _decode_customer(body: Body) -> topology.Customer:
     priority = body.get("priority")
     return topology.Customer(
--- /dev/null
+++ b/src/sesamefold/platform/stores.py
@@ -0,0 +1,125 @@
+"""Events and contents of the stores of cached context."""
+
+import typing as t
+
+import aiohttp
+import attrs
+
+from sesamefold.entry import contexts
+from sesamefold.entry import topology
+from sesamefold import exceptions
+from sesamefold.platform import wire
+from sesamefold import transport
+
+# Time for the answer of a store after its wait, seconds.
+CALL_SECONDS = 0.7
+CONNECT_SECONDS = 0.3
+_MS = 1000.0
+_ADDED = "+"
+
+
+@attrs.define
+class ContextStoreClient:
+    """Speaks to the stores; implements `contexts.StoreControl`."""
+
+    session: aiohttp.ClientSession
+
+    async def read_events(
+        self, site: topology.CacheStore, position: int, seconds: float
+    ) -> contexts.EventBatch:
+        """Return the events after a position."""
+        return await self._call(
+            site,
+            "GET",
+            "/kv-events",
+            seconds,
+            _decode_events,
+            params={"since": str(position)},
+            headers={wire.WAIT: str(int(seconds * _MS))},
+        )
+
+    async def read_contents(
+        self, site: topology.CacheStore
+    ) -> contexts.EventBatch:
+        """Return all parts that a store holds."""
+        return await self._call(site, "GET", "/kv-list", 0.0, _decode_list)
+
+    async def free(
+        self,
+        site: topology.CacheStore,
+        life: int,
+        parts: t.Sequence[t.Tuple[str, str]],
+    ) -> None:
+        """Free parts in one life of a store."""
+        body = {"parts": [list(part) for part in parts], "boot_epoch": life}
+        await self._call(
+            site,
+            "POST",
+            "/kv-free",
+            0.0,
+            lambda answer: None,
+            data=wire.encode(body),
+            headers={"Content-Type": wire.CONTENT_TYPE},
+        )
+
+    async def _call(
+        self,
+        site: topology.CacheStore,
+        method: str,
+        path: str,
+        seconds: float,
+        decode: t.Callable[[t.Any], t.Any],
+        **options: t.Any,
+    ) -> t.Any:
+        try:
+            async with self.session.request(
+                method,
+                f"http://{site.address}{path}",
+                timeout=aiohttp.ClientTimeout(
+                    total=seconds + CALL_SECONDS, sock_connect=CONNECT_SECONDS
+                ),
+                **options,
+            ) as response:
+                data = await response.read()
+                if response.status != 200:
+                    raise exceptions.StoreUnavailable(
+                        f"status {response.status}"
+                    )
+                return decode(wire.decode(data) if data else None)
+        except transport.CALL_ERRORS as error:
+            raise exceptions.StoreUnavailable(
+                transport.describe(error)
+            ) from error
+
+
+def _decode_events(body: t.Any) -> contexts.EventBatch:
+    return contexts.EventBatch(
+        # The start of the store, not an epoch of the fleet.
+        life=body["boot_epoch"],
+        # The position to ask for next time.
+        position=body["next"],
+        gap=bool(body["lost"]),
+        clock_at=_decode_clock(body),
+        events=tuple(
+            contexts.ContextEvent(kind == _ADDED, salt, part, tokens)
+            for _, kind, salt, part, tokens, *_ in body["events"]
+        ),
+    )
+
+
+def _decode_list(body: t.Any) -> contexts.EventBatch:
+    return contexts.EventBatch(
+        life=body["boot_epoch"],
+        position=body["next"],
+        gap=False,
+        clock_at=_decode_clock(body),
+        events=tuple(
+            contexts.ContextEvent(True, salt, part, tokens)
+            for salt, part, tokens, *_ in body["held"]
+        ),
+    )
+
+
+def _decode_clock(body: t.Mapping[str, t.Any]) -> t.Optional[float]:
+    clock_ms = body.get("clock_ms")
+    return None if clock_ms is None else clock_ms / _MS
--- a/src/sesamefold/platform/wire.py
+++ b/src/sesamefold/platform/wire.py
@@ -20,6 +20,12 @@
 # The urgency at an engine; 0 is first.
 PRIORITY = "Sesamefold-Request-Priority"
 CACHE_SALT = "Sesamefold-Cache-Salt"
+EXPECTED_WEIGHTS = "Sesamefold-Expect-Version"
+# One address for each part of the prompt, "-" for none.
+FETCH_FROM = "Sesamefold-Kv-Fetch"
+SAVE_TO = "Sesamefold-Kv-Save"
+# On the engines' clock, in ms.
+FETCH_UNTIL = "Sesamefold-Kv-Until"
 
 # Headers of servers' replies.
 SEAL = "Sesamefold-Response-Seal"
@@ -27,6 +33,9 @@
 SERVER_LOAD = "Sesamefold-Server-Load"
 WEIGHTS = "Sesamefold-Weight-Versions"
 
+# Headers of calls to stores of cached context.
+WAIT = "Wait-Ms"
+
 # Keys in the store.
 OPERATIONS_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
