Choose engines by memory and unread tokens over all entry hosts

Cause: requests were counted, but a run takes 300 to 25,000 tokens of an engine's memory; some engines preempted runs while others had room, and the customers' priority put all kinds of request into one rank. Change: entry hosts of a region tell each other their loads by datagrams; an engine is chosen by its estimated time to the first token; within one priority of customers the route's priority decides.

--- a/src/sesamefold/entry/contexts.py
+++ b/src/sesamefold/entry/contexts.py
@@ -201,6 +201,21 @@
             return self._add_transfers(plan, call, server, now)
         return plan
 
+    def count_stored(
+        self, call: requests.Call, server: topology.Server
+    ) -> int:
+        """Return the tokens of a prompt that the server can fetch."""
+        prompt = call.intake.prompt
+        if prompt is None or prompt.model not in server.weights:
+            return 0
+        salt = make_salt(call.customer, server.weights[prompt.model])
+        views = self._list_usable(call, server, self.read_time())
+        return sum(
+            part.tokens
+            for part in prompt.list_shared()
+            if any((salt, part.id) in view.held for view in views)
+        )
+
     def _are_weights_newest(
         self, model: str, version: int, now: float
     ) -> bool:
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -10,6 +10,7 @@
 from sesamefold.entry import contexts
 from sesamefold.entry import decisions
 from sesamefold.entry import events
+from sesamefold.entry import loads
 from sesamefold.entry import placement
 from sesamefold.entry import requests
 from sesamefold.entry import throttle
@@ -224,13 +225,13 @@
             left=round(dispatch.seconds_left, 3),
             version=self.catalog.require_configuration().version,
         )
-        self.placement.record_sent(server, cold)
+        reservation = self.placement.record_sent(call, server, cold)
         try:
             async with self.upstream.send(server, call, dispatch) as reply:
                 self.placement.record_reply(server, reply.head)
-                await self._pass_reply(call, answer, reply)
+                await self._pass_reply(call, answer, reply, reservation)
         finally:
-            self.placement.record_end(server)
+            reservation.end()
         self.placement.record_outcome(server, failed=False)
 
     def _make_dispatch(
@@ -247,13 +248,17 @@
         )
 
     async def _pass_reply(
-        self, call: requests.Call, answer: _Answer, reply: upstream.Reply
+        self,
+        call: requests.Call,
+        answer: _Answer,
+        reply: upstream.Reply,
+        reservation: loads.Reservation,
     ) -> None:
         success = 200 <= reply.head.status < 300
         if not success:
             raise _Failed(reply.head, await reply.read_body())
         if call.route.streamed:
-            await self._pass_stream(call, answer, reply)
+            await self._pass_stream(call, answer, reply, reservation)
             return
         body = await reply.read_body()
         await answer.writer.start(reply.head)
@@ -262,7 +267,11 @@
         await answer.writer.finish()
 
     async def _pass_stream(
-        self, call: requests.Call, answer: _Answer, reply: upstream.Reply
+        self,
+        call: requests.Call,
+        answer: _Answer,
+        reply: upstream.Reply,
+        reservation: loads.Reservation,
     ) -> None:
         buffer = events.EventBuffer()
         chunks = reply.read_chunks()
@@ -273,6 +282,7 @@
             whole = buffer.feed(chunk)
             if not whole:
                 continue
+            reservation.note_read()
             if not answer.started:
                 await answer.writer.start(reply.head)
                 answer.started = True
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -17,6 +17,7 @@
 from sesamefold.entry import election
 from sesamefold.entry import follower
 from sesamefold.entry import frontend
+from sesamefold.entry import loads
 from sesamefold.entry import members as member_lists
 from sesamefold.entry import metrics as entry_metrics
 from sesamefold.entry import orders
@@ -69,15 +70,13 @@
         self.metrics = entry_metrics.EntryMetrics()
         self.catalog = catalogs.Catalog(self.decisions)
         self.members = member_lists.Members(
-            settings.host, platform.records, self.decisions
-        )
-        self.placement = placement.Placement(
-            self.catalog,
-            throttle.ColdThrottle(settings.host, self.members.names),
-            settings.regions,
-            settings.region,
+            member_lists.Member(
+                settings.host, settings.region, settings.peer_address
+            ),
+            platform.records,
             self.decisions,
         )
+        self.loads = loads.Loads(settings.host, self.decisions)
         self.contexts = contexts.Contexts(
             settings.host,
             settings.region,
@@ -87,6 +86,16 @@
             self.members.names,
             self.decisions,
         )
+        self.placement = placement.Placement(
+            self.catalog,
+            throttle.ColdThrottle(settings.host, self.members.names),
+            self.loads,
+            self.contexts,
+            settings.data_centre,
+            settings.regions,
+            settings.region,
+            self.decisions,
+        )
         self.election = election.Election(
             settings.host,
             platform.records,
@@ -183,6 +192,14 @@
     async def _follow_stores(self) -> None:
         await self.contexts.run()
 
+    @mode.Service.task
+    async def _share_loads(self) -> None:
+        await loads.LoadSharing(
+            self.loads,
+            self.settings.peer_address,
+            self.members.list_neighbours,
+        ).run()
+
     @mode.Service.task
     async def _keep_election(self) -> None:
         await self.election.run()
--- a/src/sesamefold/entry/members.py
+++ b/src/sesamefold/entry/members.py
@@ -1,6 +1,7 @@
 """Entry hosts that are alive, by leases in the platform's store."""
 
 import asyncio
+import json
 import random
 import typing as t
 
@@ -24,6 +25,15 @@
 DEPARTURE_SECONDS = 6.0
 
 
+@attrs.frozen
+class Member:
+    """An entry host, its region and the address for its peers."""
+
+    host: str
+    region: str
+    address: t.Tuple[str, int]
+
+
 @attrs.define
 class Members:
     """Keeps this host's record and the names of the others.
@@ -32,17 +42,28 @@
     fleet-wide limit must not be used: `names` is empty then.
     """
 
-    host: str
+    own: Member
     records: store.Records
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
     _seen: t.Dict[str, float] = attrs.field(factory=dict)
+    _members: t.Dict[str, Member] = attrs.field(factory=dict)
     _lease: t.Optional[int] = None
 
     def names(self) -> t.Collection[str]:
         """Return the entry hosts that may be serving."""
         return self._seen.keys()
 
+    def list_neighbours(self) -> t.List[t.Tuple[str, int]]:
+        """Return the addresses of the other entry hosts of the region."""
+        return [
+            member.address
+            for name, member in self._members.items()
+            if name in self._seen
+            and name != self.own.host
+            and member.region == self.own.region
+        ]
+
     async def run(self) -> None:
         """Renew the record and read the others until cancelled."""
         next_read = 0.0
@@ -62,10 +83,10 @@
             await self.records.renew_lease(self._lease)
             return
         lease = await self.records.grant_lease(LEASE_SECONDS)
-        key = f"{PREFIX}{self.host}"
+        key = f"{PREFIX}{self.own.host}"
         try:
             await self.records.write(
-                {key: 0}, [store.Write(key, self.host.encode(), lease)]
+                {key: 0}, [store.Write(key, _encode(self.own), lease)]
             )
         except exceptions.VersionConflict:
             # The record of an earlier life, or of a lost answer; it ends with
@@ -77,9 +98,14 @@
     async def _read(self) -> None:
         now = self.read_time()
         records = await self.records.list_records(PREFIX)
-        listed = {record.key.removeprefix(PREFIX) for record in records}
+        listed = {
+            member.host: member
+            for member in map(_decode, records)
+            if member is not None
+        }
+        self._members.update(listed)
         before = set(self._seen)
-        self._seen.update((name, now) for name in listed | {self.host})
+        self._seen.update((name, now) for name in {*listed, self.own.host})
         self._seen = {
             name: at
             for name, at in self._seen.items()
@@ -87,3 +113,17 @@
         }
         if before != set(self._seen):
             self.log.write("members", names=sorted(self._seen))
+
+
+def _encode(member: Member) -> bytes:
+    return json.dumps([member.region, *member.address]).encode()
+
+
+def _decode(record: store.Record) -> t.Optional[Member]:
+    """Return a member, None for a record of another form."""
+    try:
+        region, address, port = json.loads(record.value)
+        name = record.key.removeprefix(PREFIX)
+        return Member(name, region, (str(address), int(port)))
+    except (ValueError, TypeError):
+        return None
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -8,7 +8,9 @@
 
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
+from sesamefold.entry import contexts
 from sesamefold.entry import decisions
+from sesamefold.entry import loads
 from sesamefold.entry import requests
 from sesamefold.entry import throttle
 from sesamefold.entry import topology
@@ -21,10 +23,26 @@
 # Age from which a reported load counts no more, seconds. Runs of engines take
 # about a second.
 LOAD_SECONDS = 1.0
-# Requests above the mean by which a server with the context of a prompt may
-# be loaded and still be preferred, as a factor and as a number.
-AFFINITY_FACTOR = 1.3
-AFFINITY_SLACK = 2.0
+# Tokens of prompts that an engine reads in a millisecond beside its running
+# requests, and those that it fetches; both are rough, and only the order of
+# the servers depends on them.
+READ_TOKENS_PER_MS = 100.0
+FETCH_TOKENS_PER_MS = 300.0
+# Tokens of memory that an engine's runs give back in a millisecond.
+RELEASED_TOKENS_PER_MS = 50.0
+# What one running request delays the others, milliseconds.
+RUN_MS = 2.0
+# What another data centre of the region costs: its distance and the price of
+# bytes between data centres, milliseconds.
+DATA_CENTRE_MS = 4.0
+# Part of an engine's memory that runs may take; the rest keeps contexts.
+MEMORY_SHARE = 0.85
+# Part of a prompt's shared context that is probably still in the engine that
+# ran the session last, or that ranks first for it.
+LAST_ENGINE_SHARE = 0.8
+FIRST_ENGINE_SHARE = 0.5
+# Sessions whose last engine this host remembers.
+REMEMBERED_SESSIONS = 20_000
 # Weight of the latest outcome in a server's failure rate.
 FAILURE_WEIGHT = 0.2
 # Failure rate from which a server gets requests only when others cannot, and
@@ -37,11 +55,9 @@
 class ServerState:
     """What this host learned of a server by its own requests.
 
-    `running` counts the requests that this host has there. The instants are
-    of `clock.read_time`.
+    The instants are of `clock.read_time`.
     """
 
-    running: int = 0
     load: t.Optional[requests.ServerLoad] = None
     load_at: float = float("-inf")
     suspect_until: float = float("-inf")
@@ -50,12 +66,11 @@
     failure_rate: float = 0.0
     failed_at: float = float("-inf")
 
-    def estimate_load(self, now: float) -> float:
-        """Return the requests that are probably at the server."""
+    def count_reported(self, now: float) -> int:
+        """Return the requests that the server told of lately."""
         if self.load is None or now - self.load_at > LOAD_SECONDS:
-            return float(self.running)
-        reported = self.load.running + self.load.waiting
-        return float(max(self.running, reported))
+            return 0
+        return self.load.running + self.load.waiting
 
 
 @attrs.define
@@ -69,6 +84,9 @@
 
     catalog: catalogs.Catalog
     cold: throttle.ColdThrottle
+    loads: loads.Loads
+    contexts: contexts.Contexts
+    data_centre: str
     regions: t.Mapping[str, str]
     region: str
     log: decisions.DecisionLog
@@ -76,6 +94,7 @@
     states: t.DefaultDict[str, ServerState] = attrs.field(
         factory=lambda: collections.defaultdict(ServerState)
     )
+    _sessions: t.Dict[str, str] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.catalog.on_report.append(self._clear_suspicion)
@@ -91,7 +110,7 @@
         near = [s for s in usable if self._is_near(s)] or usable
         sound = [s for s in near if not self._is_failing(s, now)] or near
         if call.intake.prompt is not None:
-            chosen = self._choose_by_context(call.intake.prompt, sound, now)
+            chosen = self._choose_engine(call, call.intake.prompt, sound, now)
         else:
             chosen = min(sound, key=functools.partial(self._weigh, now=now))
         return chosen, self._is_cold(chosen, now)
@@ -132,35 +151,89 @@
             and now < state.failed_at + FAILURE_RETRY_SECONDS
         )
 
-    def _weigh(self, server: topology.Server, now: float) -> float:
-        return self.states[server.id].estimate_load(now)
+    def _weigh(
+        self, server: topology.Server, now: float
+    ) -> t.Tuple[float, bool]:
+        """Return the requests at a server; the nearest wins a tie."""
+        known = self.loads.get_load(server.id).requests
+        reported = self.states[server.id].count_reported(now)
+        return max(known, reported), server.data_centre != self.data_centre
 
-    def _choose_by_context(
+    def _choose_engine(
         self,
+        call: requests.Call,
         prompt: requests.Prompt,
         servers: t.Sequence[topology.Server],
         now: float,
     ) -> topology.Server:
-        """Prefer the server that ranks first for the prompt's session."""
-        loads = {s.id: self._weigh(s, now) for s in servers}
-        mean = sum(loads.values()) / len(loads)
-        limit = AFFINITY_FACTOR * mean + AFFINITY_SLACK
-        by_id = {s.id: s for s in servers}
+        """Return the engine that probably answers first."""
         session = prompt.get_session()
-        for server_id in rendezvous.rank_owners(session, loads):
-            if loads[server_id] <= limit:
-                return by_id[server_id]
-        return by_id[min(loads, key=loads.__getitem__)]
-
-    def record_sent(self, server: topology.Server, cold: bool) -> None:
-        """Count a request that is sent."""
-        self.states[server.id].running += 1
+        first = rendezvous.choose_owner(session, [s.id for s in servers])
+        last = self._sessions.get(session)
+
+        def estimate(server: topology.Server) -> float:
+            share = 0.0
+            if server.id == first:
+                share = FIRST_ENGINE_SHARE
+            if server.id == last:
+                share = LAST_ENGINE_SHARE
+            return self._estimate_ms(call, prompt, server, share)
+
+        return min(servers, key=estimate)
+
+    def _estimate_ms(
+        self,
+        call: requests.Call,
+        prompt: requests.Prompt,
+        server: topology.Server,
+        cached_share: float,
+    ) -> float:
+        """Return the milliseconds to the first token, roughly.
+
+        `cached_share` is the part of the shared context that the engine
+        probably has.
+        """
+        load = self.loads.get_load(server.id)
+        shared = sum(part.tokens for part in prompt.list_shared())
+        stored = self.contexts.count_stored(call, server)
+        missing = (1 - cached_share) * shared
+        fetched = min(stored, missing)
+        read = prompt.tokens - shared + missing - fetched
+        capacity = MEMORY_SHARE * self._get_capacity(call)
+        needed = load.memory_tokens + loads.estimate_memory(prompt)
+        overflow = max(0.0, needed - capacity)
+        return (
+            (load.unread_tokens + read) / READ_TOKENS_PER_MS
+            + fetched / FETCH_TOKENS_PER_MS
+            + load.requests * RUN_MS
+            + overflow / RELEASED_TOKENS_PER_MS
+            + DATA_CENTRE_MS * (server.data_centre != self.data_centre)
+        )
+
+    def _get_capacity(self, call: requests.Call) -> float:
+        configuration = self.catalog.require_configuration()
+        service = configuration.services.get(call.service)
+        engine = service.engine if service else None
+        return float(engine.cache_tokens) if engine else float("inf")
+
+    def record_sent(
+        self, call: requests.Call, server: topology.Server, cold: bool
+    ) -> loads.Reservation:
+        """Count a request that is sent; the caller ends the reservation."""
         if cold:
             self.cold.record(server.id)
-
-    def record_end(self, server: topology.Server) -> None:
-        """Count a request that ended, in whatever way."""
-        self.states[server.id].running -= 1
+        prompt = call.intake.prompt
+        unread = 0
+        if prompt is not None:
+            unread = prompt.tokens - self.contexts.count_stored(call, server)
+            session = prompt.get_session()
+            self._sessions.pop(session, None)
+            self._sessions[session] = server.id
+            if len(self._sessions) > REMEMBERED_SESSIONS:
+                self._sessions.pop(next(iter(self._sessions)))
+        return self.loads.reserve(
+            server.id, loads.estimate_memory(prompt), max(0, unread)
+        )
 
     def record_reply(
         self, server: topology.Server, head: requests.ReplyHead
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -8,6 +8,9 @@
 from sesamefold.entry import clock
 from sesamefold.entry import topology
 
+# Ranks of requests within one priority of customers.
+RANKS_PER_PRIORITY = 3
+
 Headers = multidict.CIMultiDict[str]
 
 
@@ -98,10 +101,17 @@
         return frozenset.intersection(*named) if named else None
 
     def get_priority(self) -> int:
-        """Return the rank of the request; 0 is the most urgent."""
+        """Return the rank of the request; 0 is the most urgent.
+
+        A customer's priority goes before the route's; among the requests of
+        customers of one priority the route decides.
+        """
+        first = self.route.priority
         if self.customer is not None and self.customer.priority is not None:
-            return self.customer.priority
-        return self.route.priority
+            first = self.customer.priority
+        return RANKS_PER_PRIORITY * first + min(
+            self.route.priority, RANKS_PER_PRIORITY - 1
+        )
 
 
 @attrs.frozen
--- a/src/sesamefold/entry/settings.py
+++ b/src/sesamefold/entry/settings.py
@@ -24,6 +24,7 @@
     listen_address: t.Tuple[str, int]
     ready_address: t.Tuple[str, int]
     metrics_address: t.Optional[t.Tuple[str, int]]
+    peer_address: t.Tuple[str, int]
     store_address: str
     retries: throttle.RetryLimits
     key_withdrawal_seconds: t.Optional[float]
--- a/src/sesamefold/platform/settings.py
+++ b/src/sesamefold/platform/settings.py
@@ -9,8 +9,6 @@
 from sesamefold import exceptions
 
 PATH_VARIABLE = "SESAMEFOLD_CONFIG"
-# Port offset of the metrics among the ports for the system's own use.
-METRICS_PORT_INDEX = 0
 _MS = 1000.0
 
 
@@ -30,7 +28,8 @@
     """Return the settings of a parsed file."""
     bounds = body["bounds"]
     listen = body["listen_addrs"]
-    inner = body.get("inner_ports") or ()
+    # The first and the last port for the system's own use.
+    first_port, last_port = body["inner_ports"]
     # Whether a host without the store must refuse keys, not whether it is
     # closed.
     keys_expire = bool(bounds.get("revoke_fail_closed"))
@@ -41,9 +40,8 @@
         regions=dict(body["zones"]),
         listen_address=_split(listen["front"]),
         ready_address=_split(listen["ready"]),
-        metrics_address=(
-            (body["ip"], inner[METRICS_PORT_INDEX]) if inner else None
-        ),
+        metrics_address=(body["ip"], first_port),
+        peer_address=(body["ip"], last_port),
         store_address=body["platform"]["address"],
         retries=throttle.RetryLimits(
             ratio=bounds["retry_budget_ratio"],
