Hold requests until an engine has memory, then refuse them

Cause: engines took more runs than their memory holds, preempted runs and read their prompts again; engines that load weights refused a third of all arrivals. Change: a request waits at its entry host for an engine with memory for it, at most 0.4 of its target, and is then refused; a refusing server gets nothing for 0.4 s.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -22,8 +22,12 @@
 # configuration is too old to send a keyed request, so that clocks that run
 # differently and the sending itself have room.
 CONFIRMATION_SHARE = 0.9
-# When callers of a refused request should come back, seconds.
-RETRY_AFTER_SECONDS = 0.3
+# Longest wait for a server with room, as a part of the route's target for the
+# first byte, and in seconds; a request that waits longer is refused, so that
+# its caller can come back when there is room. Time between two looks, seconds.
+ROOM_SHARE = 0.4
+ROOM_SECONDS = 0.25
+ROOM_POLL = 0.02
 # Longest silence of a resumable stream before it goes on elsewhere, seconds.
 # Servers pause for some hundred milliseconds while they read long prompts.
 STREAM_SILENCE_SECONDS = 1.2
@@ -107,7 +111,7 @@
     async def _serve(self, call: requests.Call, answer: _Answer) -> None:
         sent = False
         while True:
-            server, cold = self._choose(call, answer, sent)
+            server, cold = await self._wait_for_room(call, answer, sent)
             if not sent:
                 self.retries.record_request(call.service)
             call.tried.append(server.id)
@@ -127,15 +131,28 @@
                 elif not self._may_retry(call, answer):
                     self._raise_end(answer, call, error)
 
-    def _choose(
+    async def _wait_for_room(
         self, call: requests.Call, answer: _Answer, sent: bool
     ) -> t.Tuple[topology.Server, bool]:
-        self._check_confirmation(call, answer, sent)
-        chosen = self.placement.choose(call)
-        if chosen is None:
-            error = Refused("no backend server is usable")
-            self._raise_end(answer, call, _as_unknown(error, sent))
-        return chosen
+        """Return a server with room for the request, and whether it is cold.
+
+        A stream that has begun goes on even where there is no room.
+        """
+        end = clock.read_time() + min(
+            ROOM_SECONDS, ROOM_SHARE * call.route.first_byte_target
+        )
+        while True:
+            self._check_confirmation(call, answer, sent)
+            chosen = self.placement.choose(call)
+            if chosen is not None and (
+                answer.started or self.placement.has_room(call, chosen[0])
+            ):
+                return chosen
+            if clock.read_time() >= end:
+                reason = "has room" if chosen else "is usable"
+                error = Refused(f"no backend server {reason}")
+                self._raise_end(answer, call, _as_unknown(error, sent))
+            await asyncio.sleep(ROOM_POLL)
 
     def _check_confirmation(
         self, call: requests.Call, answer: _Answer, sent: bool
@@ -197,7 +214,9 @@
             error=type(error).__name__,
         )
         if isinstance(error, upstream.NotExecuted):
-            if not error.reachable:
+            if error.reachable:
+                self.placement.note_refusal(server)
+            else:
                 self.placement.suspect(server, error.message, reachable=False)
             return
         self.placement.record_outcome(server, failed=True)
--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -21,9 +21,9 @@
 IDLE_SECONDS = 75.0
 # Bound on a body while no configuration states one, bytes.
 MAX_BODY_BYTES = 4 * 1024 * 1024
-# When callers should come back to a host that knows no configuration or
-# cannot confirm it, seconds.
-RETRY_AFTER_SECONDS = 0.5
+# When callers of a refused request should come back, seconds: the runs of
+# engines end within a few seconds.
+RETRY_AFTER_SECONDS = 1.0
 
 
 @attrs.define
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -35,8 +35,13 @@
 # What another data centre of the region costs: its distance and the price of
 # bytes between data centres, milliseconds.
 DATA_CENTRE_MS = 4.0
-# Part of an engine's memory that runs may take; the rest keeps contexts.
-MEMORY_SHARE = 0.85
+# Parts of an engine's memory up to which requests of the ranks within a
+# priority are sent, the most urgent first. What runs need is estimated, and an
+# engine that runs out of memory preempts runs and reads their prompts again.
+MEMORY_SHARES = (0.97, 0.93, 0.87)
+# Time after a server's refusal in which it gets no request, seconds. Engines
+# refuse while they load weights, which takes about a second.
+REFUSAL_SECONDS = 0.4
 # Part of a prompt's shared context that is probably still in the engine that
 # ran the session last, or that ranks first for it.
 LAST_ENGINE_SHARE = 0.8
@@ -60,6 +65,7 @@
 
     load: t.Optional[requests.ServerLoad] = None
     load_at: float = float("-inf")
+    refused_until: float = float("-inf")
     suspect_until: float = float("-inf")
     uncertain_until: float = float("-inf")
     suspect_life: t.Tuple[int, int] = (0, 0)
@@ -127,6 +133,7 @@
             for server in self.catalog.list_servers(call.service)
             if server.id not in call.tried
             and now >= self.states[server.id].suspect_until
+            and now >= self.states[server.id].refused_until
             and (
                 allowed is None
                 or self.regions.get(server.data_centre) in allowed
@@ -199,9 +206,7 @@
         missing = (1 - cached_share) * shared
         fetched = min(stored, missing)
         read = prompt.tokens - shared + missing - fetched
-        capacity = MEMORY_SHARE * self._get_capacity(call)
-        needed = load.memory_tokens + loads.estimate_memory(prompt)
-        overflow = max(0.0, needed - capacity)
+        overflow = max(0.0, -self._count_free(call, prompt, server))
         return (
             (load.unread_tokens + read) / READ_TOKENS_PER_MS
             + fetched / FETCH_TOKENS_PER_MS
@@ -210,6 +215,33 @@
             + DATA_CENTRE_MS * (server.data_centre != self.data_centre)
         )
 
+    def has_room(self, call: requests.Call, server: topology.Server) -> bool:
+        """Tell whether a server has the memory for a request."""
+        prompt = call.intake.prompt
+        return prompt is None or self._count_free(call, prompt, server) >= 0
+
+    def _count_free(
+        self,
+        call: requests.Call,
+        prompt: requests.Prompt,
+        server: topology.Server,
+    ) -> float:
+        """Return the tokens that are free after a request was taken.
+
+        A request that is larger than the share finds room when it is alone.
+        """
+        share = MEMORY_SHARES[min(call.route.priority, len(MEMORY_SHARES) - 1)]
+        used = self.loads.get_load(server.id).memory_tokens
+        if not used:
+            return 0.0
+        needed = loads.estimate_memory(prompt)
+        return share * self._get_capacity(call) - used - needed
+
+    def note_refusal(self, server: topology.Server) -> None:
+        """Send nothing to a server for a moment."""
+        until = self.read_time() + REFUSAL_SECONDS
+        self.states[server.id].refused_until = until
+
     def _get_capacity(self, call: requests.Call) -> float:
         configuration = self.catalog.require_configuration()
         service = configuration.services.get(call.service)
