Test the entry host before stand-ins of the platform

Change: stand-ins of the store and of the engines speak the published protocol with faults that a test chooses; tests of cut points, streams, keys, leases, contexts and limits. A settings file is read again on SIGHUP and when it changes. A server that broke off one connection is no longer taken for cold; a stream that falls silent goes on elsewhere. Found by the tests: a configuration whose customers had lost all keys was taken for one that needs no keys (test_a_withdrawn_key_is_refused failed with 200); mended.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -28,9 +28,11 @@
 ROOM_SHARE = 0.4
 ROOM_SECONDS = 0.25
 ROOM_POLL = 0.02
-# Longest silence of a resumable stream before it goes on elsewhere, seconds.
-# Servers pause for some hundred milliseconds while they read long prompts.
-STREAM_SILENCE_SECONDS = 1.2
+# Silence of a resumable stream, seconds, after which it goes on elsewhere if
+# its server sends nothing to others either, and after which it does so in any
+# case: the server may have put the run back, but callers leave after 2 s.
+SERVER_SILENCE_SECONDS = 0.8
+STREAM_SILENCE_SECONDS = 1.8
 
 
 class Writer(t.Protocol):
@@ -143,6 +145,9 @@
         )
         while True:
             self._check_confirmation(call, answer, sent)
+            if call.remaining() <= 0:
+                # Timers stand still while the host is suspended.
+                raise TimeoutError
             chosen = self.placement.choose(call)
             if chosen is not None and (
                 answer.started or self.placement.has_room(call, chosen[0])
@@ -217,11 +222,9 @@
             if error.reachable:
                 self.placement.note_refusal(server)
             else:
-                self.placement.suspect(server, error.message, reachable=False)
+                self.placement.suspect(server, error.message)
             return
         self.placement.record_outcome(server, failed=True)
-        if isinstance(error, upstream.ReplyBroken):
-            self.placement.suspect(server, error.message, reachable=True)
 
     async def _attempt(
         self,
@@ -248,7 +251,10 @@
         try:
             async with self.upstream.send(server, call, dispatch) as reply:
                 self.placement.record_reply(server, reply.head)
-                await self._pass_reply(call, answer, reply, reservation)
+                self.placement.note_heard(server)
+                await self._pass_reply(
+                    call, answer, server, reply, reservation
+                )
         finally:
             reservation.end()
         self.placement.record_outcome(server, failed=False)
@@ -270,6 +276,7 @@
         self,
         call: requests.Call,
         answer: _Answer,
+        server: topology.Server,
         reply: upstream.Reply,
         reservation: loads.Reservation,
     ) -> None:
@@ -277,7 +284,7 @@
         if not success:
             raise _Failed(reply.head, await reply.read_body())
         if call.route.streamed:
-            await self._pass_stream(call, answer, reply, reservation)
+            await self._pass_stream(call, answer, server, reply, reservation)
             return
         body = await reply.read_body()
         await answer.writer.start(reply.head)
@@ -289,13 +296,14 @@
         self,
         call: requests.Call,
         answer: _Answer,
+        server: topology.Server,
         reply: upstream.Reply,
         reservation: loads.Reservation,
     ) -> None:
         buffer = events.EventBuffer()
         chunks = reply.read_chunks()
         while True:
-            chunk = await self._read_chunk(call, chunks)
+            chunk = await self._read_chunk(call, answer, server, chunks)
             if chunk is None:
                 break
             whole = buffer.feed(chunk)
@@ -315,18 +323,39 @@
         await answer.writer.finish()
 
     async def _read_chunk(
-        self, call: requests.Call, chunks: t.AsyncIterator[bytes]
+        self,
+        call: requests.Call,
+        answer: _Answer,
+        server: topology.Server,
+        chunks: t.AsyncIterator[bytes],
     ) -> t.Optional[bytes]:
         """Return the next bytes of a stream, None at its end."""
         if not call.route.resumable:
             return await anext(chunks, None)
+        reading = asyncio.ensure_future(anext(chunks, None))
+        began = clock.read_time()
         try:
-            async with asyncio.timeout(
-                max(STREAM_SILENCE_SECONDS, 4 * call.route.event_gap_target)
-            ):
-                return await anext(chunks, None)
-        except TimeoutError:
-            raise upstream.ReplyBroken("the stream fell silent") from None
+            while True:
+                done, _ = await asyncio.wait(
+                    {reading}, timeout=SERVER_SILENCE_SECONDS
+                )
+                if done:
+                    self.placement.note_heard(server)
+                    return reading.result()
+                silence = clock.read_time() - began
+                if silence >= STREAM_SILENCE_SECONDS or (
+                    answer.started
+                    and self.placement.is_silent(
+                        server, SERVER_SILENCE_SECONDS
+                    )
+                ):
+                    raise upstream.ReplyBroken(
+                        f"the stream was silent for {silence:.1f} s"
+                    )
+        finally:
+            if not reading.done():
+                reading.cancel()
+                await asyncio.wait({reading})
 
     async def _pass_failure(self, answer: _Answer, failed: _Failed) -> None:
         if answer.started:
--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -134,7 +134,7 @@
         return requests.Call(
             intake=intake,
             route=route,
-            service=route.list_services(intake.request_id)[0],
+            service=route.choose_service(intake.request_id),
             customer=customer,
             method=request.method,
             target=request.raw_path,
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import signal
-import sys
 import typing as t
 
 from aiohttp import web
 import attrs
 import mode
 
+from sesamefold import defaults
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
 from sesamefold.entry import contexts
@@ -27,6 +27,7 @@
 from sesamefold.entry import store
 from sesamefold.entry import throttle
 from sesamefold.entry import upstream
+from sesamefold import exceptions
 
 # Time after the signal to stop in which new requests are still taken, seconds.
 # The balancer asks once a second and takes a host out after two misses.
@@ -36,6 +37,17 @@
 REFUSAL_SECONDS = 0.6
 # Part of the time to stop that is left for closing, seconds.
 CLOSING_SECONDS = 0.7
+# Time between two looks at the settings file, seconds.
+SETTINGS_INTERVAL = 2.0
+# Settings that a reload changes; the others need a restart.
+RELOADED_SETTINGS = frozenset(
+    {
+        "retries",
+        "key_withdrawal_seconds",
+        "shutdown_seconds",
+        "order_pause_seconds",
+    }
+)
 # Time between two looks at the requests in progress while stopping, seconds.
 DRAIN_POLL = 0.05
 
@@ -58,15 +70,16 @@
     """
 
     def __init__(
-        self, settings: entry_settings.EntrySettings, platform: Platform
+        self,
+        settings: entry_settings.EntrySettings,
+        platform: Platform,
+        log: decisions.DecisionLog,
     ) -> None:
         super().__init__()
         self.settings = settings
         self.platform = platform
         # Named apart from `log`, which belongs to mode.Service.
-        self.decisions = decisions.DecisionLog(
-            sys.stdout.fileno(), settings.host
-        )
+        self.decisions = log
         self.metrics = entry_metrics.EntryMetrics()
         self.catalog = catalogs.Catalog(self.decisions)
         self.members = member_lists.Members(
@@ -112,7 +125,7 @@
             address=":".join(map(str, self.settings.listen_address)),
         )
         self.session = upstream.make_session()
-        dispatcher = dispatch.Dispatcher(
+        self.dispatcher = dispatch.Dispatcher(
             self.catalog,
             self.placement,
             self.contexts,
@@ -123,7 +136,7 @@
         )
         self.frontend = frontend.Frontend(
             self.catalog,
-            dispatcher,
+            self.dispatcher,
             self.platform.codec,
             self.decisions,
             self.metrics,
@@ -143,6 +156,8 @@
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=frontend.IDLE_SECONDS,
+            max_line_size=defaults.MAX_HEADER_BYTES,
+            max_field_size=defaults.MAX_HEADER_BYTES,
             auto_decompress=False,
         )
         runner = web.ServerRunner(server)
@@ -215,6 +230,38 @@
             self.decisions,
         ).run()
 
+    def reload(self, file: "SettingsFile", cause: str) -> None:
+        """Take new settings; a file that cannot be read changes nothing."""
+        try:
+            settings = file.read()
+        except exceptions.SettingsError as error:
+            self.decisions.write(
+                "reload_failed", cause=cause, reason=error.message
+            )
+            return
+        changed = [
+            field.name
+            for field in attrs.fields(entry_settings.EntrySettings)
+            if getattr(settings, field.name)
+            != getattr(self.settings, field.name)
+        ]
+        applied = [name for name in changed if name in RELOADED_SETTINGS]
+        self.settings = attrs.evolve(
+            self.settings,
+            **{name: getattr(settings, name) for name in applied},
+        )
+        self.dispatcher.retries.limits = self.settings.retries
+        self.dispatcher.confirmation_seconds = (
+            self.settings.key_withdrawal_seconds
+        )
+        self.election.pause_seconds = self.settings.order_pause_seconds
+        self.decisions.write(
+            "reload",
+            cause=cause,
+            applied=applied,
+            after_restart=sorted(set(changed) - set(applied)),
+        )
+
     async def drain(self) -> None:
         """Refuse readiness, finish the requests in progress, then return."""
         stopped_at = clock.read_time()
@@ -234,13 +281,36 @@
         self.decisions.flush()
 
 
-async def run(host: EntryHost) -> None:
-    """Run an entry host until SIGTERM or SIGINT."""
+class SettingsFile(t.Protocol):
+    """The file that the settings come from."""
+
+    def has_changed(self) -> bool:
+        """Tell whether the file changed since the last reading."""
+
+    def read(self) -> entry_settings.EntrySettings:
+        """Return the settings; raises `exceptions.SettingsError`."""
+
+
+async def run(host: EntryHost, file: SettingsFile) -> None:
+    """Run an entry host until SIGTERM or SIGINT.
+
+    SIGHUP and changes of the settings file without a signal reload it.
+    """
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, host.reload, file, "signal")
     await host.start()
+    watching = asyncio.create_task(_watch_settings(host, file))
     await stopping.wait()
+    watching.cancel()
     await host.drain()
     await host.stop()
+
+
+async def _watch_settings(host: EntryHost, file: SettingsFile) -> None:
+    while True:
+        await asyncio.sleep(SETTINGS_INTERVAL)
+        if file.has_changed():
+            host.reload(file, "file")
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -67,8 +67,8 @@
     load_at: float = float("-inf")
     refused_until: float = float("-inf")
     suspect_until: float = float("-inf")
-    uncertain_until: float = float("-inf")
     suspect_life: t.Tuple[int, int] = (0, 0)
+    heard_at: float = float("-inf")
     failure_rate: float = 0.0
     failed_at: float = float("-inf")
 
@@ -84,8 +84,7 @@
     """Chooses servers and learns from what becomes of the requests.
 
     A server that takes no connection gets nothing before it reports itself
-    again. One that broke off a connection may have restarted, so until its
-    next report it counts as cold.
+    again: it may have restarted, and then it is cold.
     """
 
     catalog: catalogs.Catalog
@@ -119,7 +118,7 @@
             chosen = self._choose_engine(call, call.intake.prompt, sound, now)
         else:
             chosen = min(sound, key=functools.partial(self._weigh, now=now))
-        return chosen, self._is_cold(chosen, now)
+        return chosen, now < chosen.cold_until
 
     def _list_usable(
         self, call: requests.Call, now: float
@@ -139,15 +138,10 @@
                 or self.regions.get(server.data_centre) in allowed
             )
             and (
-                not self._is_cold(server, now)
-                or self.cold.has_room(server.id, rate)
+                now >= server.cold_until or self.cold.has_room(server.id, rate)
             )
         ]
 
-    def _is_cold(self, server: topology.Server, now: float) -> bool:
-        uncertain_until = self.states[server.id].uncertain_until
-        return now < max(server.cold_until, uncertain_until)
-
     def _is_near(self, server: topology.Server) -> bool:
         return self.regions.get(server.data_centre) == self.region
 
@@ -282,32 +276,27 @@
         if failed:
             state.failed_at = self.read_time()
 
-    def suspect(
-        self, server: topology.Server, reason: str, reachable: bool
-    ) -> None:
-        """Distrust a server until it reports itself again.
-
-        `reachable` tells that it took the request; it then counts as cold,
-        otherwise it gets nothing.
-        """
+    def suspect(self, server: topology.Server, reason: str) -> None:
+        """Send nothing to a server before it reports itself again."""
         state = self.states[server.id]
-        until = self.read_time() + SUSPECT_SECONDS
-        state.uncertain_until = until
-        if not reachable:
-            state.suspect_until = until
+        state.suspect_until = self.read_time() + SUSPECT_SECONDS
         known = self.catalog.servers.get(server.id, server)
         state.suspect_life = (known.started_at, known.sequence)
-        self.log.write(
-            "server_suspected",
-            server=server.id,
-            reason=reason,
-            reachable=reachable,
-        )
+        self.log.write("server_suspected", server=server.id, reason=reason)
+
+    def note_heard(self, server: topology.Server) -> None:
+        """Note that a server sent something."""
+        self.states[server.id].heard_at = self.read_time()
+
+    def is_silent(self, server: topology.Server, seconds: float) -> bool:
+        """Tell whether a server sent nothing at all for some time."""
+        heard_at = self.states[server.id].heard_at
+        return self.read_time() - heard_at >= seconds
 
     def _clear_suspicion(self, server: topology.Server) -> None:
         state = self.states.get(server.id)
-        if state is None or state.uncertain_until == float("-inf"):
+        if state is None or state.suspect_until == float("-inf"):
             return
         if (server.started_at, server.sequence) > state.suspect_life:
-            state.suspect_until = state.uncertain_until = float("-inf")
+            state.suspect_until = float("-inf")
             self.log.write("server_trusted", server=server.id)
--- a/src/sesamefold/entry/topology.py
+++ b/src/sesamefold/entry/topology.py
@@ -48,21 +48,21 @@
         """Tell whether a request may be sent again after it has run."""
         return self.idempotent or self.resumable
 
-    def list_services(self, request_id: str) -> t.List[str]:
-        """Return the service for a request first, then the others.
+    def choose_service(self, request_id: str) -> str:
+        """Return the service for a request.
 
         The weights divide the requests; the request id decides.
         """
         if len(self.services) == 1:
-            return [self.services[0].service]
+            return self.services[0].service
         digest = hashlib.blake2b(request_id.encode(), digest_size=8).digest()
         point = int.from_bytes(digest, "big") / 2**64
         point *= sum(share.weight for share in self.services)
         for share in self.services:
             point -= share.weight
             if point < 0:
-                return [share.service]
-        return [self.services[-1].service]
+                return share.service
+        return self.services[-1].service
 
 
 @attrs.frozen
@@ -121,14 +121,15 @@
 class Configuration:
     """One accepted configuration; it never changes.
 
-    `customers` maps an API key to its customer. An empty map means that
-    requests need no key.
+    `customers` maps an API key to its customer; `needs_key` tells whether
+    requests need one, also while no customer has any.
     """
 
     version: int
     routes: t.Tuple[Route, ...]
     services: t.Mapping[str, Service]
     customers: t.Mapping[str, Customer]
+    needs_key: bool
     limits: ClientLimits
 
     @functools.cached_property
@@ -158,7 +159,7 @@
 
         Raises `exceptions.Unauthenticated`.
         """
-        if not self.customers or route.public:
+        if not self.needs_key or route.public:
             return None
         customer = self.customers.get(key) if key else None
         if customer is None:
--- a/src/sesamefold/platform/daemon.py
+++ b/src/sesamefold/platform/daemon.py
@@ -1,11 +1,15 @@
 """The entry host on the users' platform."""
 
 import asyncio
+import json
 import os
 import pathlib
 import sys
 
+from sesamefold.entry import decisions
 from sesamefold.entry import host as entry_host
+from sesamefold.entry import settings as entry_settings
+from sesamefold import exceptions
 from sesamefold.platform import client
 from sesamefold.platform import engines
 from sesamefold.platform import headers
@@ -13,10 +17,28 @@
 from sesamefold.platform import stores
 from sesamefold import transport
 
+# Time between two readings of settings that cannot be used, seconds.
+SETTINGS_RETRY_SECONDS = 1.0
+
+
+async def _read_settings(
+    file: platform_settings.SettingsFile,
+) -> entry_settings.EntrySettings:
+    """Return the settings as soon as the file can be used."""
+    while True:
+        try:
+            return file.read()
+        except exceptions.SettingsError as error:
+            line = {"event": "settings_rejected", "reason": error.message}
+            print(json.dumps(line), flush=True)
+            await asyncio.sleep(SETTINGS_RETRY_SECONDS)
+
 
 async def _run() -> None:
-    path = pathlib.Path(os.environ[platform_settings.PATH_VARIABLE])
-    settings = platform_settings.load_settings(path)
+    file = platform_settings.SettingsFile(
+        pathlib.Path(os.environ[platform_settings.PATH_VARIABLE])
+    )
+    settings = await _read_settings(file)
     async with transport.make_session() as session:
         store_client = client.StoreClient(session, settings.store_address)
         platform = entry_host.Platform(
@@ -26,7 +48,9 @@
             engines.EngineClient(session),
             stores.ContextStoreClient(session),
         )
-        await entry_host.run(entry_host.EntryHost(settings, platform))
+        log = decisions.DecisionLog(sys.stdout.fileno(), settings.host)
+        host = entry_host.EntryHost(settings, platform, log)
+        await entry_host.run(host, file)
 
 
 def main() -> None:
--- a/src/sesamefold/platform/records.py
+++ b/src/sesamefold/platform/records.py
@@ -75,7 +75,8 @@
         data_centre=_read(body, "zone", str),
         slots=_read(body, "slots", int),
         draining=_STATES[state],
-        started_at=int(body.get("born") or 0),
+        # Unix milliseconds of the start; the same id may start again.
+        started_at=_read(body, "born", int) if "born" in body else 0,
         sequence=_read(body, "seq", int),
         cold_until=clock.read_time() + cold_ms / _MS if cold_ms > 0 else 0.0,
         weights={
@@ -100,6 +101,7 @@
             for customer in [_decode_customer(entry)]
             for key in entry.get("api_keys") or ()
         },
+        needs_key="tenants" in body,
         limits=topology.ClientLimits(
             max_header_bytes=limits["max_header_bytes"],
             max_body_bytes=limits["max_body_bytes"],
--- a/src/sesamefold/platform/settings.py
+++ b/src/sesamefold/platform/settings.py
@@ -12,14 +12,34 @@
 _MS = 1000.0
 
 
-def load_settings(path: pathlib.Path) -> entry_settings.EntrySettings:
-    """Read a settings file; raises `exceptions.SettingsError`."""
-    try:
-        return decode_settings(tomllib.loads(path.read_text()))
-    except (OSError, ValueError, KeyError, TypeError) as error:
-        raise exceptions.SettingsError(
-            f"{path}: {type(error).__name__}: {error}"
-        ) from error
+class SettingsFile:
+    """The settings file; implements `host.SettingsFile`."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self._read_version: t.Optional[t.Tuple[int, int]] = None
+
+    def has_changed(self) -> bool:
+        """Tell whether the file changed since the last reading."""
+        return self._get_version() != self._read_version
+
+    def read(self) -> entry_settings.EntrySettings:
+        """Return the settings; raises `exceptions.SettingsError`."""
+        self._read_version = self._get_version()
+        try:
+            return decode_settings(tomllib.loads(self._path.read_text()))
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            raise exceptions.SettingsError(
+                f"{self._path}: {type(error).__name__}: {error}"
+            ) from error
+
+    def _get_version(self) -> t.Optional[t.Tuple[int, int]]:
+        """Return what changes with the file, None when there is none."""
+        try:
+            status = self._path.stat()
+        except OSError:
+            return None
+        return status.st_mtime_ns, status.st_size
 
 
 def decode_settings(
--- /dev/null
+++ b/standins/platform_engine.py
@@ -0,0 +1,160 @@
+"""Stand-in of the users' engines and plain services."""
+
+import asyncio
+import socket
+import struct
+import typing as t
+
+from aiohttp import web
+import attrs
+import multidict
+
+SEAL = "3e1b.07.5a2"
+
+
+@attrs.frozen
+class Run:
+    """A request that a server began to work on."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: t.Mapping[str, str]
+    body: bytes
+
+
+@attrs.define
+class PlatformEngine:
+    """A server whose next answers a test chooses.
+
+    `faults` are taken one for each request, in their order: "refuse" (not
+    run), "misdirect" (another instance), "reset" (run, no answer), "fail"
+    (run, status 500), "foreign" (the answer of another request), "unsealed",
+    "cut" (a stream broken after its first event), "cut-unframed" (a body
+    without a length that is reset), "late" (answers after a second).
+    """
+
+    id: str
+    events: int = 3
+    faults: t.List[str] = attrs.field(factory=list)
+    runs: t.List[Run] = attrs.field(factory=list)
+    closed_early: int = 0
+    weights: t.Dict[str, int] = attrs.field(factory=dict)
+    orders: t.List[t.Dict[str, t.Any]] = attrs.field(factory=list)
+    lose_orders: bool = False
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        if request.path == "/report":
+            return self._report()
+        if request.path == "/order":
+            return await self._order(request)
+        fault = self.faults.pop(0) if self.faults else ""
+        if request.headers.get("Sesamefold-Expect-Instance") != self.id or (
+            fault == "misdirect"
+        ):
+            return web.Response(status=421)
+        if fault == "refuse":
+            return web.Response(
+                status=503, headers={"Sesamefold-Not-Executed": "1"}
+            )
+        return await self._run(request, fault)
+
+    async def _run(
+        self, request: web.BaseRequest, fault: str
+    ) -> web.StreamResponse:
+        request_id = request.headers["Sesamefold-Request-Id"]
+        self.runs.append(
+            Run(
+                request_id,
+                request.method,
+                request.raw_path,
+                multidict.CIMultiDict(request.headers),
+                await request.read(),
+            )
+        )
+        if fault == "late":
+            try:
+                await asyncio.sleep(1.0)
+            except asyncio.CancelledError:
+                self.closed_early += 1
+                raise
+        if fault == "reset":
+            self._abort(request)
+        headers = {
+            "Sesamefold-Request-Id": (
+                "another" if fault == "foreign" else request_id
+            )
+        }
+        if fault != "unsealed":
+            headers["Sesamefold-Response-Seal"] = SEAL
+        if fault == "fail":
+            return web.Response(status=500, headers=headers, body=b"failed")
+        if "Sesamefold-Model" in request.headers:
+            return await self._stream(request, headers, fault)
+        if fault == "cut-unframed":
+            return await self._send_unframed(request, headers)
+        return web.Response(headers=headers, body=b"answer")
+
+    async def _stream(
+        self, request: web.BaseRequest, headers: t.Dict[str, str], fault: str
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={**headers, "Content-Type": "text/event-stream"}
+        )
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, self.events + 1):
+            await response.write(f"id: {number}\ndata: x\n\n".encode())
+            if fault == "cut":
+                await response.write(b"id: 99\nda")
+                await asyncio.sleep(0.05)
+                self._abort(request)
+        await response.write_eof()
+        return response
+
+    async def _send_unframed(
+        self, request: web.BaseRequest, headers: t.Dict[str, str]
+    ) -> web.StreamResponse:
+        assert request.transport is not None
+        lines = ["HTTP/1.1 200 OK", *(f"{k}: {v}" for k, v in headers.items())]
+        head = "\r\n".join([*lines, "Connection: close", "", ""])
+        t.cast(asyncio.Transport, request.transport).write(
+            head.encode() + b"ans"
+        )
+        await asyncio.sleep(0.05)
+        self._abort(request)
+        return web.Response()
+
+    def _abort(self, request: web.BaseRequest) -> t.NoReturn:
+        """Reset the connection."""
+        assert request.transport is not None
+        connection = request.transport.get_extra_info("socket")
+        # Without lingering, a close sends a reset.
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        t.cast(asyncio.Transport, request.transport).abort()
+        raise asyncio.CancelledError()
+
+    def _report(self) -> web.Response:
+        return web.json_response(
+            {
+                "models": [
+                    {"name": name, "version": version, "adapters": []}
+                    for name, version in self.weights.items()
+                ],
+                "busy": False,
+                "seq": len(self.orders),
+            }
+        )
+
+    async def _order(self, request: web.BaseRequest) -> web.StreamResponse:
+        order = await request.json()
+        if order.get("expected") != len(self.orders):
+            return web.Response(status=409)
+        self.orders.append(order)
+        self.weights[order["model"]] = order["version"]
+        if self.lose_orders:
+            self._abort(request)
+        return web.Response(status=202)
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,208 @@
+"""Stand-in of the users' store, spoken to by its published protocol."""
+
+import asyncio
+import base64
+import itertools
+import json
+import time
+import typing as t
+
+from aiohttp import web
+import attrs
+
+
+@attrs.define
+class _Item:
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+
+@attrs.define
+class PlatformStore:
+    """A store in memory, with the faults that tests switch on.
+
+    `refusal` is the status of every answer while it is not 0; `silent` keeps
+    every call waiting; `lose_answers` does what is asked and closes the
+    connection.
+    """
+
+    refusal: int = 0
+    silent: bool = False
+    lose_answers: bool = False
+    calls: t.List[str] = attrs.field(factory=list)
+    revision: int = 1
+    _items: t.Dict[str, _Item] = attrs.field(factory=dict)
+    _history: t.List[t.Dict[str, t.Any]] = attrs.field(factory=list)
+    _dropped: int = 0
+    _leases: t.Dict[int, t.Tuple[float, float]] = attrs.field(factory=dict)
+    _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _ids: t.Iterator[int] = attrs.field(factory=lambda: itertools.count(100))
+
+    def put(self, key: str, body: t.Any, lease: int = 0) -> int:
+        """Write a value, bytes as they are and all else as JSON."""
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return self._write(key, base64.b64encode(data).decode(), lease)
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            self._note(
+                {"key": key, "revision": self.revision, "removed": True}
+            )
+
+    def get(self, key: str) -> t.Optional[bytes]:
+        """Return a value, None when there is none."""
+        self._expire()
+        item = self._items.get(key)
+        return base64.b64decode(item.value) if item else None
+
+    def drop_history(self) -> None:
+        """Forget all changes so far."""
+        self._dropped = self.revision
+        self._history.clear()
+        self._changed.set()
+
+    def build(self) -> web.Application:
+        """Return the HTTP interface."""
+        app = web.Application(middlewares=[self._apply_faults])
+        app.router.add_get("/kv-key", self._get_key)
+        app.router.add_get("/kv-range", self._get_range)
+        app.router.add_get("/kv-watch", self._watch)
+        app.router.add_post("/kv-txn", self._change)
+        app.router.add_post("/kv-lease", self._grant)
+        app.router.add_post("/kv-keep/{id}", self._keep)
+        app.router.add_delete("/kv-lease-end/{id}", self._end)
+        return app
+
+    @web.middleware
+    async def _apply_faults(
+        self, request: web.Request, handler: t.Any
+    ) -> web.StreamResponse:
+        self.calls.append(f"{request.method} {request.path}")
+        if self.silent:
+            await asyncio.sleep(60.0)
+        if self.refusal:
+            return web.Response(status=self.refusal)
+        self._expire()
+        response = await handler(request)
+        if self.lose_answers and request.transport is not None:
+            request.transport.abort()
+        return response
+
+    def _write(self, key: str, value: str, lease: int) -> int:
+        self.revision += 1
+        known = self._items.get(key)
+        created = known.created if known else self.revision
+        item = _Item(value, self.revision, created, lease)
+        self._items[key] = item
+        self._note(self._encode(key, item))
+        return self.revision
+
+    def _note(self, event: t.Dict[str, t.Any]) -> None:
+        self._history.append(event)
+        self._changed.set()
+
+    def _encode(self, key: str, item: _Item) -> t.Dict[str, t.Any]:
+        return {"key": key, **attrs.asdict(item)}
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for lease in [i for i, (_, at) in self._leases.items() if at <= now]:
+            self._drop_lease(lease)
+
+    def _drop_lease(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        for key in [k for k, i in self._items.items() if i.lease == lease]:
+            self.remove(key)
+
+    async def _get_key(self, request: web.Request) -> web.Response:
+        key = request.query["key"]
+        if key not in self._items:
+            return web.json_response({"as_of": self.revision}, status=404)
+        body = self._encode(key, self._items[key])
+        return web.json_response({**body, "as_of": self.revision})
+
+    async def _get_range(self, request: web.Request) -> web.Response:
+        prefix, after = request.query["path_prefix"], request.query.get(
+            "after"
+        )
+        keys = sorted(
+            k
+            for k in self._items
+            if k.startswith(prefix) and (after is None or k > after)
+        )
+        page = keys[:500]
+        return web.json_response(
+            {
+                "items": [self._encode(k, self._items[k]) for k in page],
+                "has_more": len(keys) > len(page),
+                "as_of": self.revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query["path_prefix"]
+        after = int(request.query["after"])
+        end = time.monotonic() + int(request.query["wait_ms"]) / 1000
+        while True:
+            if after < self._dropped:
+                return web.Response(status=410)
+            events = [
+                e
+                for e in self._history
+                if e["revision"] > after and e["key"].startswith(prefix)
+            ]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return web.json_response(
+                    {"events": events, "as_of": self.revision}
+                )
+            self._changed.clear()
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    async def _change(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        expected = {e["key"]: e["revision"] for e in body["expected"]}
+        actual = {
+            key: self._items[key].revision if key in self._items else 0
+            for key in expected
+        }
+        if actual != expected:
+            items = [
+                self._encode(k, self._items[k])
+                for k in expected
+                if k in self._items
+            ]
+            return web.json_response({"items": items}, status=412)
+        for write in body["writes"]:
+            if write["lease"] and write["lease"] not in self._leases:
+                return web.Response(status=404)
+        for write in body["writes"]:
+            self._write(write["key"], write["value"], write["lease"])
+        for key in body["deletes"]:
+            self.remove(key)
+        return web.json_response({"revision": self.revision})
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        seconds = (await request.json())["ttl_ms"] / 1000
+        lease = next(self._ids)
+        self._leases[lease] = (seconds, time.monotonic() + seconds)
+        return web.json_response({"lease": lease, "ttl_ms": seconds * 1000})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["id"])
+        if lease not in self._leases:
+            return web.Response(status=404)
+        seconds, _ = self._leases[lease]
+        self._leases[lease] = (seconds, time.monotonic() + seconds)
+        return web.json_response({"ttl_ms": seconds * 1000})
+
+    async def _end(self, request: web.Request) -> web.Response:
+        self._drop_lease(int(request.match_info["id"]))
+        return web.json_response({})
--- /dev/null
+++ b/tests/test_entry_contexts.py
@@ -0,0 +1,173 @@
+"""Fetching, saving and freeing cached context."""
+
+import typing as t
+import unittest
+
+from sesamefold.entry import clock as clocks
+from sesamefold.entry import contexts
+from sesamefold.entry import requests
+from sesamefold.entry import topology
+from sesamefold import exceptions
+from tests import entry_fakes
+from tests import test_entry_catalog
+
+SITE = topology.CacheStore("10.0.0.1:1", "dc-1", 10_000)
+
+
+class FakeStore:
+    """A store whose events a test sets."""
+
+    def __init__(self) -> None:
+        self.batch = contexts.EventBatch(1, 1, False, 50.0, ())
+        self.contents = self.batch
+        self.freed: t.List[t.Tuple[int, t.Tuple[t.Tuple[str, str], ...]]] = []
+
+    async def read_events(
+        self, site: topology.CacheStore, position: int, seconds: float
+    ) -> contexts.EventBatch:
+        """Return the events."""
+        return self.batch
+
+    async def read_contents(
+        self, site: topology.CacheStore
+    ) -> contexts.EventBatch:
+        """Return the contents."""
+        return self.contents
+
+    async def free(
+        self,
+        site: topology.CacheStore,
+        life: int,
+        parts: t.Sequence[t.Tuple[str, str]],
+    ) -> None:
+        """Remember what is freed."""
+        if life != self.batch.life:
+            raise exceptions.StoreUnavailable("another life")
+        self.freed.append((life, tuple(parts)))
+
+
+class ContextsTest(unittest.IsolatedAsyncioTestCase):
+    """When context is fetched, saved and freed."""
+
+    async def asyncSetUp(self) -> None:
+        """Know one store that holds the first part of a prompt."""
+        self.clock = entry_fakes.FakeClock()
+        self.catalog = entry_fakes.make_catalog(self.clock)
+        self.catalog.confirm(self.clock.now)
+        self.catalog.weights["m"] = 1
+        self.store = FakeStore()
+        self.contexts = contexts.Contexts(
+            "entry-1",
+            "region-1",
+            {"dc-1": "region-1"},
+            self.catalog,
+            self.store,
+            lambda: ["entry-1"],
+            entry_fakes.make_log(),
+            self.clock,
+        )
+        self.view = contexts.StoreView(SITE)
+        self.contexts.views[SITE.address] = self.view
+        self.take(("1/", "aa", 400))
+        self.clock.now += contexts.SAVE_DELAY
+        self.take()
+        self.catalog.confirm(self.clock.now)
+        self.server = entry_fakes.make_server("i-1", weights={"m": 1})
+
+    def take(self, *parts: t.Tuple[str, str, int], life: int = 1) -> None:
+        """Take events of the store, as read now."""
+        events = tuple(contexts.ContextEvent(True, *part) for part in parts)
+        batch = contexts.EventBatch(life, 2, False, 50.0, events)
+        self.view.take(batch, self.clock.now, self.clock.now)
+
+    def plan(self, **customer: t.Any) -> requests.ContextPlan:
+        """Return the plan for a prompt of three parts."""
+        parts = tuple(
+            requests.PromptPart(name, 400) for name in ("aa", "bb", "cc")
+        )
+        intake = requests.Intake(
+            "r-1",
+            requests.Headers(),
+            prompt=requests.Prompt("m", 1200, 80, parts),
+        )
+        configuration = test_entry_catalog.make_configuration(1)
+        now = clocks.read_time()
+        call = requests.Call(
+            intake,
+            configuration.routes[2],
+            "chat",
+            topology.Customer("c", **customer),
+            "POST",
+            "/",
+            b"",
+            now,
+            now + 10,
+        )
+        plan = self.contexts.plan(call, self.server)
+        assert plan is not None
+        return plan
+
+    def test_known_parts_are_fetched_and_others_saved(self) -> None:
+        plan = self.plan()
+        fetch = requests.ContextFetch(SITE.address, 400)
+        self.assertEqual((fetch, None, None), plan.fetches)
+        self.assertEqual((None, SITE.address, None), plan.saves)
+        self.assertAlmostEqual(50.0 + contexts.FETCH_SECONDS, plan.fetch_until)
+
+    async def test_nothing_is_fetched_in_doubt(self) -> None:
+
+        def age() -> None:
+            self.clock.now += contexts.FRESH_SECONDS + 0.1
+            self.catalog.confirm(self.clock.now)
+
+        def lose_confirmation() -> None:
+            self.clock.now += contexts.CONFIRMED_SECONDS + 0.1
+            self.take()
+
+        def name_weights() -> None:
+            self.catalog.weights["m"] = 2
+
+        def restart() -> None:
+            self.take(life=2)
+
+        for happen in (age, lose_confirmation, name_weights, restart):
+            with self.subTest(happen=happen.__name__):
+                self.assertTrue(any(self.plan().fetches))
+                happen()
+                self.assertFalse(any(self.plan().fetches))
+                await self.asyncSetUp()
+
+    def test_nothing_is_saved_soon_after_a_restart(self) -> None:
+        self.take(life=2)
+        self.assertFalse(any(self.plan().saves))
+        self.clock.now += contexts.SAVE_DELAY
+        self.catalog.confirm(self.clock.now)
+        self.take(life=2)
+        self.assertTrue(any(self.plan().saves))
+
+    def test_an_isolated_customer_shares_nothing(self) -> None:
+        plan = self.plan(isolated=True)
+        self.assertEqual("1/c", plan.salt)
+        self.assertFalse(any(plan.fetches))
+
+    def test_context_stays_in_the_customer_s_regions(self) -> None:
+        plan = self.plan(regions=frozenset({"region-2"}))
+        self.assertFalse(any(plan.fetches) or any(plan.saves))
+
+    def test_a_full_store_gets_nothing(self) -> None:
+        self.take(("1/", "zz", 9_500))
+        self.assertFalse(any(self.plan().saves))
+
+    async def test_old_context_is_freed_when_no_fetch_can_last(self) -> None:
+        self.catalog.weights["m"] = 2
+        await self.contexts._free_outdated(self.view)
+        self.clock.now += contexts.FREE_DELAY - 0.1
+        await self.contexts._free_outdated(self.view)
+        self.assertEqual([], self.store.freed)
+        self.clock.now += 0.2
+        await self.contexts._free_outdated(self.view)
+        self.assertEqual([(1, (("1/", "aa"),))], self.store.freed)
+        self.assertGreaterEqual(
+            contexts.FREE_DELAY,
+            contexts.CONFIRMED_SECONDS + contexts.FETCH_SECONDS,
+        )
--- /dev/null
+++ b/tests/test_platform_translation.py
@@ -0,0 +1,226 @@
+"""Settings, records and the store's client of the platform."""
+
+import contextlib
+import pathlib
+import tempfile
+import unittest
+
+import multidict
+
+from sesamefold.entry import changes
+from sesamefold.entry import store
+from sesamefold import exceptions
+from sesamefold.platform import client
+from sesamefold.platform import headers
+from sesamefold.platform import records
+from sesamefold.platform import settings
+from sesamefold.platform import wire
+from sesamefold import transport
+from standins import platform_store
+from tests import entry_fakes
+
+SETTINGS = """
+node_name = "front-1"
+zone = "dc-1"
+region = "region-1"
+ip = "10.0.0.1"
+inner_ports = [7700, 7715]
+unknown = 1
+[zones]
+dc-1 = "region-1"
+[listen_addrs]
+front = "10.0.0.1:8005"
+ready = "10.0.0.1:8002"
+[bounds]
+retry_budget_ratio = 0.2
+retry_budget_extra = 58
+budget_window_s = 10
+revoke_ms = 5000
+revoke_fail_closed = true
+grace_s = 8
+lease_ms = 3000
+[platform]
+address = "10.200.1.7:8007"
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file."""
+
+    def setUp(self) -> None:
+        """Write a file."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "settings.toml"
+        self.path.write_text(SETTINGS)
+
+    def test_a_file(self) -> None:
+        file = settings.SettingsFile(self.path)
+        self.assertTrue(file.has_changed())
+        read = file.read()
+        self.assertEqual("front-1", read.host)
+        self.assertEqual(5.0, read.key_withdrawal_seconds)
+        self.assertEqual(("10.0.0.1", 7715), read.peer_address)
+        self.assertFalse(file.has_changed())
+        self.path.write_text(SETTINGS.replace("5000", "6000"))
+        self.assertTrue(file.has_changed())
+
+    def test_files_that_cannot_be_used(self) -> None:
+        for text in ("", "x = ", SETTINGS.replace("[platform]", "[other]")):
+            with self.subTest(text=text[:20]):
+                self.path.write_text(text)
+                with self.assertRaises(exceptions.SettingsError):
+                    settings.SettingsFile(self.path).read()
+        with self.assertRaises(exceptions.SettingsError):
+            settings.SettingsFile(self.path.parent / "none").read()
+
+
+class RecordsTest(unittest.TestCase):
+    """Records of servers and of the operator."""
+
+    def test_broken_entries_name_no_server(self) -> None:
+        good = {
+            "service": "chat",
+            "address": "10.0.0.1:80",
+            "zone": "dc-1",
+            "slots": 8,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+            "born": 5,
+        }
+        change = records.decode_item("servers/i", wire.encode(good))
+        self.assertIsInstance(change, changes.ServerReported)
+        broken = [
+            b"",
+            b"\xff\xfe",
+            b"[]",
+            *(wire.encode({**good, name: None}) for name in good),
+            wire.encode({**good, "state": "sleeping"}),
+            wire.encode({**good, "address": "nowhere"}),
+            wire.encode({**good, "seq": True}),
+            wire.encode({**good, "born": "5"}),
+            wire.encode({**good, "models": [{"name": "m"}]}),
+            wire.encode({**good, "models": 4}),
+        ]
+        for data in broken:
+            with self.subTest(data=data):
+                change = records.decode_item("servers/i", data)
+                self.assertIsInstance(change, changes.RecordRejected)
+
+    def test_the_longest_prefix_wins(self) -> None:
+        body = entry_fakes.make_configuration()
+        body["routes"].append(
+            {**body["routes"][0], "name": "longer", "path_prefix": "/safe/a/"}
+        )
+        change = records.decode_item("op/config", wire.encode(body))
+        assert isinstance(change, changes.ConfigurationAccepted)
+        found = change.configuration
+        host = entry_fakes.HOST
+        self.assertEqual("longer", found.find_route(host, "/safe/a/b").name)
+        self.assertEqual("safe", found.find_route(host, "/safe/b").name)
+        with self.assertRaises(exceptions.UnknownPath):
+            found.find_route(host, "/saf")
+
+    def test_a_split_route_divides_its_requests(self) -> None:
+        body = entry_fakes.make_configuration()
+        shares = [
+            {"service": "a", "weight": 90},
+            {"service": "b", "weight": 10},
+        ]
+        body["routes"][0]["traffic_split"] = shares
+        change = records.decode_item("op/config", wire.encode(body))
+        assert isinstance(change, changes.ConfigurationAccepted)
+        route = change.configuration.routes[0]
+        chosen = [route.choose_service(f"r-{n}") for n in range(1000)]
+        self.assertAlmostEqual(100, chosen.count("b"), delta=40)
+
+
+class HeadersTest(unittest.TestCase):
+    """Headers that are repeated or broken."""
+
+    def test_requests_that_are_refused(self) -> None:
+        cases = (
+            [("Sesamefold-Request-Id", "a"), ("sesamefold-request-id", "b")],
+            [
+                ("Sesamefold-Request-Id", "a"),
+                ("Api-Key", "x"),
+                ("api-key", "y"),
+            ],
+            [],
+            [
+                ("Sesamefold-Request-Id", "a"),
+                ("Sesamefold-Model", "m"),
+                ("Sesamefold-Token-Usage", "many"),
+            ],
+            [
+                ("Sesamefold-Request-Id", "a"),
+                ("Sesamefold-Model", "m"),
+                ("Sesamefold-Token-Usage", "1,2"),
+                ("Sesamefold-Prompt-Prefix", "aa"),
+            ],
+        )
+        for sent in cases:
+            with self.subTest(sent=sent):
+                with self.assertRaises(exceptions.MalformedRequest):
+                    headers.HeaderCodec().read_request(
+                        multidict.CIMultiDictProxy(multidict.CIMultiDict(sent))
+                    )
+
+
+class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+    """The client before the stand-in's faults."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a store."""
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.store = platform_store.PlatformStore()
+        address = await entry_fakes.start_server(
+            self.stack, self.store.build()
+        )
+        session = await self.stack.enter_async_context(
+            transport.make_session()
+        )
+        self.client = client.StoreClient(session, address)
+
+    async def test_watches_bring_changes_and_lost_history(self) -> None:
+        batch = await self.client.read_all(store.Topic.OPERATIONS)
+        self.store.put("op/evacuate/dc-1", {})
+        self.store.put("servers/x", {})
+        watched = await self.client.watch(
+            store.Topic.OPERATIONS, batch.revision, 0.2
+        )
+        self.assertEqual(
+            (changes.EvacuationRequested("dc-1"),), watched.changes
+        )
+        self.store.put("op/evacuate/dc-2", {})
+        self.store.drop_history()
+        with self.assertRaises(store.HistoryLost):
+            await self.client.watch(
+                store.Topic.OPERATIONS, watched.revision, 0.2
+            )
+
+    async def test_ranges_of_several_pages(self) -> None:
+        for number in range(1100):
+            self.store.put(f"op/evacuate/dc-{number}", {})
+        batch = await self.client.read_all(store.Topic.OPERATIONS)
+        self.assertEqual(1100, len(batch.changes))
+
+    async def test_faults(self) -> None:
+        self.store.refusal = 429
+        with self.assertRaises(exceptions.PlatformUnavailable):
+            await self.client.grant_lease(1.0)
+        self.store.refusal = 0
+        lease = await self.client.grant_lease(5.0)
+        self.store.lose_answers = True
+        write = store.Write("sesamefold/x", b"1", lease)
+        with self.assertRaises(exceptions.OutcomeUnknown):
+            await self.client.write({"sesamefold/x": 0}, [write])
+        self.store.lose_answers = False
+        with self.assertRaises(exceptions.VersionConflict):
+            await self.client.write({"sesamefold/x": 0}, [write])
+        await self.client.end_lease(lease)
+        self.assertIsNone(self.store.get("sesamefold/x"))
+        with self.assertRaises(exceptions.LeaseExpired):
+            await self.client.renew_lease(lease)
