Let runs go on while an engine changes its weights

Change: orders let the runs go on (retain). Ruled out: resetting the runs loses the streams that cannot be resumed; not measured.

--- a/src/sesamefold/platform/engines.py
+++ b/src/sesamefold/platform/engines.py
@@ -14,8 +14,9 @@
 # Time for the answer of an engine, seconds.
 CALL_SECONDS = 1.0
 CONNECT_SECONDS = 0.4
-# The runs of the old weights finish before the new ones are loaded.
-_FINISH_RUNS = "block"
+# Runs go on under the new weights. Waiting for their end instead idles the
+# engine for as long as its longest run takes.
+_CONTINUE_RUNS = "retain"
 _ACCEPTED = (200, 202)
 
 
@@ -56,7 +57,7 @@
                 "op": "version",
                 "model": order.model,
                 "version": order.version,
-                "manner": _FINISH_RUNS,
+                "manner": _CONTINUE_RUNS,
                 "holder": order.holder,
                 "fence_token": order.fence,
                 "expected": order.orders_accepted,
