Give the entry host's errors their place in the tree of errors

Cause: classes with codes stood beside the code that raised them, so the page of codes could not be checked against them.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -48,19 +48,6 @@
         """End the answer as complete."""
 
 
-class Refused(exceptions.RoutingError):
-    """The request was not run; the caller may come back."""
-
-    code = 1217
-    executed = exceptions.NO
-
-
-class BrokenOff(exceptions.RoutingError):
-    """The answer had begun and cannot be completed."""
-
-    code = 1218
-
-
 class _Failed(Exception):
     """The server ran the request and answered with a failure."""
 
@@ -97,9 +84,9 @@
     async def serve(self, call: requests.Call, writer: Writer) -> None:
         """Serve a call until its answer is complete.
 
-        Raises `Refused` when no server ran it, `exceptions.RunTimeout` and
-        `upstream.ReplyBroken` when one may have, and `BrokenOff` when a part
-        of the answer was sent.
+        Raises `exceptions.NoRoom` when no server ran it,
+        `exceptions.RunTimeout` and `exceptions.ReplyBroken` when one may
+        have, and `exceptions.AnswerCut` when a part of the answer was sent.
         """
         answer = _Answer(writer)
         try:
@@ -120,10 +107,10 @@
             try:
                 await self._attempt(call, answer, server, cold)
                 return
-            except upstream.NotExecuted as error:
+            except exceptions.NotExecuted as error:
                 self._note(call, server, error)
                 self._require_retry(call, answer, error, sent)
-            except (upstream.ReplyBroken, _Failed) as error:
+            except (exceptions.ReplyBroken, _Failed) as error:
                 sent = True
                 self._note(call, server, error)
                 if isinstance(error, _Failed):
@@ -155,7 +142,7 @@
                 return chosen
             if clock.read_time() >= end:
                 reason = "has room" if chosen else "is usable"
-                error = Refused(f"no backend server {reason}")
+                error = exceptions.NoRoom(f"no backend server {reason}")
                 self._raise_end(answer, call, _as_unknown(error, sent))
             await asyncio.sleep(ROOM_POLL)
 
@@ -167,7 +154,9 @@
             return
         age = clock.read_time() - self.catalog.confirmed_at
         if age > CONFIRMATION_SHARE * self.confirmation_seconds:
-            error = Refused(f"the configuration was confirmed {age:.1f} s ago")
+            error = exceptions.NoRoom(
+                f"the configuration was confirmed {age:.1f} s ago"
+            )
             self._raise_end(answer, call, _as_unknown(error, sent))
 
     def _may_retry(self, call: requests.Call, answer: _Answer) -> bool:
@@ -185,14 +174,14 @@
         self,
         call: requests.Call,
         answer: _Answer,
-        error: upstream.NotExecuted,
+        error: exceptions.NotExecuted,
         sent: bool,
     ) -> None:
         """Raise unless a request that did not run can be sent again."""
         if len(call.tried) >= max(2, call.route.max_servers) or not (
             self.retries.try_spend(call.service)
         ):
-            refusal = Refused(f"no server took it: {error.message}")
+            refusal = exceptions.NoRoom(f"no server took it: {error.message}")
             self._raise_end(answer, call, _as_unknown(refusal, sent))
 
     def _raise_end(
@@ -202,9 +191,9 @@
         error: exceptions.RoutingError,
     ) -> t.NoReturn:
         if answer.started:
-            raise BrokenOff(error.message) from error
+            raise exceptions.AnswerCut(error.message) from error
         if isinstance(error, exceptions.RunTimeout) and not call.tried:
-            raise Refused("no server was free before the deadline")
+            raise exceptions.NoRoom("no server was free before the deadline")
         raise error
 
     def _note(
@@ -218,7 +207,7 @@
             reason=str(error)[:200],
             error=type(error).__name__,
         )
-        if isinstance(error, upstream.NotExecuted):
+        if isinstance(error, exceptions.NotExecuted):
             if error.reachable:
                 self.placement.note_refusal(server)
             else:
@@ -316,7 +305,7 @@
             await answer.writer.write(whole)
             call.last_event = buffer.last_id or call.last_event
         if buffer.partial:
-            raise upstream.ReplyBroken("the stream ends within an event")
+            raise exceptions.ReplyBroken("the stream ends within an event")
         if not answer.started:
             await answer.writer.start(reply.head)
             answer.started = True
@@ -349,7 +338,7 @@
                         server, SERVER_SILENCE_SECONDS
                     )
                 ):
-                    raise upstream.ReplyBroken(
+                    raise exceptions.ReplyBroken(
                         f"the stream was silent for {silence:.1f} s"
                     )
         finally:
@@ -359,7 +348,7 @@
 
     async def _pass_failure(self, answer: _Answer, failed: _Failed) -> None:
         if answer.started:
-            raise BrokenOff(str(failed))
+            raise exceptions.AnswerCut(str(failed))
         await answer.writer.start(failed.head)
         await answer.writer.write(failed.body)
         await answer.writer.finish()
@@ -369,4 +358,4 @@
     error: exceptions.RoutingError, sent: bool
 ) -> exceptions.RoutingError:
     """Return the error for a request that an earlier server may have run."""
-    return upstream.ReplyBroken(error.message) if sent else error
+    return exceptions.ReplyBroken(error.message) if sent else error
--- a/src/sesamefold/entry/follower.py
+++ b/src/sesamefold/entry/follower.py
@@ -46,7 +46,7 @@
                     revision = await self._read_all()
                 else:
                     revision = await self._watch(revision)
-            except store.HistoryLost:
+            except exceptions.HistoryLost:
                 self.log.write(
                     "history_lost", topic=self.topic.value, after=revision
                 )
--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -44,12 +44,6 @@
     busy: bool
 
 
-class OrderRefused(exceptions.RoutingError):
-    """The engine did not accept the order."""
-
-    code = 1219
-
-
 class EngineControl(t.Protocol):
     """Orders to engines.
 
@@ -65,7 +59,7 @@
         server: topology.Server,
         order: "WeightsOrder",
     ) -> None:
-        """Order new weights; raises `OrderRefused`."""
+        """Order new weights; raises `exceptions.OrderRefused`."""
 
 
 @attrs.frozen
@@ -194,7 +188,10 @@
             ):
                 return
             await self._send(server, model, version, report, pending)
-        except (OrderRefused, exceptions.BackendUnreachable) as error:
+        except (
+            exceptions.OrderRefused,
+            exceptions.BackendUnreachable,
+        ) as error:
             self.log.write(
                 "order_failed", server=server.id, reason=error.message
             )
--- a/src/sesamefold/entry/store.py
+++ b/src/sesamefold/entry/store.py
@@ -6,13 +6,6 @@
 import attrs
 
 from sesamefold.entry import changes
-from sesamefold import exceptions
-
-
-class HistoryLost(exceptions.PlatformError):
-    """The store no longer has the changes after the given revision."""
-
-    code = 1507
 
 
 class Topic(enum.Enum):
@@ -37,7 +30,7 @@
     ) -> changes.Batch:
         """Return the changes after a revision, waiting up to `seconds`.
 
-        Raises `HistoryLost`.
+        Raises `exceptions.HistoryLost`.
         """
 
 
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -29,27 +29,6 @@
 )
 
 
-class NotExecuted(exceptions.RoutingError):
-    """The server certainly did not run the request.
-
-    `reachable` tells that the server itself refused it.
-    """
-
-    code = 1215
-    executed = exceptions.NO
-
-    def __init__(self, message: str, reachable: bool) -> None:
-        super().__init__(message)
-        self.reachable = reachable
-
-
-class ReplyBroken(exceptions.RoutingError):
-    """The reply is missing, broken off or not genuine; it may have run."""
-
-    code = 1216
-    status = 502
-
-
 class Reply:
     """A reply whose head has arrived."""
 
@@ -72,9 +51,9 @@
             async for chunk in self._response.content.iter_any():
                 yield chunk
         except transport.CALL_ERRORS as error:
-            raise ReplyBroken(transport.describe(error)) from error
+            raise exceptions.ReplyBroken(transport.describe(error)) from error
         if self._open_ended and self._was_reset():
-            raise ReplyBroken("the connection was reset")
+            raise exceptions.ReplyBroken("the connection was reset")
 
     async def read_body(self) -> bytes:
         """Return the whole body; raises `ReplyBroken`."""
@@ -83,7 +62,7 @@
         async for chunk in self.read_chunks():
             size += len(chunk)
             if size > MAX_REPLY_BYTES:
-                raise ReplyBroken("the reply is too large")
+                raise exceptions.ReplyBroken("the reply is too large")
             chunks.append(chunk)
         return b"".join(chunks)
 
@@ -155,8 +134,8 @@
 def _convert(error: BaseException) -> exceptions.RoutingError:
     message = transport.describe(error)
     if transport.is_unsent(error):
-        return NotExecuted(message, reachable=False)
-    return ReplyBroken(message)
+        return exceptions.NotExecuted(message, reachable=False)
+    return exceptions.ReplyBroken(message)
 
 
 def _check(head: requests.ReplyHead, call: requests.Call) -> None:
@@ -165,13 +144,17 @@
     Raises `NotExecuted` and `ReplyBroken` for all others.
     """
     if head.not_executed:
-        raise NotExecuted(f"the server answered {head.status}", reachable=True)
+        raise exceptions.NotExecuted(
+            f"the server answered {head.status}", reachable=True
+        )
     if head.request_id != call.request_id:
-        raise ReplyBroken("the reply belongs to another request")
+        raise exceptions.ReplyBroken("the reply belongs to another request")
     if head.encoded:
-        raise ReplyBroken("the reply has an encoding nobody asked for")
+        raise exceptions.ReplyBroken(
+            "the reply has an encoding nobody asked for"
+        )
     if 200 <= head.status < 300 and not head.sealed:
-        raise ReplyBroken("a success without the server's seal")
+        raise exceptions.ReplyBroken("a success without the server's seal")
 
 
 def make_session() -> aiohttp.ClientSession:
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -212,6 +212,46 @@
     executed = NO
 
 
+class NotExecuted(RoutingError):
+    """The backend server certainly did not run the request.
+
+    `reachable` tells that the server itself refused it.
+    """
+
+    code = 1215
+    executed = NO
+
+    def __init__(self, message: str, reachable: bool) -> None:
+        super().__init__(message)
+        self.reachable = reachable
+
+
+class ReplyBroken(RoutingError):
+    """The reply is missing, broken off or not genuine; it may have run."""
+
+    code = 1216
+    status = 502
+
+
+class NoRoom(RoutingError):
+    """No backend server took the request; the caller may come back."""
+
+    code = 1217
+    executed = NO
+
+
+class AnswerCut(RoutingError):
+    """The answer had begun and cannot be completed."""
+
+    code = 1218
+
+
+class OrderRefused(RoutingError):
+    """An engine did not accept an order."""
+
+    code = 1219
+
+
 class CallError(SesamefoldError):
     """A non-idempotent call cannot be run."""
 
@@ -369,6 +409,12 @@
     code = 1506
 
 
+class HistoryLost(PlatformError):
+    """The platform's store no longer has the changes after a revision."""
+
+    code = 1507
+
+
 class SettingsError(SesamefoldError):
     """The process settings are invalid."""
 
--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -61,7 +61,7 @@
             "GET", "/kv-watch", params, None, seconds + WATCH_MARGIN
         )
         if status == 410:
-            raise store.HistoryLost("the store has dropped the history")
+            raise exceptions.HistoryLost("the store has dropped the history")
         _require(status == 200, status)
         decoded = (_decode_event(event) for event in body["events"])
         return changes.Batch(
--- a/src/sesamefold/platform/engines.py
+++ b/src/sesamefold/platform/engines.py
@@ -64,7 +64,7 @@
             },
         )
         if status not in _ACCEPTED:
-            raise orders.OrderRefused(f"the engine answered {status}")
+            raise exceptions.OrderRefused(f"the engine answered {status}")
 
     async def _call(
         self,
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -196,7 +196,7 @@
         )
         self.store.put("op/evacuate/dc-2", {})
         self.store.drop_history()
-        with self.assertRaises(store.HistoryLost):
+        with self.assertRaises(exceptions.HistoryLost):
             await self.client.watch(
                 store.Topic.OPERATIONS, watched.revision, 0.2
             )
