Send returning prompts to the region that keeps their context

Cause: half of the requests had no plan for their context, since the confirmation of the configuration is up to 3.0 s old in undisturbed running and 2.5 s was the bound; a third of the sessions came in both regions and was read in each; a cut-off holder of the orders cost 7 s. Change: the bound follows from the watches' wait; hosts know the stores and loads of all regions and weigh the distance; the lease is shorter, its take-over looks more often, and requests prefer new weights.

--- a/src/sesamefold/entry/contexts.py
+++ b/src/sesamefold/entry/contexts.py
@@ -9,6 +9,7 @@
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
 from sesamefold.entry import decisions
+from sesamefold.entry import follower
 from sesamefold.entry import requests
 from sesamefold.entry import topology
 from sesamefold import exceptions
@@ -32,11 +33,15 @@
 # and must not find new ones that are still being written.
 SAVE_DELAY = FRESH_SECONDS + FETCH_SECONDS + 0.4
 # Largest age of the configuration's confirmation at which context may be
-# fetched, seconds: a host must know that no newer weights were named.
-CONFIRMED_SECONDS = 2.5
+# fetched, seconds: a host must know that no newer weights were named. A
+# watch confirms the time of its beginning, so two of them and their answers
+# lie within the largest age in undisturbed running.
+CONFIRMED_SECONDS = 2 * follower.OPERATIONS_WAIT + 0.4
 # Time after newer weights were named from which the context of the older may
 # be freed, seconds. Fetches that other hosts ordered have ended by then.
 FREE_DELAY = CONFIRMED_SECONDS + FETCH_SECONDS + 0.5
+# Hosts that follow one store; a store answers a dozen at once.
+STORE_FOLLOWERS = 10
 # Parts freed by one call.
 FREE_PARTS = 200
 # Share of a store's capacity up to which this host saves there; what other
@@ -164,7 +169,9 @@
 
 @attrs.define
 class Contexts:
-    """The stores of this host's region and the use of what they hold.
+    """The stores of all regions and the use of what they hold.
+
+    Engines fetch from the stores of their own region and save there.
 
     Context is fetched only while the store's contents are known and no newer
     weights may have been named unnoticed, and only with an end by which the
@@ -173,7 +180,6 @@
     """
 
     host: str
-    region: str
     regions: t.Mapping[str, str]
     catalog: catalogs.Catalog
     control: StoreControl
@@ -264,12 +270,16 @@
     ) -> t.List[StoreView]:
         """Return the known stores in the server's region, nearest first."""
         allowed = call.list_regions()
-        if self.regions.get(server.data_centre) != self.region:
-            return []
-        if allowed is not None and self.region not in allowed:
+        region = self.regions.get(server.data_centre)
+        if allowed is not None and region not in allowed:
             return []
         return sorted(
-            (view for view in self.views.values() if view.is_fresh(now)),
+            (
+                view
+                for view in self.views.values()
+                if view.is_fresh(now)
+                and self.regions.get(view.site.data_centre) == region
+            ),
             key=lambda v: v.site.data_centre != server.data_centre,
         )
 
@@ -305,8 +315,7 @@
                 configuration.services.values() if configuration else ()
             )
             if service.cache_store is not None
-            and self.regions.get(service.cache_store.data_centre)
-            == self.region
+            and self._follows(service.cache_store)
         }
         for address in tasks.keys() - sites.keys():
             tasks.pop(address).cancel()
@@ -315,6 +324,11 @@
             view = self.views[address] = StoreView(sites[address])
             tasks[address] = asyncio.create_task(self._follow(view))
 
+    def _follows(self, site: topology.CacheStore) -> bool:
+        """Tell whether this host is one of those that follow a store."""
+        ranked = rendezvous.rank_owners(site.address, self.members())
+        return self.host in ranked[:STORE_FOLLOWERS]
+
     async def _follow(self, view: StoreView) -> None:
         while True:
             try:
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -230,6 +230,8 @@
             server=server.id,
             attempt=len(call.tried),
             cold=cold or None,
+            session=call.intake.prompt and call.intake.prompt.get_session(),
+            shared=call.intake.prompt and call.intake.prompt.count_shared(),
             weights=context.version if context else None,
             fetched=context.count_fetched() if context else None,
             saved=context.count_saved() if context else None,
--- a/src/sesamefold/entry/election.py
+++ b/src/sesamefold/entry/election.py
@@ -10,14 +10,15 @@
 from sesamefold.entry import store
 from sesamefold import exceptions
 
-HOLDER_KEY = "sesamefold/orderer"
+PREFIX = "sesamefold/orders/"
+HOLDER_KEY = f"{PREFIX}holder"
 # Who held the lease last. It outlives the lease, so that a host knows
 # whether another one may have sent orders just before.
-LAST_HOLDER_KEY = "sesamefold/last-orderer"
+LAST_HOLDER_KEY = f"{PREFIX}last-holder"
 # Lease of the host that orders, seconds.
-LEASE_SECONDS = 2.0
+LEASE_SECONDS = 1.6
 # Time between two renewals, seconds.
-RENEWAL_INTERVAL = 0.6
+RENEWAL_INTERVAL = 0.45
 # Part of the lease after which its holder no longer acts, so that an order
 # in flight arrives before the lease ends.
 SAFE_SHARE = 0.75
@@ -72,8 +73,7 @@
         started = self.read_time()
         previous = {
             record.key: record
-            for record in await self.records.list_records(HOLDER_KEY)
-            + await self.records.list_records(LAST_HOLDER_KEY)
+            for record in await self.records.list_records(PREFIX)
         }
         if HOLDER_KEY in previous:
             return
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -92,7 +92,6 @@
         self.loads = loads.Loads(settings.host, self.decisions)
         self.contexts = contexts.Contexts(
             settings.host,
-            settings.region,
             settings.regions,
             self.catalog,
             platform.stores,
@@ -212,7 +211,7 @@
         await loads.LoadSharing(
             self.loads,
             self.settings.peer_address,
-            self.members.list_neighbours,
+            self.members,
         ).run()
 
     @mode.Service.task
--- a/src/sesamefold/entry/loads.py
+++ b/src/sesamefold/entry/loads.py
@@ -13,6 +13,14 @@
 # Time between two messages to the peers, seconds. Runs take some hundred
 # milliseconds or more, so that a view of this age still tells where room is.
 SHARE_INTERVAL = 0.1
+# Peers up to which that interval holds; with more it grows in proportion, up
+# to a factor, so that the messages to one host stay within bounds.
+SHARE_PEERS = 10
+SHARE_STRETCH = 5.0
+# Time between two messages to the hosts of other regions, seconds, and their
+# largest number: the link between regions is narrow and paid by volume.
+FAR_INTERVAL = 0.4
+FAR_PEERS = 12
 # Longest time without a message while nothing changes, seconds.
 REPEAT_INTERVAL = 0.5
 # Age from which a peer's load no longer counts, seconds.
@@ -32,6 +40,9 @@
     memory_tokens: int = 0
     unread_tokens: int = 0
 
+    def __neg__(self) -> "Load":
+        return Load(-self.requests, -self.memory_tokens, -self.unread_tokens)
+
     def __add__(self, other: "Load") -> "Load":
         return Load(
             self.requests + other.requests,
@@ -40,6 +51,17 @@
         )
 
 
+_NO_LOAD = Load()
+
+
+def _add(loads: t.Dict[str, Load], server_id: str, load: Load) -> None:
+    total = loads.get(server_id, _NO_LOAD) + load
+    if total == _NO_LOAD:
+        loads.pop(server_id, None)
+    else:
+        loads[server_id] = total
+
+
 def estimate_memory(prompt: t.Optional[requests.Prompt]) -> int:
     """Return the tokens that a run will have in memory at its end.
 
@@ -104,15 +126,13 @@
     read_time: t.Callable[[], float] = clock.read_time
     _own: t.Dict[str, Load] = attrs.field(factory=dict)
     _peers: t.Dict[str, _PeerLoads] = attrs.field(factory=dict)
+    _totals: t.Dict[str, Load] = attrs.field(factory=dict)
     _changed: bool = False
 
     def add(self, server_id: str, load: Load) -> None:
         """Change this host's load on a server."""
-        total = self._own.get(server_id, Load()) + load
-        if total == Load():
-            self._own.pop(server_id, None)
-        else:
-            self._own[server_id] = total
+        _add(self._own, server_id, load)
+        _add(self._totals, server_id, load)
         self._changed = True
 
     def reserve(
@@ -123,12 +143,21 @@
 
     def get_load(self, server_id: str) -> Load:
         """Return the load of a server, over all entry hosts that are heard."""
+        return self._totals.get(server_id, _NO_LOAD)
+
+    def forget_silent(self) -> None:
+        """Take the loads of peers that fell silent out of the sums."""
         oldest = self.read_time() - PEER_SECONDS
-        total = self._own.get(server_id, Load())
-        for peer in self._peers.values():
-            if peer.at >= oldest and server_id in peer.loads:
-                total += peer.loads[server_id]
-        return total
+        for host in [h for h, p in self._peers.items() if p.at < oldest]:
+            self._replace(self._peers.pop(host).loads, {})
+
+    def _replace(
+        self, before: t.Mapping[str, Load], after: t.Mapping[str, Load]
+    ) -> None:
+        for server_id, load in before.items():
+            _add(self._totals, server_id, -load)
+        for server_id, load in after.items():
+            _add(self._totals, server_id, load)
 
     def encode(self, sequence: int) -> bytes:
         """Return the message that tells this host's loads."""
@@ -158,6 +187,7 @@
             if sequence <= known.sequence:
                 return
         if host != self.host:
+            self._replace(known.loads if known else {}, decoded)
             self._peers[host] = _PeerLoads(sequence, now, decoded)
 
     def take_changed(self) -> bool:
@@ -166,6 +196,13 @@
         return changed
 
 
+class Peers(t.Protocol):
+    """The other entry hosts."""
+
+    def list_peers(self, neighbours: bool) -> t.List[t.Tuple[str, int]]:
+        """Return the addresses of the hosts of this region, or the others."""
+
+
 class LoadSharing(asyncio.DatagramProtocol):
     """Tells this host's loads to its peers and listens to theirs."""
 
@@ -173,11 +210,11 @@
         self,
         loads: Loads,
         address: t.Tuple[str, int],
-        list_peers: t.Callable[[], t.Iterable[t.Tuple[str, int]]],
+        peers: Peers,
     ) -> None:
         self._loads = loads
         self._address = address
-        self._list_peers = list_peers
+        self._peers = peers
 
     def datagram_received(
         self, data: bytes, addr: t.Tuple[t.Any, ...]
@@ -199,9 +236,12 @@
     async def _send(self, transport: asyncio.DatagramTransport) -> None:
         # A restarted host goes on above the numbers of its earlier life.
         sequence = int(clock.read_time() * 1000)
-        sent_at = 0.0
+        sent_at = sent_far_at = 0.0
         while True:
-            await asyncio.sleep(SHARE_INTERVAL)
+            peers = self._peers.list_peers(neighbours=True)
+            crowd = max(1.0, len(peers) / SHARE_PEERS)
+            await asyncio.sleep(SHARE_INTERVAL * min(crowd, SHARE_STRETCH))
+            self._loads.forget_silent()
             now = clock.read_time()
             changed = self._loads.take_changed()
             if not changed and now - sent_at < REPEAT_INTERVAL:
@@ -209,6 +249,11 @@
             sent_at = now
             sequence = max(sequence + 1, int(now * 1000))
             message = self._loads.encode(sequence)
-            if len(message) <= MAX_MESSAGE_BYTES:
-                for peer in self._list_peers():
-                    transport.sendto(message, peer)
+            if len(message) > MAX_MESSAGE_BYTES:
+                continue
+            if now - sent_far_at >= FAR_INTERVAL:
+                sent_far_at = now
+                far = self._peers.list_peers(neighbours=False)
+                peers = peers + far if len(far) <= FAR_PEERS else peers
+            for peer in peers:
+                transport.sendto(message, peer)
--- a/src/sesamefold/entry/members.py
+++ b/src/sesamefold/entry/members.py
@@ -54,14 +54,18 @@
         """Return the entry hosts that may be serving."""
         return self._seen.keys()
 
-    def list_neighbours(self) -> t.List[t.Tuple[str, int]]:
-        """Return the addresses of the other entry hosts of the region."""
+    def list_peers(self, neighbours: bool) -> t.List[t.Tuple[str, int]]:
+        """Return the addresses of the other entry hosts.
+
+        These are the hosts of this region, the `neighbours`, or those of all
+        others.
+        """
         return [
             member.address
             for name, member in self._members.items()
             if name in self._seen
             and name != self.own.host
-            and member.region == self.own.region
+            and (member.region == self.own.region) == neighbours
         ]
 
     async def run(self) -> None:
--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -29,7 +29,7 @@
 # Time without progress of the rollout after which a host of rank 0 tries to
 # become the one that orders, and what each further rank waits longer, seconds.
 STALL_SECONDS = 0.1
-RANK_SECONDS = 0.7
+RANK_SECONDS = 0.3
 
 
 @attrs.frozen
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -35,6 +35,14 @@
 # What another data centre of the region costs: its distance and the price of
 # bytes between data centres, milliseconds.
 DATA_CENTRE_MS = 4.0
+# What another region costs: its distance and the price of bytes between
+# regions, milliseconds.
+REGION_MS = 45.0
+# What it costs, beside the time, that a token is read which a store of some
+# region holds, milliseconds.
+READ_AGAIN_MS = 0.01
+# What an answer on replaced weights costs, milliseconds.
+OLD_WEIGHTS_MS = 80.0
 # Parts of an engine's memory up to which requests of the ranks within a
 # priority are sent, the most urgent first. What runs need is estimated, and an
 # engine that runs out of memory preempts runs and reads their prompts again.
@@ -112,12 +120,12 @@
         usable = self._list_usable(call, now)
         if not usable:
             return None
-        near = [s for s in usable if self._is_near(s)] or usable
-        sound = [s for s in near if not self._is_failing(s, now)] or near
+        sound = [s for s in usable if not self._is_failing(s, now)] or usable
         if call.intake.prompt is not None:
-            chosen = self._choose_engine(call, call.intake.prompt, sound, now)
+            chosen = self._choose_engine(call, call.intake.prompt, sound)
         else:
-            chosen = min(sound, key=functools.partial(self._weigh, now=now))
+            near = [s for s in sound if self._is_near(s)] or sound
+            chosen = min(near, key=functools.partial(self._weigh, now=now))
         return chosen, now < chosen.cold_until
 
     def _list_usable(
@@ -165,12 +173,14 @@
         call: requests.Call,
         prompt: requests.Prompt,
         servers: t.Sequence[topology.Server],
-        now: float,
     ) -> topology.Server:
         """Return the engine that probably answers first."""
         session = prompt.get_session()
-        first = rendezvous.choose_owner(session, [s.id for s in servers])
+        near = [s.id for s in servers if self._is_near(s)]
+        first = rendezvous.choose_owner(session, near)
         last = self._sessions.get(session)
+        stored = self._count_stored(call, prompt, servers)
+        cached_anywhere = max(stored.values())
 
         def estimate(server: topology.Server) -> float:
             share = 0.0
@@ -178,25 +188,50 @@
                 share = FIRST_ENGINE_SHARE
             if server.id == last:
                 share = LAST_ENGINE_SHARE
-            return self._estimate_ms(call, prompt, server, share)
+            again = cached_anywhere - stored[server.id]
+            return READ_AGAIN_MS * again + self._estimate_ms(
+                call, prompt, server, share, stored[server.id]
+            )
 
         return min(servers, key=estimate)
 
+    def _count_stored(
+        self,
+        call: requests.Call,
+        prompt: requests.Prompt,
+        servers: t.Sequence[topology.Server],
+    ) -> t.Dict[str, int]:
+        """Return the tokens that each server can fetch, by its id.
+
+        They are the same for all servers of a region with the same weights.
+        """
+        known: t.Dict[t.Tuple[t.Any, t.Any], int] = {}
+        stored = {}
+        for server in servers:
+            key = (
+                self.regions.get(server.data_centre),
+                server.weights.get(prompt.model),
+            )
+            if key not in known:
+                known[key] = self.contexts.count_stored(call, server)
+            stored[server.id] = known[key]
+        return stored
+
     def _estimate_ms(
         self,
         call: requests.Call,
         prompt: requests.Prompt,
         server: topology.Server,
         cached_share: float,
+        stored: int,
     ) -> float:
         """Return the milliseconds to the first token, roughly.
 
         `cached_share` is the part of the shared context that the engine
-        probably has.
+        probably has, `stored` the tokens that it can fetch.
         """
         load = self.loads.get_load(server.id)
-        shared = sum(part.tokens for part in prompt.list_shared())
-        stored = self.contexts.count_stored(call, server)
+        shared = prompt.count_shared()
         missing = (1 - cached_share) * shared
         fetched = min(stored, missing)
         read = prompt.tokens - shared + missing - fetched
@@ -207,8 +242,16 @@
             + load.requests * RUN_MS
             + overflow / RELEASED_TOKENS_PER_MS
             + DATA_CENTRE_MS * (server.data_centre != self.data_centre)
+            + REGION_MS * (not self._is_near(server))
+            + OLD_WEIGHTS_MS * self._has_old_weights(prompt, server)
         )
 
+    def _has_old_weights(
+        self, prompt: requests.Prompt, server: topology.Server
+    ) -> bool:
+        named = self.catalog.weights.get(prompt.model, 0)
+        return server.weights.get(prompt.model, named) < named
+
     def has_room(self, call: requests.Call, server: topology.Server) -> bool:
         """Tell whether a server has the memory for a request."""
         prompt = call.intake.prompt
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -41,6 +41,10 @@
         """Return the parts that other requests may share."""
         return self.parts[:-1]
 
+    def count_shared(self) -> int:
+        """Return the tokens of the parts that other requests may share."""
+        return sum(part.tokens for part in self.list_shared())
+
     def get_session(self) -> str:
         """Return the name of the context that the prompt continues."""
         shared = self.list_shared() or self.parts
--- a/tests/test_entry_contexts.py
+++ b/tests/test_entry_contexts.py
@@ -58,7 +58,6 @@
         self.store = FakeStore()
         self.contexts = contexts.Contexts(
             "entry-1",
-            "region-1",
             {"dc-1": "region-1"},
             self.catalog,
             self.store,
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -245,7 +245,7 @@
         self.assertEqual(2, len(orders))
         self.assertEqual({"entry-1"}, {order["holder"] for order in orders})
         self.assertEqual(1, len({order["fence_token"] for order in orders}))
-        holder = self.store.get("sesamefold/orderer")
+        holder = self.store.get("sesamefold/orders/holder")
         self.assertEqual(b"entry-1", holder)
 
     async def test_records_of_other_forms_are_ignored(self) -> None:
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -100,6 +100,7 @@
         own.end()
         self.assertEqual(loads.Load(1, 30, 30), first.get_load("i-1"))
         self.clock.now += loads.PEER_SECONDS + 0.1
+        first.forget_silent()
         self.assertEqual(loads.Load(), first.get_load("i-1"))
 
     def test_messages_out_of_order_and_broken(self) -> None:
