Avoid slow stores for a while and serve metrics on a fixed port

Change: the time to the first token of requests that fetch from a store is compared with that of others, and the store is left alone for 1.5 s when it is slow; the delivery of replies moves into a module of its own.

--- a/src/sesamefold/entry/contexts.py
+++ b/src/sesamefold/entry/contexts.py
@@ -40,6 +40,19 @@
 # Time after newer weights were named from which the context of the older may
 # be freed, seconds. Fetches that other hosts ordered have ended by then.
 FREE_DELAY = CONFIRMED_SECONDS + FETCH_SECONDS + 0.5
+# Weight of the latest request in the mean slowness of requests.
+SLOWNESS_WEIGHT = 0.15
+# Slowness of the requests that fetch from a store, as a factor of that of all
+# others and a number on top, from which nothing is fetched there, and the
+# time after which it is tried again, seconds. Its links may be narrow for a
+# while, and the transfers wait for each other.
+SLOW_FACTOR = 1.6
+SLOW_EXCESS = 0.8
+SLOW_SECONDS = 1.5
+# Time to the first token that is expected of an idle engine, seconds, and
+# what a token of the prompt adds.
+FIRST_TOKEN_SECONDS = 0.05
+TOKEN_SECONDS = 0.00001
 # Hosts that follow one store; a store answers a dozen at once.
 STORE_FOLLOWERS = 10
 # Parts freed by one call.
@@ -129,6 +142,8 @@
     clock_offset: t.Optional[float] = None
     held: t.Dict[t.Tuple[str, str], int] = attrs.field(factory=dict)
     held_tokens: int = 0
+    slowness: float = 1.0
+    avoided_until: float = float("-inf")
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether the contents are known."""
@@ -187,6 +202,7 @@
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
     views: t.Dict[str, StoreView] = attrs.field(factory=dict)
+    slowness: float = 1.0
     _named_at: t.Dict[str, t.Tuple[int, float]] = attrs.field(factory=dict)
 
     def plan(
@@ -222,6 +238,35 @@
             if any((salt, part.id) in view.held for view in views)
         )
 
+    def record_first(
+        self,
+        prompt: requests.Prompt,
+        plan: requests.ContextPlan,
+        seconds: float,
+    ) -> None:
+        """Learn from the time between the sending and the first token."""
+        expected = FIRST_TOKEN_SECONDS + TOKEN_SECONDS * prompt.tokens
+        slowness = seconds / expected
+        views = {
+            self.views[fetch.address]
+            for fetch in plan.fetches
+            if fetch is not None and fetch.address in self.views
+        }
+        if not views:
+            self.slowness += SLOWNESS_WEIGHT * (slowness - self.slowness)
+        for view in views:
+            view.slowness += SLOWNESS_WEIGHT * (slowness - view.slowness)
+            limit = SLOW_FACTOR * self.slowness + SLOW_EXCESS
+            if view.slowness > limit:
+                self.log.write(
+                    "context_store_slow",
+                    store=view.site.address,
+                    slowness=round(view.slowness, 2),
+                    others=round(self.slowness, 2),
+                )
+                view.avoided_until = self.read_time() + SLOW_SECONDS
+                view.slowness = self.slowness
+
     def _are_weights_newest(
         self, model: str, version: int, now: float
     ) -> bool:
@@ -278,6 +323,7 @@
                 view
                 for view in self.views.values()
                 if view.is_fresh(now)
+                and now >= view.avoided_until
                 and self.regions.get(view.site.data_centre) == region
             ),
             key=lambda v: v.site.data_centre != server.data_centre,
--- a/src/sesamefold/entry/decisions.py
+++ b/src/sesamefold/entry/decisions.py
@@ -12,7 +12,7 @@
 # Time between two writes of the waiting lines, seconds.
 FLUSH_INTERVAL = 0.2
 # Lines a second that one event may write; the rest is counted.
-EVENT_LINES_PER_SECOND = 50
+EVENT_LINES_PER_SECOND = 100
 
 
 class DecisionLog:
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -9,8 +9,7 @@
 from sesamefold.entry import clock
 from sesamefold.entry import contexts
 from sesamefold.entry import decisions
-from sesamefold.entry import events
-from sesamefold.entry import loads
+from sesamefold.entry import deliveries
 from sesamefold.entry import placement
 from sesamefold.entry import requests
 from sesamefold.entry import throttle
@@ -28,41 +27,6 @@
 ROOM_SHARE = 0.4
 ROOM_SECONDS = 0.25
 ROOM_POLL = 0.02
-# Silence of a resumable stream, seconds, after which it goes on elsewhere if
-# its server sends nothing to others either, and after which it does so in any
-# case: the server may have put the run back, but callers leave after 2 s.
-SERVER_SILENCE_SECONDS = 0.8
-STREAM_SILENCE_SECONDS = 1.8
-
-
-class Writer(t.Protocol):
-    """The answer to a caller."""
-
-    async def start(self, head: requests.ReplyHead) -> None:
-        """Send the head of the answer."""
-
-    async def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-
-    async def finish(self) -> None:
-        """End the answer as complete."""
-
-
-class _Failed(Exception):
-    """The server ran the request and answered with a failure."""
-
-    def __init__(self, head: requests.ReplyHead, body: bytes) -> None:
-        super().__init__(f"status {head.status}")
-        self.head = head
-        self.body = body
-
-
-@attrs.define
-class _Answer:
-    """The answer of one call, over all of its attempts."""
-
-    writer: Writer
-    started: bool = False
 
 
 @attrs.define
@@ -81,14 +45,16 @@
     log: decisions.DecisionLog
     confirmation_seconds: t.Optional[float]
 
-    async def serve(self, call: requests.Call, writer: Writer) -> None:
+    async def serve(
+        self, call: requests.Call, writer: deliveries.Writer
+    ) -> None:
         """Serve a call until its answer is complete.
 
         Raises `exceptions.NoRoom` when no server ran it,
         `exceptions.RunTimeout` and `exceptions.ReplyBroken` when one may
         have, and `exceptions.AnswerCut` when a part of the answer was sent.
         """
-        answer = _Answer(writer)
+        answer = deliveries.Answer(writer)
         try:
             async with asyncio.timeout(call.remaining()):
                 await self._serve(call, answer)
@@ -97,7 +63,9 @@
                 answer, call, exceptions.RunTimeout("the deadline passed")
             )
 
-    async def _serve(self, call: requests.Call, answer: _Answer) -> None:
+    async def _serve(
+        self, call: requests.Call, answer: deliveries.Answer
+    ) -> None:
         sent = False
         while True:
             server, cold = await self._wait_for_room(call, answer, sent)
@@ -110,18 +78,18 @@
             except exceptions.NotExecuted as error:
                 self._note(call, server, error)
                 self._require_retry(call, answer, error, sent)
-            except (exceptions.ReplyBroken, _Failed) as error:
+            except (exceptions.ReplyBroken, deliveries.RunFailed) as error:
                 sent = True
                 self._note(call, server, error)
-                if isinstance(error, _Failed):
+                if isinstance(error, deliveries.RunFailed):
                     if not self._may_retry(call, answer):
-                        await self._pass_failure(answer, error)
+                        await answer.pass_failure(error)
                         return
                 elif not self._may_retry(call, answer):
                     self._raise_end(answer, call, error)
 
     async def _wait_for_room(
-        self, call: requests.Call, answer: _Answer, sent: bool
+        self, call: requests.Call, answer: deliveries.Answer, sent: bool
     ) -> t.Tuple[topology.Server, bool]:
         """Return a server with room for the request, and whether it is cold.
 
@@ -147,7 +115,7 @@
             await asyncio.sleep(ROOM_POLL)
 
     def _check_confirmation(
-        self, call: requests.Call, answer: _Answer, sent: bool
+        self, call: requests.Call, answer: deliveries.Answer, sent: bool
     ) -> None:
         """Refuse a key that may have been withdrawn meanwhile."""
         if self.confirmation_seconds is None or call.customer is None:
@@ -159,7 +127,9 @@
             )
             self._raise_end(answer, call, _as_unknown(error, sent))
 
-    def _may_retry(self, call: requests.Call, answer: _Answer) -> bool:
+    def _may_retry(
+        self, call: requests.Call, answer: deliveries.Answer
+    ) -> bool:
         """Tell whether a request that may have run can be sent again."""
         if answer.started and not call.route.resumable:
             return False
@@ -173,7 +143,7 @@
     def _require_retry(
         self,
         call: requests.Call,
-        answer: _Answer,
+        answer: deliveries.Answer,
         error: exceptions.NotExecuted,
         sent: bool,
     ) -> None:
@@ -186,7 +156,7 @@
 
     def _raise_end(
         self,
-        answer: _Answer,
+        answer: deliveries.Answer,
         call: requests.Call,
         error: exceptions.RoutingError,
     ) -> t.NoReturn:
@@ -218,7 +188,7 @@
     async def _attempt(
         self,
         call: requests.Call,
-        answer: _Answer,
+        answer: deliveries.Answer,
         server: topology.Server,
         cold: bool,
     ) -> None:
@@ -238,14 +208,23 @@
             left=round(dispatch.seconds_left, 3),
             version=self.catalog.require_configuration().version,
         )
+        sent_at = clock.read_time()
         reservation = self.placement.record_sent(call, server, cold)
+
+        def note_first() -> None:
+            reservation.note_read()
+            if call.intake.prompt is not None and context is not None:
+                self.contexts.record_first(
+                    call.intake.prompt, context, clock.read_time() - sent_at
+                )
+
+        run = deliveries.Run(
+            server, self.placement, call.route.resumable, note_first
+        )
         try:
             async with self.upstream.send(server, call, dispatch) as reply:
                 self.placement.record_reply(server, reply.head)
-                self.placement.note_heard(server)
-                await self._pass_reply(
-                    call, answer, server, reply, reservation
-                )
+                await answer.pass_reply(call, reply, run)
         finally:
             reservation.end()
         self.placement.record_outcome(server, failed=False)
@@ -263,98 +242,6 @@
             last_event=call.last_event,
         )
 
-    async def _pass_reply(
-        self,
-        call: requests.Call,
-        answer: _Answer,
-        server: topology.Server,
-        reply: upstream.Reply,
-        reservation: loads.Reservation,
-    ) -> None:
-        success = 200 <= reply.head.status < 300
-        if not success:
-            raise _Failed(reply.head, await reply.read_body())
-        if call.route.streamed:
-            await self._pass_stream(call, answer, server, reply, reservation)
-            return
-        body = await reply.read_body()
-        await answer.writer.start(reply.head)
-        answer.started = True
-        await answer.writer.write(body)
-        await answer.writer.finish()
-
-    async def _pass_stream(
-        self,
-        call: requests.Call,
-        answer: _Answer,
-        server: topology.Server,
-        reply: upstream.Reply,
-        reservation: loads.Reservation,
-    ) -> None:
-        buffer = events.EventBuffer()
-        chunks = reply.read_chunks()
-        while True:
-            chunk = await self._read_chunk(call, answer, server, chunks)
-            if chunk is None:
-                break
-            whole = buffer.feed(chunk)
-            if not whole:
-                continue
-            reservation.note_read()
-            if not answer.started:
-                await answer.writer.start(reply.head)
-                answer.started = True
-            await answer.writer.write(whole)
-            call.last_event = buffer.last_id or call.last_event
-        if buffer.partial:
-            raise exceptions.ReplyBroken("the stream ends within an event")
-        if not answer.started:
-            await answer.writer.start(reply.head)
-            answer.started = True
-        await answer.writer.finish()
-
-    async def _read_chunk(
-        self,
-        call: requests.Call,
-        answer: _Answer,
-        server: topology.Server,
-        chunks: t.AsyncIterator[bytes],
-    ) -> t.Optional[bytes]:
-        """Return the next bytes of a stream, None at its end."""
-        if not call.route.resumable:
-            return await anext(chunks, None)
-        reading = asyncio.ensure_future(anext(chunks, None))
-        began = clock.read_time()
-        try:
-            while True:
-                done, _ = await asyncio.wait(
-                    {reading}, timeout=SERVER_SILENCE_SECONDS
-                )
-                if done:
-                    self.placement.note_heard(server)
-                    return reading.result()
-                silence = clock.read_time() - began
-                if silence >= STREAM_SILENCE_SECONDS or (
-                    answer.started
-                    and self.placement.is_silent(
-                        server, SERVER_SILENCE_SECONDS
-                    )
-                ):
-                    raise exceptions.ReplyBroken(
-                        f"the stream was silent for {silence:.1f} s"
-                    )
-        finally:
-            if not reading.done():
-                reading.cancel()
-                await asyncio.wait({reading})
-
-    async def _pass_failure(self, answer: _Answer, failed: _Failed) -> None:
-        if answer.started:
-            raise exceptions.AnswerCut(str(failed))
-        await answer.writer.start(failed.head)
-        await answer.writer.write(failed.body)
-        await answer.writer.finish()
-
 
 def _as_unknown(
     error: exceptions.RoutingError, sent: bool
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -122,6 +122,7 @@
             "start",
             data_centre=self.settings.data_centre,
             address=":".join(map(str, self.settings.listen_address)),
+            metrics=":".join(map(str, self.settings.metrics_address or ())),
         )
         self.session = upstream.make_session()
         self.dispatcher = dispatch.Dispatcher(
@@ -141,11 +142,19 @@
             self.metrics,
         )
         await self._listen(self.settings.ready_address, self._answer_ready)
-        if self.settings.metrics_address is not None:
+        await self._listen_for_metrics()
+        await self._listen(self.settings.listen_address, self.frontend.handle)
+
+    async def _listen_for_metrics(self) -> None:
+        """Serve metrics; callers are served without them as well."""
+        if self.settings.metrics_address is None:
+            return
+        try:
             await self._listen(
                 self.settings.metrics_address, self._answer_metrics
             )
-        await self._listen(self.settings.listen_address, self.frontend.handle)
+        except OSError as error:
+            self.decisions.write("metrics_unavailable", reason=str(error))
 
     async def _listen(
         self, address: t.Tuple[str, int], handler: t.Any
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -42,7 +42,7 @@
 # region holds, milliseconds.
 READ_AGAIN_MS = 0.01
 # What an answer on replaced weights costs, milliseconds.
-OLD_WEIGHTS_MS = 80.0
+OLD_WEIGHTS_MS = 25.0
 # Parts of an engine's memory up to which requests of the ranks within a
 # priority are sent, the most urgent first. What runs need is estimated, and an
 # engine that runs out of memory preempts runs and reads their prompts again.
--- a/src/sesamefold/platform/settings.py
+++ b/src/sesamefold/platform/settings.py
@@ -9,6 +9,8 @@
 from sesamefold import exceptions
 
 PATH_VARIABLE = "SESAMEFOLD_CONFIG"
+# Port of the metrics, as deploy/system.toml names it to the platform.
+METRICS_PORT = 9464
 _MS = 1000.0
 
 
@@ -48,8 +50,8 @@
     """Return the settings of a parsed file."""
     bounds = body["bounds"]
     listen = body["listen_addrs"]
-    # The first and the last port for the system's own use.
-    first_port, last_port = body["inner_ports"]
+    # The first and the last of the ports for the entry hosts' own use.
+    peer_port, _ = body["inner_ports"]
     # Whether a host without the store must refuse keys, not whether it is
     # closed.
     keys_expire = bool(bounds.get("revoke_fail_closed"))
@@ -60,8 +62,8 @@
         regions=dict(body["zones"]),
         listen_address=_split(listen["front"]),
         ready_address=_split(listen["ready"]),
-        metrics_address=(body["ip"], first_port),
-        peer_address=(body["ip"], last_port),
+        metrics_address=(body["ip"], METRICS_PORT),
+        peer_address=(body["ip"], peer_port),
         store_address=body["platform"]["address"],
         retries=throttle.RetryLimits(
             ratio=bounds["retry_budget_ratio"],
