Learn new weights from a refusal and say why a request finds no room

Cause: while weights change, hosts learn the new version of an engine from its next entry, 1 to 2 s late, and the engine refuses all of their requests meanwhile; errors of requests without room did not name what decided.

--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,15 @@
 $(BIN)/.installed: requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r requirements-dev.txt
+	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
 	touch $@
 
+# Names of the users' platform; only its folder may know them.
+WIRE_NAMES = Sesamefold-(Tenant|Kv|Expect|Cache|Weight)|Kv-(Fetch|Save|From|Until|Backup)|Response-Seal|Prompt-Prefix|kv-(txn|watch|range|events|list)|op/config|cold_left_ms|allowed_regions
+
 check: $(BIN)/.installed
+	! grep -rnE '$(WIRE_NAMES)' src --include '*.py' \
+		--exclude-dir platform
 	$(BIN)/black --check -q $(SOURCES)
 	$(BIN)/flake8 $(SOURCES)
 
--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -38,7 +38,6 @@
     servers: t.Dict[str, topology.Server] = attrs.field(factory=dict)
     evacuated: t.Set[str] = attrs.field(factory=set)
     weights: t.Dict[str, int] = attrs.field(factory=dict)
-    reported_at: t.Dict[str, float] = attrs.field(factory=dict)
     servers_known: bool = False
     on_report: t.List[t.Callable[[topology.Server], None]] = attrs.field(
         factory=list
@@ -173,7 +172,6 @@
                 started_at=server.started_at,
             )
         self.servers[server.id] = server
-        self.reported_at[server.id] = now
         self._lapsed.pop(server.id, None)
         for listener in self.on_report:
             listener(server)
@@ -192,7 +190,6 @@
     def _forget(self, server_id: str) -> None:
         self.servers.pop(server_id, None)
         self._lapsed.pop(server_id, None)
-        self.reported_at.pop(server_id, None)
         self.log.write("server_removed", server=server_id)
 
     def note_weights(
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -109,8 +109,9 @@
             ):
                 return chosen
             if clock.read_time() >= end:
-                reason = "has room" if chosen else "is usable"
-                error = exceptions.NoRoom(f"no backend server {reason}")
+                error = exceptions.NoRoom(
+                    self.placement.describe_lack(call, chosen)
+                )
                 self._raise_end(answer, call, _as_unknown(error, sent))
             await asyncio.sleep(ROOM_POLL)
 
@@ -178,7 +179,9 @@
             error=type(error).__name__,
         )
         if isinstance(error, exceptions.NotExecuted):
-            if error.reachable:
+            if error.mismatched:
+                self.placement.note_mismatch(call, server)
+            elif error.reachable:
                 self.placement.note_refusal(server)
             else:
                 self.placement.suspect(server, error.message)
--- a/src/sesamefold/entry/loads.py
+++ b/src/sesamefold/entry/loads.py
@@ -16,7 +16,7 @@
 # Peers up to which that interval holds; with more it grows in proportion, up
 # to a factor, so that the messages to one host stay within bounds.
 SHARE_PEERS = 10
-SHARE_STRETCH = 5.0
+SHARE_STRETCH = 2.5
 # Time between two messages to the hosts of other regions, seconds, and their
 # largest number: the link between regions is narrow and paid by volume.
 FAR_INTERVAL = 0.4
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -274,6 +274,38 @@
         needed = loads.estimate_memory(prompt)
         return share * self._get_capacity(call) - used - needed
 
+    def describe_lack(
+        self,
+        call: requests.Call,
+        chosen: t.Optional[t.Tuple[topology.Server, bool]],
+    ) -> str:
+        """Return why a request finds no server, for its error."""
+        known = self.catalog.list_servers(call.service)
+        if chosen is None:
+            return f"none of {len(known)} backend servers is usable"
+        server, _ = chosen
+        load = self.loads.get_load(server.id)
+        return (
+            f"no backend server has room; the best of {len(known)}, "
+            f"{server.id}, has {load.requests} requests with "
+            f"{load.memory_tokens} tokens"
+        )
+
+    def note_mismatch(
+        self, call: requests.Call, server: topology.Server
+    ) -> None:
+        """Learn that a server is another one, or has other weights.
+
+        An engine that was to get new weights probably has them; if not, it
+        refuses the next request as well.
+        """
+        prompt = call.intake.prompt
+        if prompt is not None and self._has_old_weights(prompt, server):
+            named = {prompt.model: self.catalog.weights[prompt.model]}
+            self.catalog.note_weights(server.id, {**server.weights, **named})
+        else:
+            self.note_refusal(server)
+
     def note_refusal(self, server: topology.Server) -> None:
         """Send nothing to a server for a moment."""
         until = self.read_time() + REFUSAL_SECONDS
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -176,7 +176,9 @@
 class ReplyHead:
     """What the head of a backend server's reply says.
 
-    `not_executed` is the server's promise that it did not run the request.
+    `not_executed` is the server's promise that it did not run the request;
+    if `mismatched`, because it is not the server that the request names or
+    has other weights.
     `sealed` tells whether the reply bears the server's seal, without which a
     success is not genuine. `forwarded` are the headers that callers get.
     """
@@ -189,7 +191,7 @@
     content_length: t.Optional[int]
     forwarded: Headers
     load: t.Optional[ServerLoad] = None
-    weights: t.Optional[int] = None
+    mismatched: bool = False
 
 
 class Codec(t.Protocol):
--- a/src/sesamefold/entry/settings.py
+++ b/src/sesamefold/entry/settings.py
@@ -30,4 +30,3 @@
     key_withdrawal_seconds: t.Optional[float]
     shutdown_seconds: float
     order_pause_seconds: float
-    lease_min_seconds: float
--- a/src/sesamefold/entry/topology.py
+++ b/src/sesamefold/entry/topology.py
@@ -25,7 +25,6 @@
     whether its stream may go on at another server after the last event.
     `timeout` is the longest time that a caller is kept waiting and
     `first_byte_target` the time of a fully useful answer, both in seconds.
-    `event_gap_target` is the longest useful pause of a stream, in seconds.
     An empty `regions` means every region.
     """
 
@@ -40,7 +39,6 @@
     max_servers: int
     timeout: float
     first_byte_target: float
-    event_gap_target: float
     priority: int
     regions: t.FrozenSet[str] = frozenset()
 
@@ -67,9 +65,8 @@
 
 @attrs.frozen
 class EngineTraits:
-    """What a model engine offers: batch places and cache memory in tokens."""
+    """What a model engine offers: memory for context, in tokens."""
 
-    slots: int
     cache_tokens: int
 
 
@@ -91,8 +88,6 @@
     """
 
     name: str
-    health_path: str
-    max_connections: int
     cold_rate: float
     engine: t.Optional[EngineTraits] = None
     cache_store: t.Optional[CacheStore] = None
@@ -110,11 +105,9 @@
 
 @attrs.frozen
 class ClientLimits:
-    """Bounds on what a caller may send, and on idle connections."""
+    """Bounds on what a caller may send."""
 
-    max_header_bytes: int
     max_body_bytes: int
-    idle_seconds: float
 
 
 @attrs.frozen
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -145,7 +145,9 @@
     """
     if head.not_executed:
         raise exceptions.NotExecuted(
-            f"the server answered {head.status}", reachable=True
+            f"the server answered {head.status}",
+            reachable=True,
+            mismatched=head.mismatched,
         )
     if head.request_id != call.request_id:
         raise exceptions.ReplyBroken("the reply belongs to another request")
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -215,15 +215,19 @@
 class NotExecuted(RoutingError):
     """The backend server certainly did not run the request.
 
-    `reachable` tells that the server itself refused it.
+    `reachable` tells that the server itself refused it, `mismatched` that it
+    did so because it is another server or has other weights.
     """
 
     code = 1215
     executed = NO
 
-    def __init__(self, message: str, reachable: bool) -> None:
+    def __init__(
+        self, message: str, reachable: bool, mismatched: bool = False
+    ) -> None:
         super().__init__(message)
         self.reachable = reachable
+        self.mismatched = mismatched
 
 
 class ReplyBroken(RoutingError):
--- a/src/sesamefold/platform/headers.py
+++ b/src/sesamefold/platform/headers.py
@@ -95,7 +95,6 @@
     ) -> requests.ReplyHead:
         """Decode the head of a backend server's reply."""
         length = _parse_number(headers.get("Content-Length"))
-        weights = _parse_number(headers.get(wire.WEIGHTS))
         return requests.ReplyHead(
             status=status,
             request_id=headers.get(wire.REQUEST_ID),
@@ -107,7 +106,7 @@
             content_length=None if length is None else int(length),
             forwarded=_select(headers, _REPLY_NAMES, set()),
             load=_parse_load(headers.get(wire.SERVER_LOAD)),
-            weights=None if weights is None else int(weights),
+            mismatched=status == _MISDIRECTED,
         )
 
     def write_refusal(
--- a/src/sesamefold/platform/records.py
+++ b/src/sesamefold/platform/records.py
@@ -103,9 +103,7 @@
         },
         needs_key="tenants" in body,
         limits=topology.ClientLimits(
-            max_header_bytes=limits["max_header_bytes"],
             max_body_bytes=limits["max_body_bytes"],
-            idle_seconds=limits["idle_timeout_ms"] / _MS,
         ),
     )
 
@@ -131,7 +129,6 @@
         max_servers=int(body.get("max_attempts") or 1),
         timeout=timeout_ms / _MS,
         first_byte_target=(body.get("target_latency_ms") or timeout_ms) / _MS,
-        event_gap_target=(body.get("target_gap_ms") or 0) / _MS,
         priority=int(body.get("priority") or 0),
         regions=frozenset(body.get("allowed_regions") or ()),
     )
@@ -141,14 +138,10 @@
     engine = body.get("engine")
     return topology.Service(
         name=body["name"],
-        health_path=body.get("health_path", ""),
-        max_connections=int(body.get("max_connections") or 0),
         cold_rate=float(body.get("cold_per_s") or 0.0),
         cache_store=_decode_cache_store(body),
         engine=(
-            topology.EngineTraits(engine["slots"], engine["kv_capacity"])
-            if engine
-            else None
+            topology.EngineTraits(engine["kv_capacity"]) if engine else None
         ),
     )
 
--- a/src/sesamefold/platform/settings.py
+++ b/src/sesamefold/platform/settings.py
@@ -75,7 +75,6 @@
         ),
         shutdown_seconds=bounds["grace_s"],
         order_pause_seconds=bounds["lease_ms"] / _MS,
-        lease_min_seconds=body["platform"].get("ttl_min_ms", _MS) / _MS,
     )
 
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -50,9 +50,7 @@
         if request.path == "/order":
             return await self._order(request)
         fault = self.faults.pop(0) if self.faults else ""
-        if request.headers.get("Sesamefold-Expect-Instance") != self.id or (
-            fault == "misdirect"
-        ):
+        if fault == "misdirect" or not self._is_meant(request):
             return web.Response(status=421)
         if fault == "refuse":
             return web.Response(
@@ -60,6 +58,15 @@
             )
         return await self._run(request, fault)
 
+    def _is_meant(self, request: web.BaseRequest) -> bool:
+        """Tell whether a request is for this server and its weights."""
+        headers = request.headers
+        version = headers.get("Sesamefold-Expect-Version")
+        weights = self.weights.get(headers.get("Sesamefold-Model", ""))
+        return headers.get("Sesamefold-Expect-Instance") == self.id and (
+            version in (None, str(weights))
+        )
+
     async def _run(
         self, request: web.BaseRequest, fault: str
     ) -> web.StreamResponse:
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -145,7 +145,6 @@
         "key_withdrawal_seconds": 5.0,
         "shutdown_seconds": 8.0,
         "order_pause_seconds": 3.0,
-        "lease_min_seconds": 1.0,
     }
     return entry_settings.EntrySettings(**{**values, **fields})
 
--- a/tests/test_entry_contexts.py
+++ b/tests/test_entry_contexts.py
@@ -170,3 +170,20 @@
             contexts.FREE_DELAY,
             contexts.CONFIRMED_SECONDS + contexts.FETCH_SECONDS,
         )
+
+    def test_a_slow_store_is_left_alone_for_a_while(self) -> None:
+        prompt = requests.Prompt("m", 1200, 80)
+        plain = requests.ContextPlan("1/", 1)
+        for _ in range(40):
+            self.contexts.record_first(prompt, plain, 0.1)
+        for _ in range(40):
+            self.contexts.record_first(prompt, self.plan(), 0.1)
+        self.assertTrue(any(self.plan().fetches))
+        for _ in range(10):
+            fetching = self.plan()
+            self.contexts.record_first(prompt, fetching, 0.9)
+        self.assertFalse(any(self.plan().fetches))
+        self.clock.now += contexts.SLOW_SECONDS
+        self.catalog.confirm(self.clock.now)
+        self.take()
+        self.assertTrue(any(self.plan().fetches))
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -13,6 +13,7 @@
     "Sesamefold-Token-Usage": "900,80",
     "Sesamefold-Prompt-Prefix": "aa:400,bb:300,cc:200",
 }
+EXPECTED_VERSION = "Sesamefold-Expect-Version"
 
 
 class AnswerTest(entry_fakes.EntryHostCase):
@@ -162,6 +163,18 @@
         self.assertEqual("4", run.headers["Sesamefold-Expect-Version"])
         self.assertEqual("4/", run.headers["Sesamefold-Cache-Salt"])
 
+    async def test_new_weights_are_learned_from_a_refusal(self) -> None:
+        for engine in self.engines:
+            engine.weights = {entry_fakes.MODEL: 5}
+            self.host.catalog.note_weights(engine.id, {entry_fakes.MODEL: 4})
+        self.host.catalog.weights[entry_fakes.MODEL] = 5
+        self.host.election.pause_seconds = 60.0
+        for number in range(4):
+            await self.call("/resumable/", f"r-{number}", headers=PROMPT)
+        status, _, _ = await self.call("/resumable/", "r-9", headers=PROMPT)
+        self.assertEqual(200, status)
+        self.assertEqual("5", self.list_runs()[-1].headers[EXPECTED_VERSION])
+
 
 class KeyTest(entry_fakes.EntryHostCase):
     """Withdrawn keys and hosts without the store."""
