--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
 
-SOURCES = src standins tests tools
+SOURCES = src standins tests tools deploy
 
 .PHONY: test check format demo bench wire clean
 
