--- /dev/null
+++ b/tests/test_entry_process.py
@@ -0,0 +1,200 @@
+"""The entry host as a process: settings, signals and freezes."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+import typing as t
+import unittest
+
+import aiohttp
+
+from standins import platform_engine
+from standins import platform_store
+from tests import entry_fakes
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+SETTINGS = """
+node_name = "entry-1"
+zone = "dc-1"
+region = "region-1"
+ip = "127.0.0.1"
+inner_ports = [{ports[2]}, {ports[2]}]
+[zones]
+dc-1 = "region-1"
+[listen_addrs]
+front = "127.0.0.1:{ports[0]}"
+ready = "127.0.0.1:{ports[1]}"
+[bounds]
+retry_budget_ratio = {ratio}
+retry_budget_extra = 58
+budget_window_s = 10
+revoke_ms = {revoke_ms}
+revoke_fail_closed = true
+grace_s = 6
+lease_ms = 3000
+[platform]
+address = "{store}"
+"""
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    """One process before stand-ins."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the stand-ins and write the settings."""
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "settings.toml"
+        self.store = platform_store.PlatformStore()
+        address = await entry_fakes.start_server(
+            self.stack, self.store.build()
+        )
+        self.engine = platform_engine.PlatformEngine("i-0")
+        engine_address = await entry_fakes.start_server(
+            self.stack, self.engine.handle
+        )
+        self.store.put("op/config", entry_fakes.make_configuration())
+        self.store.put(
+            "servers/i-0",
+            {
+                "service": "chat",
+                "address": engine_address,
+                "zone": "dc-1",
+                "slots": 8,
+                "state": "ready",
+                "cold_left_ms": 0,
+                "seq": 1,
+            },
+        )
+        self.values: t.Dict[str, t.Any] = {
+            "ports": await entry_fakes.find_ports(3),
+            "store": address,
+            "ratio": 0.2,
+            "revoke_ms": 5000,
+        }
+        self.caller = await self.stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        self.lines: t.List[t.Dict[str, t.Any]] = []
+
+    def write_settings(self, **changes: t.Any) -> None:
+        """Write the settings file."""
+        self.path.write_text(SETTINGS.format(**{**self.values, **changes}))
+
+    async def start(self) -> None:
+        """Start the process and collect its log."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "deploy" / "entry.py"),
+            env={**os.environ, "SESAMEFOLD_CONFIG": str(self.path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.stack.push_async_callback(self.kill)
+        reading = asyncio.create_task(self.read_log())
+        self.stack.callback(reading.cancel)
+
+    async def kill(self) -> None:
+        """End the process if it still runs."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+    async def read_log(self) -> None:
+        """Collect lines until the process ends."""
+        assert self.process.stdout is not None
+        async for line in self.process.stdout:
+            self.lines.append(json.loads(line))
+
+    def find(self, event: str) -> t.List[t.Dict[str, t.Any]]:
+        """Return the lines of an event."""
+        return [line for line in self.lines if line["event"] == event]
+
+    async def wait_until(
+        self, condition: t.Callable[[], t.Any], seconds: float = 10.0
+    ) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def wait_ready(self) -> None:
+        """Wait until the process answers that it is ready."""
+        url = f"http://127.0.0.1:{self.values['ports'][1]}/ready"
+        async with asyncio.timeout(10.0):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with self.caller.get(url) as response:
+                        if response.status == 200:
+                            return
+                await asyncio.sleep(0.05)
+
+    async def call(self, path: str, request_id: str) -> int:
+        """Send a request and return its status."""
+        async with self.caller.post(
+            f"http://127.0.0.1:{self.values['ports'][0]}{path}",
+            headers={
+                "Host": entry_fakes.HOST,
+                "Sesamefold-Request-Id": request_id,
+                "Sesamefold-Deadline-Ms": "2000",
+                "Api-Key": entry_fakes.KEY,
+            },
+            data=b"body",
+        ) as response:
+            await response.read()
+            return response.status
+
+    async def test_settings_that_come_and_change(self) -> None:
+        self.path.write_text("broken = ")
+        await self.start()
+        await self.wait_until(lambda: self.find("settings_rejected"))
+        self.write_settings()
+        await self.wait_ready()
+        self.write_settings(ratio=0.1)
+        self.process.send_signal(signal.SIGHUP)
+        await self.wait_until(lambda: self.find("reload"))
+        self.assertEqual(["retries"], self.find("reload")[0]["applied"])
+        self.path.write_text("broken = ")
+        await self.wait_until(lambda: self.find("reload_failed"))
+        self.assertEqual(200, await self.call("/safe/", "r-1"))
+
+    async def test_the_end_of_a_process(self) -> None:
+        self.write_settings()
+        await self.start()
+        await self.wait_ready()
+        self.engine.faults = ["late"]
+        running = asyncio.create_task(self.call("/unsafe/", "r-1"))
+        await self.wait_until(lambda: self.engine.runs)
+        started = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(200, await running)
+        self.assertEqual(200, await self.call("/unsafe/", "r-2"))
+        self.assertEqual(0, await self.process.wait())
+        self.assertLess(time.monotonic() - started, 6.0)
+        await self.wait_until(lambda: self.find("stopped"))
+        self.assertEqual(0, self.find("stopped")[0]["unfinished"])
+
+    async def test_a_key_withdrawn_while_the_process_is_paused(self) -> None:
+        """A request that waited in a paused process must not run."""
+        self.write_settings()
+        await self.start()
+        await self.wait_ready()
+        self.assertEqual(200, await self.call("/unsafe/", "r-1"))
+        self.process.send_signal(signal.SIGSTOP)
+        configuration = entry_fakes.make_configuration(2)
+        configuration["tenants"][0]["api_keys"] = []
+        self.store.put("op/config", configuration)
+        await asyncio.sleep(5.0)
+        sent = asyncio.create_task(self.call("/unsafe/", "r-2"))
+        await asyncio.sleep(0.2)
+        self.process.send_signal(signal.SIGCONT)
+        self.assertIn(await sent, (401, 503))
+        self.assertEqual(["r-1"], [run.request_id for run in self.engine.runs])
