--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 SOURCES = src standins tests tools deploy
 
-.PHONY: test check format demo bench wire clean
+.PHONY: test check format demo bench load wire clean
 
 $(BIN)/.installed: requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -35,6 +35,9 @@
 bench: $(BIN)/.installed
 	$(BIN)/python -m tools.bench
 
+load: $(BIN)/.installed
+	$(BIN)/python -m tools.load_entry
+
 # Needs grpcio-tools; the generated code is committed.
 wire: $(BIN)/.installed
 	$(BIN)/python -m grpc_tools.protoc -Iproto \
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -31,7 +31,8 @@
     run), "misdirect" (another instance), "reset" (run, no answer), "fail"
     (run, status 500), "foreign" (the answer of another request), "unsealed",
     "cut" (a stream broken after its first event), "cut-unframed" (a body
-    without a length that is reset), "late" (answers after a second).
+    without a length that is reset), "late" (answers after a second). An event
+    of a stream takes `event_seconds`.
     """
 
     id: str
@@ -42,6 +43,8 @@
     weights: t.Dict[str, int] = attrs.field(factory=dict)
     orders: t.List[t.Dict[str, t.Any]] = attrs.field(factory=list)
     lose_orders: bool = False
+    event_seconds: float = 0.0
+    keep_runs: bool = True
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -71,15 +74,15 @@
         self, request: web.BaseRequest, fault: str
     ) -> web.StreamResponse:
         request_id = request.headers["Sesamefold-Request-Id"]
-        self.runs.append(
-            Run(
-                request_id,
-                request.method,
-                request.raw_path,
-                multidict.CIMultiDict(request.headers),
-                await request.read(),
-            )
+        run = Run(
+            request_id,
+            request.method,
+            request.raw_path,
+            multidict.CIMultiDict(request.headers),
+            await request.read(),
         )
+        if self.keep_runs:
+            self.runs.append(run)
         if fault == "late":
             try:
                 await asyncio.sleep(1.0)
@@ -112,6 +115,8 @@
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.events + 1):
+            if self.event_seconds:
+                await asyncio.sleep(self.event_seconds)
             await response.write(f"id: {number}\ndata: x\n\n".encode())
             if fault == "cut":
                 await response.write(b"id: 99\nda")
--- /dev/null
+++ b/standins/platform_site.py
@@ -0,0 +1,153 @@
+"""A small deployment of the users' platform on loopback."""
+
+import asyncio
+import contextlib
+import typing as t
+
+from aiohttp import web
+
+HOST = "callers.example"
+KEY = "a-key"
+MODEL = "model-1"
+
+SETTINGS = """
+node_name = "entry-1"
+zone = "dc-1"
+region = "region-1"
+ip = "127.0.0.1"
+inner_ports = [{ports[2]}, {ports[2]}]
+[zones]
+dc-1 = "region-1"
+[listen_addrs]
+front = "127.0.0.1:{ports[0]}"
+ready = "127.0.0.1:{ports[1]}"
+[bounds]
+retry_budget_ratio = {ratio}
+retry_budget_extra = 58
+budget_window_s = 10
+revoke_ms = {revoke_ms}
+revoke_fail_closed = true
+grace_s = 6
+lease_ms = 3000
+[platform]
+address = "{store}"
+"""
+
+
+def format_settings(
+    ports: t.Sequence[int], store: str, **changes: t.Any
+) -> str:
+    """Return the settings of a host.
+
+    `ports` are those for callers, for readiness and for other hosts.
+    """
+    values = {"ratio": 0.2, "revoke_ms": 5000, **changes}
+    return SETTINGS.format(ports=ports, store=store, **values)
+
+
+def make_entry(address: str, **fields: t.Any) -> t.Dict[str, t.Any]:
+    """Return a server's entry in the store."""
+    return {
+        "service": "chat",
+        "address": address,
+        "zone": "dc-1",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq": 1,
+        "born": 1,
+        **fields,
+    }
+
+
+def make_configuration(version: int = 1, **fields: t.Any) -> t.Any:
+    """Return the operator's record as the platform writes it."""
+
+    def route(name: str, kind: str, **more: t.Any) -> t.Dict[str, t.Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 2000,
+            "target_latency_ms": 300,
+            "priority": 1,
+            "service": "chat",
+            "max_attempts": 2,
+            "public": False,
+            "sticky": False,
+            "resumable": False,
+            "target_gap_ms": 200,
+            "allowed_regions": [],
+            **more,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "safe"),
+            route("unsafe", "unsafe"),
+            route("stream", "streaming"),
+            route("resumable", "streaming", resumable=True),
+            route("short", "unsafe", timeout_ms=300),
+        ],
+        "services": [
+            {
+                "name": "chat",
+                "health_path": "/healthz",
+                "max_connections": 100,
+                "cold_start_s": 3.0,
+                "cold_per_s": 21.0,
+                "engine": {"slots": 64, "kv_capacity": 100_000},
+            }
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [
+            {
+                "name": "customer-1",
+                "api_keys": [KEY],
+                "priority": 1,
+                "allowed_regions": [],
+            }
+        ],
+        **fields,
+    }
+
+
+async def start_server(
+    stack: contextlib.AsyncExitStack, handler: t.Any
+) -> str:
+    """Serve an application or a handler and return its address."""
+    if isinstance(handler, web.Application):
+        runner: web.BaseRunner[t.Any] = web.AppRunner(
+            handler, shutdown_timeout=0.1
+        )
+    else:
+        runner = web.ServerRunner(
+            web.Server(handler, handler_cancellation=True),
+            shutdown_timeout=0.1,
+        )
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    return f"{host}:{port}"
+
+
+async def find_ports(count: int) -> t.List[int]:
+    """Return ports that are free."""
+    servers = [
+        await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        for _ in range(count)
+    ]
+    ports = [s.sockets[0].getsockname()[1] for s in servers]
+    for server in servers:
+        server.close()
+        await server.wait_closed()
+    return ports
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -7,7 +7,6 @@
 import unittest
 
 import aiohttp
-from aiohttp import web
 
 from sesamefold.entry import catalog
 from sesamefold.entry import changes
@@ -22,12 +21,9 @@
 from sesamefold.platform import stores
 from sesamefold import transport
 from standins import platform_engine
+from standins import platform_site
 from standins import platform_store
 
-HOST = "callers.example"
-KEY = "a-key"
-MODEL = "model-1"
-
 
 class FakeClock:
     """A clock that a test sets."""
@@ -68,65 +64,6 @@
     return changes.Batch(tuple(map(changes.ServerReported, servers)), 1)
 
 
-def make_configuration(version: int = 1, **fields: t.Any) -> t.Any:
-    """Return the operator's record as the platform writes it."""
-
-    def route(name: str, kind: str, **more: t.Any) -> t.Dict[str, t.Any]:
-        return {
-            "name": name,
-            "host": HOST,
-            "path_prefix": f"/{name}/",
-            "kind": kind,
-            "timeout_ms": 2000,
-            "target_latency_ms": 300,
-            "priority": 1,
-            "service": "chat",
-            "max_attempts": 2,
-            "public": False,
-            "sticky": False,
-            "resumable": False,
-            "target_gap_ms": 200,
-            "allowed_regions": [],
-            **more,
-        }
-
-    return {
-        "version": version,
-        "routes": [
-            route("safe", "safe"),
-            route("unsafe", "unsafe"),
-            route("stream", "streaming"),
-            route("resumable", "streaming", resumable=True),
-            route("short", "unsafe", timeout_ms=300),
-        ],
-        "services": [
-            {
-                "name": "chat",
-                "health_path": "/healthz",
-                "max_connections": 100,
-                "cold_start_s": 3.0,
-                "cold_per_s": 21.0,
-                "engine": {"slots": 64, "kv_capacity": 100_000},
-            }
-        ],
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 100_000,
-            "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        },
-        "tenants": [
-            {
-                "name": "customer-1",
-                "api_keys": [KEY],
-                "priority": 1,
-                "allowed_regions": [],
-            }
-        ],
-        **fields,
-    }
-
-
 def make_settings(
     ports: t.Sequence[int], store: str, **fields: t.Any
 ) -> entry_settings.EntrySettings:
@@ -149,39 +86,6 @@
     return entry_settings.EntrySettings(**{**values, **fields})
 
 
-async def start_server(
-    stack: contextlib.AsyncExitStack, handler: t.Any
-) -> str:
-    """Serve an application or a handler and return its address."""
-    if isinstance(handler, web.Application):
-        runner: web.BaseRunner[t.Any] = web.AppRunner(
-            handler, shutdown_timeout=0.1
-        )
-    else:
-        runner = web.ServerRunner(
-            web.Server(handler, handler_cancellation=True),
-            shutdown_timeout=0.1,
-        )
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
-    host, port = runner.addresses[0][:2]
-    return f"{host}:{port}"
-
-
-async def find_ports(count: int) -> t.List[int]:
-    """Return ports that are free."""
-    servers = [
-        await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        for _ in range(count)
-    ]
-    ports = [s.sockets[0].getsockname()[1] for s in servers]
-    for server in servers:
-        server.close()
-        await server.wait_closed()
-    return ports
-
-
 class EntryHostCase(unittest.IsolatedAsyncioTestCase):
     """An entry host before two servers and a store, all in this process."""
 
@@ -192,17 +96,21 @@
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.store = platform_store.PlatformStore()
-        address = await start_server(self.stack, self.store.build())
-        self.store.put("op/config", make_configuration())
+        address = await platform_site.start_server(
+            self.stack, self.store.build()
+        )
+        self.store.put("op/config", platform_site.make_configuration())
         self.engines = [
             platform_engine.PlatformEngine(f"i-{number}")
             for number in range(2)
         ]
         for engine in self.engines:
-            engine_address = await start_server(self.stack, engine.handle)
+            engine_address = await platform_site.start_server(
+                self.stack, engine.handle
+            )
             self.report(engine.id, engine_address)
         self.settings = make_settings(
-            await find_ports(4), address, **self.settings_fields
+            await platform_site.find_ports(4), address, **self.settings_fields
         )
         await self.start_host()
         self.caller = await self.stack.enter_async_context(
@@ -211,19 +119,8 @@
 
     def report(self, server_id: str, address: str, **fields: t.Any) -> None:
         """Write a server's entry."""
-        body = {
-            "service": "chat",
-            "address": address,
-            "zone": "dc-1",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "cold_left_ms": 0,
-            "seq": 1,
-            "born": 1,
-            **fields,
-        }
-        self.store.put(f"servers/{server_id}", body)
+        entry = platform_site.make_entry(address, **fields)
+        self.store.put(f"servers/{server_id}", entry)
 
     async def start_host(self) -> None:
         """Start the entry host and wait until it is ready."""
@@ -259,10 +156,10 @@
     ) -> t.Tuple[int, t.Mapping[str, str], bytes]:
         """Send a request and return status, headers and body."""
         sent = {
-            "Host": HOST,
+            "Host": platform_site.HOST,
             "Sesamefold-Request-Id": request_id,
             "Sesamefold-Deadline-Ms": "2000",
-            "Api-Key": KEY,
+            "Api-Key": platform_site.KEY,
             **fields.pop("headers", {}),
         }
         address = ":".join(map(str, self.settings.listen_address))
--- a/tests/test_entry_catalog.py
+++ b/tests/test_entry_catalog.py
@@ -9,12 +9,13 @@
 from sesamefold.entry import topology
 from sesamefold.platform import records
 from sesamefold.platform import wire
+from standins import platform_site
 from tests import entry_fakes
 
 
 def make_configuration(version: int) -> topology.Configuration:
     """Return a decoded configuration."""
-    body = entry_fakes.make_configuration(version)
+    body = platform_site.make_configuration(version)
     change = records.decode_item("op/config", wire.encode(body))
     assert isinstance(change, changes.ConfigurationAccepted)
     return change.configuration
--- a/tests/test_entry_election.py
+++ b/tests/test_entry_election.py
@@ -6,6 +6,7 @@
 from sesamefold.entry import election
 from sesamefold.platform import client
 from sesamefold import transport
+from standins import platform_site
 from standins import platform_store
 from tests import entry_fakes
 
@@ -18,7 +19,7 @@
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.store = platform_store.PlatformStore()
-        address = await entry_fakes.start_server(
+        address = await platform_site.start_server(
             self.stack, self.store.build()
         )
         session = await self.stack.enter_async_context(
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -6,10 +6,11 @@
 
 import aiohttp
 
+from standins import platform_site
 from tests import entry_fakes
 
 PROMPT = {
-    "Sesamefold-Model": entry_fakes.MODEL,
+    "Sesamefold-Model": platform_site.MODEL,
     "Sesamefold-Token-Usage": "900,80",
     "Sesamefold-Prompt-Prefix": "aa:400,bb:300,cc:200",
 }
@@ -155,9 +156,9 @@
 
     async def test_context_has_a_salt_of_its_version(self) -> None:
         for engine in self.engines:
-            engine.weights = {entry_fakes.MODEL: 4}
+            engine.weights = {platform_site.MODEL: 4}
         for server in list(self.host.catalog.servers.values()):
-            self.host.catalog.note_weights(server.id, {entry_fakes.MODEL: 4})
+            self.host.catalog.note_weights(server.id, {platform_site.MODEL: 4})
         await self.call("/stream/", headers=PROMPT)
         (run,) = self.list_runs()
         self.assertEqual("4", run.headers["Sesamefold-Expect-Version"])
@@ -165,9 +166,9 @@
 
     async def test_new_weights_are_learned_from_a_refusal(self) -> None:
         for engine in self.engines:
-            engine.weights = {entry_fakes.MODEL: 5}
-            self.host.catalog.note_weights(engine.id, {entry_fakes.MODEL: 4})
-        self.host.catalog.weights[entry_fakes.MODEL] = 5
+            engine.weights = {platform_site.MODEL: 5}
+            self.host.catalog.note_weights(engine.id, {platform_site.MODEL: 4})
+        self.host.catalog.weights[platform_site.MODEL] = 5
         self.host.election.pause_seconds = 60.0
         for number in range(4):
             await self.call("/resumable/", f"r-{number}", headers=PROMPT)
@@ -201,7 +202,7 @@
         self.assertEqual(200, (await self.call("/safe/"))[0])
 
     async def test_a_withdrawn_key_is_refused(self) -> None:
-        configuration = entry_fakes.make_configuration(2)
+        configuration = platform_site.make_configuration(2)
         configuration["tenants"][0]["api_keys"] = []
         self.store.put("op/config", configuration)
         await asyncio.sleep(0.5)
@@ -241,15 +242,15 @@
 
     async def test_engines_get_the_named_weights(self) -> None:
         for engine in self.engines:
-            engine.weights = {entry_fakes.MODEL: 1}
-            self.host.catalog.note_weights(engine.id, {entry_fakes.MODEL: 1})
+            engine.weights = {platform_site.MODEL: 1}
+            self.host.catalog.note_weights(engine.id, {platform_site.MODEL: 1})
         self.engines[0].lose_orders = True
         self.store.put(
-            "op/version/model-1", {"model": entry_fakes.MODEL, "version": 2}
+            "op/version/model-1", {"model": platform_site.MODEL, "version": 2}
         )
         await self.wait_until(
             lambda: all(
-                server.weights == {entry_fakes.MODEL: 2}
+                server.weights == {platform_site.MODEL: 2}
                 for server in self.host.catalog.servers.values()
             ),
             8.0,
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -15,34 +15,11 @@
 import aiohttp
 
 from standins import platform_engine
+from standins import platform_site
 from standins import platform_store
-from tests import entry_fakes
 
 ROOT = pathlib.Path(__file__).parent.parent
 
-SETTINGS = """
-node_name = "entry-1"
-zone = "dc-1"
-region = "region-1"
-ip = "127.0.0.1"
-inner_ports = [{ports[2]}, {ports[2]}]
-[zones]
-dc-1 = "region-1"
-[listen_addrs]
-front = "127.0.0.1:{ports[0]}"
-ready = "127.0.0.1:{ports[1]}"
-[bounds]
-retry_budget_ratio = {ratio}
-retry_budget_extra = 58
-budget_window_s = 10
-revoke_ms = {revoke_ms}
-revoke_fail_closed = true
-grace_s = 6
-lease_ms = 3000
-[platform]
-address = "{store}"
-"""
-
 
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
     """One process before stand-ins."""
@@ -55,32 +32,18 @@
         self.addCleanup(folder.cleanup)
         self.path = pathlib.Path(folder.name) / "settings.toml"
         self.store = platform_store.PlatformStore()
-        address = await entry_fakes.start_server(
+        address = await platform_site.start_server(
             self.stack, self.store.build()
         )
         self.engine = platform_engine.PlatformEngine("i-0")
-        engine_address = await entry_fakes.start_server(
+        engine_address = await platform_site.start_server(
             self.stack, self.engine.handle
         )
-        self.store.put("op/config", entry_fakes.make_configuration())
-        self.store.put(
-            "servers/i-0",
-            {
-                "service": "chat",
-                "address": engine_address,
-                "zone": "dc-1",
-                "slots": 8,
-                "state": "ready",
-                "cold_left_ms": 0,
-                "seq": 1,
-            },
-        )
-        self.values: t.Dict[str, t.Any] = {
-            "ports": await entry_fakes.find_ports(3),
-            "store": address,
-            "ratio": 0.2,
-            "revoke_ms": 5000,
-        }
+        self.store.put("op/config", platform_site.make_configuration())
+        entry = platform_site.make_entry(engine_address)
+        self.store.put("servers/i-0", entry)
+        self.store_address = address
+        self.ports = await platform_site.find_ports(3)
         self.caller = await self.stack.enter_async_context(
             aiohttp.ClientSession()
         )
@@ -88,7 +51,11 @@
 
     def write_settings(self, **changes: t.Any) -> None:
         """Write the settings file."""
-        self.path.write_text(SETTINGS.format(**{**self.values, **changes}))
+        self.path.write_text(
+            platform_site.format_settings(
+                self.ports, self.store_address, **changes
+            )
+        )
 
     async def start(self) -> None:
         """Start the process and collect its log."""
@@ -128,7 +95,7 @@
 
     async def wait_ready(self) -> None:
         """Wait until the process answers that it is ready."""
-        url = f"http://127.0.0.1:{self.values['ports'][1]}/ready"
+        url = f"http://127.0.0.1:{self.ports[1]}/ready"
         async with asyncio.timeout(10.0):
             while True:
                 with contextlib.suppress(aiohttp.ClientError):
@@ -140,12 +107,12 @@
     async def call(self, path: str, request_id: str) -> int:
         """Send a request and return its status."""
         async with self.caller.post(
-            f"http://127.0.0.1:{self.values['ports'][0]}{path}",
+            f"http://127.0.0.1:{self.ports[0]}{path}",
             headers={
-                "Host": entry_fakes.HOST,
+                "Host": platform_site.HOST,
                 "Sesamefold-Request-Id": request_id,
                 "Sesamefold-Deadline-Ms": "2000",
-                "Api-Key": entry_fakes.KEY,
+                "Api-Key": platform_site.KEY,
             },
             data=b"body",
         ) as response:
@@ -189,7 +156,7 @@
         await self.wait_ready()
         self.assertEqual(200, await self.call("/unsafe/", "r-1"))
         self.process.send_signal(signal.SIGSTOP)
-        configuration = entry_fakes.make_configuration(2)
+        configuration = platform_site.make_configuration(2)
         configuration["tenants"][0]["api_keys"] = []
         self.store.put("op/config", configuration)
         await asyncio.sleep(5.0)
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -16,8 +16,8 @@
 from sesamefold.platform import settings
 from sesamefold.platform import wire
 from sesamefold import transport
+from standins import platform_site
 from standins import platform_store
-from tests import entry_fakes
 
 SETTINGS = """
 node_name = "front-1"
@@ -109,21 +109,21 @@
                 self.assertIsInstance(change, changes.RecordRejected)
 
     def test_the_longest_prefix_wins(self) -> None:
-        body = entry_fakes.make_configuration()
+        body = platform_site.make_configuration()
         body["routes"].append(
             {**body["routes"][0], "name": "longer", "path_prefix": "/safe/a/"}
         )
         change = records.decode_item("op/config", wire.encode(body))
         assert isinstance(change, changes.ConfigurationAccepted)
         found = change.configuration
-        host = entry_fakes.HOST
+        host = platform_site.HOST
         self.assertEqual("longer", found.find_route(host, "/safe/a/b").name)
         self.assertEqual("safe", found.find_route(host, "/safe/b").name)
         with self.assertRaises(exceptions.UnknownPath):
             found.find_route(host, "/saf")
 
     def test_a_split_route_divides_its_requests(self) -> None:
-        body = entry_fakes.make_configuration()
+        body = platform_site.make_configuration()
         shares = [
             {"service": "a", "weight": 90},
             {"service": "b", "weight": 10},
@@ -176,7 +176,7 @@
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.store = platform_store.PlatformStore()
-        address = await entry_fakes.start_server(
+        address = await platform_site.start_server(
             self.stack, self.store.build()
         )
         session = await self.stack.enter_async_context(
