--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -86,19 +86,31 @@
     return entry_settings.EntrySettings(**{**values, **fields})
 
 
-class EntryHostCase(unittest.IsolatedAsyncioTestCase):
-    """An entry host before two servers and a store, all in this process."""
-
-    settings_fields: t.Dict[str, t.Any] = {}
+class StoreCase(unittest.IsolatedAsyncioTestCase):
+    """A store and a client of it."""
 
     async def asyncSetUp(self) -> None:
-        """Start the store, the servers and the entry host."""
+        """Start the store."""
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.store = platform_store.PlatformStore()
-        address = await platform_site.start_server(
+        self.address = await platform_site.start_server(
             self.stack, self.store.build()
         )
+        session = await self.stack.enter_async_context(
+            transport.make_session()
+        )
+        self.client = client.StoreClient(session, self.address)
+
+
+class EntryHostCase(StoreCase):
+    """An entry host before two servers and a store, all in this process."""
+
+    settings_fields: t.Dict[str, t.Any] = {}
+
+    async def asyncSetUp(self) -> None:
+        """Start the servers and the entry host."""
+        await super().asyncSetUp()
         self.store.put("op/config", platform_site.make_configuration())
         self.engines = [
             platform_engine.PlatformEngine(f"i-{number}")
@@ -110,7 +122,9 @@
             )
             self.report(engine.id, engine_address)
         self.settings = make_settings(
-            await platform_site.find_ports(4), address, **self.settings_fields
+            await platform_site.find_ports(4),
+            self.address,
+            **self.settings_fields,
         )
         await self.start_host()
         self.caller = await self.stack.enter_async_context(
@@ -127,12 +141,11 @@
         session = await self.stack.enter_async_context(
             transport.make_session()
         )
-        store_client = client.StoreClient(session, self.settings.store_address)
         self.host = entry_host.EntryHost(
             self.settings,
             entry_host.Platform(
-                store_client,
-                store_client,
+                self.client,
+                self.client,
                 headers.HeaderCodec(),
                 engines.EngineClient(session),
                 stores.ContextStoreClient(session),
--- a/tests/test_entry_election.py
+++ b/tests/test_entry_election.py
@@ -1,35 +1,19 @@
 """The lease of the host that orders."""
 
-import contextlib
-import unittest
-
 from sesamefold.entry import election
-from sesamefold.platform import client
-from sesamefold import transport
-from standins import platform_site
-from standins import platform_store
 from tests import entry_fakes
 
 
-class ElectionTest(unittest.IsolatedAsyncioTestCase):
+class ElectionTest(entry_fakes.StoreCase):
     """Two hosts and one lease."""
 
     async def asyncSetUp(self) -> None:
         """Start a store and two candidates."""
-        self.stack = contextlib.AsyncExitStack()
-        self.addAsyncCleanup(self.stack.aclose)
-        self.store = platform_store.PlatformStore()
-        address = await platform_site.start_server(
-            self.stack, self.store.build()
-        )
-        session = await self.stack.enter_async_context(
-            transport.make_session()
-        )
-        records = client.StoreClient(session, address)
+        await super().asyncSetUp()
         self.clock = entry_fakes.FakeClock()
         self.first, self.second = (
             election.Election(
-                name, records, 3.0, entry_fakes.make_log(), self.clock
+                name, self.client, 3.0, entry_fakes.make_log(), self.clock
             )
             for name in ("a", "b")
         )
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -1,6 +1,5 @@
 """Settings, records and the store's client of the platform."""
 
-import contextlib
 import pathlib
 import tempfile
 import unittest
@@ -10,14 +9,12 @@
 from sesamefold.entry import changes
 from sesamefold.entry import store
 from sesamefold import exceptions
-from sesamefold.platform import client
 from sesamefold.platform import headers
 from sesamefold.platform import records
 from sesamefold.platform import settings
 from sesamefold.platform import wire
-from sesamefold import transport
 from standins import platform_site
-from standins import platform_store
+from tests import entry_fakes
 
 SETTINGS = """
 node_name = "front-1"
@@ -168,22 +165,9 @@
                     )
 
 
-class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+class StoreClientTest(entry_fakes.StoreCase):
     """The client before the stand-in's faults."""
 
-    async def asyncSetUp(self) -> None:
-        """Start a store."""
-        self.stack = contextlib.AsyncExitStack()
-        self.addAsyncCleanup(self.stack.aclose)
-        self.store = platform_store.PlatformStore()
-        address = await platform_site.start_server(
-            self.stack, self.store.build()
-        )
-        session = await self.stack.enter_async_context(
-            transport.make_session()
-        )
-        self.client = client.StoreClient(session, address)
-
     async def test_watches_bring_changes_and_lost_history(self) -> None:
         batch = await self.client.read_all(store.Topic.OPERATIONS)
         self.store.put("op/evacuate/dc-1", {})
