Find the other entry hosts soon after a common start

Cause: after a restart of all hosts each read the members once, before the others had registered, and again 4 s later. A cold server could also get the shares of hosts that each took themselves for the only one. Change: members are read each 0.4 s for 3 s after the start; for the first 1.2 s a host has no share of a fleet-wide limit; what is kept of servers and hosts that are gone is dropped.

--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -42,6 +42,7 @@
     on_report: t.List[t.Callable[[topology.Server], None]] = attrs.field(
         factory=list
     )
+    on_removal: t.List[t.Callable[[str], None]] = attrs.field(factory=list)
     _lapsed: t.Dict[str, float] = attrs.field(factory=dict)
     _servers_contact: float = float("-inf")
     _returned_at: float = float("-inf")
@@ -191,6 +192,8 @@
         self.servers.pop(server_id, None)
         self._lapsed.pop(server_id, None)
         self.log.write("server_removed", server=server_id)
+        for listener in self.on_removal:
+            listener(server_id)
 
     def note_weights(
         self, server_id: str, weights: t.Mapping[str, int]
--- a/src/sesamefold/entry/members.py
+++ b/src/sesamefold/entry/members.py
@@ -20,6 +20,12 @@
 RENEWAL_INTERVAL = 2.5
 # Time between two reads of the members, seconds.
 READ_INTERVAL = 4.0
+# The same while this host is young, and how long it is, seconds. Hosts start
+# together, and each finds only those that started before it.
+START_INTERVAL = 0.4
+START_SECONDS = 3.0
+# Age of this host from which it has a share of a limit of the fleet, seconds.
+SETTLED_SECONDS = 1.2
 # Time for which a member that is no longer listed still counts, seconds. It
 # may be cut off from the store and still serve.
 DEPARTURE_SECONDS = 6.0
@@ -38,8 +44,8 @@
 class Members:
     """Keeps this host's record and the names of the others.
 
-    While nothing was read yet, only this host is known, and shares of a
-    fleet-wide limit must not be used: `names` is empty then.
+    A host that has just started does not know the others that start with it.
+    It has no share of a fleet-wide limit then: `names` is empty.
     """
 
     own: Member
@@ -49,9 +55,12 @@
     _seen: t.Dict[str, float] = attrs.field(factory=dict)
     _members: t.Dict[str, Member] = attrs.field(factory=dict)
     _lease: t.Optional[int] = None
+    _started_at: float = float("inf")
 
     def names(self) -> t.Collection[str]:
-        """Return the entry hosts that may be serving."""
+        """Return the entry hosts that may be serving, none at the start."""
+        if self.read_time() < self._started_at + SETTLED_SECONDS:
+            return ()
         return self._seen.keys()
 
     def list_peers(self, neighbours: bool) -> t.List[t.Tuple[str, int]]:
@@ -70,6 +79,7 @@
 
     async def run(self) -> None:
         """Renew the record and read the others until cancelled."""
+        self._started_at = self.read_time()
         next_read = 0.0
         while True:
             try:
@@ -80,7 +90,10 @@
             except exceptions.PlatformError as error:
                 self.log.write("members_stale", reason=error.message)
                 self._lease = None
-            await asyncio.sleep(RENEWAL_INTERVAL * random.uniform(0.8, 1.0))
+            wait = RENEWAL_INTERVAL * random.uniform(0.8, 1.0)
+            if self.read_time() < self._started_at + START_SECONDS:
+                next_read, wait = 0.0, START_INTERVAL
+            await asyncio.sleep(wait)
 
     async def _renew(self) -> None:
         if self._lease is not None:
@@ -115,6 +128,11 @@
             for name, at in self._seen.items()
             if now - at <= DEPARTURE_SECONDS
         }
+        self._members = {
+            name: member
+            for name, member in self._members.items()
+            if name in self._seen
+        }
         if before != set(self._seen):
             self.log.write("members", names=sorted(self._seen))
 
--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -138,8 +138,9 @@
 
     def _is_stalled(self) -> bool:
         ranked = rendezvous.rank_owners("orders", self.members())
-        rank = ranked.index(self.host) if self.host in ranked else len(ranked)
-        wait = STALL_SECONDS + rank * RANK_SECONDS
+        if self.host not in ranked:
+            return False
+        wait = STALL_SECONDS + ranked.index(self.host) * RANK_SECONDS
         return self.read_time() >= self._stalled_since + wait
 
     async def _order(
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -111,6 +111,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.catalog.on_report.append(self._clear_suspicion)
+        self.catalog.on_removal.append(self._forget)
 
     def choose(
         self, call: requests.Call
@@ -368,6 +369,10 @@
         heard_at = self.states[server.id].heard_at
         return self.read_time() - heard_at >= seconds
 
+    def _forget(self, server_id: str) -> None:
+        self.states.pop(server_id, None)
+        self.cold.forget(server_id)
+
     def _clear_suspicion(self, server: topology.Server) -> None:
         state = self.states.get(server.id)
         if state is None or state.suspect_until == float("-inf"):
--- a/src/sesamefold/entry/throttle.py
+++ b/src/sesamefold/entry/throttle.py
@@ -75,10 +75,18 @@
         window = self._sent.setdefault(server, _Window(COLD_WINDOW))
         window.instants.append(self.read_time())
 
+    def forget(self, server: str) -> None:
+        """Drop what is kept of a server that is gone."""
+        self._sent.pop(server, None)
+
 
 @attrs.define
 class RetryThrottle:
-    """Retries that this host may send, as a share of the fleet's budget."""
+    """Retries that this host may send, as a share of the fleet's budget.
+
+    A host that does not know the members yet has the part for its own
+    requests only.
+    """
 
     limits: RetryLimits
     members: t.Callable[[], t.Collection[str]]
@@ -98,7 +106,8 @@
         now = self.read_time()
         requests = self._find(self._requests, service).count(now)
         retries = self._find(self._retries, service)
-        extra = self.limits.extra / max(1, len(self.members()))
+        members = len(self.members())
+        extra = self.limits.extra / members if members else 0.0
         allowed = BUDGET_SHARE * (self.limits.ratio * requests + extra)
         if retries.count(now) + 1 > allowed:
             return False
--- a/tests/test_entry_catalog.py
+++ b/tests/test_entry_catalog.py
@@ -52,6 +52,12 @@
         self.remove("i-0")
         self.assertEqual(["i-1"], self.list_ids())
 
+    def test_listeners_hear_of_a_removal(self) -> None:
+        heard: list[str] = []
+        self.catalog.on_removal.append(heard.append)
+        self.remove("i-0")
+        self.assertEqual(["i-0"], heard)
+
     def test_lapsed_entries_come_back_after_an_outage(self) -> None:
         self.clock.now += 10.0
         self.catalog.note_servers_contact(True)
--- /dev/null
+++ b/tests/test_entry_members.py
@@ -0,0 +1,54 @@
+"""Entry hosts that find each other through the store."""
+
+import asyncio
+import unittest
+
+from sesamefold.entry import members
+from sesamefold.entry import throttle
+from tests import entry_fakes
+
+
+class MembersTest(entry_fakes.StoreCase):
+    """Hosts that start together."""
+
+    def make(self, name: str) -> members.Members:
+        """Start a host's membership."""
+        own = members.Member(name, "region-1", ("127.0.0.1", 1))
+        host = members.Members(own, self.client, entry_fakes.make_log())
+        task = asyncio.create_task(host.run())
+        self.stack.callback(task.cancel)
+        return host
+
+    async def test_hosts_that_start_together_know_each_other_soon(
+        self,
+    ) -> None:
+        """Guards against overload after a restart of all hosts."""
+        hosts = []
+        for number in range(5):
+            hosts.append(self.make(f"entry-{number}"))
+            await asyncio.sleep(0.1)
+        async with asyncio.timeout(2.0):
+            while any(len(host.names()) < 5 for host in hosts):
+                await asyncio.sleep(0.05)
+        self.assertEqual(4, len(hosts[0].list_peers(neighbours=True)))
+        self.assertEqual([], hosts[0].list_peers(neighbours=False))
+
+    async def test_a_host_has_no_share_before_it_is_settled(self) -> None:
+        host = self.make("entry-1")
+        await asyncio.sleep(0.3)
+        self.assertEqual(0, len(host.names()))
+
+    async def test_records_of_other_forms(self) -> None:
+        self.store.put(f"{members.PREFIX}entry-9", b"broken")
+        host = self.make("entry-1")
+        await asyncio.sleep(members.SETTLED_SECONDS + 0.3)
+        self.assertEqual({"entry-1"}, set(host.names()))
+
+
+class RetriesTest(unittest.TestCase):
+    """Limits of a host that does not know the others."""
+
+    def test_no_members_no_extra(self) -> None:
+        limits = throttle.RetryLimits(0.2, 58, 10)
+        host = throttle.RetryThrottle(limits, lambda: ())
+        self.assertFalse(host.try_spend("chat"))
