Split exit codes and presentation from the commands

Change: exit codes and the form of the output are modules of their own; the daemons do not use them. Conclusion: no change of behaviour.

--- a/src/sesamefold/commands.py
+++ b/src/sesamefold/commands.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import datetime
 import difflib
 import enum
 import getpass
@@ -22,37 +21,17 @@
 from sesamefold import defaults
 from sesamefold import documents
 from sesamefold import exceptions
+from sesamefold import exitcodes
+from sesamefold import presentation
 from sesamefold import settings as process_settings
 
 if t.TYPE_CHECKING:
     from sesamefold import keyvalue
     from sesamefold import revisions
-    from sesamefold import rollout
 
 # The commands import the modules that they need when they run, so that the
 # daemons do not hold the code of the operators' commands in memory.
 
-EXIT_DIFFERENT = 1
-EXIT_INVALID = 3
-EXIT_CONFLICT = 4
-EXIT_PLATFORM = 5
-EXIT_UNKNOWN = 6
-EXIT_NOT_IN_FORCE = 7
-EXIT_NOT_KEPT = 8
-EXIT_OTHER = 10
-
-# The exit code of an error is that of the first class it belongs to.
-EXIT_CODES: t.Tuple[t.Tuple[t.Type[Exception], int], ...] = (
-    (exceptions.InvalidText, EXIT_INVALID),
-    (exceptions.SettingsError, EXIT_INVALID),
-    (exceptions.EditConflict, EXIT_CONFLICT),
-    (exceptions.RevisionUnknown, EXIT_NOT_KEPT),
-    (exceptions.OutcomeUnknown, EXIT_UNKNOWN),
-    (exceptions.PlatformError, EXIT_PLATFORM),
-    (exceptions.ConfigurationError, EXIT_INVALID),
-    (exceptions.SesamefoldError, EXIT_OTHER),
-)
-
 app = typer.Typer(
     add_completion=False,
     no_args_is_help=True,
@@ -120,52 +99,16 @@
 def _report(error: exceptions.SesamefoldError, as_json: bool) -> int:
     """Print an error in one line on stderr and return its exit code."""
     if as_json:
-        line = json.dumps({"error": _describe(error)})
+        line = json.dumps({"error": presentation.describe_error(error)})
     else:
         for problem in getattr(error, "problems", ()):
-            print(_escape(problem), file=sys.stderr)
+            print(presentation.escape(problem), file=sys.stderr)
         message = str(error)
         if isinstance(error, exceptions.SettingsError):
             message = f"the settings have {len(error.problems)} problem(s)"
-        line = f"error {error.code}: {_escape(message)}"
+        line = f"error {error.code}: {presentation.escape(message)}"
     print(line, file=sys.stderr)
-    return next(code for cls, code in EXIT_CODES if isinstance(error, cls))
-
-
-def _escape(value: t.Any) -> str:
-    """Return text in one line that a terminal shows as it is."""
-    return "".join(
-        (
-            char
-            if char.isprintable() or char == "\t"
-            else char.encode("unicode_escape").decode()
-        )
-        for char in str(value).encode(errors="backslashreplace").decode()
-    )
-
-
-def _describe(error: exceptions.SesamefoldError) -> t.Dict[str, t.Any]:
-    described: t.Dict[str, t.Any] = {
-        "code": error.code,
-        "type": type(error).__name__,
-        "message": str(error),
-        "retryable": error.retryable,
-        "executed": error.executed,
-    }
-    problems = getattr(error, "problems", None)
-    if problems is not None:
-        described["problems"] = [_describe_problem(p) for p in problems]
-    return described
-
-
-def _describe_problem(problem: t.Any) -> t.Dict[str, t.Any]:
-    return {
-        "line": problem.line,
-        "column": problem.column,
-        "path": problem.path,
-        "code": problem.code,
-        "message": problem.message,
-    }
+    return exitcodes.find_exit_code(error)
 
 
 def _run(call: t.Callable[[], t.Optional[int]], as_json: bool) -> None:
@@ -257,7 +200,7 @@
         print(json.dumps(content))
         return
     for line in lines:
-        print(_escape(line))
+        print(presentation.escape(line))
 
 
 @app.command()
@@ -318,7 +261,7 @@
             {"revision": revision, "different": different, "diff": lines},
             lines,
         )
-        return EXIT_DIFFERENT if different else 0
+        return exitcodes.EXIT_DIFFERENT if different else 0
 
     _run(lambda: asyncio.run(work()), as_json)
 
@@ -461,11 +404,16 @@
             async for progress in rollout.follow(
                 controls, head.revision, names, started, deadline
             ):
-                followed.append(_convert_progress(progress))
+                followed.append(presentation.convert_progress(progress))
                 if not progress.done:
-                    code = EXIT_NOT_IN_FORCE
+                    code = exitcodes.EXIT_NOT_IN_FORCE
                 if not as_json:
-                    print(_escape(_describe_progress(progress)), flush=True)
+                    print(
+                        presentation.escape(
+                            presentation.describe_progress(progress)
+                        ),
+                        flush=True,
+                    )
             result["data_centres"] = followed
         if as_json:
             print(json.dumps(result))
@@ -493,32 +441,6 @@
     ]
 
 
-def _convert_progress(progress: "rollout.Progress") -> t.Dict[str, t.Any]:
-    return {
-        "name": progress.name,
-        "in_force": progress.done,
-        "seconds": progress.seconds,
-        "reachable": progress.reachable,
-        "hosts": progress.hosts,
-        "behind": progress.behind,
-        "unreachable_hosts": progress.unreachable_hosts,
-    }
-
-
-def _describe_progress(progress: "rollout.Progress") -> str:
-    line = f"{progress.name}: "
-    if progress.done:
-        line += f"in force after {progress.seconds:.1f} s"
-        line += f" on {progress.hosts} host(s)"
-    elif progress.reachable:
-        line += "not in force yet on " + ", ".join(progress.behind)
-    else:
-        line += "could not be reached"
-    if progress.unreachable_hosts:
-        line += "; hosts not reached: " + ", ".join(progress.unreachable_hosts)
-    return line
-
-
 @app.command()
 def show(
     revision: t.Annotated[
@@ -550,23 +472,6 @@
     _run(lambda: asyncio.run(work()), as_json)
 
 
-def _format_time(seconds: float) -> str:
-    return datetime.datetime.fromtimestamp(
-        seconds, datetime.timezone.utc
-    ).isoformat(timespec="seconds")
-
-
-def _describe_entry(entry: t.Mapping[str, t.Any]) -> t.Iterator[str]:
-    yield (
-        f"revision {entry['revision']}  {_format_time(entry['time'])}  "
-        f"{entry['author']}"
-    )
-    for path, old, new in entry["changes"]:
-        yield f"    {path}: {json.dumps(old)} -> {json.dumps(new)}"
-    if entry["omitted"]:
-        yield f"    and {entry['omitted']} more change(s)"
-
-
 @app.command()
 def history(
     limit: t.Annotated[
@@ -593,67 +498,16 @@
                     entries.append(entry)
                     if len(entries) >= limit:
                         break
-        lines = [line for entry in entries for line in _describe_entry(entry)]
+        lines = [
+            line
+            for entry in entries
+            for line in presentation.describe_entry(entry)
+        ]
         _print(as_json, entries, lines or ["no edit was accepted yet"])
 
     _run(lambda: asyncio.run(work()), as_json)
 
 
-def _describe_status(status: t.Mapping[str, t.Any]) -> t.Iterator[str]:
-    yield f"revision {status['revision']}"
-    if not status["platform_available"]:
-        yield "the key-value service is not available"
-    for centre in status["data_centres"]:
-        state = "in service" if centre["in_service"] else "out of service"
-        if not centre["reachable"]:
-            yield f"{centre['name']}: {state}, could not be reached"
-            continue
-        yield f"{centre['name']}: {state}"
-        for host in centre["hosts"]:
-            seen = (
-                f"revision {host['revision']}"
-                if host["reachable"]
-                else "could not be reached"
-            )
-            leaving = ", leaving" if host["leaving"] else ""
-            yield f"    {host['name']}: {seen}{leaving}"
-        for group, states in centre["backends"].items():
-            counts = ", ".join(f"{n} {s}" for s, n in states.items())
-            yield f"    group {group}: {counts}"
-
-
-def _convert_status(status: t.Any) -> t.Dict[str, t.Any]:
-    def count(backends: t.Any) -> t.Dict[str, t.Dict[str, int]]:
-        counts: t.Dict[str, t.Dict[str, int]] = {}
-        for backend in backends:
-            states = counts.setdefault(backend.group, {})
-            states[backend.state] = states.get(backend.state, 0) + 1
-        return counts
-
-    return {
-        "revision": status.revision,
-        "platform_available": status.platform_available,
-        "data_centres": [
-            {
-                "name": centre.name,
-                "in_service": centre.in_service,
-                "reachable": centre.reachable,
-                "hosts": [
-                    {
-                        "name": host.member.name,
-                        "revision": host.revision,
-                        "reachable": host.reachable,
-                        "leaving": host.member.leaving,
-                    }
-                    for host in centre.hosts
-                ],
-                "backends": count(centre.backends),
-            }
-            for centre in status.data_centres
-        ],
-    }
-
-
 @app.command()
 def status(
     controls: ControlOption = None,
@@ -666,16 +520,16 @@
     async def work() -> int:
         from sesamefold import rollout
 
-        found = _convert_status(
+        found = presentation.convert_status(
             await rollout.fetch_status(
                 controls or [], deadlines.Deadline.after(timeout)
             )
         )
-        _print(as_json, found, _describe_status(found))
+        _print(as_json, found, presentation.describe_status(found))
         return (
             0
             if all(centre["reachable"] for centre in found["data_centres"])
-            else EXIT_NOT_IN_FORCE
+            else exitcodes.EXIT_NOT_IN_FORCE
         )
 
     _run(lambda: asyncio.run(work()), as_json)
@@ -700,11 +554,11 @@
             texts.extend(path.read_text(errors="replace").splitlines())
         except OSError as error:
             print(f"{path}: {error.strerror}", file=sys.stderr)
-            raise typer.Exit(EXIT_INVALID) from error
+            raise typer.Exit(exitcodes.EXIT_INVALID) from error
     timeline = timelines.build_timeline(request_id, texts)
     if not timeline:
         print(f"no line about {request_id}", file=sys.stderr)
-        raise typer.Exit(EXIT_DIFFERENT)
+        raise typer.Exit(exitcodes.EXIT_DIFFERENT)
     start = timeline[0][0].at
     for line, about_request in timeline:
         print("*" if about_request else " ", line.format(start))
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -5,8 +5,8 @@
 import typing as t
 import unittest
 
-from sesamefold import commands
 from sesamefold import exceptions
+from sesamefold import exitcodes
 from sesamefold import settings
 from sesamefold import validation
 
@@ -82,7 +82,7 @@
         self.assertEqual(
             {
                 name: str(value)
-                for name, value in vars(commands).items()
+                for name, value in vars(exitcodes).items()
                 if name.startswith("EXIT_") and isinstance(value, int)
             },
             {
--- a/tests/test_timelines.py
+++ b/tests/test_timelines.py
@@ -8,6 +8,7 @@
 import typer.testing
 
 from sesamefold import commands
+from sesamefold import exitcodes
 from sesamefold import timelines
 
 
@@ -53,8 +54,8 @@
             self.assertEqual(0, shown.exit_code)
             self.assertIn("code=1216", shown.stdout)
             missing = runner.invoke(commands.app, ["explain", "x", str(path)])
-            self.assertEqual(commands.EXIT_DIFFERENT, missing.exit_code)
+            self.assertEqual(exitcodes.EXIT_DIFFERENT, missing.exit_code)
             absent = runner.invoke(
                 commands.app, ["explain", "x", f"{path}.none"]
             )
-            self.assertEqual(commands.EXIT_INVALID, absent.exit_code)
+            self.assertEqual(exitcodes.EXIT_INVALID, absent.exit_code)
