Send lost orders again after a second and stop campaigning at the end

Change: an engine that neither loads nor has the weights after 0.9 s gets the order again, an order without an answer holds no place, and its answer is awaited for 0.5 s; a stopping host gives its lease back and does not campaign; the pause is 3.1 s, since a holder stops 0.4 s before its lease ends.

--- a/src/sesamefold/entry/election.py
+++ b/src/sesamefold/entry/election.py
@@ -22,9 +22,9 @@
 # Part of the lease after which its holder no longer acts, so that an order
 # in flight arrives before the lease ends.
 SAFE_SHARE = 0.75
-# What is added to the pause between two holders' orders, seconds. An order
-# may travel that long.
-PAUSE_MARGIN = 0.5
+# What is added to the pause between two holders' orders, seconds. A holder
+# stops 0.4 s before its lease ends, and its last order may travel that long.
+PAUSE_MARGIN = 0.1
 
 
 @attrs.define
@@ -45,6 +45,7 @@
     _fence: t.Optional[int] = None
     _act_from: float = float("inf")
     _act_until: float = float("-inf")
+    _stopping: bool = False
 
     def may_act(self) -> bool:
         """Tell whether this host may order now."""
@@ -60,7 +61,7 @@
 
     async def campaign(self) -> None:
         """Try to become the holder."""
-        if self._lease is not None:
+        if self._lease is not None or self._stopping:
             return
         try:
             await self._campaign()
@@ -96,6 +97,18 @@
         self._act_until = started + SAFE_SHARE * LEASE_SECONDS
         self.log.write("elected", fence=revision, pause=round(pause, 2))
 
+    async def stop(self) -> None:
+        """Give the lease back and campaign no more."""
+        self._stopping = True
+        lease = self._lease
+        if lease is None:
+            return
+        self._resign("the entry host stops")
+        try:
+            await self.records.end_lease(lease)
+        except exceptions.PlatformError as error:
+            self.log.write("lease_not_ended", reason=error.message)
+
     async def run(self) -> None:
         """Renew the lease while this host has it, until cancelled."""
         while True:
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -276,6 +276,7 @@
         self.frontend.draining = True
         self.decisions.write("stop", in_progress=self.frontend.in_progress)
         end = stopped_at + self.settings.shutdown_seconds - CLOSING_SECONDS
+        await self.election.stop()
         await asyncio.sleep(DRAIN_SECONDS)
         self.frontend.refusing = True
         await asyncio.sleep(REFUSAL_SECONDS)
--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -19,12 +19,11 @@
 CONCURRENT_SHARE = 0.37
 # Time between two looks at the engines, seconds.
 POLL_INTERVAL = 0.15
-# Time after which an order whose effect is not seen is sent again, seconds.
-# Loading takes about a second, and the runs before it another.
-ORDER_SECONDS = 4.0
-# Time after the answer to an order from which the engine is asked for its
-# state, and between two questions, seconds.
-FIRST_REPORT_SECONDS = 1.0
+# Time after an order from which the engine is asked for its state, and between
+# two questions, seconds. Loading takes about a second; reports are some
+# hundred milliseconds old. An engine that is neither loading nor done by then
+# gets the order again; its count of orders voids the earlier one.
+FIRST_REPORT_SECONDS = 0.9
 REPORT_INTERVAL = 0.4
 # Time without progress of the rollout after which a host of rank 0 tries to
 # become the one that orders, and what each further rank waits longer, seconds.
@@ -80,11 +79,13 @@
 
 @attrs.define
 class _Pending:
-    """An order whose effect has not been seen yet."""
+    """An order whose effect has not been seen yet.
+
+    `loading` tells that the engine probably carries it out.
+    """
 
-    version: int
-    retry_at: float
     report_at: float
+    loading: bool = True
 
 
 @attrs.define
@@ -154,7 +155,8 @@
         for server, model, version in stale:
             pending = self._pending.get(server.id)
             if pending is None:
-                if len(self._pending) + len(starting) < places:
+                loading = sum(p.loading for p in self._pending.values())
+                if loading + len(starting) < places:
                     starting.append((server, model, version))
             elif now >= pending.report_at:
                 pending.report_at = now + REPORT_INTERVAL
@@ -175,8 +177,7 @@
     ) -> None:
         """Ask an engine for its state, and order what it lacks."""
         pending = self._pending.setdefault(
-            server.id,
-            _Pending(version, now, now + FIRST_REPORT_SECONDS),
+            server.id, _Pending(now + FIRST_REPORT_SECONDS)
         )
         try:
             report = await self.control.read_report(server)
@@ -184,11 +185,9 @@
                 self.catalog.note_weights(server.id, report.weights)
                 self._pending.pop(server.id, None)
                 return
-            if report.busy or (
-                pending.version == version and now < pending.retry_at
-            ):
-                return
-            await self._send(server, model, version, report, pending)
+            pending.loading = True
+            if not report.busy:
+                await self._send(server, model, version, report, pending)
         except (
             exceptions.OrderRefused,
             exceptions.BackendUnreachable,
@@ -196,6 +195,7 @@
             self.log.write(
                 "order_failed", server=server.id, reason=error.message
             )
+            pending.loading = False
             pending.report_at = self.read_time() + REPORT_INTERVAL
 
     async def _send(
@@ -209,10 +209,7 @@
         fence = self.election.get_fence()
         if fence is None:
             return
-        now = self.read_time()
-        pending.version = version
-        pending.retry_at = now + ORDER_SECONDS
-        pending.report_at = now + FIRST_REPORT_SECONDS
+        pending.report_at = self.read_time() + FIRST_REPORT_SECONDS
         self.log.write(
             "order",
             server=server.id,
--- a/src/sesamefold/platform/engines.py
+++ b/src/sesamefold/platform/engines.py
@@ -11,8 +11,8 @@
 from sesamefold.platform import wire
 from sesamefold import transport
 
-# Time for the answer of an engine, seconds.
-CALL_SECONDS = 1.0
+# Time for the answer of an engine, seconds; it is due at once.
+CALL_SECONDS = 0.5
 CONNECT_SECONDS = 0.4
 # Runs go on under the new weights. Waiting for their end instead idles the
 # engine for as long as its longest run takes.
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -32,7 +32,8 @@
     (run, status 500), "foreign" (the answer of another request), "unsealed",
     "cut" (a stream broken after its first event), "cut-unframed" (a body
     without a length that is reset), "late" (answers after a second). An event
-    of a stream takes `event_seconds`.
+    of a stream takes `event_seconds`. The next `ignore_orders` orders get no
+    answer and no effect.
     """
 
     id: str
@@ -43,6 +44,7 @@
     weights: t.Dict[str, int] = attrs.field(factory=dict)
     orders: t.List[t.Dict[str, t.Any]] = attrs.field(factory=list)
     lose_orders: bool = False
+    ignore_orders: int = 0
     event_seconds: float = 0.0
     keep_runs: bool = True
 
@@ -163,6 +165,9 @@
 
     async def _order(self, request: web.BaseRequest) -> web.StreamResponse:
         order = await request.json()
+        if self.ignore_orders:
+            self.ignore_orders -= 1
+            await asyncio.sleep(30.0)
         if order.get("expected") != len(self.orders):
             return web.Response(status=409)
         self.orders.append(order)
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -262,6 +262,31 @@
         holder = self.store.get("sesamefold/orders/holder")
         self.assertEqual(b"entry-1", holder)
 
+    async def test_orders_that_are_lost_are_sent_again_soon(self) -> None:
+        """Guards against a rollout that waits for orders without effect."""
+        for engine in self.engines:
+            engine.weights = {platform_site.MODEL: 1}
+            engine.ignore_orders = 2
+            self.host.catalog.note_weights(engine.id, engine.weights)
+        self.store.put(
+            "op/version/model-1", {"model": platform_site.MODEL, "version": 2}
+        )
+        await self.wait_until(
+            lambda: all(
+                engine.weights == {platform_site.MODEL: 2}
+                for engine in self.engines
+            ),
+            6.0,
+        )
+
+    async def test_a_stopping_host_gives_the_orders_back(self) -> None:
+        await self.host.election.campaign()
+        self.assertTrue(self.host.election.is_holder())
+        await self.host.election.stop()
+        self.assertIsNone(self.store.get("sesamefold/orders/holder"))
+        await self.host.election.campaign()
+        self.assertFalse(self.host.election.is_holder())
+
     async def test_records_of_other_forms_are_ignored(self) -> None:
         self.store.put("servers/i-7", b"\xff no JSON")
         self.store.put("servers/i-8", {"service": 5})
