--- /dev/null
+++ b/src/sesamefold/entry/context_relay.py
@@ -0,0 +1,243 @@
+"""Passing on the contents of stores of cached context between hosts.
+
+A store answers only a few hosts at a time. In a large fleet the first of the
+hosts that follow a store pass on what they read to the others of its region.
+"""
+
+import itertools
+import typing as t
+
+import attrs
+
+from sesamefold.entry import clock
+from sesamefold.entry import contexts as context_views
+from sesamefold.entry import datagrams
+from sesamefold.entry import decisions
+from sesamefold.entry import store_views
+
+CHANGES_TOPIC = "context-changes"
+REQUEST_TOPIC = "context-request"
+CONTENTS_TOPIC = "context-contents"
+# Hosts that pass on what they read of one store; the second covers the loss
+# of the first and of single datagrams.
+RELAYERS = 2
+# Time between two requests for the contents of one store, seconds.
+REQUEST_INTERVAL = 1.0
+# Error of the instant of a read that another host made, seconds: the times
+# that messages take differ by a few milliseconds.
+DATING_ERROR = 0.02
+# Parts of the contents in one message, of about 30 bytes each.
+CONTENTS_PARTS = 400
+
+
+class Peers(t.Protocol):
+    """The other entry hosts."""
+
+    def list_peers(self, neighbours: bool) -> t.Dict[str, datagrams.Address]:
+        """Return the addresses of the hosts of this region, or the others."""
+
+
+@attrs.define
+class _Assembly:
+    """Messages with the contents of a store that have arrived so far."""
+
+    life: int
+    position: int
+    chunks: t.Dict[int, t.Sequence[t.Any]] = attrs.field(factory=dict)
+
+
+@attrs.define
+class ContextRelay:
+    """Sends what this host reads of stores, and takes what others read.
+
+    Changes carry the position that they follow, so a host that missed some
+    notices and asks for the contents. The age of a view counts from the read
+    of the store, and includes the time that a message took: the clock of the
+    engines, which each message carries, is the same for all hosts.
+    """
+
+    channel: datagrams.PeerChannel
+    peers: Peers
+    contexts: context_views.Contexts
+    log: decisions.DecisionLog
+    read_time: t.Callable[[], float] = clock.read_time
+    _clock_offset: float = float("-inf")
+    _requested_at: t.Dict[str, float] = attrs.field(factory=dict)
+    _assemblies: t.Dict[str, _Assembly] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.contexts.on_read.append(self._send_changes)
+        self.channel.subscribe(CHANGES_TOPIC, self._take_changes)
+        self.channel.subscribe(REQUEST_TOPIC, self._answer_request)
+        self.channel.subscribe(CONTENTS_TOPIC, self._take_contents)
+
+    def _send_changes(
+        self, view: store_views.StoreView, batch: store_views.EventBatch
+    ) -> None:
+        """Pass on a read of a store to the hosts that do not follow it."""
+        followers = self.contexts.rank_followers(view.site)
+        if self.contexts.host not in followers[:RELAYERS]:
+            return
+        neighbours = self.peers.list_peers(neighbours=True)
+        others = [a for h, a in neighbours.items() if h not in followers]
+        header = self._make_header(view)
+        if not others or header is None:
+            return
+        events = [attrs.astuple(event) for event in batch.events]
+        # A list of the contents is not passed on, but asked for.
+        since = batch.position if batch.complete else batch.since
+        self.channel.send(CHANGES_TOPIC, [*header, since, events], others)
+
+    def _make_header(
+        self, view: store_views.StoreView
+    ) -> t.Optional[t.Tuple[t.Any, ...]]:
+        """Return the first fields of the messages about a store."""
+        if view.life is None or view.clock_offset is None:
+            return None
+        now = self.read_time()
+        return (
+            view.site.address,
+            view.life,
+            view.position,
+            now - view.read_at,
+            view.clock_offset + now,
+        )
+
+    def _take_changes(
+        self, host: str, sender: datagrams.Address, body: t.Any
+    ) -> None:
+        address, life, position, age, clock_at, since, rows = body
+        view = self._find_unfollowed(address)
+        read_at = self._date(age, clock_at)
+        if view is None:
+            return
+        if life != view.life or since > view.position:
+            if self._is_news(view, life, position, read_at):
+                self._request_contents(view, host, sender)
+            return
+        events = (store_views.ContextEvent(*row) for row in rows)
+        missed = tuple(e for e in events if e.number > view.position)
+        if position >= view.position:
+            self._take(view, position, read_at, missed)
+
+    def _take(
+        self,
+        view: store_views.StoreView,
+        position: int,
+        read_at: float,
+        events: t.Tuple[store_views.ContextEvent, ...],
+    ) -> None:
+        now = self.read_time()
+        batch = store_views.EventBatch(
+            life=t.cast(int, view.life),
+            since=view.position,
+            position=position,
+            gap=False,
+            clock_at=self._clock_offset + now,
+            events=events,
+        )
+        view.take(batch, max(read_at, view.read_at), now)
+
+    def _date(self, age: float, clock_at: float) -> float:
+        """Return the instant of a read that is `age` old when it is sent.
+
+        The messages that took least time tell the offset of the engines'
+        clock. One that waited at a suspended host is found out by it.
+        """
+        now = self.read_time()
+        offset = clock_at - now
+        self._clock_offset = max(self._clock_offset, offset)
+        return now - age - (self._clock_offset - offset)
+
+    def _is_news(
+        self,
+        view: store_views.StoreView,
+        life: int,
+        position: int,
+        read_at: float,
+    ) -> bool:
+        """Tell whether a message is about a later state than a view."""
+        if life == view.life:
+            return position > view.position
+        return read_at > view.read_at - DATING_ERROR
+
+    def _find_unfollowed(
+        self, address: str
+    ) -> t.Optional[store_views.StoreView]:
+        view = self.contexts.views.get(address)
+        if view is None or self.contexts.follows(view.site):
+            return None
+        return view
+
+    def _request_contents(
+        self,
+        view: store_views.StoreView,
+        host: str,
+        sender: datagrams.Address,
+    ) -> None:
+        address = view.site.address
+        now = self.read_time()
+        if now - self._requested_at.get(address, 0.0) < REQUEST_INTERVAL:
+            return
+        self._requested_at[address] = now
+        self.log.write(
+            "context_contents_requested",
+            store=address,
+            peer=host,
+            life=view.life,
+            position=view.position,
+        )
+        self.channel.send(REQUEST_TOPIC, [address], [sender])
+
+    def _answer_request(
+        self, host: str, sender: datagrams.Address, body: t.Any
+    ) -> None:
+        (address,) = body
+        view = self.contexts.views.get(address)
+        header = view and self._make_header(view)
+        if view is None or header is None:
+            return
+        rows = [[*key, tokens] for key, tokens in view.held.items()]
+        count = max(1, -(-len(rows) // CONTENTS_PARTS))
+        for index in range(count):
+            chunk = rows[index * CONTENTS_PARTS : (index + 1) * CONTENTS_PARTS]
+            self.channel.send(
+                CONTENTS_TOPIC, [*header, index, count, chunk], [sender]
+            )
+
+    def _take_contents(
+        self, host: str, sender: datagrams.Address, body: t.Any
+    ) -> None:
+        address, life, position, age, clock_at, index, count, rows = body
+        view = self._find_unfollowed(address)
+        read_at = self._date(age, clock_at)
+        if view is None or not self._is_news(view, life, position, read_at):
+            return
+        assembly = self._assemblies.get(address)
+        if assembly is None or (life, position) != (
+            assembly.life,
+            assembly.position,
+        ):
+            assembly = _Assembly(life, position)
+            self._assemblies[address] = assembly
+        assembly.chunks[index] = rows
+        if len(assembly.chunks) < count:
+            return
+        del self._assemblies[address]
+        view.clear()
+        view.note_life(life, self.read_time())
+        parts = itertools.chain.from_iterable(assembly.chunks.values())
+        self._take(
+            view,
+            position,
+            read_at,
+            tuple(store_views.ContextEvent(0, True, *row) for row in parts),
+        )
+        self.log.write(
+            "context_contents_taken",
+            store=address,
+            peer=host,
+            life=life,
+            position=position,
+            parts=len(view.held),
+        )
--- a/src/sesamefold/entry/contexts.py
+++ b/src/sesamefold/entry/contexts.py
@@ -11,6 +11,7 @@
 from sesamefold.entry import decisions
 from sesamefold.entry import follower
 from sesamefold.entry import requests
+from sesamefold.entry import store_views
 from sesamefold.entry import topology
 from sesamefold import exceptions
 from sesamefold import rendezvous
@@ -22,16 +23,6 @@
 EVENTS_PACE = 0.25
 # Time between two reads of a store that does not answer, seconds.
 RETRY_INTERVAL = 0.3
-# Age of the latest read from which a store's contents count as unknown,
-# seconds.
-FRESH_SECONDS = 1.2
-# Time within which an engine must have finished a fetch, seconds. It covers
-# the wait for admission.
-FETCH_SECONDS = 2.0
-# Time after a store's restart was seen in which nothing is saved there,
-# seconds. Until then hosts may order fetches of parts that it held before,
-# and must not find new ones that are still being written.
-SAVE_DELAY = FRESH_SECONDS + FETCH_SECONDS + 0.4
 # Largest age of the configuration's confirmation at which context may be
 # fetched, seconds: a host must know that no newer weights were named. A
 # watch confirms the time of its beginning, so two of them and their answers
@@ -39,7 +30,7 @@
 CONFIRMED_SECONDS = 2 * follower.OPERATIONS_WAIT + 0.4
 # Time after newer weights were named from which the context of the older may
 # be freed, seconds. Fetches that other hosts ordered have ended by then.
-FREE_DELAY = CONFIRMED_SECONDS + FETCH_SECONDS + 0.5
+FREE_DELAY = CONFIRMED_SECONDS + store_views.FETCH_SECONDS + 0.5
 # Weight of the latest request in the mean slowness of requests.
 SLOWNESS_WEIGHT = 0.15
 # Slowness of the requests that fetch from a store, as a factor of that of all
@@ -57,10 +48,6 @@
 STORE_FOLLOWERS = 10
 # Parts freed by one call.
 FREE_PARTS = 200
-# Share of a store's capacity up to which this host saves there; what other
-# hosts save meanwhile is not known yet.
-FULL_SHARE = 0.98
-
 _VERSION_SEPARATOR = "/"
 
 
@@ -82,29 +69,14 @@
     return int(salt.partition(_VERSION_SEPARATOR)[0])
 
 
-@attrs.frozen
-class ContextEvent:
-    """A part that a store has completely, or no longer."""
-
-    added: bool
-    salt: str
-    part: str
-    tokens: int
-
+class Fleet(t.Protocol):
+    """The entry hosts."""
 
-@attrs.frozen
-class EventBatch:
-    """Events of one life of a store, up to `position`.
+    def names(self) -> t.Collection[str]:
+        """Return the entry hosts that may be serving."""
 
-    `gap` tells that older events are missing, `clock_at` is the time of the
-    engines' clock in seconds.
-    """
-
-    life: int
-    position: int
-    gap: bool
-    clock_at: t.Optional[float]
-    events: t.Tuple[ContextEvent, ...]
+    def names_in(self, region: t.Optional[str]) -> t.Collection[str]:
+        """Return those of one region."""
 
 
 class StoreControl(t.Protocol):
@@ -115,10 +87,12 @@
 
     async def read_events(
         self, site: topology.CacheStore, position: int, seconds: float
-    ) -> EventBatch:
+    ) -> store_views.EventBatch:
         """Return the events after a position, waiting up to `seconds`."""
 
-    async def read_contents(self, site: topology.CacheStore) -> EventBatch:
+    async def read_contents(
+        self, site: topology.CacheStore
+    ) -> store_views.EventBatch:
         """Return all parts that a store holds, as added."""
 
     async def free(
@@ -130,56 +104,10 @@
         """Free parts, each as (salt, part), in one life of a store."""
 
 
-@attrs.define(eq=False)
-class StoreView:
-    """What this host knows of one store."""
-
-    site: topology.CacheStore
-    life: t.Optional[int] = None
-    life_seen_at: float = float("inf")
-    read_at: float = float("-inf")
-    position: int = 0
-    clock_offset: t.Optional[float] = None
-    held: t.Dict[t.Tuple[str, str], int] = attrs.field(factory=dict)
-    held_tokens: int = 0
-    slowness: float = 1.0
-    avoided_until: float = float("-inf")
-
-    def is_fresh(self, now: float) -> bool:
-        """Tell whether the contents are known."""
-        return self.life is not None and now - self.read_at <= FRESH_SECONDS
-
-    def may_save(self, now: float, tokens: int) -> bool:
-        """Tell whether a part can be saved here."""
-        return (
-            self.is_fresh(now)
-            and now >= self.life_seen_at + SAVE_DELAY
-            and self.held_tokens + tokens
-            <= FULL_SHARE * self.site.capacity_tokens
-        )
-
-    def take(self, batch: EventBatch, started: float, now: float) -> None:
-        """Take the events of a read that began at `started`."""
-        if batch.life != self.life:
-            self.life, self.life_seen_at = batch.life, now
-            self.clear()
-        for event in batch.events:
-            self._apply(event)
-        self.position, self.read_at = batch.position, started
-        if batch.clock_at is not None:
-            self.clock_offset = batch.clock_at - now
-
-    def clear(self) -> None:
-        """Forget the contents."""
-        self.held.clear()
-        self.held_tokens = 0
-
-    def _apply(self, event: ContextEvent) -> None:
-        key = (event.salt, event.part)
-        self.held_tokens -= self.held.pop(key, 0)
-        if event.added:
-            self.held[key] = event.tokens
-            self.held_tokens += event.tokens
+# Called after a read of a store with what was read.
+ReadListener = t.Callable[
+    [store_views.StoreView, store_views.EventBatch], None
+]
 
 
 @attrs.define
@@ -198,11 +126,12 @@
     regions: t.Mapping[str, str]
     catalog: catalogs.Catalog
     control: StoreControl
-    members: t.Callable[[], t.Collection[str]]
+    fleet: Fleet
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
-    views: t.Dict[str, StoreView] = attrs.field(factory=dict)
+    views: t.Dict[str, store_views.StoreView] = attrs.field(factory=dict)
     slowness: float = 1.0
+    on_read: t.List[ReadListener] = attrs.field(factory=list)
     _named_at: t.Dict[str, t.Tuple[int, float]] = attrs.field(factory=dict)
 
     def plan(
@@ -307,12 +236,16 @@
             plan,
             fetches=(*fetches, *[None] * own) if offsets else (),
             saves=(*saves, *[None] * own),
-            fetch_until=now + min(offsets) + FETCH_SECONDS if offsets else 0.0,
+            fetch_until=(
+                now + min(offsets) + store_views.FETCH_SECONDS
+                if offsets
+                else 0.0
+            ),
         )
 
     def _list_usable(
         self, call: requests.Call, server: topology.Server, now: float
-    ) -> t.List[StoreView]:
+    ) -> t.List[store_views.StoreView]:
         """Return the known stores in the server's region, nearest first."""
         allowed = call.list_regions()
         region = self.regions.get(server.data_centre)
@@ -331,10 +264,10 @@
 
     def _choose_saver(
         self,
-        views: t.Sequence[StoreView],
+        views: t.Sequence[store_views.StoreView],
         part: requests.PromptPart,
         now: float,
-    ) -> t.Optional[StoreView]:
+    ) -> t.Optional[store_views.StoreView]:
         """Return the store for a part; hosts agree on it without messages."""
         roomy = {
             v.site.address: v for v in views if v.may_save(now, part.tokens)
@@ -361,21 +294,36 @@
                 configuration.services.values() if configuration else ()
             )
             if service.cache_store is not None
-            and self._follows(service.cache_store)
         }
-        for address in tasks.keys() - sites.keys():
+        for address in self.views.keys() - sites.keys():
+            self.views.pop(address)
+        for address in sites.keys() - self.views.keys():
+            self.views[address] = store_views.StoreView(sites[address])
+        followed = {a for a, site in sites.items() if self.follows(site)}
+        for address in tasks.keys() - followed:
             tasks.pop(address).cancel()
-            self.views.pop(address, None)
-        for address in sites.keys() - tasks.keys():
-            view = self.views[address] = StoreView(sites[address])
-            tasks[address] = asyncio.create_task(self._follow(view))
+        for address in followed - tasks.keys():
+            tasks[address] = asyncio.create_task(
+                self._follow(self.views[address])
+            )
 
-    def _follows(self, site: topology.CacheStore) -> bool:
-        """Tell whether this host is one of those that follow a store."""
-        ranked = rendezvous.rank_owners(site.address, self.members())
-        return self.host in ranked[:STORE_FOLLOWERS]
+    def rank_followers(self, site: topology.CacheStore) -> t.Sequence[str]:
+        """Return the hosts that follow a store, the first one first.
 
-    async def _follow(self, view: StoreView) -> None:
+        In a small fleet all do, else some hosts of the store's region.
+        """
+        hosts = self.fleet.names()
+        if len(hosts) > STORE_FOLLOWERS:
+            region = self.regions.get(site.data_centre)
+            hosts = self.fleet.names_in(region) or hosts
+        ranked = rendezvous.rank_owners(site.address, hosts)
+        return ranked[:STORE_FOLLOWERS]
+
+    def follows(self, site: topology.CacheStore) -> bool:
+        """Tell whether this host reads a store's events itself."""
+        return self.host in self.rank_followers(site)
+
+    async def _follow(self, view: store_views.StoreView) -> None:
         while True:
             try:
                 await self._read(view)
@@ -388,14 +336,13 @@
                 )
                 await asyncio.sleep(RETRY_INTERVAL)
 
-    async def _read(self, view: StoreView) -> None:
+    async def _read(self, view: store_views.StoreView) -> None:
         started = self.read_time()
         life = view.life
         batch = await self.control.read_events(
             view.site, view.position, EVENTS_WAIT
         )
         if batch.gap or (life is not None and batch.life != life):
-            view.clear()
             started = self.read_time()
             batch = await self.control.read_contents(view.site)
             self.log.write(
@@ -405,12 +352,14 @@
                 parts=len(batch.events),
             )
         view.take(batch, started, self.read_time())
+        for listener in self.on_read:
+            listener(view, batch)
         await asyncio.sleep(EVENTS_PACE)
 
-    async def _free_outdated(self, view: StoreView) -> None:
+    async def _free_outdated(self, view: store_views.StoreView) -> None:
         """Free context of weights that were replaced some time ago."""
-        owner = rendezvous.choose_owner(view.site.address, self.members())
-        if owner != self.host or view.life is None:
+        first = self.rank_followers(view.site)[:1]
+        if self.host not in first or view.life is None:
             return
         newest = self._find_outdated_before()
         outdated = list(
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -11,7 +11,9 @@
 from sesamefold import defaults
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
+from sesamefold.entry import context_relay
 from sesamefold.entry import contexts
+from sesamefold.entry import datagrams
 from sesamefold.entry import decisions
 from sesamefold.entry import dispatch
 from sesamefold.entry import election
@@ -89,15 +91,21 @@
             platform.records,
             self.decisions,
         )
-        self.loads = loads.Loads(settings.host, self.decisions)
+        self.channel = datagrams.PeerChannel(
+            settings.host, settings.peer_address, self.decisions
+        )
+        self.loads = loads.Loads()
         self.contexts = contexts.Contexts(
             settings.host,
             settings.regions,
             self.catalog,
             platform.stores,
-            self.members.names,
+            self.members,
             self.decisions,
         )
+        self.context_relay = context_relay.ContextRelay(
+            self.channel, self.members, self.contexts, self.decisions
+        )
         self.placement = placement.Placement(
             self.catalog,
             throttle.ColdThrottle(settings.host, self.members.names),
@@ -124,6 +132,7 @@
             address=":".join(map(str, self.settings.listen_address)),
             metrics=":".join(map(str, self.settings.metrics_address or ())),
         )
+        await self.channel.open()
         self.session = upstream.make_session()
         self.dispatcher = dispatch.Dispatcher(
             self.catalog,
@@ -217,11 +226,7 @@
 
     @mode.Service.task
     async def _share_loads(self) -> None:
-        await loads.LoadSharing(
-            self.loads,
-            self.settings.peer_address,
-            self.members,
-        ).run()
+        await loads.LoadSharing(self.loads, self.channel, self.members).run()
 
     @mode.Service.task
     async def _keep_election(self) -> None:
@@ -287,6 +292,7 @@
     async def on_stop(self) -> None:
         """Close the sockets and write the last lines."""
         await self.session.close()
+        self.channel.close()
         self.decisions.flush()
 
 
--- a/src/sesamefold/entry/loads.py
+++ b/src/sesamefold/entry/loads.py
@@ -1,13 +1,12 @@
 """Load of backend servers, summed over the entry hosts."""
 
 import asyncio
-import json
 import typing as t
 
 import attrs
 
 from sesamefold.entry import clock
-from sesamefold.entry import decisions
+from sesamefold.entry import datagrams
 from sesamefold.entry import requests
 
 # Time between two messages to the peers, seconds. Runs take some hundred
@@ -25,8 +24,8 @@
 REPEAT_INTERVAL = 0.5
 # Age from which a peer's load no longer counts, seconds.
 PEER_SECONDS = 1.5
-# Largest message, bytes; a datagram takes no more.
-MAX_MESSAGE_BYTES = 60_000
+# Topic of the messages.
+TOPIC = "loads"
 
 
 @attrs.frozen
@@ -121,8 +120,6 @@
     that cannot be reached is missing from the sum.
     """
 
-    host: str
-    log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
     _own: t.Dict[str, Load] = attrs.field(factory=dict)
     _peers: t.Dict[str, _PeerLoads] = attrs.field(factory=dict)
@@ -159,36 +156,30 @@
         for server_id, load in after.items():
             _add(self._totals, server_id, load)
 
-    def encode(self, sequence: int) -> bytes:
-        """Return the message that tells this host's loads."""
-        loads = {
-            server_id: attrs.astuple(load)
-            for server_id, load in self._own.items()
-        }
-        message = json.dumps(
-            [self.host, sequence, loads], separators=(",", ":")
-        )
-        return message.encode()
-
-    def take(self, message: bytes) -> None:
+    def encode(self, sequence: int) -> t.Any:
+        """Return the body of the message that tells this host's loads."""
+        return [
+            sequence,
+            {
+                server_id: attrs.astuple(load)
+                for server_id, load in self._own.items()
+            },
+        ]
+
+    def take(self, host: str, address: datagrams.Address, body: t.Any) -> None:
         """Take a peer's message; an older one than the last is ignored."""
-        try:
-            host, sequence, loads = json.loads(message)
-            decoded = {
-                server_id: Load(*(int(n) for n in numbers))
-                for server_id, numbers in loads.items()
-            }
-        except (ValueError, TypeError, AttributeError) as error:
-            self.log.write("peer_message_rejected", reason=str(error)[:100])
-            return
+        sequence, loads = body
+        decoded = {
+            server_id: Load(*(int(n) for n in numbers))
+            for server_id, numbers in loads.items()
+        }
         known = self._peers.get(host)
         now = self.read_time()
         if known is not None and now - known.at < PEER_SECONDS:
             if sequence <= known.sequence:
                 return
-        if host != self.host:
-            self._replace(known.loads if known else {}, decoded)
-            self._peers[host] = _PeerLoads(sequence, now, decoded)
+        self._replace(known.loads if known else {}, decoded)
+        self._peers[host] = _PeerLoads(sequence, now, decoded)
 
     def take_changed(self) -> bool:
         """Return whether this host's loads changed since the last call."""
@@ -199,41 +190,23 @@
 class Peers(t.Protocol):
     """The other entry hosts."""
 
-    def list_peers(self, neighbours: bool) -> t.List[t.Tuple[str, int]]:
+    def list_peers(self, neighbours: bool) -> t.Dict[str, datagrams.Address]:
         """Return the addresses of the hosts of this region, or the others."""
 
 
-class LoadSharing(asyncio.DatagramProtocol):
+class LoadSharing:
     """Tells this host's loads to its peers and listens to theirs."""
 
     def __init__(
-        self,
-        loads: Loads,
-        address: t.Tuple[str, int],
-        peers: Peers,
+        self, loads: Loads, channel: datagrams.PeerChannel, peers: Peers
     ) -> None:
         self._loads = loads
-        self._address = address
+        self._channel = channel
         self._peers = peers
-
-    def datagram_received(
-        self, data: bytes, addr: t.Tuple[t.Any, ...]
-    ) -> None:
-        """Take a peer's message."""
-        self._loads.take(data)
+        channel.subscribe(TOPIC, loads.take)
 
     async def run(self) -> None:
         """Send until cancelled."""
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=self._address
-        )
-        try:
-            await self._send(transport)
-        finally:
-            transport.close()
-
-    async def _send(self, transport: asyncio.DatagramTransport) -> None:
         # A restarted host goes on above the numbers of its earlier life.
         sequence = int(clock.read_time() * 1000)
         sent_at = sent_far_at = 0.0
@@ -248,12 +221,10 @@
                 continue
             sent_at = now
             sequence = max(sequence + 1, int(now * 1000))
-            message = self._loads.encode(sequence)
-            if len(message) > MAX_MESSAGE_BYTES:
-                continue
             if now - sent_far_at >= FAR_INTERVAL:
                 sent_far_at = now
                 far = self._peers.list_peers(neighbours=False)
-                peers = peers + far if len(far) <= FAR_PEERS else peers
-            for peer in peers:
-                transport.sendto(message, peer)
+                peers = {**peers, **far} if len(far) <= FAR_PEERS else peers
+            self._channel.send(
+                TOPIC, self._loads.encode(sequence), peers.values()
+            )
--- a/src/sesamefold/entry/members.py
+++ b/src/sesamefold/entry/members.py
@@ -8,6 +8,7 @@
 import attrs
 
 from sesamefold.entry import clock
+from sesamefold.entry import datagrams
 from sesamefold.entry import decisions
 from sesamefold.entry import store
 from sesamefold import exceptions
@@ -37,7 +38,7 @@
 
     host: str
     region: str
-    address: t.Tuple[str, int]
+    address: datagrams.Address
 
 
 @attrs.define
@@ -63,19 +64,27 @@
             return ()
         return self._seen.keys()
 
-    def list_peers(self, neighbours: bool) -> t.List[t.Tuple[str, int]]:
-        """Return the addresses of the other entry hosts.
+    def names_in(self, region: t.Optional[str]) -> t.Collection[str]:
+        """Return the hosts of one region that may be serving."""
+        return [
+            name
+            for name in self.names()
+            if name in self._members and self._members[name].region == region
+        ]
+
+    def list_peers(self, neighbours: bool) -> t.Dict[str, datagrams.Address]:
+        """Return the addresses of the other entry hosts, by their names.
 
         These are the hosts of this region, the `neighbours`, or those of all
         others.
         """
-        return [
-            member.address
+        return {
+            name: member.address
             for name, member in self._members.items()
             if name in self._seen
             and name != self.own.host
             and (member.region == self.own.region) == neighbours
-        ]
+        }
 
     async def run(self) -> None:
         """Renew the record and read the others until cancelled."""
--- a/src/sesamefold/platform/stores.py
+++ b/src/sesamefold/platform/stores.py
@@ -1,11 +1,12 @@
 """Events and contents of the stores of cached context."""
 
+import functools
 import typing as t
 
 import aiohttp
 import attrs
 
-from sesamefold.entry import contexts
+from sesamefold.entry import store_views
 from sesamefold.entry import topology
 from sesamefold import exceptions
 from sesamefold.platform import wire
@@ -26,21 +27,21 @@
 
     async def read_events(
         self, site: topology.CacheStore, position: int, seconds: float
-    ) -> contexts.EventBatch:
+    ) -> store_views.EventBatch:
         """Return the events after a position."""
         return await self._call(
             site,
             "GET",
             "/kv-events",
             seconds,
-            _decode_events,
+            functools.partial(_decode_events, position),
             params={"since": str(position)},
             headers={wire.WAIT: str(int(seconds * _MS))},
         )
 
     async def read_contents(
         self, site: topology.CacheStore
-    ) -> contexts.EventBatch:
+    ) -> store_views.EventBatch:
         """Return all parts that a store holds."""
         return await self._call(site, "GET", "/kv-list", 0.0, _decode_list)
 
@@ -92,8 +93,9 @@
             ) from error
 
 
-def _decode_events(body: t.Any) -> contexts.EventBatch:
-    return contexts.EventBatch(
+def _decode_events(since: int, body: t.Any) -> store_views.EventBatch:
+    return store_views.EventBatch(
+        since=since,
         # The start of the store, not an epoch of the fleet.
         life=body["boot_epoch"],
         # The position to ask for next time.
@@ -101,20 +103,24 @@
         gap=bool(body["lost"]),
         clock_at=_decode_clock(body),
         events=tuple(
-            contexts.ContextEvent(kind == _ADDED, salt, part, tokens)
-            for _, kind, salt, part, tokens, *_ in body["events"]
+            store_views.ContextEvent(
+                number, kind == _ADDED, salt, part, tokens
+            )
+            for number, kind, salt, part, tokens, *_ in body["events"]
         ),
     )
 
 
-def _decode_list(body: t.Any) -> contexts.EventBatch:
-    return contexts.EventBatch(
+def _decode_list(body: t.Any) -> store_views.EventBatch:
+    return store_views.EventBatch(
+        complete=True,
+        since=0,
         life=body["boot_epoch"],
         position=body["next"],
         gap=False,
         clock_at=_decode_clock(body),
         events=tuple(
-            contexts.ContextEvent(True, salt, part, tokens)
+            store_views.ContextEvent(0, True, salt, part, tokens)
             for salt, part, tokens, *_ in body["held"]
         ),
     )
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -35,6 +35,33 @@
         return self.now
 
 
+class RecordingLog(decisions.DecisionLog):
+    """A log that keeps the names of the events."""
+
+    def __init__(self) -> None:
+        super().__init__(-1, "host")
+        self.events: t.List[str] = []
+
+    def write(self, event: str, **fields: t.Any) -> None:
+        """Keep the event."""
+        self.events.append(event)
+
+
+class FakeFleet:
+    """Entry hosts of one region."""
+
+    def __init__(self, hosts: t.Sequence[str]) -> None:
+        self.hosts = hosts
+
+    def names(self) -> t.Collection[str]:
+        """Return all hosts."""
+        return self.hosts
+
+    def names_in(self, region: t.Optional[str]) -> t.Collection[str]:
+        """Return all hosts."""
+        return self.hosts
+
+
 def make_log() -> decisions.DecisionLog:
     """Return a log whose lines nobody reads."""
     return decisions.DecisionLog(os.open(os.devnull, os.O_WRONLY), "host")
--- /dev/null
+++ b/tests/test_entry_context_relay.py
@@ -0,0 +1,220 @@
+"""Contents of stores, passed on between hosts."""
+
+import collections
+import typing as t
+import unittest
+
+from sesamefold.entry import context_relay
+from sesamefold.entry import contexts
+from sesamefold.entry import datagrams
+from sesamefold.entry import store_views
+from sesamefold.entry import topology
+from tests import entry_fakes
+
+SITE = topology.CacheStore("10.0.0.1:1", "dc-1", 100_000)
+HOSTS = [f"entry-{number}" for number in range(14)]
+
+
+class FakeNetwork:
+    """Carries messages between hosts at once, or loses them."""
+
+    def __init__(self) -> None:
+        self.channels: t.Dict[datagrams.Address, "FakeChannel"] = {}
+        self.lost_topics: t.Set[str] = set()
+        self.sent: t.Counter[str] = collections.Counter()
+        self.held: t.Optional[t.List[t.Callable[[], None]]] = None
+
+
+class FakeChannel:
+    """One host's end of the network."""
+
+    def __init__(self, network: FakeNetwork, host: str) -> None:
+        self.network = network
+        self.host = host
+        self.address = (host, 1)
+        self.handlers: t.Dict[str, datagrams.Handler] = {}
+        network.channels[self.address] = self
+
+    def subscribe(self, topic: str, handler: datagrams.Handler) -> None:
+        """Keep the handler."""
+        self.handlers[topic] = handler
+
+    def send(
+        self, topic: str, body: t.Any, addresses: t.Iterable[t.Any]
+    ) -> None:
+        """Call the handlers of the receivers."""
+        self.network.sent[topic] += 1
+        if topic in self.network.lost_topics:
+            return
+        for address in addresses:
+            receiver = self.network.channels.get(address)
+            if receiver is None:
+                continue
+
+            def deliver(handler: t.Any = receiver.handlers[topic]) -> None:
+                handler(self.host, self.address, body)
+
+            if self.network.held is None:
+                deliver()
+            else:
+                self.network.held.append(deliver)
+
+
+class FakePeers:
+    """All other hosts are neighbours."""
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+
+    def list_peers(self, neighbours: bool) -> t.Dict[str, datagrams.Address]:
+        """Return the addresses of the neighbours."""
+        if not neighbours:
+            return {}
+        return {host: (host, 1) for host in HOSTS if host != self.host}
+
+
+class ContextRelayTest(unittest.TestCase):
+    """Two hosts that read a store and one that does not."""
+
+    def setUp(self) -> None:
+        """Choose the hosts by their ranks for the store."""
+        self.clock = entry_fakes.FakeClock()
+        self.network = FakeNetwork()
+        fleet = entry_fakes.FakeFleet(HOSTS)
+        ranked = self.make("entry-0", fleet).rank_followers(SITE)
+        self.first = self.make(ranked[0], fleet)
+        self.second = self.make(ranked[1], fleet)
+        self.third = self.make(ranked[2], fleet)
+        other = next(host for host in HOSTS if host not in ranked)
+        self.other = self.make(other, fleet)
+        self.view = self.other.views[SITE.address]
+
+    def make(
+        self, host: str, fleet: entry_fakes.FakeFleet
+    ) -> contexts.Contexts:
+        """Return a host's contexts, with a relay."""
+        made = contexts.Contexts(
+            host,
+            {"dc-1": "region-1"},
+            entry_fakes.make_catalog(self.clock),
+            t.cast(contexts.StoreControl, None),
+            fleet,
+            entry_fakes.make_log(),
+            self.clock,
+        )
+        made.views[SITE.address] = store_views.StoreView(SITE)
+        context_relay.ContextRelay(
+            t.cast(
+                datagrams.PeerChannel, FakeChannel(self.network, made.host)
+            ),
+            FakePeers(host),
+            made,
+            entry_fakes.make_log(),
+            self.clock,
+        )
+        return made
+
+    def read(
+        self,
+        reader: contexts.Contexts,
+        since: int,
+        *parts: str,
+        life: int = 1,
+        complete: bool = False,
+    ) -> None:
+        """Let a host read one event for each part."""
+        now = self.clock.now
+        batch = store_views.EventBatch(
+            life,
+            since,
+            since + len(parts),
+            False,
+            now + 500.0,
+            tuple(
+                store_views.ContextEvent(
+                    since + number, part[0] != "-", "1/", part.strip("-"), 10
+                )
+                for number, part in enumerate(parts, 1)
+            ),
+            complete,
+        )
+        view = reader.views[SITE.address]
+        view.take(batch, now, now)
+        for listener in reader.on_read:
+            listener(view, batch)
+
+    def list_held(self) -> t.List[str]:
+        """Return the parts that the third host knows of."""
+        return sorted(part for _, part in self.view.held)
+
+    def test_changes_reach_hosts_that_do_not_follow(self) -> None:
+        self.assertFalse(self.other.follows(SITE))
+        self.read(self.first, 0, "a", "b")
+        self.read(self.first, 2, "-a", "c")
+        self.assertEqual(["b", "c"], self.list_held())
+        self.assertTrue(self.view.is_fresh(self.clock.now))
+        self.assertEqual(500.0, self.view.clock_offset)
+
+    def test_two_relayers_with_other_cuts(self) -> None:
+        self.read(self.first, 0, "a")
+        self.read(self.second, 0, "a", "b", "-a")
+        self.read(self.first, 1, "b")
+        self.read(self.first, 2, "-a", "c")
+        self.assertEqual(["b", "c"], self.list_held())
+
+    def test_only_the_first_followers_send(self) -> None:
+        self.read(self.third, 0, "a")
+        self.assertEqual([], self.list_held())
+
+    def test_a_lost_message_is_made_up_for(self) -> None:
+        self.read(self.first, 0, "a")
+        self.network.lost_topics.add(context_relay.CHANGES_TOPIC)
+        self.read(self.first, 1, "b", "-a")
+        self.network.lost_topics.clear()
+        self.clock.now += context_relay.REQUEST_INTERVAL
+        self.read(self.first, 3, "c")
+        self.assertEqual(["b", "c"], self.list_held())
+
+    def test_a_view_without_news_counts_as_unknown(self) -> None:
+        self.read(self.first, 0, "a")
+        self.clock.now += store_views.FRESH_SECONDS + 0.1
+        self.assertFalse(self.view.is_fresh(self.clock.now))
+        self.read(self.first, 1)
+        self.assertTrue(self.view.is_fresh(self.clock.now))
+
+    def test_a_message_that_waited_at_a_suspended_host_is_old(self) -> None:
+        self.read(self.first, 0, "a")
+        self.network.held = []
+        self.read(self.first, 1, "b")
+        self.clock.now += 5.0
+        for deliver in self.network.held:
+            deliver()
+        self.assertFalse(self.view.is_fresh(self.clock.now))
+
+    def test_a_restarted_store(self) -> None:
+        self.read(self.first, 0, "a", "b")
+        self.clock.now += store_views.SAVE_DELAY
+        self.read(self.first, 2)
+        self.assertTrue(self.view.may_save(self.clock.now, 10))
+        self.read(self.first, 0, "c", life=2, complete=True)
+        self.assertEqual(["c"], self.list_held())
+        self.assertFalse(self.view.may_save(self.clock.now, 10))
+
+    def test_contents_of_several_messages(self) -> None:
+        count = 2 * context_relay.CONTENTS_PARTS + 1
+        names = [f"{number:x}" for number in range(count)]
+        self.network.lost_topics.add(context_relay.CHANGES_TOPIC)
+        self.read(self.first, 0, *names)
+        self.network.lost_topics.clear()
+        self.read(self.first, count)
+        self.assertEqual(sorted(names), self.list_held())
+        self.assertEqual(10 * count, self.view.held_tokens)
+
+    def test_requests_are_bounded(self) -> None:
+        self.network.lost_topics.add(context_relay.CONTENTS_TOPIC)
+        for position in range(5):
+            self.read(self.first, position, "a")
+        self.assertEqual(1, self.network.sent[context_relay.REQUEST_TOPIC])
+        self.clock.now += context_relay.REQUEST_INTERVAL
+        self.read(self.first, 5, "a")
+        self.assertEqual(2, self.network.sent[context_relay.REQUEST_TOPIC])
--- a/tests/test_entry_contexts.py
+++ b/tests/test_entry_contexts.py
@@ -6,6 +6,7 @@
 from sesamefold.entry import clock as clocks
 from sesamefold.entry import contexts
 from sesamefold.entry import requests
+from sesamefold.entry import store_views
 from sesamefold.entry import topology
 from sesamefold import exceptions
 from tests import entry_fakes
@@ -18,19 +19,19 @@
     """A store whose events a test sets."""
 
     def __init__(self) -> None:
-        self.batch = contexts.EventBatch(1, 1, False, 50.0, ())
+        self.batch = store_views.EventBatch(1, 0, 1, False, 50.0, ())
         self.contents = self.batch
         self.freed: t.List[t.Tuple[int, t.Tuple[t.Tuple[str, str], ...]]] = []
 
     async def read_events(
         self, site: topology.CacheStore, position: int, seconds: float
-    ) -> contexts.EventBatch:
+    ) -> store_views.EventBatch:
         """Return the events."""
         return self.batch
 
     async def read_contents(
         self, site: topology.CacheStore
-    ) -> contexts.EventBatch:
+    ) -> store_views.EventBatch:
         """Return the contents."""
         return self.contents
 
@@ -61,22 +62,24 @@
             {"dc-1": "region-1"},
             self.catalog,
             self.store,
-            lambda: ["entry-1"],
+            entry_fakes.FakeFleet(["entry-1"]),
             entry_fakes.make_log(),
             self.clock,
         )
-        self.view = contexts.StoreView(SITE)
+        self.view = store_views.StoreView(SITE)
         self.contexts.views[SITE.address] = self.view
         self.take(("1/", "aa", 400))
-        self.clock.now += contexts.SAVE_DELAY
+        self.clock.now += store_views.SAVE_DELAY
         self.take()
         self.catalog.confirm(self.clock.now)
         self.server = entry_fakes.make_server("i-1", weights={"m": 1})
 
     def take(self, *parts: t.Tuple[str, str, int], life: int = 1) -> None:
         """Take events of the store, as read now."""
-        events = tuple(contexts.ContextEvent(True, *part) for part in parts)
-        batch = contexts.EventBatch(life, 2, False, 50.0, events)
+        events = tuple(
+            store_views.ContextEvent(2, True, *part) for part in parts
+        )
+        batch = store_views.EventBatch(life, 0, 2, False, 50.0, events)
         self.view.take(batch, self.clock.now, self.clock.now)
 
     def plan(self, **customer: t.Any) -> requests.ContextPlan:
@@ -111,12 +114,14 @@
         fetch = requests.ContextFetch(SITE.address, 400)
         self.assertEqual((fetch, None, None), plan.fetches)
         self.assertEqual((None, SITE.address, None), plan.saves)
-        self.assertAlmostEqual(50.0 + contexts.FETCH_SECONDS, plan.fetch_until)
+        self.assertAlmostEqual(
+            50.0 + store_views.FETCH_SECONDS, plan.fetch_until
+        )
 
     async def test_nothing_is_fetched_in_doubt(self) -> None:
 
         def age() -> None:
-            self.clock.now += contexts.FRESH_SECONDS + 0.1
+            self.clock.now += store_views.FRESH_SECONDS + 0.1
             self.catalog.confirm(self.clock.now)
 
         def lose_confirmation() -> None:
@@ -139,7 +144,7 @@
     def test_nothing_is_saved_soon_after_a_restart(self) -> None:
         self.take(life=2)
         self.assertFalse(any(self.plan().saves))
-        self.clock.now += contexts.SAVE_DELAY
+        self.clock.now += store_views.SAVE_DELAY
         self.catalog.confirm(self.clock.now)
         self.take(life=2)
         self.assertTrue(any(self.plan().saves))
@@ -168,7 +173,7 @@
         self.assertEqual([(1, (("1/", "aa"),))], self.store.freed)
         self.assertGreaterEqual(
             contexts.FREE_DELAY,
-            contexts.CONFIRMED_SECONDS + contexts.FETCH_SECONDS,
+            contexts.CONFIRMED_SECONDS + store_views.FETCH_SECONDS,
         )
 
     def test_a_slow_store_is_left_alone_for_a_while(self) -> None:
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -1,9 +1,12 @@
 """Limits that all entry hosts keep together, and shared loads."""
 
+import asyncio
 import itertools
 import random
+import typing as t
 import unittest
 
+from sesamefold.entry import datagrams
 from sesamefold.entry import events
 from sesamefold.entry import loads
 from sesamefold.entry import requests
@@ -84,16 +87,17 @@
     def setUp(self) -> None:
         """Make two hosts."""
         self.clock = entry_fakes.FakeClock()
-        self.hosts = [
-            loads.Loads(name, entry_fakes.make_log(), self.clock)
-            for name in ("a", "b")
-        ]
+        self.hosts = [loads.Loads(self.clock) for _ in range(2)]
+
+    def tell(self, body: t.Any) -> None:
+        """Give a message of the second host to the first."""
+        self.hosts[0].take("b", ("127.0.0.1", 1), body)
 
     def test_the_sum_and_its_end(self) -> None:
         first, second = self.hosts
         own = first.reserve("i-1", 100, 50)
         second.reserve("i-1", 30, 30)
-        first.take(second.encode(1))
+        self.tell(second.encode(1))
         self.assertEqual(loads.Load(2, 130, 80), first.get_load("i-1"))
         own.note_read()
         self.assertEqual(loads.Load(2, 130, 30), first.get_load("i-1"))
@@ -103,17 +107,61 @@
         first.forget_silent()
         self.assertEqual(loads.Load(), first.get_load("i-1"))
 
-    def test_messages_out_of_order_and_broken(self) -> None:
+    def test_messages_out_of_order(self) -> None:
         first, second = self.hosts
         reservation = second.reserve("i-1", 30, 30)
         older = second.encode(1)
         reservation.end()
-        newer = second.encode(2)
-        for message in (newer, older, b"x", b"[1,2]", b'["c",1,{"i":[1]}]'):
-            first.take(message)
+        for message in (second.encode(2), older):
+            self.tell(message)
         self.assertEqual(loads.Load(), first.get_load("i-1"))
 
 
+class PeerChannelTest(unittest.IsolatedAsyncioTestCase):
+    """Messages between hosts."""
+
+    async def asyncSetUp(self) -> None:
+        """Open a channel whose messages are kept."""
+        self.log = entry_fakes.RecordingLog()
+        self.got: t.List[t.Any] = []
+        self.channel = datagrams.PeerChannel("a", ("127.0.0.1", 0), self.log)
+        self.channel.subscribe("numbers", self.take)
+        await self.channel.open()
+        self.addCleanup(self.channel.close)
+
+    def take(self, host: str, address: t.Any, body: t.Any) -> None:
+        """Keep a number, or fail as a handler may."""
+        self.got.append((host, int(body["n"])))
+
+    def test_broken_messages_are_logged_and_ignored(self) -> None:
+        for data in (
+            b"x",
+            b"[1,2]",
+            b'["numbers","b",{"n":"x"}]',
+            b'["numbers","b",{}]',
+            b'["numbers","b",[]]',
+            b'["other","b",{"n":1}]',
+            b'["numbers","a",{"n":1}]',
+            b'["numbers","b",{"n":7}]',
+        ):
+            self.channel.datagram_received(data, ("127.0.0.1", 1))
+        self.assertEqual([("b", 7)], self.got)
+        rejected = [e for e in self.log.events if e == "peer_message_rejected"]
+        self.assertEqual(5, len(rejected))
+
+    async def test_a_message_reaches_a_peer_and_not_itself(self) -> None:
+        other = datagrams.PeerChannel("b", ("127.0.0.1", 0), self.log)
+        await other.open()
+        self.addCleanup(other.close)
+        for channel in (other, self.channel):
+            channel.send("numbers", {"n": 3}, [self.channel.get_address()])
+        for _ in range(100):
+            if self.got:
+                break
+            await asyncio.sleep(0.01)
+        self.assertEqual([("b", 3)], self.got)
+
+
 class EventBufferTest(unittest.TestCase):
     """Events cut at every place."""
 
--- a/tests/test_entry_members.py
+++ b/tests/test_entry_members.py
@@ -31,7 +31,9 @@
             while any(len(host.names()) < 5 for host in hosts):
                 await asyncio.sleep(0.05)
         self.assertEqual(4, len(hosts[0].list_peers(neighbours=True)))
-        self.assertEqual([], hosts[0].list_peers(neighbours=False))
+        self.assertEqual({}, hosts[0].list_peers(neighbours=False))
+        self.assertEqual(5, len(hosts[0].names_in("region-1")))
+        self.assertEqual([], hosts[0].names_in("region-2"))
 
     async def test_a_host_has_no_share_before_it_is_settled(self) -> None:
         host = self.make("entry-1")
