--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -16,6 +16,9 @@
 # Age of the last contact from which the store counts as away, seconds. A
 # watch that waits is answered within 2 s.
 CONTACT_GAP = 3.0
+# Namings of one model's weights that are remembered. No engine is as many
+# versions behind.
+NAMINGS = 100
 
 
 @attrs.define
@@ -43,6 +46,9 @@
         factory=list
     )
     on_removal: t.List[t.Callable[[str], None]] = attrs.field(factory=list)
+    _namings: t.Dict[str, t.List[t.Tuple[int, float]]] = attrs.field(
+        factory=dict
+    )
     _lapsed: t.Dict[str, float] = attrs.field(factory=dict)
     _servers_contact: float = float("-inf")
     _returned_at: float = float("-inf")
@@ -117,7 +123,7 @@
         elif isinstance(change, changes.WeightsNamed):
             known = self.weights.get(change.model, 0)
             if change.version > known:
-                self.weights[change.model] = change.version
+                self._name_weights(change.model, change.version)
                 self.log.write(
                     "weights_named",
                     model=change.model,
@@ -128,6 +134,23 @@
                 "record_rejected", key=change.key, reason=change.reason
             )
 
+    def _name_weights(self, model: str, version: int) -> None:
+        self.weights[model] = version
+        namings = self._namings.setdefault(model, [])
+        namings.append((version, self.confirmed_at))
+        del namings[:-NAMINGS]
+
+    def find_successor_time(self, model: str, version: int) -> float:
+        """Return an instant before which no newer version was named.
+
+        It is the last confirmation before this host learned of one, and
+        `inf` while it knows of none.
+        """
+        return next(
+            (at for v, at in self._namings.get(model, ()) if v > version),
+            float("inf"),
+        )
+
     def _accept(self, configuration: topology.Configuration) -> None:
         known = self.configuration.version if self.configuration else 0
         if configuration.version < known:
--- a/src/sesamefold/entry/context_relay.py
+++ b/src/sesamefold/entry/context_relay.py
@@ -1,11 +1,12 @@
 """Passing on the contents of stores of cached context between hosts.
 
-A store answers only a few hosts at a time. In a large fleet the first of the
-hosts that follow a store pass on what they read to the others of its region.
+A store answers only a few hosts at a time. In a large fleet the hosts that
+follow a store pass on what they read to the others of its region.
 """
 
 import itertools
 import typing as t
+import zlib
 
 import attrs
 
@@ -18,8 +19,8 @@
 CHANGES_TOPIC = "context-changes"
 REQUEST_TOPIC = "context-request"
 CONTENTS_TOPIC = "context-contents"
-# Hosts that pass on what they read of one store; the second covers the loss
-# of the first and of single datagrams.
+# Hosts that pass on one store's changes to one host; the second covers the
+# loss of the first and of single datagrams.
 RELAYERS = 2
 # Time between two requests for the contents of one store, seconds.
 REQUEST_INTERVAL = 1.0
@@ -75,18 +76,34 @@
         self, view: store_views.StoreView, batch: store_views.EventBatch
     ) -> None:
         """Pass on a read of a store to the hosts that do not follow it."""
-        followers = self.contexts.rank_followers(view.site)
-        if self.contexts.host not in followers[:RELAYERS]:
-            return
-        neighbours = self.peers.list_peers(neighbours=True)
-        others = [a for h, a in neighbours.items() if h not in followers]
+        receivers = self._list_receivers(view)
         header = self._make_header(view)
-        if not others or header is None:
+        if not receivers or header is None:
             return
         events = [attrs.astuple(event) for event in batch.events]
         # A list of the contents is not passed on, but asked for.
         since = batch.position if batch.complete else batch.since
-        self.channel.send(CHANGES_TOPIC, [*header, since, events], others)
+        self.channel.send(CHANGES_TOPIC, [*header, since, events], receivers)
+
+    def _list_receivers(
+        self, view: store_views.StoreView
+    ) -> t.List[datagrams.Address]:
+        """Return the hosts that get a store's changes from this one.
+
+        The hosts that do not follow the store are divided among those that
+        do, so that no host sends to all others.
+        """
+        followers = self.contexts.rank_followers(view.site)
+        if self.contexts.host not in followers:
+            return []
+        place = followers.index(self.contexts.host)
+        neighbours = self.peers.list_peers(neighbours=True)
+        return [
+            address
+            for host, address in neighbours.items()
+            if host not in followers
+            and (place - zlib.crc32(host.encode())) % len(followers) < RELAYERS
+        ]
 
     def _make_header(
         self, view: store_views.StoreView
--- a/src/sesamefold/entry/contexts.py
+++ b/src/sesamefold/entry/contexts.py
@@ -28,9 +28,17 @@
 # watch confirms the time of its beginning, so two of them and their answers
 # lie within the largest age in undisturbed running.
 CONFIRMED_SECONDS = 2 * follower.OPERATIONS_WAIT + 0.4
+# Time after newer weights were named in which engines with the older still
+# fetch and save their context, seconds. A rollout takes about four, and five
+# more if the host that orders is lost.
+OLD_WEIGHTS_SECONDS = 12.0
 # Time after newer weights were named from which the context of the older may
 # be freed, seconds. Fetches that other hosts ordered have ended by then.
-FREE_DELAY = CONFIRMED_SECONDS + store_views.FETCH_SECONDS + 0.5
+FREE_DELAY = (
+    max(CONFIRMED_SECONDS, OLD_WEIGHTS_SECONDS)
+    + store_views.FETCH_SECONDS
+    + 0.5
+)
 # Weight of the latest request in the mean slowness of requests.
 SLOWNESS_WEIGHT = 0.15
 # Slowness of the requests that fetch from a store, as a factor of that of all
@@ -44,8 +52,10 @@
 # what a token of the prompt adds.
 FIRST_TOKEN_SECONDS = 0.05
 TOKEN_SECONDS = 0.00001
-# Hosts that follow one store; a store answers a dozen at once.
-STORE_FOLLOWERS = 10
+# Hosts of a fleet up to which all follow each store, and hosts that do in a
+# larger one. A store answers a dozen at once.
+SMALL_FLEET = 10
+STORE_FOLLOWERS = 4
 # Parts freed by one call.
 FREE_PARTS = 200
 _VERSION_SEPARATOR = "/"
@@ -132,6 +142,9 @@
     views: t.Dict[str, store_views.StoreView] = attrs.field(factory=dict)
     slowness: float = 1.0
     on_read: t.List[ReadListener] = attrs.field(factory=list)
+    _rankings: t.Dict[str, t.Tuple[t.Set[str], t.List[str]]] = attrs.field(
+        factory=dict
+    )
     _named_at: t.Dict[str, t.Tuple[int, float]] = attrs.field(factory=dict)
 
     def plan(
@@ -148,7 +161,7 @@
         salt = make_salt(call.customer, version)
         plan = requests.ContextPlan(salt, version)
         now = self.read_time()
-        if self._are_weights_newest(prompt.model, version, now):
+        if self._may_fetch(prompt.model, version, now):
             return self._add_transfers(plan, call, server, now)
         return plan
 
@@ -159,12 +172,16 @@
         prompt = call.intake.prompt
         if prompt is None or prompt.model not in server.weights:
             return 0
-        salt = make_salt(call.customer, server.weights[prompt.model])
-        views = self._list_usable(call, server, self.read_time())
+        version = server.weights[prompt.model]
+        now = self.read_time()
+        if not self._may_fetch(prompt.model, version, now):
+            return 0
+        salt = make_salt(call.customer, version)
+        views = self._list_usable(call, server, now)
         return sum(
             part.tokens
             for part in prompt.list_shared()
-            if any((salt, part.id) in view.held for view in views)
+            if _find_holder(views, salt, part) is not None
         )
 
     def record_first(
@@ -196,12 +213,14 @@
                 view.avoided_until = self.read_time() + SLOW_SECONDS
                 view.slowness = self.slowness
 
-    def _are_weights_newest(
-        self, model: str, version: int, now: float
-    ) -> bool:
+    def _may_fetch(self, model: str, version: int, now: float) -> bool:
+        """Tell whether context of a version is surely not freed yet."""
         age = now - self.catalog.confirmed_at
-        named = self.catalog.weights.get(model, version)
-        return age <= CONFIRMED_SECONDS and version >= named
+        successor_at = self.catalog.find_successor_time(model, version)
+        return (
+            age <= CONFIRMED_SECONDS
+            and now <= successor_at + OLD_WEIGHTS_SECONDS
+        )
 
     def _add_transfers(
         self,
@@ -217,9 +236,7 @@
         fetches: t.List[t.Optional[requests.ContextFetch]] = []
         saves: t.List[t.Optional[str]] = []
         for part in prompt.list_shared():
-            holder = next(
-                (v for v in views if (plan.salt, part.id) in v.held), None
-            )
+            holder = _find_holder(views, plan.salt, part)
             saver = None
             if holder is None:
                 saver = self._choose_saver(views, part, now)
@@ -313,11 +330,16 @@
         In a small fleet all do, else some hosts of the store's region.
         """
         hosts = self.fleet.names()
-        if len(hosts) > STORE_FOLLOWERS:
+        count = SMALL_FLEET
+        if len(hosts) > SMALL_FLEET:
             region = self.regions.get(site.data_centre)
             hosts = self.fleet.names_in(region) or hosts
-        ranked = rendezvous.rank_owners(site.address, hosts)
-        return ranked[:STORE_FOLLOWERS]
+            count = STORE_FOLLOWERS
+        known = self._rankings.get(site.address)
+        if known is None or known[0] != set(hosts):
+            ranked = rendezvous.rank_owners(site.address, hosts)[:count]
+            known = self._rankings[site.address] = (set(hosts), ranked)
+        return known[1]
 
     def follows(self, site: topology.CacheStore) -> bool:
         """Tell whether this host reads a store's events itself."""
@@ -393,6 +415,15 @@
         return min(ripe, default=0)
 
 
+def _find_holder(
+    views: t.Iterable[store_views.StoreView],
+    salt: str,
+    part: requests.PromptPart,
+) -> t.Optional[store_views.StoreView]:
+    """Return the first store that holds a part."""
+    return next((v for v in views if (salt, part.id) in v.held), None)
+
+
 def _is_older(salt: str, version: int) -> bool:
     try:
         return read_version(salt) < version
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -1,6 +1,7 @@
 """Fakes and an assembled entry host for the tests of the platform's side."""
 
 import asyncio
+import collections
 import contextlib
 import os
 import typing as t
@@ -10,6 +11,7 @@
 
 from sesamefold.entry import catalog
 from sesamefold.entry import changes
+from sesamefold.entry import datagrams
 from sesamefold.entry import decisions
 from sesamefold.entry import host as entry_host
 from sesamefold.entry import settings as entry_settings
@@ -62,6 +64,69 @@
         return self.hosts
 
 
+class FakeNetwork:
+    """Carries messages between hosts at once, or loses them."""
+
+    def __init__(self) -> None:
+        self.channels: t.Dict[datagrams.Address, "FakeChannel"] = {}
+        self.lost_topics: t.Set[str] = set()
+        self.sent: t.Counter[str] = collections.Counter()
+        self.received: t.Counter[str] = collections.Counter()
+        self.held: t.Optional[t.List[t.Callable[[], None]]] = None
+
+
+class FakeChannel:
+    """One host's end of the network."""
+
+    def __init__(self, network: FakeNetwork, host: str) -> None:
+        self.network = network
+        self.host = host
+        self.address = (host, 1)
+        self.handlers: t.Dict[str, datagrams.Handler] = {}
+        network.channels[self.address] = self
+
+    def subscribe(self, topic: str, handler: datagrams.Handler) -> None:
+        """Keep the handler."""
+        self.handlers[topic] = handler
+
+    def send(
+        self, topic: str, body: t.Any, addresses: t.Iterable[t.Any]
+    ) -> None:
+        """Call the handlers of the receivers."""
+        self.network.sent[topic] += 1
+        if topic in self.network.lost_topics:
+            return
+        for address in addresses:
+            receiver = self.network.channels.get(address)
+            if receiver is None:
+                continue
+            self.network.received[topic] += 1
+
+            def deliver(handler: t.Any = receiver.handlers[topic]) -> None:
+                handler(self.host, self.address, body)
+
+            if self.network.held is None:
+                deliver()
+            else:
+                self.network.held.append(deliver)
+
+
+class FakePeers:
+    """The hosts of a region, and those of all others."""
+
+    def __init__(
+        self, host: str, near: t.Sequence[str], far: t.Sequence[str] = ()
+    ) -> None:
+        self.host = host
+        self.near = near
+        self.far = far
+
+    def list_peers(self, neighbours: bool) -> t.Dict[str, datagrams.Address]:
+        """Return the addresses of the neighbours, or of the others."""
+        hosts = self.near if neighbours else self.far
+        return {host: (host, 1) for host in hosts if host != self.host}
+
+
 def make_log() -> decisions.DecisionLog:
     """Return a log whose lines nobody reads."""
     return decisions.DecisionLog(os.open(os.devnull, os.O_WRONLY), "host")
