--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -94,7 +94,7 @@
         self.channel = datagrams.PeerChannel(
             settings.host, settings.peer_address, self.decisions
         )
-        self.loads = loads.Loads()
+        self.loads = loads.Loads(settings.host, settings.region)
         self.contexts = contexts.Contexts(
             settings.host,
             settings.regions,
