--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -25,6 +25,7 @@
 from sesamefold.entry import orders
 from sesamefold.entry import placement
 from sesamefold.entry import requests
+from sesamefold.entry import rollout_news
 from sesamefold.entry import settings as entry_settings
 from sesamefold.entry import store
 from sesamefold.entry import throttle
@@ -116,6 +117,9 @@
             settings.region,
             self.decisions,
         )
+        self.rollout_news = rollout_news.RolloutNews(
+            self.channel, self.members, self.catalog, self.placement
+        )
         self.election = election.Election(
             settings.host,
             platform.records,
@@ -239,6 +243,7 @@
             self.catalog,
             self.platform.control,
             self.election,
+            self.rollout_news,
             self.members.names,
             self.decisions,
         ).run()
--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -20,11 +20,12 @@
 # Time between two looks at the engines, seconds.
 POLL_INTERVAL = 0.15
 # Time after an order from which the engine is asked for its state, and between
-# two questions, seconds. Loading takes about a second; reports are some
-# hundred milliseconds old. An engine that is neither loading nor done by then
-# gets the order again; its count of orders voids the earlier one.
-FIRST_REPORT_SECONDS = 0.9
-REPORT_INTERVAL = 0.4
+# two questions, seconds. Loading takes 0.7 s or more, and all hosts leave the
+# engine alone until its end is known; reports are some hundred milliseconds
+# old. An engine that is neither loading nor done by then gets the order again;
+# its count of orders voids the earlier one.
+FIRST_REPORT_SECONDS = 0.7
+REPORT_INTERVAL = 0.2
 # Time without progress of the rollout after which a host of rank 0 tries to
 # become the one that orders, and what each further rank waits longer, seconds.
 STALL_SECONDS = 0.1
@@ -77,6 +78,18 @@
     orders_accepted: int
 
 
+class News(t.Protocol):
+    """What all entry hosts should know of the rollout at once."""
+
+    def announce_loading(self, server_id: str) -> None:
+        """Tell that an engine was ordered to load weights."""
+
+    def announce_loaded(
+        self, server_id: str, weights: t.Mapping[str, int]
+    ) -> None:
+        """Tell the weights that an engine has."""
+
+
 @attrs.define
 class _Pending:
     """An order whose effect has not been seen yet.
@@ -100,6 +113,7 @@
     catalog: catalogs.Catalog
     control: EngineControl
     election: election.Election
+    news: News
     members: t.Callable[[], t.Collection[str]]
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
@@ -182,7 +196,7 @@
         try:
             report = await self.control.read_report(server)
             if report.weights.get(model, 0) >= version:
-                self.catalog.note_weights(server.id, report.weights)
+                self.news.announce_loaded(server.id, report.weights)
                 self._pending.pop(server.id, None)
                 return
             pending.loading = True
@@ -224,3 +238,4 @@
                 model, version, self.host, fence, report.orders_accepted
             ),
         )
+        self.news.announce_loading(server.id)
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -50,6 +50,9 @@
 # Time after a server's refusal in which it gets no request, seconds. Engines
 # refuse while they load weights, which takes about a second.
 REFUSAL_SECONDS = 0.4
+# Time after an order to load weights in which the engine gets no request
+# unless it is known to have them, seconds. Loading takes about a second.
+LOADING_SECONDS = 1.2
 # Part of a prompt's shared context that is probably still in the engine that
 # ran the session last, or that ranks first for it.
 LAST_ENGINE_SHARE = 0.8
@@ -312,6 +315,15 @@
         until = self.read_time() + REFUSAL_SECONDS
         self.states[server.id].refused_until = until
 
+    def note_loading(self, server: topology.Server) -> None:
+        """Send nothing to an engine that loads weights."""
+        until = self.read_time() + LOADING_SECONDS
+        self.states[server.id].refused_until = until
+
+    def note_loaded(self, server: topology.Server) -> None:
+        """Send requests to an engine that has loaded weights."""
+        self.states[server.id].refused_until = float("-inf")
+
     def _get_capacity(self, call: requests.Call) -> float:
         configuration = self.catalog.require_configuration()
         service = configuration.services.get(call.service)
