--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -96,9 +96,8 @@
         self, call: requests.Call, reply: upstream.Reply, run: Run
     ) -> None:
         buffer = events.EventBuffer()
-        chunks = reply.read_chunks()
         first = True
-        while (chunk := await self._read_chunk(run, chunks)) is not None:
+        while chunk := await self._read_chunk(run, reply):
             whole = buffer.feed(chunk)
             if not whole:
                 continue
@@ -113,34 +112,27 @@
         await self._start(reply.head)
         await self.writer.finish()
 
-    async def _read_chunk(
-        self, run: Run, chunks: t.AsyncIterator[bytes]
-    ) -> t.Optional[bytes]:
-        """Return the next bytes of a stream, None at its end.
+    async def _read_chunk(self, run: Run, reply: upstream.Reply) -> bytes:
+        """Return the next bytes of a stream, b"" at its end.
 
         Raises `exceptions.ReplyBroken` when a resumable stream is silent.
         """
         if not run.resumable:
-            return await anext(chunks, None)
-        reading = asyncio.ensure_future(anext(chunks, None))
+            return await reply.read_chunk()
         began = clock.read_time()
-        try:
-            while True:
-                done, _ = await asyncio.wait(
-                    {reading}, timeout=SERVER_SILENCE_SECONDS
-                )
-                if done:
-                    run.placement.note_heard(run.server)
-                    return reading.result()
+        while True:
+            try:
+                async with asyncio.timeout(SERVER_SILENCE_SECONDS):
+                    chunk = await reply.read_chunk()
+            except TimeoutError as error:
                 silence = clock.read_time() - began
                 if self._is_lost(run, silence):
                     raise exceptions.ReplyBroken(
                         f"the stream was silent for {silence:.1f} s"
-                    )
-        finally:
-            if not reading.done():
-                reading.cancel()
-                await asyncio.wait({reading})
+                    ) from error
+            else:
+                run.placement.note_heard(run.server)
+                return chunk
 
     def _is_lost(self, run: Run, silence: float) -> bool:
         if silence >= STREAM_SILENCE_SECONDS:
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -45,21 +45,24 @@
             and "Transfer-Encoding" not in response.headers
         )
 
-    async def read_chunks(self) -> t.AsyncIterator[bytes]:
-        """Yield the body as it arrives; raises `ReplyBroken`."""
+    async def read_chunk(self) -> bytes:
+        """Return the next bytes of the body, b"" at its end.
+
+        May be called again after it was cancelled. Raises `ReplyBroken`.
+        """
         try:
-            async for chunk in self._response.content.iter_any():
-                yield chunk
+            chunk = await self._response.content.readany()
         except transport.CALL_ERRORS as error:
             raise exceptions.ReplyBroken(transport.describe(error)) from error
-        if self._open_ended and self._was_reset():
+        if not chunk and self._open_ended and self._was_reset():
             raise exceptions.ReplyBroken("the connection was reset")
+        return chunk
 
     async def read_body(self) -> bytes:
         """Return the whole body; raises `ReplyBroken`."""
         chunks = []
         size = 0
-        async for chunk in self.read_chunks():
+        while chunk := await self.read_chunk():
             size += len(chunk)
             if size > MAX_REPLY_BYTES:
                 raise exceptions.ReplyBroken("the reply is too large")
