--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -14,7 +14,7 @@
 # that lapsed during its absence come back, seconds; the platform states 2.
 LAPSE_GRACE = 2.2
 # Age of the last contact from which the store counts as away, seconds. A
-# watch that waits is answered within 2 s.
+# watch is answered within 1.5 s and follows the one before within 1.3 s.
 CONTACT_GAP = 3.0
 # Namings of one model's weights that are remembered. No engine is as many
 # versions behind.
@@ -50,7 +50,7 @@
         factory=dict
     )
     _lapsed: t.Dict[str, float] = attrs.field(factory=dict)
-    _servers_contact: float = float("-inf")
+    _contact_at: float = float("-inf")
     _returned_at: float = float("-inf")
 
     def require_configuration(self) -> topology.Configuration:
@@ -68,18 +68,14 @@
         """Note that the configuration was the newest at `at`."""
         self.confirmed_at = max(self.confirmed_at, at)
 
-    def replace_operations(self, batch: changes.Batch) -> None:
-        """Take the complete set of the operator's records."""
+    def replace(self, batch: changes.Batch) -> None:
+        """Take the complete set of records."""
+        now = self.read_time()
         self.evacuated = {
             change.data_centre
             for change in batch.changes
             if isinstance(change, changes.EvacuationRequested)
         }
-        self.apply(batch)
-
-    def replace_servers(self, batch: changes.Batch) -> None:
-        """Take the complete list of servers."""
-        now = self.read_time()
         listed = {
             change.server.id
             for change in batch.changes
@@ -90,16 +86,16 @@
         self.apply(batch)
         self.servers_known = True
 
-    def note_servers_contact(self, after_failure: bool) -> None:
-        """Note an answer of the store on the servers' topic.
+    def note_contact(self, after_failure: bool) -> None:
+        """Note an answer of the store.
 
         `after_failure` tells that the call before it failed.
         """
         now = self.read_time()
-        silent = now - self._servers_contact > CONTACT_GAP
+        silent = now - self._contact_at > CONTACT_GAP
         if self.servers_known and (silent or after_failure):
             self._returned_at = now
-        self._servers_contact = now
+        self._contact_at = now
 
     def apply(self, batch: changes.Batch) -> None:
         """Take changes in their order."""
--- a/src/sesamefold/entry/contexts.py
+++ b/src/sesamefold/entry/contexts.py
@@ -27,7 +27,7 @@
 # fetched, seconds: a host must know that no newer weights were named. A
 # watch confirms the time of its beginning, so two of them and their answers
 # lie within the largest age in undisturbed running.
-CONFIRMED_SECONDS = 2 * follower.OPERATIONS_WAIT + 0.4
+CONFIRMED_SECONDS = 2 * follower.WATCH_WAIT + 0.4
 # Time after newer weights were named in which engines with the older still
 # fetch and save their context, seconds. A rollout takes about four, and five
 # more if the host that orders is lost.
--- a/src/sesamefold/entry/follower.py
+++ b/src/sesamefold/entry/follower.py
@@ -1,4 +1,4 @@
-"""Tasks that keep the catalog current with the platform's store."""
+"""Task that keeps the catalog current with the platform's store."""
 
 import asyncio
 import random
@@ -11,15 +11,13 @@
 from sesamefold.entry import store
 from sesamefold import exceptions
 
-# Longest wait of a watch on the operator's records, seconds. Its answers
-# confirm the configuration; keys must be confirmed every 5 s.
-OPERATIONS_WAIT = 1.5
-# Longest wait of a watch on the servers, seconds.
-SERVERS_WAIT = 2.0
-# Time between two watches on the servers, seconds. They report all the time,
-# so each watch is answered at once, and calls are paid for. A leaving server
-# must get nothing after 2.5 s.
-SERVERS_PACE = 1.0
+# Longest wait of a watch, seconds. Its answers confirm the configuration;
+# keys must be confirmed every 5 s.
+WATCH_WAIT = 1.5
+# Time between two watches, as a share of the time after which a leaving
+# server must get nothing. Servers report all the time, so each watch is
+# answered at once, and calls are paid for.
+PACE_SHARE = 0.32
 # Time between two calls to a store that fails, seconds.
 RETRY_INTERVAL = 0.25
 # Longest random delay of the first read, seconds: hosts start together.
@@ -28,10 +26,13 @@
 
 @attrs.define
 class Follower:
-    """Follows one topic of the store."""
+    """Follows the records of the operator and the servers.
+
+    `pace_seconds` is the time between two watches.
+    """
 
     source: store.Source
-    topic: store.Topic
+    pace_seconds: float
     catalog: catalogs.Catalog
     log: decisions.DecisionLog
     _away: bool = False
@@ -47,9 +48,7 @@
                 else:
                     revision = await self._watch(revision)
             except exceptions.HistoryLost:
-                self.log.write(
-                    "history_lost", topic=self.topic.value, after=revision
-                )
+                self.log.write("history_lost", after=revision)
                 revision = None
             except exceptions.PlatformError as error:
                 self._note_failure(error)
@@ -57,41 +56,28 @@
 
     async def _read_all(self) -> int:
         started = self.catalog.read_time()
-        batch = await self.source.read_all(self.topic)
-        after_failure = self._note_success()
-        if self.topic is store.Topic.OPERATIONS:
-            self.catalog.replace_operations(batch)
-            self.catalog.confirm(started)
-        else:
-            self.catalog.note_servers_contact(after_failure)
-            self.catalog.replace_servers(batch)
+        batch = await self.source.read_all()
+        self._note_success()
+        self.catalog.replace(batch)
+        self.catalog.confirm(started)
         return batch.revision
 
     async def _watch(self, revision: int) -> int:
-        operations = self.topic is store.Topic.OPERATIONS
-        wait = OPERATIONS_WAIT if operations else SERVERS_WAIT
         started = self.catalog.read_time()
-        batch = await self.source.watch(self.topic, revision, wait)
-        after_failure = self._note_success()
-        if operations:
-            self.catalog.apply(batch)
-            self.catalog.confirm(started)
-        else:
-            self.catalog.note_servers_contact(after_failure)
-            self.catalog.apply(batch)
-            await asyncio.sleep(SERVERS_PACE)
+        batch = await self.source.watch(revision, WATCH_WAIT)
+        self._note_success()
+        self.catalog.apply(batch)
+        self.catalog.confirm(started)
+        await asyncio.sleep(self.pace_seconds)
         return batch.revision
 
     def _note_failure(self, error: exceptions.PlatformError) -> None:
         if not self._away:
             self._away = True
-            self.log.write(
-                "store_lost", topic=self.topic.value, reason=error.message
-            )
+            self.log.write("store_lost", reason=error.message)
 
-    def _note_success(self) -> bool:
-        """Return whether the call before this one failed."""
+    def _note_success(self) -> None:
         was_away, self._away = self._away, False
+        self.catalog.note_contact(after_failure=was_away)
         if was_away:
-            self.log.write("store_regained", topic=self.topic.value)
-        return was_away
+            self.log.write("store_regained")
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -208,16 +208,12 @@
         await self.decisions.run()
 
     @mode.Service.task
-    async def _follow_operations(self) -> None:
-        await self._follow(store.Topic.OPERATIONS)
-
-    @mode.Service.task
-    async def _follow_servers(self) -> None:
-        await self._follow(store.Topic.SERVERS)
-
-    async def _follow(self, topic: store.Topic) -> None:
+    async def _follow_store(self) -> None:
         await follower.Follower(
-            self.platform.source, topic, self.catalog, self.decisions
+            self.platform.source,
+            follower.PACE_SHARE * self.settings.leaving_seconds,
+            self.catalog,
+            self.decisions,
         ).run()
 
     @mode.Service.task
--- a/src/sesamefold/entry/settings.py
+++ b/src/sesamefold/entry/settings.py
@@ -15,6 +15,8 @@
     time after which a request with a withdrawn key must not run on any host,
     None where hosts without the store may go on. `order_pause_seconds` is
     the time that must lie between orders of two entry hosts.
+    `leaving_seconds` is the time after a server's announcement that it leaves
+    from which it must get no new request.
     """
 
     host: str
@@ -30,3 +32,4 @@
     key_withdrawal_seconds: t.Optional[float]
     shutdown_seconds: float
     order_pause_seconds: float
+    leaving_seconds: float
--- a/src/sesamefold/entry/store.py
+++ b/src/sesamefold/entry/store.py
@@ -1,6 +1,5 @@
 """The platform's store, as the entry host uses it."""
 
-import enum
 import typing as t
 
 import attrs
@@ -8,13 +7,6 @@
 from sesamefold.entry import changes
 
 
-class Topic(enum.Enum):
-    """The two sets of records that an entry host follows."""
-
-    OPERATIONS = "operations"
-    SERVERS = "servers"
-
-
 class Source(t.Protocol):
     """Records of the operator and the backend servers, decoded.
 
@@ -22,12 +14,10 @@
     answer in time.
     """
 
-    async def read_all(self, topic: Topic) -> changes.Batch:
-        """Return all records of a topic, as current as the store's head."""
+    async def read_all(self) -> changes.Batch:
+        """Return all records, as current as the store's head."""
 
-    async def watch(
-        self, topic: Topic, after: int, seconds: float
-    ) -> changes.Batch:
+    async def watch(self, after: int, seconds: float) -> changes.Batch:
         """Return the changes after a revision, waiting up to `seconds`.
 
         Raises `exceptions.HistoryLost`.
--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -22,10 +22,10 @@
 CONNECT_SECONDS = 0.5
 _MS = 1000.0
 
-_PREFIXES = {
-    store.Topic.OPERATIONS: wire.OPERATIONS_PREFIX,
-    store.Topic.SERVERS: wire.SERVERS_PREFIX,
-}
+# Records of the operator and the servers. One watch covers both: calls are
+# paid for, and the servers report all the time.
+_PREFIXES = (wire.OPERATIONS_PREFIX, wire.SERVERS_PREFIX)
+_ALL_KEYS = ""
 # Refusals after which the store has done nothing.
 _REFUSALS = (429, 503)
 
@@ -39,21 +39,25 @@
     session: aiohttp.ClientSession
     address: str
 
-    async def read_all(self, topic: store.Topic) -> changes.Batch:
-        """Return all records of a topic."""
-        items, revision = await self._read_range(_PREFIXES[topic])
+    async def read_all(self) -> changes.Batch:
+        """Return all records of the operator and the servers."""
+        items: t.List[Body] = []
+        revisions = []
+        for prefix in _PREFIXES:
+            found, revision = await self._read_range(prefix)
+            items += found
+            revisions.append(revision)
         decoded = (
             records.decode_item(item["key"], _decode_value(item))
             for item in items
         )
-        return changes.Batch(tuple(filter(None, decoded)), revision)
+        # A watch from the first range on brings what changed meanwhile.
+        return changes.Batch(tuple(filter(None, decoded)), revisions[0])
 
-    async def watch(
-        self, topic: store.Topic, after: int, seconds: float
-    ) -> changes.Batch:
+    async def watch(self, after: int, seconds: float) -> changes.Batch:
         """Return the changes after a revision."""
         params = {
-            "path_prefix": _PREFIXES[topic],
+            "path_prefix": _ALL_KEYS,
             "after": str(after),
             "wait_ms": str(int(seconds * _MS)),
         }
@@ -63,7 +67,11 @@
         if status == 410:
             raise exceptions.HistoryLost("the store has dropped the history")
         _require(status == 200, status)
-        decoded = (_decode_event(event) for event in body["events"])
+        decoded = (
+            _decode_event(event)
+            for event in body["events"]
+            if event["key"].startswith(_PREFIXES)
+        )
         return changes.Batch(
             tuple(filter(None, decoded)), max(after, int(body["as_of"]))
         )
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -29,6 +29,7 @@
 revoke_fail_closed = true
 grace_s = 6
 lease_ms = 3000
+drain_ms = 2500
 [platform]
 address = "{store}"
 """
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -174,6 +174,7 @@
         "key_withdrawal_seconds": 5.0,
         "shutdown_seconds": 8.0,
         "order_pause_seconds": 3.0,
+        "leaving_seconds": 2.5,
     }
     return entry_settings.EntrySettings(**{**values, **fields})
 
--- a/tests/test_entry_catalog.py
+++ b/tests/test_entry_catalog.py
@@ -29,8 +29,8 @@
         self.clock = entry_fakes.FakeClock()
         self.catalog = entry_fakes.make_catalog(self.clock)
         self.servers = [entry_fakes.make_server(f"i-{n}") for n in range(2)]
-        self.catalog.note_servers_contact(False)
-        self.catalog.replace_servers(entry_fakes.report(*self.servers))
+        self.catalog.note_contact(False)
+        self.catalog.replace(entry_fakes.report(*self.servers))
 
     def list_ids(self) -> list[str]:
         """Return the ids of the usable servers."""
@@ -60,7 +60,7 @@
 
     def test_lapsed_entries_come_back_after_an_outage(self) -> None:
         self.clock.now += 10.0
-        self.catalog.note_servers_contact(True)
+        self.catalog.note_contact(True)
         self.remove("i-0")
         self.remove("i-1")
         self.assertEqual(["i-0", "i-1"], self.list_ids())
@@ -73,7 +73,7 @@
         leaving = attrs.evolve(self.servers[0], draining=True, sequence=2)
         self.catalog.apply(entry_fakes.report(leaving))
         self.clock.now += 10.0
-        self.catalog.note_servers_contact(True)
+        self.catalog.note_contact(True)
         self.remove("i-0")
         self.assertNotIn("i-0", self.catalog.servers)
 
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -180,12 +180,12 @@
 class KeyTest(entry_fakes.EntryHostCase):
     """Withdrawn keys and hosts without the store."""
 
-    settings_fields = {"key_withdrawal_seconds": 1.0}
+    settings_fields = {"key_withdrawal_seconds": 1.0, "leaving_seconds": 0.5}
 
     async def asyncSetUp(self) -> None:
         """Let the settings' short bound be met by short watches."""
         patched = unittest.mock.patch(
-            "sesamefold.entry.follower.OPERATIONS_WAIT", 0.2
+            "sesamefold.entry.follower.WATCH_WAIT", 0.2
         )
         patched.start()
         self.addCleanup(patched.stop)
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -36,6 +36,7 @@
 revoke_fail_closed = true
 grace_s = 8
 lease_ms = 3000
+drain_ms = 2500
 [platform]
 address = "10.200.1.7:8007"
 """
@@ -58,6 +59,7 @@
         self.assertEqual("front-1", read.host)
         self.assertEqual(5.0, read.key_withdrawal_seconds)
         self.assertEqual(("10.0.0.1", 7700), read.peer_address)
+        self.assertEqual(2.5, read.leaving_seconds)
         self.assertFalse(file.has_changed())
         self.path.write_text(SETTINGS.replace("5000", "6000"))
         self.assertTrue(file.has_changed())
@@ -169,26 +171,23 @@
     """The client before the stand-in's faults."""
 
     async def test_watches_bring_changes_and_lost_history(self) -> None:
-        batch = await self.client.read_all(store.Topic.OPERATIONS)
+        batch = await self.client.read_all()
         self.store.put("op/evacuate/dc-1", {})
-        self.store.put("servers/x", {})
-        watched = await self.client.watch(
-            store.Topic.OPERATIONS, batch.revision, 0.2
-        )
-        self.assertEqual(
-            (changes.EvacuationRequested("dc-1"),), watched.changes
-        )
+        self.store.put("status/x", {})
+        self.store.put("servers/i-1", {"state": "ready"})
+        watched = await self.client.watch(batch.revision, 0.2)
+        evacuation, broken = watched.changes
+        self.assertEqual(changes.EvacuationRequested("dc-1"), evacuation)
+        self.assertIsInstance(broken, changes.RecordRejected)
         self.store.put("op/evacuate/dc-2", {})
         self.store.drop_history()
         with self.assertRaises(exceptions.HistoryLost):
-            await self.client.watch(
-                store.Topic.OPERATIONS, watched.revision, 0.2
-            )
+            await self.client.watch(watched.revision, 0.2)
 
     async def test_ranges_of_several_pages(self) -> None:
         for number in range(1100):
             self.store.put(f"op/evacuate/dc-{number}", {})
-        batch = await self.client.read_all(store.Topic.OPERATIONS)
+        batch = await self.client.read_all()
         self.assertEqual(1100, len(batch.changes))
 
     async def test_faults(self) -> None:
