--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 SOURCES = src standins tests tools deploy
 
-.PHONY: test check format demo bench load wire clean
+.PHONY: test check format demo bench load soak wire clean
 
 $(BIN)/.installed: requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -38,6 +38,9 @@
 load: $(BIN)/.installed
 	$(BIN)/python -m tools.load_entry
 
+soak: $(BIN)/.installed
+	$(BIN)/python -m tools.soak --seeds $(or $(SEEDS),1 2 3)
+
 # Needs grpcio-tools; the generated code is committed.
 wire: $(BIN)/.installed
 	$(BIN)/python -m grpc_tools.protoc -Iproto \
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,477 @@
+"""Random faults against real entry hosts, with their promises checked.
+
+Starts entry hosts as processes before the stand-ins of the users' store and
+engines, each connection through a loopback proxy, and injects faults by a
+seed: connections that are delayed, reset, cut one way or silent; processes
+that are paused, killed, stopped and started again; a store that refuses,
+loses answers or its history; servers that refuse, break off or restart;
+keys that are withdrawn. Prints one JSON line a seed; exits with 1 if a
+promise was broken.
+
+    python -m tools.soak --seeds 1 2 3 --seconds 15 --hosts 3
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import json
+import logging
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+import typing as t
+
+import aiohttp
+import attrs
+
+from standins import platform_engine
+from standins import platform_site
+from standins import platform_store
+from standins import proxy
+
+ENGINES = 4
+EVENTS = 5
+REQUESTS_PER_SECOND = 60
+# Bounds of a run.
+MAX_HOSTS = 100
+MAX_SECONDS = 120
+# Time that callers wait, and the bound on withdrawn keys, seconds.
+WAIT = 2.0
+REVOKE_SECONDS = 5.0
+# Time after the last fault in which the hosts must serve again, and the share
+# of requests that they must answer then.
+RECOVERY_SECONDS = 12.0
+RECOVERED_SHARE = 0.9
+# Largest time by which a server is handed more than is left, seconds.
+DEADLINE_SLACK = 0.5
+SECOND_KEY = "another-key"
+# Statuses that promise that a request did not run and never will.
+PROMISES = (408, 421, 429, 503)
+ONCE_KINDS = ("/unsafe/", "/stream/")
+KINDS = ("/safe/", "/resumable/", *ONCE_KINDS)
+ENGINE_FAULTS = (
+    "refuse",
+    "misdirect",
+    "reset",
+    "fail",
+    "foreign",
+    "unsealed",
+    "cut",
+    "late",
+)
+
+
+@attrs.define
+class Sent:
+    """A caller's request and what became of it.
+
+    `status` is None while nothing was answered; `whole` tells that the answer
+    ended as complete.
+    """
+
+    kind: str
+    key: str
+    at: float
+    status: t.Optional[int] = None
+    whole: bool = False
+    answered_id: t.Optional[str] = None
+    body: bytes = b""
+
+
+@attrs.define
+class Host:
+    """An entry host's process and its own way to the store."""
+
+    name: str
+    address: str
+    path: pathlib.Path
+    ports: t.Sequence[int]
+    store: proxy.Proxy
+    process: t.Optional[asyncio.subprocess.Process] = None
+    ended_on_purpose: bool = False
+
+
+class Soak:
+    """One run by one seed."""
+
+    def __init__(self, seed: int, seconds: float, hosts: int) -> None:
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._host_count = hosts
+        self._stack = contextlib.AsyncExitStack()
+        self._sent: t.Dict[str, Sent] = {}
+        self._config_version = 1
+        self._second_key_until = float("inf")
+        self._lives = 0
+        self.faults: t.List[str] = []
+        self.broken: t.List[str] = []
+
+    async def run(self) -> t.Dict[str, t.Any]:
+        """Run and return what was counted and which promises were broken."""
+        async with self._stack:
+            await self._start()
+            began = time.monotonic()
+            end = began + self._seconds
+            callers = asyncio.create_task(self._call_until(end))
+            while time.monotonic() < end:
+                await asyncio.sleep(self._random.uniform(0.1, 0.8))
+                self._inject()
+            await callers
+            await asyncio.gather(*self._tasks)
+            await self._check_recovery()
+            self._check_promises()
+        statuses = collections.Counter(
+            str(sent.status) for sent in self._sent.values()
+        )
+        return {
+            "requests": len(self._sent),
+            "statuses": statuses,
+            "faults": len(self.faults),
+            "broken": self.broken[:10],
+        }
+
+    async def _start(self) -> None:
+        self._tasks: t.Set["asyncio.Task[None]"] = set()
+        self.store = platform_store.PlatformStore()
+        store_address = await platform_site.start_server(
+            self._stack, self.store.build()
+        )
+        self._put_configuration()
+        self.engines = []
+        for number in range(ENGINES):
+            engine = platform_engine.PlatformEngine(
+                "", events=EVENTS, event_seconds=0.03
+            )
+            target = await platform_site.start_server(
+                self._stack, engine.handle
+            )
+            way = proxy.Proxy(target)
+            await way.start(self._stack)
+            self.engines.append((engine, way))
+            self._start_life(engine, way)
+        folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+        self.session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        )
+        self.hosts = []
+        for number in range(self._host_count):
+            way = proxy.Proxy(store_address)
+            await way.start(self._stack)
+            ports = await platform_site.find_ports(3)
+            name = f"entry-{number}"
+            path = pathlib.Path(folder) / f"{name}.toml"
+            text = platform_site.format_settings(ports, way.address)
+            path.write_text(text.replace("entry-1", name))
+            self.hosts.append(Host(name, "127.0.0.1", path, ports, way))
+        self._stack.push_async_callback(self._kill_all)
+        for host in self.hosts:
+            await self._start_process(host)
+        async with asyncio.timeout(20.0):
+            for host in self.hosts:
+                while not await self._is_ready(host):
+                    await asyncio.sleep(0.1)
+        reporting = asyncio.create_task(self._report_servers())
+        self._stack.callback(reporting.cancel)
+
+    async def _start_process(self, host: Host) -> None:
+        host.ended_on_purpose = False
+        host.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "deploy/entry.py",
+            env={**os.environ, "SESAMEFOLD_CONFIG": str(host.path)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+
+    async def _kill_all(self) -> None:
+        for host in self.hosts:
+            if host.process is not None and host.process.returncode is None:
+                host.process.kill()
+                await host.process.wait()
+
+    async def _is_ready(self, host: Host) -> bool:
+        url = f"http://{host.address}:{host.ports[1]}/ready"
+        try:
+            async with self.session.get(
+                url, timeout=aiohttp.ClientTimeout(total=1.0)
+            ) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    def _put_configuration(self) -> None:
+        configuration = platform_site.make_configuration(self._config_version)
+        keys = [platform_site.KEY]
+        if self._second_key_until == float("inf"):
+            keys.append(SECOND_KEY)
+        configuration["tenants"][0]["api_keys"] = keys
+        self.store.put("op/config", configuration)
+
+    def _start_life(
+        self, engine: platform_engine.PlatformEngine, way: proxy.Proxy
+    ) -> None:
+        """Let a server start as a new one at its address."""
+        self._lives += 1
+        if engine.id:
+            self.store.remove(f"servers/{engine.id}")
+        engine.id = f"i-{self._lives}"
+        engine.weights = {platform_site.MODEL: 1}
+        engine.orders.clear()
+        self._report(engine, way)
+
+    def _report(
+        self, engine: platform_engine.PlatformEngine, way: proxy.Proxy
+    ) -> None:
+        models = [
+            {"name": name, "version": version}
+            for name, version in engine.weights.items()
+        ]
+        entry = platform_site.make_entry(
+            way.address, seq=int(time.time() * 1000), models=models
+        )
+        self.store.put(f"servers/{engine.id}", entry)
+
+    async def _report_servers(self) -> None:
+        while True:
+            await asyncio.sleep(1.2)
+            for engine, way in self.engines:
+                self._report(engine, way)
+
+    async def _call_until(self, end: float) -> None:
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < end:
+                await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+                group.create_task(self._call())
+
+    async def _call(self) -> Sent:
+        request_id = f"r-{len(self._sent)}"
+        kind = self._random.choice(KINDS)
+        key = self._random.choice((platform_site.KEY, SECOND_KEY))
+        host = self._random.choice(self.hosts)
+        sent = self._sent[request_id] = Sent(kind, key, time.monotonic())
+        headers = {
+            "Host": platform_site.HOST,
+            "Sesamefold-Request-Id": request_id,
+            "Sesamefold-Deadline-Ms": str(int(WAIT * 1000)),
+            "Api-Key": key,
+        }
+        if kind in ("/stream/", "/resumable/"):
+            session = self._random.randrange(20)
+            headers |= {
+                "Sesamefold-Model": platform_site.MODEL,
+                "Sesamefold-Token-Usage": "300,50",
+                "Sesamefold-Prompt-Prefix": f"a:50,{session:x}:200,c:50",
+            }
+        try:
+            async with self.session.post(
+                f"http://{host.address}:{host.ports[0]}{kind}x",
+                headers=headers,
+                data=b"body",
+                timeout=aiohttp.ClientTimeout(total=WAIT + 1.0),
+            ) as response:
+                sent.status = response.status
+                sent.answered_id = response.headers.get(
+                    "Sesamefold-Request-Id"
+                )
+                async for chunk in response.content.iter_any():
+                    sent.body += chunk
+                sent.whole = True
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            # The promises are checked on what arrived.
+            pass
+        return sent
+
+    def _inject(self) -> None:
+        """Start one fault; several may last at the same time."""
+        fault = self._random.choice(
+            (
+                self._disturb_store,
+                self._disturb_way_to_store,
+                self._disturb_way_to_engine,
+                self._spoil_answers,
+                self._restart_engine,
+                self._pause_host,
+                self._end_host,
+                self._change_keys,
+            )
+        )
+        seconds = self._random.uniform(0.3, 3.0)
+        self.faults.append(fault.__name__)
+        task = asyncio.create_task(fault(seconds))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _disturb_store(self, seconds: float) -> None:
+        kind = self._random.choice(("refuse", "silent", "lose", "forget"))
+        if kind == "refuse":
+            self.store.refusal = self._random.choice((429, 503))
+        elif kind == "forget":
+            self.store.drop_history()
+        else:
+            self.store.silent = kind == "silent"
+            self.store.lose_answers = kind == "lose"
+        await asyncio.sleep(seconds)
+        self.store.refusal = 0
+        self.store.silent = self.store.lose_answers = False
+
+    async def _disturb_way_to_store(self, seconds: float) -> None:
+        await self._disturb(self._random.choice(self.hosts).store, seconds)
+
+    async def _disturb_way_to_engine(self, seconds: float) -> None:
+        _, way = self._random.choice(self.engines)
+        await self._disturb(way, seconds)
+
+    async def _disturb(self, way: proxy.Proxy, seconds: float) -> None:
+        kind = self._random.choice(
+            ("delay", "reset", "forward", "backward", "silence")
+        )
+        if kind == "delay":
+            way.delay = 0.2
+        elif kind == "reset":
+            way.reset()
+        way.cut_forward = kind in ("forward", "silence")
+        way.cut_backward = kind in ("backward", "silence")
+        await asyncio.sleep(seconds)
+        way.heal()
+
+    async def _spoil_answers(self, seconds: float) -> None:
+        engine, _ = self._random.choice(self.engines)
+        count = self._random.randrange(1, 6)
+        engine.faults += self._random.choices(ENGINE_FAULTS, k=count)
+
+    async def _restart_engine(self, seconds: float) -> None:
+        engine, way = self._random.choice(self.engines)
+        way.reset()
+        self._start_life(engine, way)
+
+    async def _pause_host(self, seconds: float) -> None:
+        process = self._random.choice(self.hosts).process
+        if process is None or process.returncode is not None:
+            return
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGCONT)
+
+    async def _end_host(self, seconds: float) -> None:
+        host = self._random.choice(self.hosts)
+        process = host.process
+        if process is None or host.ended_on_purpose:
+            return
+        if process.returncode is not None:
+            self.broken.append(f"{host.name} ended by itself")
+            return
+        host.ended_on_purpose = True
+        process.send_signal(
+            self._random.choice((signal.SIGKILL, signal.SIGTERM))
+        )
+        await process.wait()
+        await asyncio.sleep(self._random.uniform(0.0, 1.0))
+        await self._start_process(host)
+
+    async def _change_keys(self, seconds: float) -> None:
+        """Withdraw the second key for good, or change the version only."""
+        self._config_version += 1
+        if self._second_key_until == float("inf") and self._random.random() < (
+            0.3
+        ):
+            self._second_key_until = time.monotonic()
+        self._put_configuration()
+
+    async def _check_recovery(self) -> None:
+        for engine, _ in self.engines:
+            engine.faults.clear()
+        await asyncio.sleep(RECOVERY_SECONDS)
+        answers = []
+        for _ in range(60):
+            sent = await self._call()
+            if sent.key == platform_site.KEY:
+                answers.append(sent.status == 200 and sent.whole)
+        if sum(answers) < RECOVERED_SHARE * len(answers):
+            self.broken.append(
+                f"{sum(answers)} of {len(answers)} served after the faults"
+            )
+        for host in self.hosts:
+            if host.process is None or host.process.returncode is not None:
+                self.broken.append(f"{host.name} ended by itself")
+
+    def _check_promises(self) -> None:
+        runs: t.Dict[str, t.List[platform_engine.Run]] = {}
+        for engine, _ in self.engines:
+            for run in engine.runs:
+                runs.setdefault(run.request_id, []).append(run)
+        for request_id in runs.keys() - self._sent.keys():
+            self.broken.append(f"{request_id} ran, and nobody sent it")
+        for request_id, sent in self._sent.items():
+            for fault in self._find_broken(sent, runs.get(request_id, [])):
+                self.broken.append(f"{request_id} {sent.kind} {fault}")
+            if sent.whole and sent.answered_id not in (None, request_id):
+                self.broken.append(f"{request_id} got another's answer")
+
+    def _find_broken(
+        self, sent: Sent, runs: t.Sequence[platform_engine.Run]
+    ) -> t.Iterator[str]:
+        """Yield the promises that were broken for one request."""
+        if sent.kind in ONCE_KINDS:
+            if len(runs) > 1:
+                yield f"ran {len(runs)} times"
+            if runs and sent.status in PROMISES:
+                yield f"ran and was answered {sent.status}"
+        if runs and sent.key == SECOND_KEY:
+            if sent.at > self._second_key_until + REVOKE_SECONDS:
+                yield "ran with a withdrawn key"
+        for run in runs:
+            left = float(run.headers["Sesamefold-Deadline-Ms"]) / 1000
+            if left > WAIT + DEADLINE_SLACK:
+                yield f"was handed {left} s"
+            if (run.method, run.target, run.body) != (
+                "POST",
+                f"{sent.kind}x",
+                b"body",
+            ):
+                yield "was changed on its way"
+        if sent.status == 200 and not self._is_genuine(sent):
+            yield f"got {sent.body!r}, whole: {sent.whole}"
+
+    def _is_genuine(self, sent: Sent) -> bool:
+        """Tell whether an answer is the server's own, as far as it goes."""
+        if sent.kind in ("/safe/", "/unsafe/"):
+            whole = b"answer"
+        else:
+            whole = b"".join(
+                f"id: {number}\ndata: x\n\n".encode()
+                for number in range(1, EVENTS + 1)
+            )
+        return (
+            sent.body == whole if sent.whole else whole.startswith(sent.body)
+        )
+
+
+def main() -> int:
+    """Parse the arguments, run the seeds and print their results."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1])
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--hosts", type=int, default=3)
+    arguments = parser.parse_args()
+    # The stand-ins' errors are the faults that are injected.
+    logging.getLogger("aiohttp.server").disabled = True
+    broken = False
+    for seed in arguments.seeds:
+        soak = Soak(
+            seed,
+            min(arguments.seconds, MAX_SECONDS),
+            min(arguments.hosts, MAX_HOSTS),
+        )
+        result = asyncio.run(soak.run())
+        print(json.dumps({"seed": seed, **result}), flush=True)
+        broken = broken or bool(result["broken"])
+    return int(broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
