--- a/src/sesamefold/entry/contexts.py
+++ b/src/sesamefold/entry/contexts.py
@@ -19,8 +19,10 @@
 # Longest wait of one read of a store's events, seconds.
 EVENTS_WAIT = 0.5
 # Time between two reads of a store's events, seconds. Under load there are
-# always some, and each read is a call.
+# always some, and each read is a call. In a large fleet each read goes to many
+# hosts.
 EVENTS_PACE = 0.25
+LARGE_FLEET_PACE = 0.5
 # Time between two reads of a store that does not answer, seconds.
 RETRY_INTERVAL = 0.3
 # Largest age of the configuration's confirmation at which context may be
@@ -376,7 +378,8 @@
         view.take(batch, started, self.read_time())
         for listener in self.on_read:
             listener(view, batch)
-        await asyncio.sleep(EVENTS_PACE)
+        large = len(self.fleet.names()) > SMALL_FLEET
+        await asyncio.sleep(LARGE_FLEET_PACE if large else EVENTS_PACE)
 
     async def _free_outdated(self, view: store_views.StoreView) -> None:
         """Free context of weights that were replaced some time ago."""
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -26,7 +26,7 @@
 # its caller can come back when there is room. Time between two looks, seconds.
 ROOM_SHARE = 0.4
 ROOM_SECONDS = 0.25
-ROOM_POLL = 0.02
+ROOM_POLL = 0.03
 
 
 @attrs.define
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -2,6 +2,7 @@
 
 import collections
 import functools
+import random
 import typing as t
 
 import attrs
@@ -32,6 +33,12 @@
 RELEASED_TOKENS_PER_MS = 50.0
 # What one running request delays the others, milliseconds.
 RUN_MS = 2.0
+# What a request that waits for a slot delays the next one, milliseconds.
+QUEUE_MS = 50.0
+# Engines among which one is chosen where there are more than twice as many.
+# Loads that other hosts told are some hundred milliseconds old; if all chose
+# the best of all engines, the same few would get the requests of that time.
+SAMPLED_ENGINES = 6
 # What another data centre of the region costs: its distance and the price of
 # bytes between data centres, milliseconds.
 DATA_CENTRE_MS = 4.0
@@ -67,6 +74,29 @@
 FAILURE_RETRY_SECONDS = 1.5
 
 
+@attrs.frozen
+class _Demand:
+    """What a request needs of an engine, in tokens.
+
+    `memory_limit` is the memory up to which an engine is filled for it.
+    """
+
+    model: str
+    tokens: int
+    shared_tokens: int
+    memory_tokens: int
+    memory_limit: float
+
+    def count_free(self, load: loads.Load) -> float:
+        """Return the tokens that are free after the request was taken.
+
+        A request that is larger than the limit finds room when it is alone.
+        """
+        if not load.memory_tokens:
+            return 0.0
+        return self.memory_limit - load.memory_tokens - self.memory_tokens
+
+
 @attrs.define
 class ServerState:
     """What this host learned of a server by its own requests.
@@ -183,8 +213,15 @@
         near = [s.id for s in servers if self._is_near(s)]
         first = rendezvous.choose_owner(session, near)
         last = self._sessions.get(session)
+        if len(servers) > 2 * SAMPLED_ENGINES:
+            sample = random.sample(servers, SAMPLED_ENGINES)
+            servers = [
+                *sample,
+                *(s for s in servers if s.id in (first, last)),
+            ]
         stored = self._count_stored(call, prompt, servers)
         cached_anywhere = max(stored.values())
+        demand = self._measure(call, prompt)
 
         def estimate(server: topology.Server) -> float:
             share = 0.0
@@ -194,7 +231,7 @@
                 share = LAST_ENGINE_SHARE
             again = cached_anywhere - stored[server.id]
             return READ_AGAIN_MS * again + self._estimate_ms(
-                call, prompt, server, share, stored[server.id]
+                demand, server, share, stored[server.id]
             )
 
         return min(servers, key=estimate)
@@ -221,10 +258,21 @@
             stored[server.id] = known[key]
         return stored
 
+    def _measure(
+        self, call: requests.Call, prompt: requests.Prompt
+    ) -> _Demand:
+        rank = min(call.route.priority, len(MEMORY_SHARES) - 1)
+        return _Demand(
+            model=prompt.model,
+            tokens=prompt.tokens,
+            shared_tokens=prompt.count_shared(),
+            memory_tokens=loads.estimate_memory(prompt),
+            memory_limit=MEMORY_SHARES[rank] * self._get_capacity(call),
+        )
+
     def _estimate_ms(
         self,
-        call: requests.Call,
-        prompt: requests.Prompt,
+        demand: _Demand,
         server: topology.Server,
         cached_share: float,
         stored: int,
@@ -235,48 +283,34 @@
         probably has, `stored` the tokens that it can fetch.
         """
         load = self.loads.get_load(server.id)
-        shared = prompt.count_shared()
-        missing = (1 - cached_share) * shared
+        missing = (1 - cached_share) * demand.shared_tokens
         fetched = min(stored, missing)
-        read = prompt.tokens - shared + missing - fetched
-        overflow = max(0.0, -self._count_free(call, prompt, server))
+        read = demand.tokens - demand.shared_tokens + missing - fetched
+        overflow = max(0.0, -demand.count_free(load))
         return (
             (load.unread_tokens + read) / READ_TOKENS_PER_MS
             + fetched / FETCH_TOKENS_PER_MS
             + load.requests * RUN_MS
+            + max(0, load.requests + 1 - server.slots) * QUEUE_MS
             + overflow / RELEASED_TOKENS_PER_MS
             + DATA_CENTRE_MS * (server.data_centre != self.data_centre)
             + REGION_MS * (not self._is_near(server))
-            + OLD_WEIGHTS_MS * self._has_old_weights(prompt, server)
+            + OLD_WEIGHTS_MS * self._has_old_weights(demand.model, server)
         )
 
-    def _has_old_weights(
-        self, prompt: requests.Prompt, server: topology.Server
-    ) -> bool:
-        named = self.catalog.weights.get(prompt.model, 0)
-        return server.weights.get(prompt.model, named) < named
+    def _has_old_weights(self, model: str, server: topology.Server) -> bool:
+        named = self.catalog.weights.get(model, 0)
+        return server.weights.get(model, named) < named
 
     def has_room(self, call: requests.Call, server: topology.Server) -> bool:
-        """Tell whether a server has the memory for a request."""
+        """Tell whether an engine has a slot and the memory for a request."""
         prompt = call.intake.prompt
-        return prompt is None or self._count_free(call, prompt, server) >= 0
-
-    def _count_free(
-        self,
-        call: requests.Call,
-        prompt: requests.Prompt,
-        server: topology.Server,
-    ) -> float:
-        """Return the tokens that are free after a request was taken.
-
-        A request that is larger than the share finds room when it is alone.
-        """
-        share = MEMORY_SHARES[min(call.route.priority, len(MEMORY_SHARES) - 1)]
-        used = self.loads.get_load(server.id).memory_tokens
-        if not used:
-            return 0.0
-        needed = loads.estimate_memory(prompt)
-        return share * self._get_capacity(call) - used - needed
+        if prompt is None:
+            return True
+        load = self.loads.get_load(server.id)
+        if load.requests >= server.slots:
+            return False
+        return self._measure(call, prompt).count_free(load) >= 0
 
     def describe_lack(
         self,
@@ -304,7 +338,7 @@
         refuses the next request as well.
         """
         prompt = call.intake.prompt
-        if prompt is not None and self._has_old_weights(prompt, server):
+        if prompt is not None and self._has_old_weights(prompt.model, server):
             named = {prompt.model: self.catalog.weights[prompt.model]}
             self.catalog.note_weights(server.id, {**server.weights, **named})
         else:
--- /dev/null
+++ b/tests/test_entry_placement.py
@@ -0,0 +1,128 @@
+"""Choice of an engine."""
+
+import collections
+import typing as t
+import unittest
+
+from sesamefold.entry import clock
+from sesamefold.entry import contexts
+from sesamefold.entry import loads
+from sesamefold.entry import placement
+from sesamefold.entry import requests
+from sesamefold.entry import throttle
+from sesamefold.entry import topology
+from tests import entry_fakes
+from tests import test_entry_catalog
+
+CAPACITY = 10_000
+
+
+class PlacementTest(unittest.TestCase):
+    """Engines of one data centre, without stores."""
+
+    def make(self, engines: int, slots: int = 8) -> None:
+        """Know so many engines."""
+        log = entry_fakes.make_log()
+        catalog = entry_fakes.make_catalog(clock.read_time)
+        configuration = test_entry_catalog.make_configuration(1)
+        self.route = configuration.routes[2]
+        service = topology.Service(
+            "chat", 0.0, engine=topology.EngineTraits(CAPACITY)
+        )
+        configuration.services["chat"] = service
+        catalog._accept(configuration)
+        self.servers = [
+            entry_fakes.make_server(f"i-{n}", slots=slots, weights={"m": 1})
+            for n in range(engines)
+        ]
+        catalog.apply(entry_fakes.report(*self.servers))
+        fleet = entry_fakes.FakeFleet(["entry-1"])
+        self.loads = loads.Loads("entry-1", "region-1")
+        self.placement = placement.Placement(
+            catalog,
+            throttle.ColdThrottle("entry-1", fleet.names),
+            self.loads,
+            contexts.Contexts(
+                "entry-1",
+                {"dc-1": "region-1"},
+                catalog,
+                t.cast(contexts.StoreControl, None),
+                fleet,
+                log,
+            ),
+            "dc-1",
+            {"dc-1": "region-1"},
+            "region-1",
+            log,
+        )
+
+    def make_call(self, session: str, tokens: int = 300) -> requests.Call:
+        """Return a request of a session."""
+        parts = (
+            requests.PromptPart(session, tokens // 3),
+            requests.PromptPart(f"{session}0", tokens - tokens // 3),
+        )
+        prompt = requests.Prompt("m", tokens, 30, parts)
+        now = clock.read_time()
+        return requests.Call(
+            requests.Intake("r-1", requests.Headers(), prompt=prompt),
+            self.route,
+            "chat",
+            None,
+            "POST",
+            "/",
+            b"",
+            now,
+            now + 10,
+        )
+
+    def choose(self, call: requests.Call) -> topology.Server:
+        """Return the chosen engine."""
+        chosen = self.placement.choose(call)
+        assert chosen is not None
+        return chosen[0]
+
+    def test_an_engine_without_a_slot_has_no_room(self) -> None:
+        self.make(1, slots=2)
+        call = self.make_call("a")
+        for expected in (True, True, False):
+            server = self.choose(call)
+            self.assertEqual(expected, self.placement.has_room(call, server))
+            self.placement.record_sent(call, server, cold=False)
+
+    def test_an_engine_without_memory_has_no_room(self) -> None:
+        self.make(1)
+        large = self.make_call("a", CAPACITY - 1000)
+        server = self.choose(large)
+        self.assertTrue(self.placement.has_room(large, server))
+        self.placement.record_sent(large, server, cold=False)
+        self.assertFalse(
+            self.placement.has_room(self.make_call("b", 2000), server)
+        )
+
+    def test_requests_beyond_the_slots_go_to_another_engine(self) -> None:
+        self.make(2, slots=2)
+        for number in range(4):
+            call = self.make_call(f"{number}")
+            self.placement.record_sent(call, self.choose(call), cold=False)
+        counts = [self.loads.get_load(s.id).requests for s in self.servers]
+        self.assertEqual([2, 2], counts)
+
+    def test_hosts_with_the_same_view_choose_many_engines(self) -> None:
+        """Guards against all hosts choosing the engine that seems best."""
+        self.make(60)
+        for number, server in enumerate(self.servers[1:]):
+            self.loads.reserve(server.id, 100, 100 + number)
+        chosen = collections.Counter(
+            self.choose(self.make_call(f"{number}")).id
+            for number in range(200)
+        )
+        self.assertGreater(len(chosen), 20)
+        self.assertLess(max(chosen.values()), 60)
+
+    def test_a_session_s_last_engine_is_among_the_sampled(self) -> None:
+        self.make(60)
+        call = self.make_call("a", 3000)
+        last = self.servers[7]
+        self.placement.record_sent(call, last, cold=False).end()
+        self.assertEqual({last.id}, {self.choose(call).id for _ in range(20)})
