--- a/src/sesamefold/entry/context_relay.py
+++ b/src/sesamefold/entry/context_relay.py
@@ -1,7 +1,7 @@
 """Passing on the contents of stores of cached context between hosts.
 
 A store answers only a few hosts at a time. In a large fleet the hosts that
-follow a store pass on what they read to the others of its region.
+follow a store pass on what they read to all others.
 """
 
 import itertools
@@ -19,9 +19,11 @@
 CHANGES_TOPIC = "context-changes"
 REQUEST_TOPIC = "context-request"
 CONTENTS_TOPIC = "context-contents"
-# Hosts that pass on one store's changes to one host; the second covers the
-# loss of the first and of single datagrams.
+# Hosts that pass on one store's changes to one host of the region; the second
+# covers the loss of the first and of single datagrams. The link to other
+# regions is narrow and paid by volume, so that their hosts hear of one.
 RELAYERS = 2
+FAR_RELAYERS = 1
 # Time between two requests for the contents of one store, seconds.
 REQUEST_INTERVAL = 1.0
 # Error of the instant of a read that another host made, seconds: the times
@@ -97,12 +99,15 @@
         if self.contexts.host not in followers:
             return []
         place = followers.index(self.contexts.host)
-        neighbours = self.peers.list_peers(neighbours=True)
         return [
             address
-            for host, address in neighbours.items()
+            for neighbours, relayers in (
+                (True, RELAYERS),
+                (False, FAR_RELAYERS),
+            )
+            for host, address in self.peers.list_peers(neighbours).items()
             if host not in followers
-            and (place - zlib.crc32(host.encode())) % len(followers) < RELAYERS
+            and (place - zlib.crc32(host.encode())) % len(followers) < relayers
         ]
 
     def _make_header(
--- a/src/sesamefold/entry/contexts.py
+++ b/src/sesamefold/entry/contexts.py
@@ -9,7 +9,6 @@
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
 from sesamefold.entry import decisions
-from sesamefold.entry import follower
 from sesamefold.entry import requests
 from sesamefold.entry import store_views
 from sesamefold.entry import topology
@@ -25,22 +24,14 @@
 LARGE_FLEET_PACE = 0.5
 # Time between two reads of a store that does not answer, seconds.
 RETRY_INTERVAL = 0.3
-# Largest age of the configuration's confirmation at which context may be
-# fetched, seconds: a host must know that no newer weights were named. A
-# watch confirms the time of its beginning, so two of them and their answers
-# lie within the largest age in undisturbed running.
-CONFIRMED_SECONDS = 2 * follower.WATCH_WAIT + 0.4
-# Time after newer weights were named in which engines with the older still
-# fetch and save their context, seconds. A rollout takes about four, and five
-# more if the host that orders is lost.
+# Time after newer weights may have been named in which engines with the older
+# still fetch and save their context, seconds. A rollout takes about four, and
+# five more if the host that orders is lost; a host that cannot reach the
+# store must assume that they were named when it last could.
 OLD_WEIGHTS_SECONDS = 12.0
 # Time after newer weights were named from which the context of the older may
 # be freed, seconds. Fetches that other hosts ordered have ended by then.
-FREE_DELAY = (
-    max(CONFIRMED_SECONDS, OLD_WEIGHTS_SECONDS)
-    + store_views.FETCH_SECONDS
-    + 0.5
-)
+FREE_DELAY = OLD_WEIGHTS_SECONDS + store_views.FETCH_SECONDS + 0.5
 # Weight of the latest request in the mean slowness of requests.
 SLOWNESS_WEIGHT = 0.15
 # Slowness of the requests that fetch from a store, as a factor of that of all
@@ -217,12 +208,11 @@
 
     def _may_fetch(self, model: str, version: int, now: float) -> bool:
         """Tell whether context of a version is surely not freed yet."""
-        age = now - self.catalog.confirmed_at
-        successor_at = self.catalog.find_successor_time(model, version)
-        return (
-            age <= CONFIRMED_SECONDS
-            and now <= successor_at + OLD_WEIGHTS_SECONDS
+        successor_at = min(
+            self.catalog.confirmed_at,
+            self.catalog.find_successor_time(model, version),
         )
+        return now <= successor_at + OLD_WEIGHTS_SECONDS
 
     def _add_transfers(
         self,
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -33,12 +33,16 @@
 RELEASED_TOKENS_PER_MS = 50.0
 # What one running request delays the others, milliseconds.
 RUN_MS = 2.0
+# What an engine with full memory costs beside one that is empty, milliseconds:
+# it may have to preempt runs, whose length is only estimated.
+FULL_MEMORY_MS = 40.0
 # What a request that waits for a slot delays the next one, milliseconds.
 QUEUE_MS = 50.0
-# Engines among which one is chosen where there are more than twice as many.
-# Loads that other hosts told are some hundred milliseconds old; if all chose
-# the best of all engines, the same few would get the requests of that time.
-SAMPLED_ENGINES = 6
+# Engines of this region, and of the others, among which one is chosen where
+# there are more than twice as many. Loads that other hosts told are some
+# hundred milliseconds old; if all chose the best of all engines, the same few
+# would get the requests of that time.
+SAMPLED_ENGINES = 5
 # What another data centre of the region costs: its distance and the price of
 # bytes between data centres, milliseconds.
 DATA_CENTRE_MS = 4.0
@@ -210,15 +214,13 @@
     ) -> topology.Server:
         """Return the engine that probably answers first."""
         session = prompt.get_session()
-        near = [s.id for s in servers if self._is_near(s)]
-        first = rendezvous.choose_owner(session, near)
+        near = [s for s in servers if self._is_near(s)]
+        first = rendezvous.choose_owner(session, (s.id for s in near))
         last = self._sessions.get(session)
         if len(servers) > 2 * SAMPLED_ENGINES:
-            sample = random.sample(servers, SAMPLED_ENGINES)
-            servers = [
-                *sample,
-                *(s for s in servers if s.id in (first, last)),
-            ]
+            far = [s for s in servers if not self._is_near(s)]
+            known = [s for s in servers if s.id in (first, last)]
+            servers = _draw(near) + _draw(far) + known
         stored = self._count_stored(call, prompt, servers)
         cached_anywhere = max(stored.values())
         demand = self._measure(call, prompt)
@@ -293,6 +295,7 @@
             + load.requests * RUN_MS
             + max(0, load.requests + 1 - server.slots) * QUEUE_MS
             + overflow / RELEASED_TOKENS_PER_MS
+            + load.memory_tokens / demand.memory_limit * FULL_MEMORY_MS
             + DATA_CENTRE_MS * (server.data_centre != self.data_centre)
             + REGION_MS * (not self._is_near(server))
             + OLD_WEIGHTS_MS * self._has_old_weights(demand.model, server)
@@ -426,3 +429,8 @@
         if (server.started_at, server.sequence) > state.suspect_life:
             state.suspect_until = float("-inf")
             self.log.write("server_trusted", server=server.id)
+
+
+def _draw(servers: t.Sequence[topology.Server]) -> t.List[topology.Server]:
+    """Return some of the servers, drawn at random."""
+    return random.sample(servers, min(SAMPLED_ENGINES, len(servers)))
