--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -33,9 +33,6 @@
 RELEASED_TOKENS_PER_MS = 50.0
 # What one running request delays the others, milliseconds.
 RUN_MS = 2.0
-# What an engine with full memory costs beside one that is empty, milliseconds:
-# it may have to preempt runs, whose length is only estimated.
-FULL_MEMORY_MS = 40.0
 # What a request that waits for a slot delays the next one, milliseconds.
 QUEUE_MS = 50.0
 # Engines of this region, and of the others, among which one is chosen where
@@ -295,7 +292,6 @@
             + load.requests * RUN_MS
             + max(0, load.requests + 1 - server.slots) * QUEUE_MS
             + overflow / RELEASED_TOKENS_PER_MS
-            + load.memory_tokens / demand.memory_limit * FULL_MEMORY_MS
             + DATA_CENTRE_MS * (server.data_centre != self.data_centre)
             + REGION_MS * (not self._is_near(server))
             + OLD_WEIGHTS_MS * self._has_old_weights(demand.model, server)
