--- a/src/sesamefold/entry/loads.py
+++ b/src/sesamefold/entry/loads.py
@@ -21,7 +21,7 @@
 # the hosts tell a few of their region, which pass on the sums.
 SHARE_PEERS = 10
 COLLECTORS = 3
-COLLECTING_INTERVAL = 0.25
+COLLECTING_INTERVAL = 0.15
 # Time between two messages to the hosts of other regions, seconds, and to
 # those of large ones: the link between regions is narrow and paid by volume.
 FAR_INTERVAL = 0.4
@@ -182,8 +182,12 @@
             return other or _NO_LOAD
         return own if other is None else own + other
 
+    def uses_sums(self) -> bool:
+        """Tell whether collectors sum up this region's loads."""
+        return self.region in self._regions
+
     def _sum_others(self) -> t.Dict[str, Load]:
-        if self.region in self._regions:
+        if self.uses_sums():
             return _sum(told.loads for told in self._regions.values())
         return _sum(
             told.loads
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -100,6 +100,15 @@
             self.placement.has_room(self.make_call("b", 2000), server)
         )
 
+    def test_a_margin_where_loads_come_as_sums(self) -> None:
+        self.make(1)
+        server = self.servers[0]
+        self.loads.reserve(server.id, 6000, 0)
+        call = self.make_call("a", 2500)
+        self.assertTrue(self.placement.has_room(call, server))
+        self.loads.take_sums("b", ("b", 1), [1, "region-1", {}, {}])
+        self.assertFalse(self.placement.has_room(call, server))
+
     def test_requests_beyond_the_slots_go_to_another_engine(self) -> None:
         self.make(2, slots=2)
         for number in range(4):
