--- a/src/sesamefold/entry/context_relay.py
+++ b/src/sesamefold/entry/context_relay.py
@@ -15,17 +15,21 @@
 from sesamefold.entry import datagrams
 from sesamefold.entry import decisions
 from sesamefold.entry import store_views
+from sesamefold import rendezvous
 
 CHANGES_TOPIC = "context-changes"
 REQUEST_TOPIC = "context-request"
 CONTENTS_TOPIC = "context-contents"
 # Hosts that pass on one store's changes to one host of the region; the second
-# covers the loss of the first and of single datagrams. The link to other
-# regions is narrow and paid by volume, so that their hosts hear of one.
+# covers the loss of the first and of single datagrams.
 RELAYERS = 2
-FAR_RELAYERS = 1
-# Time between two requests for the contents of one store, seconds.
+# Hosts of each other region that get them, and pass them on there. The link
+# between regions is narrow and paid by volume.
+FORWARDERS = 2
+# Time between two requests for the contents of one store, and of any, seconds.
+# Contents are tens of kilobytes, and a small host's link carries 5 Mbit/s.
 REQUEST_INTERVAL = 1.0
+REQUEST_PACE = 0.1
 # Error of the instant of a read that another host made, seconds: the times
 # that messages take differ by a few milliseconds.
 DATING_ERROR = 0.02
@@ -66,6 +70,7 @@
     read_time: t.Callable[[], float] = clock.read_time
     _clock_offset: float = float("-inf")
     _requested_at: t.Dict[str, float] = attrs.field(factory=dict)
+    _any_requested_at: float = float("-inf")
     _assemblies: t.Dict[str, _Assembly] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -99,17 +104,27 @@
         if self.contexts.host not in followers:
             return []
         place = followers.index(self.contexts.host)
+        forwarders = self._list_forwarders(view)
         return [
             address
-            for neighbours, relayers in (
-                (True, RELAYERS),
-                (False, FAR_RELAYERS),
-            )
-            for host, address in self.peers.list_peers(neighbours).items()
-            if host not in followers
+            for near, relayers in ((True, RELAYERS), (False, 1))
+            for host, address in self.peers.list_peers(near).items()
+            if (host not in followers if near else host in forwarders)
             and (place - zlib.crc32(host.encode())) % len(followers) < relayers
         ]
 
+    def _list_forwarders(self, view: store_views.StoreView) -> t.Set[str]:
+        """Return the hosts of other regions that pass a store's changes on."""
+        regions = set(self.contexts.regions.values())
+        regions.discard(self.contexts.regions.get(view.site.data_centre, ""))
+        return {
+            host
+            for region in regions
+            for host in rendezvous.rank_owners(
+                view.site.address, self.contexts.fleet.names_in(region)
+            )[:FORWARDERS]
+        }
+
     def _make_header(
         self, view: store_views.StoreView
     ) -> t.Optional[t.Tuple[t.Any, ...]]:
@@ -141,6 +156,22 @@
         missed = tuple(e for e in events if e.number > view.position)
         if position >= view.position:
             self._take(view, position, read_at, missed)
+            self._forward(host, view, since, rows)
+
+    def _forward(
+        self,
+        host: str,
+        view: store_views.StoreView,
+        since: int,
+        rows: t.Sequence[t.Any],
+    ) -> None:
+        """Pass on what came from another region to the hosts of this one."""
+        neighbours = self.peers.list_peers(neighbours=True)
+        header = self._make_header(view)
+        if host not in neighbours and header is not None:
+            self.channel.send(
+                CHANGES_TOPIC, [*header, since, rows], neighbours.values()
+            )
 
     def _take(
         self,
@@ -186,10 +217,9 @@
     def _find_unfollowed(
         self, address: str
     ) -> t.Optional[store_views.StoreView]:
-        view = self.contexts.views.get(address)
-        if view is None or self.contexts.follows(view.site):
+        if address in self.contexts.followed:
             return None
-        return view
+        return self.contexts.views.get(address)
 
     def _request_contents(
         self,
@@ -201,7 +231,9 @@
         now = self.read_time()
         if now - self._requested_at.get(address, 0.0) < REQUEST_INTERVAL:
             return
-        self._requested_at[address] = now
+        if now - self._any_requested_at < REQUEST_PACE:
+            return
+        self._requested_at[address] = self._any_requested_at = now
         self.log.write(
             "context_contents_requested",
             store=address,
--- a/src/sesamefold/entry/contexts.py
+++ b/src/sesamefold/entry/contexts.py
@@ -21,7 +21,7 @@
 # always some, and each read is a call. In a large fleet each read goes to many
 # hosts.
 EVENTS_PACE = 0.25
-LARGE_FLEET_PACE = 0.5
+LARGE_FLEET_PACE = 1.0
 # Time between two reads of a store that does not answer, seconds.
 RETRY_INTERVAL = 0.3
 # Time after newer weights may have been named in which engines with the older
@@ -117,6 +117,8 @@
 class Contexts:
     """The stores of all regions and the use of what they hold.
 
+    `followed` are the addresses of the stores whose events this host reads.
+
     Engines fetch from the stores of their own region and save there.
 
     Context is fetched only while the store's contents are known and no newer
@@ -134,6 +136,7 @@
     read_time: t.Callable[[], float] = clock.read_time
     views: t.Dict[str, store_views.StoreView] = attrs.field(factory=dict)
     slowness: float = 1.0
+    followed: t.Set[str] = attrs.field(factory=set)
     on_read: t.List[ReadListener] = attrs.field(factory=list)
     _rankings: t.Dict[str, t.Tuple[t.Set[str], t.List[str]]] = attrs.field(
         factory=dict
@@ -308,10 +311,10 @@
             self.views.pop(address)
         for address in sites.keys() - self.views.keys():
             self.views[address] = store_views.StoreView(sites[address])
-        followed = {a for a, site in sites.items() if self.follows(site)}
-        for address in tasks.keys() - followed:
+        self.followed = {a for a, site in sites.items() if self.follows(site)}
+        for address in tasks.keys() - self.followed:
             tasks.pop(address).cancel()
-        for address in followed - tasks.keys():
+        for address in self.followed - tasks.keys():
             tasks[address] = asyncio.create_task(
                 self._follow(self.views[address])
             )
--- a/src/sesamefold/entry/loads.py
+++ b/src/sesamefold/entry/loads.py
@@ -20,8 +20,8 @@
 # Peers in a region up to which each host tells all others. In larger fleets
 # the hosts tell a few of their region, which pass on the sums.
 SHARE_PEERS = 10
-COLLECTORS = 3
-COLLECTING_INTERVAL = 0.15
+COLLECTORS = 2
+COLLECTING_INTERVAL = 0.2
 # Time between two messages to the hosts of other regions, seconds, and to
 # those of large ones: the link between regions is narrow and paid by volume.
 FAR_INTERVAL = 0.4
--- a/src/sesamefold/entry/store_views.py
+++ b/src/sesamefold/entry/store_views.py
@@ -8,7 +8,7 @@
 
 # Age of the latest read from which a store's contents count as unknown,
 # seconds.
-FRESH_SECONDS = 1.6
+FRESH_SECONDS = 2.4
 # Time within which an engine must have finished a fetch, seconds. It covers
 # the wait for admission.
 FETCH_SECONDS = 2.0
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -50,18 +50,21 @@
 
 
 class FakeFleet:
-    """Entry hosts of one region."""
+    """Entry hosts, all of region-1 unless they are `far`."""
 
-    def __init__(self, hosts: t.Sequence[str]) -> None:
+    def __init__(
+        self, hosts: t.Sequence[str], far: t.Sequence[str] = ()
+    ) -> None:
         self.hosts = hosts
+        self.far = far
 
     def names(self) -> t.Collection[str]:
         """Return all hosts."""
-        return self.hosts
+        return [*self.hosts, *self.far]
 
     def names_in(self, region: t.Optional[str]) -> t.Collection[str]:
-        """Return all hosts."""
-        return self.hosts
+        """Return the hosts of a region."""
+        return self.far if region == "region-2" else self.hosts
 
 
 class FakeNetwork:
@@ -71,6 +74,7 @@
         self.channels: t.Dict[datagrams.Address, "FakeChannel"] = {}
         self.lost_topics: t.Set[str] = set()
         self.sent: t.Counter[str] = collections.Counter()
+        self.routes: t.List[t.Tuple[str, str, str]] = []
         self.received: t.Counter[str] = collections.Counter()
         self.held: t.Optional[t.List[t.Callable[[], None]]] = None
 
@@ -101,6 +105,7 @@
             if receiver is None:
                 continue
             self.network.received[topic] += 1
+            self.network.routes.append((topic, self.host, receiver.host))
 
             def deliver(handler: t.Any = receiver.handlers[topic]) -> None:
                 handler(self.host, self.address, body)
--- a/tests/test_entry_context_relay.py
+++ b/tests/test_entry_context_relay.py
@@ -13,7 +13,7 @@
 
 SITE = topology.CacheStore("10.0.0.1:1", "dc-1", 100_000)
 HOSTS = [f"entry-{number}" for number in range(14)]
-FAR_HOST = "far-0"
+FAR_HOSTS = [f"far-{number}" for number in range(5)]
 
 
 class ContextRelayTest(unittest.TestCase):
@@ -23,7 +23,7 @@
         """Choose a host, and three of those that read the store."""
         self.clock = entry_fakes.FakeClock()
         self.network = entry_fakes.FakeNetwork()
-        fleet = entry_fakes.FakeFleet(HOSTS)
+        fleet = self.fleet = entry_fakes.FakeFleet(HOSTS, FAR_HOSTS)
         self.hosts = {host: self.make(host, fleet) for host in HOSTS}
         followers = self.hosts["entry-0"].rank_followers(SITE)
         name = next(host for host in HOSTS if host not in followers)
@@ -39,9 +39,12 @@
         self, host: str, fleet: entry_fakes.FakeFleet
     ) -> contexts.Contexts:
         """Return a host's contexts, with a relay."""
+        near, far = HOSTS, FAR_HOSTS
+        if host in FAR_HOSTS:
+            near, far = far, near
         made = contexts.Contexts(
             host,
-            {"dc-1": "region-1"},
+            {"dc-1": "region-1", "dc-2": "region-2"},
             entry_fakes.make_catalog(self.clock),
             t.cast(contexts.StoreControl, None),
             fleet,
@@ -49,16 +52,13 @@
             self.clock,
         )
         made.views[SITE.address] = store_views.StoreView(SITE)
+        made.followed = {SITE.address} if made.follows(SITE) else set()
         context_relay.ContextRelay(
             t.cast(
                 datagrams.PeerChannel,
                 entry_fakes.FakeChannel(self.network, made.host),
             ),
-            (
-                entry_fakes.FakePeers(host, [FAR_HOST], HOSTS)
-                if host == FAR_HOST
-                else entry_fakes.FakePeers(host, HOSTS, [FAR_HOST])
-            ),
+            entry_fakes.FakePeers(host, near, far),
             made,
             entry_fakes.make_log(),
             self.clock,
@@ -126,11 +126,24 @@
             self.network.received[context_relay.CHANGES_TOPIC],
         )
 
-    def test_one_host_sends_to_a_host_of_another_region(self) -> None:
-        far = self.make(FAR_HOST, entry_fakes.FakeFleet(HOSTS))
-        for host in far.rank_followers(SITE):
-            self.read(self.hosts[host], 0, "a")
-        self.assertEqual({("1/", "a"): 10}, far.views[SITE.address].held)
+    def test_hosts_of_another_region_pass_changes_on(self) -> None:
+        far = [self.make(host, self.fleet) for host in FAR_HOSTS]
+        followers = self.other.rank_followers(SITE)
+        for position, part in enumerate("ab"):
+            for host in followers:
+                self.read(self.hosts[host], position, part)
+            self.clock.now += context_relay.REQUEST_INTERVAL
+        for host in far:
+            held = host.views[SITE.address].held
+            self.assertEqual({("1/", "a"): 10, ("1/", "b"): 10}, held)
+        crossing = [
+            (sender, receiver)
+            for topic, sender, receiver in self.network.routes
+            if topic == context_relay.CHANGES_TOPIC
+            and sender in HOSTS
+            and receiver in FAR_HOSTS
+        ]
+        self.assertEqual(2 * context_relay.FORWARDERS, len(crossing))
 
     def test_a_lost_message_is_made_up_for(self) -> None:
         self.read(self.first, 0, "a")
