--- a/src/sesamefold/entry/context_relay.py
+++ b/src/sesamefold/entry/context_relay.py
@@ -109,7 +109,8 @@
             address
             for near, relayers in ((True, RELAYERS), (False, 1))
             for host, address in self.peers.list_peers(near).items()
-            if (host not in followers if near else host in forwarders)
+            if host not in followers
+            and (near or host in forwarders)
             and (place - zlib.crc32(host.encode())) % len(followers) < relayers
         ]
 
--- a/tests/test_entry_context_relay.py
+++ b/tests/test_entry_context_relay.py
@@ -145,6 +145,12 @@
         ]
         self.assertEqual(2 * context_relay.FORWARDERS, len(crossing))
 
+    def test_nothing_is_sent_where_all_hosts_follow(self) -> None:
+        self.fleet.hosts, self.fleet.far = HOSTS[:4], FAR_HOSTS[:2]
+        for name in (*HOSTS[:4], *FAR_HOSTS[:2]):
+            self.read(self.make(name, self.fleet), 0, "a")
+        self.assertEqual([], self.network.routes)
+
     def test_a_lost_message_is_made_up_for(self) -> None:
         self.read(self.first, 0, "a")
         self.network.lost_topics.add(context_relay.CHANGES_TOPIC)
