--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -87,7 +87,10 @@
         self.catalog = catalogs.Catalog(self.decisions)
         self.members = member_lists.Members(
             member_lists.Member(
-                settings.host, settings.region, settings.peer_address
+                settings.host,
+                settings.region,
+                settings.peer_address,
+                settings.link_mbps,
             ),
             platform.records,
             self.decisions,
--- a/src/sesamefold/entry/loads.py
+++ b/src/sesamefold/entry/loads.py
@@ -21,7 +21,7 @@
 # the hosts tell a few of their region, which pass on the sums.
 SHARE_PEERS = 10
 COLLECTORS = 2
-COLLECTING_INTERVAL = 0.2
+COLLECTING_INTERVAL = 0.25
 # Time between two messages to the hosts of other regions, seconds, and to
 # those of large ones: the link between regions is narrow and paid by volume.
 FAR_INTERVAL = 0.4
@@ -266,6 +266,9 @@
     def list_peers(self, neighbours: bool) -> t.Dict[str, datagrams.Address]:
         """Return the addresses of the hosts of this region, or the others."""
 
+    def get_link_mbps(self, host: str) -> float:
+        """Return the link of a host, 0.0 if it is not known."""
+
 
 class LoadSharing:
     """Tells this host's loads to its peers and listens to theirs."""
@@ -292,7 +295,10 @@
         if max(len(neighbours), len(far)) <= SHARE_PEERS:
             return []
         hosts = [self._loads.host, *neighbours]
-        return rendezvous.rank_owners(TOPIC, hosts)[:COLLECTORS]
+        ranked = rendezvous.rank_owners(TOPIC, hosts)
+        # Sums for 40 hosts are 4 Mbit/s, as much as a small host's link.
+        ranked.sort(key=self._peers.get_link_mbps, reverse=True)
+        return ranked[:COLLECTORS]
 
     def _take_sums(
         self, host: str, address: datagrams.Address, body: t.Any
--- a/src/sesamefold/entry/members.py
+++ b/src/sesamefold/entry/members.py
@@ -34,11 +34,12 @@
 
 @attrs.frozen
 class Member:
-    """An entry host, its region and the address for its peers."""
+    """An entry host, its region, the address for its peers and its link."""
 
     host: str
     region: str
     address: datagrams.Address
+    link_mbps: float = 0.0
 
 
 @attrs.define
@@ -86,6 +87,11 @@
             and (member.region == self.own.region) == neighbours
         }
 
+    def get_link_mbps(self, host: str) -> float:
+        """Return the link of a host, 0.0 if it is not known."""
+        member = self._members.get(host)
+        return member.link_mbps if member else 0.0
+
     async def run(self) -> None:
         """Renew the record and read the others until cancelled."""
         self._started_at = self.read_time()
@@ -147,14 +153,17 @@
 
 
 def _encode(member: Member) -> bytes:
-    return json.dumps([member.region, *member.address]).encode()
+    fields = [member.region, *member.address, member.link_mbps]
+    return json.dumps(fields).encode()
 
 
 def _decode(record: store.Record) -> t.Optional[Member]:
     """Return a member, None for a record of another form."""
     try:
-        region, address, port = json.loads(record.value)
+        region, address, port, link_mbps = json.loads(record.value)
         name = record.key.removeprefix(PREFIX)
-        return Member(name, region, (str(address), int(port)))
+        return Member(
+            name, region, (str(address), int(port)), float(link_mbps)
+        )
     except (ValueError, TypeError):
         return None
--- a/src/sesamefold/entry/settings.py
+++ b/src/sesamefold/entry/settings.py
@@ -16,7 +16,8 @@
     None where hosts without the store may go on. `order_pause_seconds` is
     the time that must lie between orders of two entry hosts.
     `leaving_seconds` is the time after a server's announcement that it leaves
-    from which it must get no new request.
+    from which it must get no new request. `link_mbps` is the host's link, 0.0
+    if it is not known.
     """
 
     host: str
@@ -33,3 +34,4 @@
     shutdown_seconds: float
     order_pause_seconds: float
     leaving_seconds: float
+    link_mbps: float
--- a/src/sesamefold/platform/settings.py
+++ b/src/sesamefold/platform/settings.py
@@ -76,6 +76,7 @@
         shutdown_seconds=bounds["grace_s"],
         order_pause_seconds=bounds["lease_ms"] / _MS,
         leaving_seconds=bounds["drain_ms"] / _MS,
+        link_mbps=float(body.get("limits", {}).get("link_mbps", 0.0)),
     )
 
 
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -126,6 +126,10 @@
         self.near = near
         self.far = far
 
+    def get_link_mbps(self, host: str) -> float:
+        """Return a wide link for one host, and narrow ones for the others."""
+        return 1000.0 if host.endswith("-7") else 10.0
+
     def list_peers(self, neighbours: bool) -> t.Dict[str, datagrams.Address]:
         """Return the addresses of the neighbours, or of the others."""
         hosts = self.near if neighbours else self.far
@@ -180,6 +184,7 @@
         "shutdown_seconds": 8.0,
         "order_pause_seconds": 3.0,
         "leaving_seconds": 2.5,
+        "link_mbps": 100.0,
     }
     return entry_settings.EntrySettings(**{**values, **fields})
 
--- a/tests/test_entry_context_relay.py
+++ b/tests/test_entry_context_relay.py
@@ -39,7 +39,7 @@
         self, host: str, fleet: entry_fakes.FakeFleet
     ) -> contexts.Contexts:
         """Return a host's contexts, with a relay."""
-        near, far = HOSTS, FAR_HOSTS
+        near, far = fleet.hosts, fleet.far
         if host in FAR_HOSTS:
             near, far = far, near
         made = contexts.Contexts(
--- a/tests/test_entry_loads.py
+++ b/tests/test_entry_loads.py
@@ -116,6 +116,11 @@
             sum(self.network.received.values()), 40 * 2 * 2 * loads.COLLECTORS
         )
 
+    def test_a_host_with_a_wide_link_sums_up(self) -> None:
+        self.make(14)
+        for sharing in self.sharing.values():
+            self.assertEqual("r0-7", sharing.list_collectors()[0])
+
     def test_a_collector_that_dies(self) -> None:
         self.make(14)
         dead, *others = self.sharing["r0-0"].list_collectors()
--- a/tests/test_entry_members.py
+++ b/tests/test_entry_members.py
@@ -13,7 +13,7 @@
 
     def make(self, name: str) -> members.Members:
         """Start a host's membership."""
-        own = members.Member(name, "region-1", ("127.0.0.1", 1))
+        own = members.Member(name, "region-1", ("127.0.0.1", 1), 50.0)
         host = members.Members(own, self.client, entry_fakes.make_log())
         task = asyncio.create_task(host.run())
         self.stack.callback(task.cancel)
@@ -34,6 +34,8 @@
         self.assertEqual({}, hosts[0].list_peers(neighbours=False))
         self.assertEqual(5, len(hosts[0].names_in("region-1")))
         self.assertEqual([], hosts[0].names_in("region-2"))
+        self.assertEqual(50.0, hosts[0].get_link_mbps("entry-4"))
+        self.assertEqual(0.0, hosts[0].get_link_mbps("entry-9"))
 
     async def test_a_host_has_no_share_before_it_is_settled(self) -> None:
         host = self.make("entry-1")
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -60,6 +60,7 @@
         self.assertEqual(5.0, read.key_withdrawal_seconds)
         self.assertEqual(("10.0.0.1", 7700), read.peer_address)
         self.assertEqual(2.5, read.leaving_seconds)
+        self.assertEqual(0.0, read.link_mbps)
         self.assertFalse(file.has_changed())
         self.path.write_text(SETTINGS.replace("5000", "6000"))
         self.assertTrue(file.has_changed())
