--- a/tests/test_entry_context_relay.py
+++ b/tests/test_entry_context_relay.py
@@ -147,8 +147,9 @@
 
     def test_nothing_is_sent_where_all_hosts_follow(self) -> None:
         self.fleet.hosts, self.fleet.far = HOSTS[:4], FAR_HOSTS[:2]
-        for name in (*HOSTS[:4], *FAR_HOSTS[:2]):
-            self.read(self.make(name, self.fleet), 0, "a")
+        names = (*HOSTS[:4], *FAR_HOSTS[:2])
+        for host in [self.make(name, self.fleet) for name in names]:
+            self.read(host, 0, "a")
         self.assertEqual([], self.network.routes)
 
     def test_a_lost_message_is_made_up_for(self) -> None:
