--- a/src/sesamefold/entry/context_relay.py
+++ b/src/sesamefold/entry/context_relay.py
@@ -37,13 +37,6 @@
 CONTENTS_PARTS = 400
 
 
-class Peers(t.Protocol):
-    """The other entry hosts."""
-
-    def list_peers(self, neighbours: bool) -> t.Dict[str, datagrams.Address]:
-        """Return the addresses of the hosts of this region, or the others."""
-
-
 @attrs.define
 class _Assembly:
     """Messages with the contents of a store that have arrived so far."""
@@ -64,7 +57,7 @@
     """
 
     channel: datagrams.PeerChannel
-    peers: Peers
+    peers: datagrams.Peers
     contexts: context_views.Contexts
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
--- a/src/sesamefold/entry/datagrams.py
+++ b/src/sesamefold/entry/datagrams.py
@@ -14,6 +14,16 @@
 Handler = t.Callable[[str, Address, t.Any], None]
 
 
+class Peers(t.Protocol):
+    """The other entry hosts."""
+
+    def list_peers(self, neighbours: bool) -> t.Dict[str, Address]:
+        """Return the addresses of the hosts of this region, or the others."""
+
+    def get_link_mbps(self, host: str) -> float:
+        """Return the link of a host, 0.0 if it is not known."""
+
+
 class PeerChannel(asyncio.DatagramProtocol):
     """Sends and receives the messages of entry hosts, by topic.
 
--- a/src/sesamefold/entry/loads.py
+++ b/src/sesamefold/entry/loads.py
@@ -260,21 +260,14 @@
         return changed
 
 
-class Peers(t.Protocol):
-    """The other entry hosts."""
-
-    def list_peers(self, neighbours: bool) -> t.Dict[str, datagrams.Address]:
-        """Return the addresses of the hosts of this region, or the others."""
-
-    def get_link_mbps(self, host: str) -> float:
-        """Return the link of a host, 0.0 if it is not known."""
-
-
 class LoadSharing:
     """Tells this host's loads to its peers and listens to theirs."""
 
     def __init__(
-        self, loads: Loads, channel: datagrams.PeerChannel, peers: Peers
+        self,
+        loads: Loads,
+        channel: datagrams.PeerChannel,
+        peers: datagrams.Peers,
     ) -> None:
         self._loads = loads
         self._channel = channel
--- a/src/sesamefold/entry/rollout_news.py
+++ b/src/sesamefold/entry/rollout_news.py
@@ -11,13 +11,6 @@
 TOPIC = "weights"
 
 
-class Peers(t.Protocol):
-    """The other entry hosts."""
-
-    def list_peers(self, neighbours: bool) -> t.Dict[str, datagrams.Address]:
-        """Return the addresses of the hosts of this region, or the others."""
-
-
 @attrs.define
 class RolloutNews:
     """Tells all entry hosts which engines load weights, and have loaded them.
@@ -28,7 +21,7 @@
     """
 
     channel: datagrams.PeerChannel
-    peers: Peers
+    peers: datagrams.Peers
     catalog: catalogs.Catalog
     placement: placements.Placement
 
