--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -331,6 +331,33 @@
     return control_pb2.BackendState(name=name, **values)
 
 
+def build_status(
+    gateways: t.Iterable[t.Tuple[str, str, bool, bool]],
+) -> control_pb2.Status:
+    """Return what a control knows of other hosts.
+
+    `gateways` are rows of data centre, address of the gateway, whether the
+    host is reachable and whether it is leaving.
+    """
+    return control_pb2.Status(
+        data_centres=[
+            control_pb2.DataCentreStatus(
+                name=centre,
+                reachable=True,
+                hosts=[
+                    control_pb2.HostStatus(
+                        reachable=reachable,
+                        member=control_pb2.Member(
+                            gateway_address=address, leaving=leaving
+                        ),
+                    )
+                ],
+            )
+            for centre, address, reachable, leaving in gateways
+        ]
+    )
+
+
 class Bench:
     """A gateway with a fake control and fake engines by name."""
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -15,7 +15,6 @@
 from sesamefold import configuration
 from sesamefold import defaults
 from sesamefold import exceptions
-from sesamefold.wire import control_pb2
 from tests import gateway_fakes
 
 
@@ -47,6 +46,12 @@
             lambda: self.bench.state.configuration.revision == revision
         )
 
+    async def wait_for_backends(self):
+        """Wait until the gateway knows the states that were published."""
+        await gateway_fakes.wait_until(
+            lambda: self.bench.state.backends == self.bench.control.backends
+        )
+
 
 class RequestTest(GatewayCase):
     async def test_malformed_requests(self):
@@ -241,9 +246,13 @@
             self.assertEqual(503, response.status)
         async with self.bench.post() as response:
             self.assertEqual((1203, "no"), await self.get_error(response))
-        self.bench.state.gateways = (
-            ("dc-2", "127.0.0.1:1"),
-            ("dc-2", other.gateway.address),
+        gateways = ("127.0.0.1:1", other.gateway.address)
+        self.bench.control.status = gateway_fakes.build_status(
+            ("dc-2", address, True, False) for address in gateways
+        )
+        await gateway_fakes.wait_until(
+            lambda: self.bench.state.gateways
+            == tuple(("dc-2", address) for address in gateways)
         )
         for stream in (False, True):
             async with self.bench.post({"stream": stream}) as response:
@@ -266,25 +275,7 @@
             ("dc-2", "lost", False, False),
             ("dc-3", "out", True, False),
         ]
-        self.bench.gateway._apply_status(
-            control_pb2.Status(
-                data_centres=[
-                    control_pb2.DataCentreStatus(
-                        name=centre,
-                        reachable=True,
-                        hosts=[
-                            control_pb2.HostStatus(
-                                reachable=reachable,
-                                member=control_pb2.Member(
-                                    gateway_address=address, leaving=leaving
-                                ),
-                            )
-                        ],
-                    )
-                    for centre, address, reachable, leaving in kinds
-                ]
-            )
-        )
+        self.bench.gateway._apply_status(gateway_fakes.build_status(kinds))
         self.assertEqual(["good"], self.bench.state.list_gateways())
 
     async def test_unusable_servers(self):
@@ -303,7 +294,7 @@
                         gateway_fakes.build_backend(name, **fields)
                     )
                 self.bench.control.publish()
-                await asyncio.sleep(0.05)
+                await self.wait_for_backends()
                 deadline = str(time.time() + 0.3)
                 async with self.bench.post(
                     Sesamefold_Deadline=deadline
@@ -313,6 +304,24 @@
                     )
         self.assertEqual([], self.bench.sent)
 
+    async def test_deadline_while_no_server_is_usable(self):
+        """Guards against a lack of servers that is told as a full one."""
+        for name in ("a", "b"):
+            self.bench.control.backends[name].versions[:] = ["model-a@v2"]
+        self.bench.control.publish()
+        await self.wait_for_backends()
+        sleep = asyncio.sleep
+
+        async def oversleep(seconds):
+            await sleep(seconds + 0.5)
+
+        with unittest.mock.patch.object(asyncio, "sleep", oversleep):
+            async with self.bench.post(
+                Sesamefold_Deadline=str(time.time() + 0.4)
+            ) as response:
+                error = await self.get_error(response)
+        self.assertEqual((1201, "no"), error)
+
     async def test_permits_of_a_cold_server(self):
         """Guards against more runs on a cold server than permits."""
         for name in ("a", "b"):
@@ -320,7 +329,7 @@
             self.bench.engines[f"{name}:1"].pause = 0.01
         self.bench.control.permits = 1
         self.bench.control.publish()
-        await asyncio.sleep(0.05)
+        await self.wait_for_backends()
 
         async def send():
             async with self.bench.post() as response:
@@ -486,6 +495,22 @@
         self.assertIn('"code": 1205', text)
         self.assertIn('"executed": "unknown"', text)
 
+    async def test_other_server_returns(self):
+        """Guards against the loss of a stream while servers restart."""
+        self.bench.control.backends["b"].state = "down"
+        self.bench.control.publish()
+        await self.wait_for_backends()
+        self.bench.engines["a:1"].faults = [gateway_fakes.Fault("die", 3)]
+        async with self.bench.post({"stream": True}) as response:
+            await gateway_fakes.wait_until(lambda: self.bench.control.failures)
+            await asyncio.sleep(0.3)
+            self.bench.control.backends["b"].state = "warm"
+            self.bench.control.publish()
+            text = await response.text()
+        self.assertIn('"w6 "', text)
+        self.assertIn("[DONE]", text)
+        self.assertEqual(2, len(self.bench.sent))
+
     async def test_deadline_during_a_stream(self):
         """Guards against a stream that ends without a reason."""
         for stream in (True, False):
