--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -195,6 +195,8 @@
                 ):
                     raise
             await asyncio.sleep(_BACKEND_POLL_SECONDS)
+            if deadline.has_passed():
+                raise reason
 
     async def call(self, request: web.Request) -> web.StreamResponse:
         """Answer a call of a plain service."""
--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -33,8 +33,11 @@
 CONTINUED_PRIORITY = 1
 # Time to ask a server whether it restarted, seconds.
 _PROBE_SECONDS = 1.0
-# Pause while suspect requests hold all servers, seconds.
+# Pause while suspect requests hold all servers, or none is usable, seconds.
 _BUSY_SECONDS = 0.1
+# Time that a response that broke off waits for a usable server, seconds.
+# Engines that crashed are back after a second, and reported a second later.
+RETURN_SECONDS = 3.0
 
 
 @attrs.define(eq=False)
@@ -190,6 +193,7 @@
         A server on which a suspect request runs is left to it.
         """
         busy: t.Set[str] = set()
+        limit = self.deadline.cap(RETURN_SECONDS)
         while True:
             try:
                 place = await self.places.acquire(
@@ -202,8 +206,10 @@
             except exceptions.NoBackend as error:
                 if not busy and not self.output:
                     raise
-                if not busy:
+                if not busy and not self._may_return(limit):
                     raise self.state_executed(error) from error
+                if not busy:
+                    self.excluded.clear()
                 busy.clear()
                 await asyncio.sleep(_BUSY_SECONDS)
                 continue
@@ -224,6 +230,10 @@
             self.places.release(place)
             busy.add(place.backend.name)
 
+    def _may_return(self, limit: deadlines.Deadline) -> bool:
+        """Tell whether a server for the rest of a response may come back."""
+        return not limit.has_passed() and self.is_version_offered()
+
     def state_executed(
         self, error: exceptions.RoutingError
     ) -> exceptions.RoutingError:
