--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -3,12 +3,16 @@
 import asyncio
 import socket
 import struct
+import time
 import typing as t
 
 from aiohttp import web
 import attrs
 import multidict
 
+from standins import engine_memory
+from standins import platform_cache
+
 SEAL = "3e1b.07.5a2"
 
 
@@ -33,7 +37,8 @@
     "cut" (a stream broken after its first event), "cut-unframed" (a body
     without a length that is reset), "late" (answers after a second). An event
     of a stream takes `event_seconds`. The next `ignore_orders` orders get no
-    answer and no effect.
+    answer and no effect. With a `memory`, streams take the time and space
+    that it says, and context comes from and goes to `stores`, by address.
     """
 
     id: str
@@ -47,6 +52,11 @@
     ignore_orders: int = 0
     event_seconds: float = 0.0
     keep_runs: bool = True
+    memory: t.Optional[engine_memory.Engine] = None
+    stores: t.Dict[str, platform_cache.ManagedStore] = attrs.field(
+        factory=dict
+    )
+    _tasks: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -54,6 +64,12 @@
             return self._report()
         if request.path == "/order":
             return await self._order(request)
+        if self.memory is not None and request.path == "/kv-events":
+            since = int(request.query["since"])
+            body = await platform_cache.wait_for_events(
+                self.memory, since, request
+            )
+            return web.json_response({**body, "boot_epoch": self.memory.epoch})
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "misdirect" or not self._is_meant(request):
             return web.Response(status=421)
@@ -102,6 +118,8 @@
             headers["Sesamefold-Response-Seal"] = SEAL
         if fault == "fail":
             return web.Response(status=500, headers=headers, body=b"failed")
+        if "Sesamefold-Model" in request.headers and self.memory is not None:
+            return await self._generate(request, headers, self.memory)
         if "Sesamefold-Model" in request.headers:
             return await self._stream(request, headers, fault)
         if fault == "cut-unframed":
@@ -127,6 +145,78 @@
         await response.write_eof()
         return response
 
+    async def _generate(
+        self,
+        request: web.BaseRequest,
+        headers: t.Dict[str, str],
+        memory: engine_memory.Engine,
+    ) -> web.StreamResponse:
+        """Answer from a run in the memory."""
+        prompt = parse_prompt(request.headers)
+        await self._fetch(request.headers, prompt, memory)
+        try:
+            made = int(request.headers.get("Last-Event-Id", "0"))
+            run = memory.submit(prompt, made)
+        except engine_memory.Full:
+            return web.Response(
+                status=503, headers={"Sesamefold-Not-Executed": "1"}
+            )
+        except ConnectionResetError:
+            self._abort(request)
+        running, waiting = len(memory.running), len(memory.waiting)
+        response = web.StreamResponse(
+            headers={
+                **headers,
+                "Content-Type": "text/event-stream",
+                "Sesamefold-Server-Load": (
+                    f"{running},{waiting},{memory.traits.slots}"
+                ),
+            }
+        )
+        try:
+            while number := await run.tokens.get():
+                if number < 0:
+                    self._abort(request)
+                if not response.prepared:
+                    await response.prepare(request)
+                    self._save(request.headers, prompt)
+                await response.write(f"id: {number}\ndata: x\n\n".encode())
+        finally:
+            memory.leave(run)
+        await response.write_eof()
+        return response
+
+    async def _fetch(
+        self,
+        headers: t.Mapping[str, str],
+        prompt: engine_memory.Prompt,
+        memory: engine_memory.Engine,
+    ) -> None:
+        """Fetch the parts that a header names and the memory lacks."""
+        until = int(headers.get("Sesamefold-Kv-Until", "0")) / 1000.0
+        sources = headers.get("Sesamefold-Kv-Fetch", "").split(",")
+        for key, source in zip(prompt.list_keys(), sources):
+            store = self.stores.get(source.partition("/")[0])
+            if store is None or key in memory.cached:
+                continue
+            tokens = await store.fetch(key, until or time.time() + 60.0)
+            if tokens:
+                memory.hold(key, tokens)
+
+    def _save(
+        self, headers: t.Mapping[str, str], prompt: engine_memory.Prompt
+    ) -> None:
+        """Send the parts that a header names to their stores."""
+        targets = headers.get("Sesamefold-Kv-Save", "").split(",")
+        for key, part, target in zip(
+            prompt.list_keys(), prompt.parts, targets
+        ):
+            store = self.stores.get(target)
+            if store is not None:
+                task = asyncio.create_task(store.save(key, part[1]))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
     async def _send_unframed(
         self, request: web.BaseRequest, headers: t.Dict[str, str]
     ) -> web.StreamResponse:
@@ -158,7 +248,7 @@
                     {"name": name, "version": version, "adapters": []}
                     for name, version in self.weights.items()
                 ],
-                "busy": False,
+                "busy": self.memory is not None and self.memory.loading,
                 "seq": len(self.orders),
             }
         )
@@ -171,7 +261,31 @@
         if order.get("expected") != len(self.orders):
             return web.Response(status=409)
         self.orders.append(order)
+        if self.memory is not None:
+            await self.memory.load(order["model"], order["version"])
         self.weights[order["model"]] = order["version"]
         if self.lose_orders:
             self._abort(request)
         return web.Response(status=202)
+
+
+def parse_prompt(headers: t.Mapping[str, str]) -> engine_memory.Prompt:
+    """Return the prompt that the headers of a request describe."""
+    size, output = (
+        int(n) for n in headers["Sesamefold-Token-Usage"].split(",")
+    )
+    entries = [
+        entry.partition(":")
+        for entry in headers.get("Sesamefold-Prompt-Prefix", "").split(",")
+        if entry
+    ]
+    # The last part belongs to the request alone.
+    parts = tuple((part, int(tokens)) for part, _, tokens in entries[:-1])
+    return engine_memory.Prompt(
+        model=headers["Sesamefold-Model"],
+        salt=headers.get("Sesamefold-Cache-Salt", ""),
+        parts=parts,
+        own_tokens=size - sum(tokens for _, tokens in parts),
+        output_tokens=output,
+        priority=int(headers.get("Sesamefold-Request-Priority", "5")),
+    )
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -25,12 +25,13 @@
 
     `refusal` is the status of every answer while it is not 0; `silent` keeps
     every call waiting; `lose_answers` does what is asked and closes the
-    connection.
+    connection, for calls whose path begins with `lossy_path`.
     """
 
     refusal: int = 0
     silent: bool = False
     lose_answers: bool = False
+    lossy_path: str = "/"
     calls: t.List[str] = attrs.field(factory=list)
     revision: int = 1
     _items: t.Dict[str, _Item] = attrs.field(factory=dict)
@@ -88,7 +89,8 @@
             return web.Response(status=self.refusal)
         self._expire()
         response = await handler(request)
-        if self.lose_answers and request.transport is not None:
+        lost = self.lose_answers and request.path.startswith(self.lossy_path)
+        if lost and request.transport is not None:
             request.transport.abort()
         return response
 
