--- a/src/sesamefold/entry/changes.py
+++ b/src/sesamefold/entry/changes.py
@@ -58,6 +58,14 @@
     reason: str
 
 
+@attrs.frozen
+class HostRecord:
+    """A record of the entry hosts' own; `value` is None once it is removed."""
+
+    key: str
+    value: t.Optional[bytes]
+
+
 Change = t.Union[
     ConfigurationAccepted,
     EvacuationRequested,
@@ -71,7 +79,11 @@
 
 @attrs.frozen
 class Batch:
-    """Changes up to a revision of the platform's store."""
+    """Changes up to a revision of the platform's store.
+
+    `host_records` are those of the entry hosts' own records.
+    """
 
     changes: t.Tuple[Change, ...]
     revision: int
+    host_records: t.Tuple[HostRecord, ...] = ()
--- a/src/sesamefold/entry/follower.py
+++ b/src/sesamefold/entry/follower.py
@@ -8,6 +8,7 @@
 
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import decisions
+from sesamefold.entry import members as member_lists
 from sesamefold.entry import store
 from sesamefold import exceptions
 
@@ -18,6 +19,10 @@
 # server must get nothing. Servers report all the time, so each watch is
 # answered at once, and calls are paid for.
 PACE_SHARE = 0.32
+# The same while this host is young, seconds, and how long it is, seconds.
+# Hosts start together, and each finds only those that started before it.
+START_PACE = 0.4
+START_SECONDS = 3.0
 # Time between two calls to a store that fails, seconds.
 RETRY_INTERVAL = 0.25
 # Longest random delay of the first read, seconds: hosts start together.
@@ -26,7 +31,7 @@
 
 @attrs.define
 class Follower:
-    """Follows the records of the operator and the servers.
+    """Follows the records of the operator, the servers and the hosts.
 
     `pace_seconds` is the time between two watches.
     """
@@ -34,13 +39,16 @@
     source: store.Source
     pace_seconds: float
     catalog: catalogs.Catalog
+    members: member_lists.Members
     log: decisions.DecisionLog
     _away: bool = False
+    _started_at: float = float("-inf")
 
     async def run(self) -> None:
         """Read everything, then each change, until cancelled."""
         await asyncio.sleep(random.uniform(0.0, START_SPREAD))
         revision: t.Optional[int] = None
+        self._started_at = self.catalog.read_time()
         while True:
             try:
                 if revision is None:
@@ -59,6 +67,7 @@
         batch = await self.source.read_all()
         self._note_success()
         self.catalog.replace(batch)
+        self.members.replace(batch.host_records)
         self.catalog.confirm(started)
         return batch.revision
 
@@ -67,8 +76,10 @@
         batch = await self.source.watch(revision, WATCH_WAIT)
         self._note_success()
         self.catalog.apply(batch)
+        self.members.apply(batch.host_records)
         self.catalog.confirm(started)
-        await asyncio.sleep(self.pace_seconds)
+        young = started < self._started_at + START_SECONDS
+        await asyncio.sleep(START_PACE if young else self.pace_seconds)
         return batch.revision
 
     def _note_failure(self, error: exceptions.PlatformError) -> None:
--- a/src/sesamefold/entry/loads.py
+++ b/src/sesamefold/entry/loads.py
@@ -275,6 +275,7 @@
         # A restarted host goes on above the numbers of its earlier life.
         self._sequence = int(clock.read_time() * 1000)
         self._sent_at = self._sent_far_at = 0.0
+        self._ranked: t.Tuple[t.Any, t.List[str]] = (None, [])
         channel.subscribe(TOPIC, loads.take)
         channel.subscribe(SUMS_TOPIC, self._take_sums)
 
@@ -285,6 +286,14 @@
         """
         neighbours = self._peers.list_peers(neighbours=True)
         far = self._peers.list_peers(neighbours=False)
+        if self._ranked[0] != (neighbours, far):
+            collectors = self._rank_collectors(neighbours, far)
+            self._ranked = ((neighbours, far), collectors)
+        return self._ranked[1]
+
+    def _rank_collectors(
+        self, neighbours: t.Collection[str], far: t.Collection[str]
+    ) -> t.List[str]:
         if max(len(neighbours), len(far)) <= SHARE_PEERS:
             return []
         hosts = [self._loads.host, *neighbours]
--- a/src/sesamefold/entry/members.py
+++ b/src/sesamefold/entry/members.py
@@ -7,26 +7,24 @@
 
 import attrs
 
+from sesamefold.entry import changes
 from sesamefold.entry import clock
 from sesamefold.entry import datagrams
 from sesamefold.entry import decisions
 from sesamefold.entry import store
 from sesamefold import exceptions
 
-PREFIX = "sesamefold/members/"
 # Lease of an entry host's record, seconds. Long enough that a paused host or
 # a short outage of the store does not change the shares of the others.
 LEASE_SECONDS = 8.0
 # Time between two renewals, seconds; two may fail.
 RENEWAL_INTERVAL = 2.5
-# Time between two reads of the members, seconds.
-READ_INTERVAL = 4.0
-# The same while this host is young, and how long it is, seconds. Hosts start
-# together, and each finds only those that started before it.
-START_INTERVAL = 0.4
-START_SECONDS = 3.0
 # Age of this host from which it has a share of a limit of the fleet, seconds.
 SETTLED_SECONDS = 1.2
+# Time between two tries to write the record while this host is young, and how
+# long it is, seconds.
+START_INTERVAL = 0.4
+START_SECONDS = 3.0
 # Time for which a member that is no longer listed still counts, seconds. It
 # may be cut off from the store and still serve.
 DEPARTURE_SECONDS = 6.0
@@ -46,8 +44,9 @@
 class Members:
     """Keeps this host's record and the names of the others.
 
-    A host that has just started does not know the others that start with it.
-    It has no share of a fleet-wide limit then: `names` is empty.
+    The records come with those that the follower of the store reads. A host
+    that has just started does not know the others that start with it. It has
+    no share of a fleet-wide limit then: `names` is empty.
     """
 
     own: Member
@@ -55,14 +54,17 @@
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
     _seen: t.Dict[str, float] = attrs.field(factory=dict)
+    _listed: t.Dict[str, Member] = attrs.field(factory=dict)
     _members: t.Dict[str, Member] = attrs.field(factory=dict)
+    _neighbours: t.Mapping[str, datagrams.Address] = attrs.field(factory=dict)
+    _remote: t.Mapping[str, datagrams.Address] = attrs.field(factory=dict)
     _lease: t.Optional[int] = None
     _started_at: float = float("inf")
 
-    def names(self) -> t.Collection[str]:
+    def names(self) -> t.AbstractSet[str]:
         """Return the entry hosts that may be serving, none at the start."""
         if self.read_time() < self._started_at + SETTLED_SECONDS:
-            return ()
+            return frozenset()
         return self._seen.keys()
 
     def names_in(self, region: t.Optional[str]) -> t.Collection[str]:
@@ -73,19 +75,15 @@
             if name in self._members and self._members[name].region == region
         ]
 
-    def list_peers(self, neighbours: bool) -> t.Dict[str, datagrams.Address]:
+    def list_peers(
+        self, neighbours: bool
+    ) -> t.Mapping[str, datagrams.Address]:
         """Return the addresses of the other entry hosts, by their names.
 
         These are the hosts of this region, the `neighbours`, or those of all
         others.
         """
-        return {
-            name: member.address
-            for name, member in self._members.items()
-            if name in self._seen
-            and name != self.own.host
-            and (member.region == self.own.region) == neighbours
-        }
+        return self._neighbours if neighbours else self._remote
 
     def get_link_mbps(self, host: str) -> float:
         """Return the link of a host, 0.0 if it is not known."""
@@ -93,21 +91,18 @@
         return member.link_mbps if member else 0.0
 
     async def run(self) -> None:
-        """Renew the record and read the others until cancelled."""
+        """Renew this host's record until cancelled."""
         self._started_at = self.read_time()
-        next_read = 0.0
         while True:
+            wait = RENEWAL_INTERVAL * random.uniform(0.8, 1.0)
             try:
                 await self._renew()
-                if self.read_time() >= next_read:
-                    await self._read()
-                    next_read = self.read_time() + READ_INTERVAL
             except exceptions.PlatformError as error:
-                self.log.write("members_stale", reason=error.message)
+                self.log.write("membership_stale", reason=error.message)
                 self._lease = None
-            wait = RENEWAL_INTERVAL * random.uniform(0.8, 1.0)
-            if self.read_time() < self._started_at + START_SECONDS:
-                next_read, wait = 0.0, START_INTERVAL
+            young = self.read_time() < self._started_at + START_SECONDS
+            if self._lease is None and young:
+                wait = START_INTERVAL
             await asyncio.sleep(wait)
 
     async def _renew(self) -> None:
@@ -115,7 +110,7 @@
             await self.records.renew_lease(self._lease)
             return
         lease = await self.records.grant_lease(LEASE_SECONDS)
-        key = f"{PREFIX}{self.own.host}"
+        key = f"{store.MEMBERS_PREFIX}{self.own.host}"
         try:
             await self.records.write(
                 {key: 0}, [store.Write(key, _encode(self.own), lease)]
@@ -127,17 +122,27 @@
             return
         self._lease = lease
 
-    async def _read(self) -> None:
+    def replace(self, records: t.Iterable[changes.HostRecord]) -> None:
+        """Take the complete set of records."""
+        self._listed.clear()
+        self.apply(records)
+
+    def apply(self, records: t.Iterable[changes.HostRecord]) -> None:
+        """Take changes of the records; all others are still there."""
         now = self.read_time()
-        records = await self.records.list_records(PREFIX)
-        listed = {
-            member.host: member
-            for member in map(_decode, records)
-            if member is not None
-        }
-        self._members.update(listed)
+        for record in records:
+            if not record.key.startswith(store.MEMBERS_PREFIX):
+                continue
+            name = record.key.removeprefix(store.MEMBERS_PREFIX)
+            member = _decode(name, record.value)
+            if member is None:
+                self._listed.pop(name, None)
+            else:
+                self._listed[name] = member
+        self._members.update(self._listed)
         before = set(self._seen)
-        self._seen.update((name, now) for name in {*listed, self.own.host})
+        names = {*self._listed, self.own.host}
+        self._seen.update((name, now) for name in names)
         self._seen = {
             name: at
             for name, at in self._seen.items()
@@ -150,6 +155,23 @@
         }
         if before != set(self._seen):
             self.log.write("members", names=sorted(self._seen))
+        self._group_peers()
+
+    def _group_peers(self) -> None:
+        """Keep the addresses of the other hosts; messages need them often."""
+        near, far = (
+            {
+                name: member.address
+                for name, member in self._members.items()
+                if name != self.own.host
+                and (member.region == self.own.region) == neighbours
+            }
+            for neighbours in (True, False)
+        )
+        if near != self._neighbours:
+            self._neighbours = near
+        if far != self._remote:
+            self._remote = far
 
 
 def _encode(member: Member) -> bytes:
@@ -157,11 +179,12 @@
     return json.dumps(fields).encode()
 
 
-def _decode(record: store.Record) -> t.Optional[Member]:
-    """Return a member, None for a record of another form."""
+def _decode(name: str, value: t.Optional[bytes]) -> t.Optional[Member]:
+    """Return a member, None for a record of another form or a removed one."""
+    if value is None:
+        return None
     try:
-        region, address, port, link_mbps = json.loads(record.value)
-        name = record.key.removeprefix(PREFIX)
+        region, address, port, link_mbps = json.loads(value)
         return Member(
             name, region, (str(address), int(port)), float(link_mbps)
         )
--- a/src/sesamefold/entry/store.py
+++ b/src/sesamefold/entry/store.py
@@ -6,16 +6,22 @@
 
 from sesamefold.entry import changes
 
+# Where each entry host keeps a record of itself.
+MEMBERS_PREFIX = "sesamefold/members/"
+
 
 class Source(t.Protocol):
-    """Records of the operator and the backend servers, decoded.
+    """Records of the operator, the backend servers and the entry hosts.
 
     Methods raise `exceptions.PlatformUnavailable` when the store does not
     answer in time.
     """
 
     async def read_all(self) -> changes.Batch:
-        """Return all records, as current as the store's head."""
+        """Return all records, as current as the store's head.
+
+        Of the entry hosts' own, only those under `MEMBERS_PREFIX`.
+        """
 
     async def watch(self, after: int, seconds: float) -> changes.Batch:
         """Return the changes after a revision, waiting up to `seconds`.
@@ -28,13 +34,15 @@
 class Record:
     """A record of the entry hosts themselves.
 
-    `revision` is that of the last write, `created` that of the first.
+    `revision` is that of the last write, `created` that of the first. The
+    record ends with its `lease`, if that is not 0.
     """
 
     key: str
     value: bytes
     revision: int
     created: int
+    lease: int = 0
 
 
 @attrs.frozen
--- a/src/sesamefold/entry/throttle.py
+++ b/src/sesamefold/entry/throttle.py
@@ -52,9 +52,12 @@
     """
 
     host: str
-    members: t.Callable[[], t.Collection[str]]
+    members: t.Callable[[], t.AbstractSet[str]]
     read_time: t.Callable[[], float] = clock.read_time
     _sent: t.Dict[str, _Window] = attrs.field(factory=dict)
+    _ranks: t.Dict[str, t.Tuple[t.Set[str], t.Sequence[str]]] = attrs.field(
+        factory=dict
+    )
 
     def has_room(self, server: str, rate: float) -> bool:
         """Tell whether a request may be sent to a cold server now."""
@@ -64,12 +67,22 @@
         if self.host not in members:
             return False
         senders = max(1, min(COLD_SENDERS, len(members), int(rate)))
-        if self.host not in rendezvous.rank_owners(server, members)[:senders]:
+        if self.host not in self._rank(server, members)[:senders]:
             return False
         window = self._sent.get(server)
         sent = window.count(self.read_time()) if window else 0
         return sent < int(rate / senders)
 
+    def _rank(
+        self, server: str, members: t.Collection[str]
+    ) -> t.Sequence[str]:
+        """Return the first hosts for a server; kept while they are alike."""
+        known = self._ranks.get(server)
+        if known is None or known[0] != members:
+            ranked = rendezvous.rank_owners(server, members)[:COLD_SENDERS]
+            known = self._ranks[server] = (set(members), ranked)
+        return known[1]
+
     def record(self, server: str) -> None:
         """Count a request that is sent to a cold server."""
         window = self._sent.setdefault(server, _Window(COLD_WINDOW))
@@ -78,6 +91,7 @@
     def forget(self, server: str) -> None:
         """Drop what is kept of a server that is gone."""
         self._sent.pop(server, None)
+        self._ranks.pop(server, None)
 
 
 @attrs.define
--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -40,19 +40,15 @@
     address: str
 
     async def read_all(self) -> changes.Batch:
-        """Return all records of the operator and the servers."""
+        """Return the records of the operator, the servers and the hosts."""
         items: t.List[Body] = []
         revisions = []
-        for prefix in _PREFIXES:
+        for prefix in (*_PREFIXES, store.MEMBERS_PREFIX):
             found, revision = await self._read_range(prefix)
             items += found
             revisions.append(revision)
-        decoded = (
-            records.decode_item(item["key"], _decode_value(item))
-            for item in items
-        )
         # A watch from the first range on brings what changed meanwhile.
-        return changes.Batch(tuple(filter(None, decoded)), revisions[0])
+        return _make_batch(items, revisions[0])
 
     async def watch(self, after: int, seconds: float) -> changes.Batch:
         """Return the changes after a revision."""
@@ -67,14 +63,7 @@
         if status == 410:
             raise exceptions.HistoryLost("the store has dropped the history")
         _require(status == 200, status)
-        decoded = (
-            _decode_event(event)
-            for event in body["events"]
-            if event["key"].startswith(_PREFIXES)
-        )
-        return changes.Batch(
-            tuple(filter(None, decoded)), max(after, int(body["as_of"]))
-        )
+        return _make_batch(body["events"], max(after, int(body["as_of"])))
 
     async def list_records(self, prefix: str) -> t.List[store.Record]:
         """Return the records whose keys begin with `prefix`."""
@@ -85,6 +74,7 @@
                 _decode_value(item),
                 item["revision"],
                 item["created"],
+                item["lease"],
             )
             for item in items
         ]
@@ -220,6 +210,28 @@
         return str(text).encode()
 
 
+def _make_batch(events: t.Sequence[Body], revision: int) -> changes.Batch:
+    """Return what items and events of the store tell.
+
+    All keys that belong neither to the operator nor to the servers are the
+    entry hosts' own.
+    """
+    decoded = (
+        _decode_event(event)
+        for event in events
+        if event["key"].startswith(_PREFIXES)
+    )
+    own = (
+        changes.HostRecord(
+            event["key"],
+            None if event.get("removed") else _decode_value(event),
+        )
+        for event in events
+        if not event["key"].startswith(_PREFIXES)
+    )
+    return changes.Batch(tuple(filter(None, decoded)), revision, tuple(own))
+
+
 def _decode_event(event: Body) -> t.Optional[changes.Change]:
     if event.get("removed"):
         return records.decode_removal(event["key"])
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -58,9 +58,9 @@
         self.hosts = hosts
         self.far = far
 
-    def names(self) -> t.Collection[str]:
+    def names(self) -> t.AbstractSet[str]:
         """Return all hosts."""
-        return [*self.hosts, *self.far]
+        return {*self.hosts, *self.far}
 
     def names_in(self, region: t.Optional[str]) -> t.Collection[str]:
         """Return the hosts of a region."""
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -10,6 +10,7 @@
 from sesamefold.entry import events
 from sesamefold.entry import requests
 from sesamefold.entry import throttle
+from sesamefold import rendezvous
 from tests import entry_fakes
 
 
@@ -25,9 +26,9 @@
             hosts = [
                 throttle.ColdThrottle(
                     name,
-                    lambda missing=generator.choice(names), own=name: [
+                    lambda missing=generator.choice(names), own=name: {
                         n for n in names if n == own or n != missing
-                    ],
+                    },
                     clock,
                 )
                 for name in names
@@ -45,10 +46,22 @@
             self.assertLessEqual(worst, 21 * 1.5 + 5, f"seed {seed}")
 
     def test_a_host_without_members_sends_nothing(self) -> None:
-        host = throttle.ColdThrottle("entry-1", lambda: [])
+        host = throttle.ColdThrottle("entry-1", frozenset)
         self.assertFalse(host.has_room("i-1", 21.0))
         self.assertTrue(host.has_room("i-1", 0.0))
 
+    def test_members_that_change(self) -> None:
+        """Guards against a rank that outlives the members it is for."""
+        members = {"entry-1"}
+        host = throttle.ColdThrottle("entry-1", lambda: members)
+        self.assertTrue(host.has_room("i-1", 21.0))
+        others = {f"entry-{n}" for n in range(2, 40)}
+        members = {"entry-1", *others}
+        ranked = rendezvous.rank_owners("i-1", members)
+        expected = "entry-1" in ranked[: throttle.COLD_SENDERS]
+        self.assertEqual(expected, host.has_room("i-1", 21.0))
+        self.assertFalse(expected)
+
 
 class RetryThrottleTest(unittest.TestCase):
     """The fleet's budget of retries."""
--- a/tests/test_entry_members.py
+++ b/tests/test_entry_members.py
@@ -3,10 +3,17 @@
 import asyncio
 import unittest
 
+from sesamefold.entry import catalog
+from sesamefold.entry import changes
+from sesamefold.entry import follower
 from sesamefold.entry import members
+from sesamefold.entry import store
 from sesamefold.entry import throttle
 from tests import entry_fakes
 
+# Time between two watches, seconds.
+PACE_SECONDS = 0.2
+
 
 class MembersTest(entry_fakes.StoreCase):
     """Hosts that start together."""
@@ -15,8 +22,12 @@
         """Start a host's membership."""
         own = members.Member(name, "region-1", ("127.0.0.1", 1), 50.0)
         host = members.Members(own, self.client, entry_fakes.make_log())
-        task = asyncio.create_task(host.run())
-        self.stack.callback(task.cancel)
+        log = entry_fakes.make_log()
+        following = follower.Follower(
+            self.client, PACE_SECONDS, catalog.Catalog(log), host, log
+        )
+        for task in (host.run(), following.run()):
+            self.stack.callback(asyncio.create_task(task).cancel)
         return host
 
     async def test_hosts_that_start_together_know_each_other_soon(
@@ -43,11 +54,44 @@
         self.assertEqual(0, len(host.names()))
 
     async def test_records_of_other_forms(self) -> None:
-        self.store.put(f"{members.PREFIX}entry-9", b"broken")
+        self.store.put(f"{store.MEMBERS_PREFIX}entry-9", b"broken")
         host = self.make("entry-1")
         await asyncio.sleep(members.SETTLED_SECONDS + 0.3)
         self.assertEqual({"entry-1"}, set(host.names()))
 
+    async def test_a_host_that_left_counts_for_a_while(self) -> None:
+        """Guards against shares that grow while a host may still serve."""
+        clock = entry_fakes.FakeClock()
+        host = members.Members(
+            members.Member("entry-1", "region-1", ("127.0.0.1", 1)),
+            self.client,
+            entry_fakes.make_log(),
+            read_time=clock,
+        )
+        host._started_at = clock.now - members.SETTLED_SECONDS
+        key = f"{store.MEMBERS_PREFIX}entry-2"
+        host.replace(
+            [changes.HostRecord(key, b'["region-1", "127.0.0.2", 1, 9.0]')]
+        )
+        self.assertEqual({"entry-1", "entry-2"}, set(host.names()))
+        clock.now += 100.0
+        host.apply([])
+        self.assertEqual({"entry-1", "entry-2"}, set(host.names()))
+        host.apply([changes.HostRecord(key, None)])
+        self.assertIn("entry-2", host.list_peers(neighbours=True))
+        clock.now += members.DEPARTURE_SECONDS + 0.1
+        host.apply([changes.HostRecord("sesamefold/orders/holder", b"x")])
+        self.assertEqual({"entry-1"}, set(host.names()))
+        self.assertEqual({}, host.list_peers(neighbours=True))
+
+    async def test_members_come_with_the_watch(self) -> None:
+        """Guards against calls to the store that the watch makes needless."""
+        self.make("entry-1")
+        await asyncio.sleep(follower.START_SPREAD + 0.5)
+        self.make("entry-2")
+        await asyncio.sleep(follower.START_SPREAD + members.START_SECONDS)
+        self.assertEqual(6, self.store.calls.count("GET /kv-range"))
+
 
 class RetriesTest(unittest.TestCase):
     """Limits of a host that does not know the others."""
