--- a/src/sesamefold/entry/follower.py
+++ b/src/sesamefold/entry/follower.py
@@ -7,8 +7,8 @@
 import attrs
 
 from sesamefold.entry import catalog as catalogs
+from sesamefold.entry import changes
 from sesamefold.entry import decisions
-from sesamefold.entry import members as member_lists
 from sesamefold.entry import store
 from sesamefold import exceptions
 
@@ -29,17 +29,28 @@
 START_SPREAD = 0.1
 
 
+class RecordListener(t.Protocol):
+    """A part that keeps some of the entry hosts' own records."""
+
+    def replace(self, records: t.Iterable[changes.HostRecord]) -> None:
+        """Take the complete set of records."""
+
+    def apply(self, records: t.Iterable[changes.HostRecord]) -> None:
+        """Take changes of the records; all others are still there."""
+
+
 @attrs.define
 class Follower:
     """Follows the records of the operator, the servers and the hosts.
 
-    `pace_seconds` is the time between two watches.
+    `pace_seconds` is the time between two watches. The listeners get the
+    entry hosts' own records.
     """
 
     source: store.Source
     pace_seconds: float
     catalog: catalogs.Catalog
-    members: member_lists.Members
+    listeners: t.Sequence[RecordListener]
     log: decisions.DecisionLog
     _away: bool = False
     _started_at: float = float("-inf")
@@ -67,7 +78,8 @@
         batch = await self.source.read_all()
         self._note_success()
         self.catalog.replace(batch)
-        self.members.replace(batch.host_records)
+        for listener in self.listeners:
+            listener.replace(batch.host_records)
         self.catalog.confirm(started)
         return batch.revision
 
@@ -76,7 +88,8 @@
         batch = await self.source.watch(revision, WATCH_WAIT)
         self._note_success()
         self.catalog.apply(batch)
-        self.members.apply(batch.host_records)
+        for listener in self.listeners:
+            listener.apply(batch.host_records)
         self.catalog.confirm(started)
         young = started < self._started_at + START_SECONDS
         await asyncio.sleep(START_PACE if young else self.pace_seconds)
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -216,7 +216,7 @@
             self.platform.source,
             follower.PACE_SHARE * self.settings.leaving_seconds,
             self.catalog,
-            self.members,
+            (self.members, self.election),
             self.decisions,
         ).run()
 
--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -26,8 +26,9 @@
 # its count of orders voids the earlier one.
 FIRST_REPORT_SECONDS = 0.7
 REPORT_INTERVAL = 0.2
-# Time without progress of the rollout after which a host of rank 0 tries to
-# become the one that orders, and what each further rank waits longer, seconds.
+# Time without progress of the rollout, or without a host that orders, after
+# which the host of rank 0 tries to become it, and what each further rank waits
+# longer, seconds.
 STALL_SECONDS = 0.1
 RANK_SECONDS = 0.3
 
@@ -118,7 +119,7 @@
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
     _pending: t.Dict[str, _Pending] = attrs.field(factory=dict)
-    _stale_seen: t.Optional[t.FrozenSet[t.Tuple[str, int]]] = None
+    _seen: t.Optional[t.Tuple[bool, t.FrozenSet[t.Tuple[str, int]]]] = None
     _stalled_since: float = 0.0
 
     async def run(self) -> None:
@@ -128,7 +129,7 @@
             self._note_progress(stale)
             if self.election.may_act():
                 await self._order(stale)
-            elif stale and self._is_stalled():
+            elif (stale or self.election.vacant) and self._is_stalled():
                 self._stalled_since = self.read_time()
                 await self.election.campaign()
             await asyncio.sleep(POLL_INTERVAL)
@@ -146,9 +147,10 @@
     def _note_progress(
         self, stale: t.List[t.Tuple[topology.Server, str, int]]
     ) -> None:
-        seen = frozenset((server.id, version) for server, _, version in stale)
-        if seen != self._stale_seen:
-            self._stale_seen = seen
+        versions = frozenset((server.id, v) for server, _, v in stale)
+        seen = (self.election.vacant, versions)
+        if seen != self._seen:
+            self._seen = seen
             self._stalled_since = self.read_time()
 
     def _is_stalled(self) -> bool:
--- a/src/sesamefold/entry/store.py
+++ b/src/sesamefold/entry/store.py
@@ -6,8 +6,9 @@
 
 from sesamefold.entry import changes
 
-# Where each entry host keeps a record of itself.
-MEMBERS_PREFIX = "sesamefold/members/"
+# The entry hosts' own records; each keeps one of itself under the second.
+HOSTS_PREFIX = "sesamefold/"
+MEMBERS_PREFIX = f"{HOSTS_PREFIX}members/"
 
 
 class Source(t.Protocol):
@@ -18,10 +19,7 @@
     """
 
     async def read_all(self) -> changes.Batch:
-        """Return all records, as current as the store's head.
-
-        Of the entry hosts' own, only those under `MEMBERS_PREFIX`.
-        """
+        """Return all records, as current as the store's head."""
 
     async def watch(self, after: int, seconds: float) -> changes.Batch:
         """Return the changes after a revision, waiting up to `seconds`.
--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -43,7 +43,7 @@
         """Return the records of the operator, the servers and the hosts."""
         items: t.List[Body] = []
         revisions = []
-        for prefix in (*_PREFIXES, store.MEMBERS_PREFIX):
+        for prefix in (*_PREFIXES, store.HOSTS_PREFIX):
             found, revision = await self._read_range(prefix)
             items += found
             revisions.append(revision)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -24,8 +24,8 @@
     """A store in memory, with the faults that tests switch on.
 
     `refusal` is the status of every answer while it is not 0; `silent` keeps
-    every call waiting; `lose_answers` does what is asked and closes the
-    connection, for calls whose path begins with `lossy_path`.
+    every call waiting; `lose_answers` does what is asked and answers nothing,
+    for calls whose path begins with `lossy_path`.
     """
 
     refusal: int = 0
@@ -90,8 +90,8 @@
         self._expire()
         response = await handler(request)
         lost = self.lose_answers and request.path.startswith(self.lossy_path)
-        if lost and request.transport is not None:
-            request.transport.abort()
+        if lost:
+            await asyncio.sleep(60.0)
         return response
 
     def _write(self, key: str, value: str, lease: int) -> int:
--- a/tests/test_entry_election.py
+++ b/tests/test_entry_election.py
@@ -1,6 +1,13 @@
 """The lease of the host that orders."""
 
+import asyncio
+import time
+import unittest.mock
+
+from sesamefold.entry import changes
 from sesamefold.entry import election
+from sesamefold import exceptions
+from sesamefold.platform import client
 from tests import entry_fakes
 
 
@@ -50,6 +57,58 @@
         self.clock.now += election.LEASE_SECONDS
         self.assertIsNone(self.first.get_fence())
 
+    async def test_a_lost_answer_to_the_writing(self) -> None:
+        """Guards against a lease that its holder does not know to have."""
+        self.store.lose_answers, self.store.lossy_path = True, "/kv-txn"
+        await self.first.campaign()
+        self.assertTrue(self.first.may_act())
+        await self.second.campaign()
+        self.assertFalse(self.second.is_holder())
+        self.clock.now += election.SAFE_SHARE * election.LEASE_SECONDS
+        self.assertFalse(self.first.may_act())
+
+    async def test_a_writing_that_was_not_done(self) -> None:
+        """Guards against a holder without a record, and one of another."""
+        unanswered = exceptions.OutcomeUnknown("store: lost")
+        with unittest.mock.patch.object(
+            client.StoreClient, "write", side_effect=unanswered
+        ):
+            await self.first.campaign()
+        self.assertFalse(self.first.is_holder())
+        self.assertIn("DELETE", self.store.calls[-1])
+        self.store.put(election.HOLDER_KEY, b"a", lease=99)
+        self.assertIsNone(await self.first._find_fence(await self.grant()))
+
+    async def test_a_holder_whose_renewals_are_not_answered(self) -> None:
+        """Guards against a change of holders for one lost answer."""
+        self.first.read_time = time.monotonic
+        await self.first.campaign()
+        renewing = asyncio.create_task(self.first.run())
+        self.addCleanup(renewing.cancel)
+        self.store.lose_answers, self.store.lossy_path = True, "/kv-keep"
+        await asyncio.sleep(0.6)
+        self.store.lose_answers = False
+        for _ in range(15):
+            await asyncio.sleep(0.1)
+            self.assertTrue(self.first.may_act())
+        self.store.lose_answers = True
+        await asyncio.sleep(election.LEASE_SECONDS)
+        self.assertFalse(self.first.is_holder())
+
+    async def test_a_vacancy_is_known(self) -> None:
+        """Guards against a pause that begins when weights are named."""
+        self.assertFalse(self.first.vacant)
+        self.first.replace([])
+        self.assertTrue(self.first.vacant)
+        self.first.apply([changes.HostRecord(election.HOLDER_KEY, b"b")])
+        self.assertFalse(self.first.vacant)
+        self.first.apply([changes.HostRecord(election.HOLDER_KEY, None)])
+        self.assertTrue(self.first.vacant)
+
+    async def grant(self) -> int:
+        """Return a lease without a record."""
+        return await self.client.grant_lease(election.LEASE_SECONDS)
+
     async def test_a_lost_answer_makes_no_holder(self) -> None:
         self.store.lose_answers = True
         await self.first.campaign()
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -279,6 +279,12 @@
             6.0,
         )
 
+    async def test_there_is_a_holder_before_weights_are_named(self) -> None:
+        """Guards against a pause that begins when weights are named."""
+        await self.wait_until(self.host.election.is_holder)
+        await self.host.election.stop()
+        await self.wait_until(lambda: self.host.election.vacant)
+
     async def test_a_stopping_host_gives_the_orders_back(self) -> None:
         await self.host.election.campaign()
         self.assertTrue(self.host.election.is_holder())
--- a/tests/test_entry_members.py
+++ b/tests/test_entry_members.py
@@ -24,7 +24,7 @@
         host = members.Members(own, self.client, entry_fakes.make_log())
         log = entry_fakes.make_log()
         following = follower.Follower(
-            self.client, PACE_SECONDS, catalog.Catalog(log), host, log
+            self.client, PACE_SECONDS, catalog.Catalog(log), [host], log
         )
         for task in (host.run(), following.run()):
             self.stack.callback(asyncio.create_task(task).cancel)
