--- a/standins/engine_memory.py
+++ b/standins/engine_memory.py
@@ -43,7 +43,8 @@
 class Prompt:
     """A prompt: (part, tokens) of what may be shared, and its own tokens.
 
-    `priority` 0 is the most urgent.
+    `priority` 0 is the most urgent. `origin` names the weights, and the
+    customer if its context must be apart; context of another origin is wrong.
     """
 
     model: str
@@ -52,6 +53,7 @@
     own_tokens: int
     output_tokens: int
     priority: int = 5
+    origin: str = ""
 
     def list_keys(self) -> t.List[Key]:
         """Return the keys of the shared parts."""
@@ -60,7 +62,10 @@
 
 @attrs.define(eq=False)
 class Run:
-    """A request in an engine; `made` are its tokens so far."""
+    """A request in an engine; `made` are its tokens so far.
+
+    `outdated` tells that the weights changed since it began.
+    """
 
     prompt: Prompt
     number: int
@@ -68,6 +73,7 @@
     unread: int = 0
     memory: int = 0
     preemptions: int = 0
+    outdated: bool = False
     keys: t.List[Key] = attrs.field(factory=list)
     tokens: "asyncio.Queue[int]" = attrs.field(factory=asyncio.Queue)
 
@@ -126,8 +132,8 @@
     the newest of the least urgent runs is put back to the queue and read
     again.
 
-    `counters` are tokens "read" and "found", "preemptions", "crashes" and
-    "loads".
+    `counters` are tokens "read" and "found", "preemptions", "crashes",
+    "loads", and "foreign", the uses of parts of another origin.
     """
 
     def __init__(self, traits: Traits) -> None:
@@ -144,6 +150,7 @@
         self.cached: "collections.OrderedDict[Key, int]" = (
             collections.OrderedDict()
         )
+        self.origins: t.Dict[Key, str] = {}
         self.running: t.List[Run] = []
         self.waiting: t.List[Run] = []
         self.cold_until = time.monotonic() + self.traits.cold_seconds
@@ -200,13 +207,14 @@
                 runs.remove(run)
 
     async def load(self, model: str, version: int) -> None:
-        """Load weights; runs finish first, and all context is dropped."""
+        """Load weights, under which the runs go on; all context is dropped."""
         self.loading = True
         self.counters["loads"] += 1
         try:
-            while self.running or self.waiting:
-                await asyncio.sleep(self.traits.step_seconds)
             await asyncio.sleep(self.traits.load_seconds)
+            for run in [*self.running, *self.waiting]:
+                run.memory += sum(self.cached.get(key, 0) for key in run.keys)
+                run.keys, run.outdated = [], True
             for key in list(self.cached):
                 self._drop(key)
             self.weights[model] = version
@@ -247,6 +255,7 @@
         )
         for key in keys:
             self.cached.move_to_end(key)
+            self.counters["foreign"] += self.origins[key] != prompt.origin
         return keys
 
     def _make_room(self, tokens: int) -> bool:
@@ -279,17 +288,20 @@
 
     def _keep_parts(self, run: Run) -> None:
         """Keep the shared parts of a prompt that was read."""
+        if run.outdated:
+            return
         for key, (_, tokens) in zip(run.prompt.list_keys(), run.prompt.parts):
             if key in run.keys:
                 continue
             run.memory -= min(run.memory, tokens)
             run.keys.append(key)
             if key not in self.cached:
-                self.hold(key, tokens)
+                self.hold(key, tokens, run.prompt.origin)
 
-    def hold(self, key: Key, tokens: int) -> None:
+    def hold(self, key: Key, tokens: int, origin: str) -> None:
         """Keep a part that was read or fetched."""
         self.cached[key] = tokens
+        self.origins[key] = origin
         self.events.note(True, key, tokens)
 
     def _drop(self, key: Key) -> None:
--- a/standins/platform_cache.py
+++ b/standins/platform_cache.py
@@ -29,6 +29,7 @@
     read_while_freed: int = 0
     epoch: int = attrs.field(factory=time.time_ns)
     held: t.Dict[engine_memory.Key, int] = attrs.field(factory=dict)
+    origins: t.Dict[engine_memory.Key, str] = attrs.field(factory=dict)
     partial: t.Dict[engine_memory.Key, int] = attrs.field(factory=dict)
     events: engine_memory.CacheEvents = attrs.field(init=False)
     _link: asyncio.Lock = attrs.field(factory=asyncio.Lock)
@@ -43,7 +44,9 @@
         self.partial.clear()
         self.events = engine_memory.CacheEvents(self.events_limit)
 
-    async def save(self, key: engine_memory.Key, tokens: int) -> bool:
+    async def save(
+        self, key: engine_memory.Key, tokens: int, origin: str = ""
+    ) -> bool:
         """Take a part from an engine; return False when it is lost."""
         taken = sum(self.held.values()) + sum(self.partial.values())
         if key in self.held or key in self.partial:
@@ -54,7 +57,7 @@
         await self._transfer(tokens)
         if epoch != self.epoch or self.partial.pop(key, None) is None:
             return False
-        self.held[key] = tokens
+        self.held[key], self.origins[key] = tokens, origin
         self.events.note(True, key, tokens)
         return True
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -39,6 +39,7 @@
     of a stream takes `event_seconds`. The next `ignore_orders` orders get no
     answer and no effect. With a `memory`, streams take the time and space
     that it says, and context comes from and goes to `stores`, by address.
+    The context of `isolated` customers is apart.
     """
 
     id: str
@@ -56,6 +57,7 @@
     stores: t.Dict[str, platform_cache.ManagedStore] = attrs.field(
         factory=dict
     )
+    isolated: t.Container[str] = ()
     _tasks: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -119,7 +121,7 @@
         if fault == "fail":
             return web.Response(status=500, headers=headers, body=b"failed")
         if "Sesamefold-Model" in request.headers and self.memory is not None:
-            return await self._generate(request, headers, self.memory)
+            return await self._generate(request, headers, self.memory, fault)
         if "Sesamefold-Model" in request.headers:
             return await self._stream(request, headers, fault)
         if fault == "cut-unframed":
@@ -150,9 +152,10 @@
         request: web.BaseRequest,
         headers: t.Dict[str, str],
         memory: engine_memory.Engine,
+        fault: str,
     ) -> web.StreamResponse:
         """Answer from a run in the memory."""
-        prompt = parse_prompt(request.headers)
+        prompt = self._make_prompt(request.headers)
         await self._fetch(request.headers, prompt, memory)
         try:
             made = int(request.headers.get("Last-Event-Id", "0"))
@@ -181,11 +184,24 @@
                     await response.prepare(request)
                     self._save(request.headers, prompt)
                 await response.write(f"id: {number}\ndata: x\n\n".encode())
+                if fault == "cut":
+                    await response.write(b"id: 99\nda")
+                    await asyncio.sleep(0.05)
+                    self._abort(request)
         finally:
             memory.leave(run)
         await response.write_eof()
         return response
 
+    def _make_prompt(
+        self, headers: t.Mapping[str, str]
+    ) -> engine_memory.Prompt:
+        prompt = parse_prompt(headers)
+        customer = headers.get("Sesamefold-Tenant-Name", "")
+        owner = customer if customer in self.isolated else ""
+        origin = f"{self.weights.get(prompt.model)}/{owner}"
+        return attrs.evolve(prompt, origin=origin)
+
     async def _fetch(
         self,
         headers: t.Mapping[str, str],
@@ -201,7 +217,7 @@
                 continue
             tokens = await store.fetch(key, until or time.time() + 60.0)
             if tokens:
-                memory.hold(key, tokens)
+                memory.hold(key, tokens, store.origins[key])
 
     def _save(
         self, headers: t.Mapping[str, str], prompt: engine_memory.Prompt
@@ -213,9 +229,18 @@
         ):
             store = self.stores.get(target)
             if store is not None:
-                task = asyncio.create_task(store.save(key, part[1]))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._spawn(store.save(key, part[1], prompt.origin))
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _load(
+        self, memory: engine_memory.Engine, model: str, version: int
+    ) -> None:
+        await memory.load(model, version)
+        self.weights[model] = version
 
     async def _send_unframed(
         self, request: web.BaseRequest, headers: t.Dict[str, str]
@@ -258,12 +283,16 @@
         if self.ignore_orders:
             self.ignore_orders -= 1
             await asyncio.sleep(30.0)
-        if order.get("expected") != len(self.orders):
+        busy = self.memory is not None and self.memory.loading
+        if busy or order.get("expected") != len(self.orders):
             return web.Response(status=409)
         self.orders.append(order)
         if self.memory is not None:
-            await self.memory.load(order["model"], order["version"])
-        self.weights[order["model"]] = order["version"]
+            self._spawn(
+                self._load(self.memory, order["model"], order["version"])
+            )
+        else:
+            self.weights[order["model"]] = order["version"]
         if self.lose_orders:
             self._abort(request)
         return web.Response(status=202)
--- a/tests/test_engine_memory.py
+++ b/tests/test_engine_memory.py
@@ -5,6 +5,8 @@
 import time
 import unittest
 
+import attrs
+
 from standins import engine_memory
 from standins import platform_cache
 
@@ -138,6 +140,20 @@
         self.assertEqual({"m": 2}, self.engine.weights)
         self.assertFalse(self.engine.cached)
 
+    async def test_context_of_another_origin_is_seen(self) -> None:
+        await self.finish(self.engine.submit(make_prompt(("a", 100))))
+        prompt = attrs.evolve(make_prompt(("a", 100)), origin="2/")
+        await self.finish(self.engine.submit(prompt))
+        self.assertEqual(1, self.engine.counters["foreign"])
+
+    async def test_a_run_goes_on_under_new_weights(self) -> None:
+        run = self.engine.submit(make_prompt(("a", 100), output=600))
+        await asyncio.sleep(0.05)
+        await self.engine.load("m", 2)
+        self.assertEqual(list(range(1, 601)), await self.finish(run))
+        self.assertFalse(self.engine.cached)
+        self.assertEqual(0, self.engine.count_used())
+
     async def test_lost_events_are_told(self) -> None:
         await self.finish(self.engine.submit(make_prompt(("a", 100))))
         self.assertFalse(self.engine.events.encode(0)["lost"])
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,8 +5,9 @@
 seed: connections that are delayed, reset, cut one way or silent; processes
 that are paused, killed, stopped and started again; a store that refuses,
 loses answers or its history; servers that refuse, break off or restart;
-keys that are withdrawn. Prints one JSON line a seed; exits with 1 if a
-promise was broken.
+keys that are withdrawn; weights that are named; a store of context that
+restarts or whose events are held back. Prints one JSON line a seed; exits
+with 1 if a promise was broken.
 
     python -m tools.soak --seeds 1 2 3 --seconds 15 --hosts 3
 """
@@ -29,6 +30,8 @@
 import aiohttp
 import attrs
 
+from standins import engine_memory
+from standins import platform_cache
 from standins import platform_engine
 from standins import platform_site
 from standins import platform_store
@@ -50,6 +53,12 @@
 # Largest time by which a server is handed more than is left, seconds.
 DEADLINE_SLACK = 0.5
 SECOND_KEY = "another-key"
+# The customer with the second key; its context is apart.
+ISOLATED = "customer-2"
+SHARED_TOKENS = 200
+TRAITS = engine_memory.Traits(
+    slots=8, memory_tokens=4000, step_seconds=0.03, load_seconds=0.5
+)
 # Statuses that promise that a request did not run and never will.
 PROMISES = (408, 421, 429, 503)
 ONCE_KINDS = ("/unsafe/", "/stream/")
@@ -106,6 +115,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._sent: t.Dict[str, Sent] = {}
         self._config_version = 1
+        self._weights = 1
         self._second_key_until = float("inf")
         self._lives = 0
         self.faults: t.List[str] = []
@@ -141,12 +151,23 @@
         store_address = await platform_site.start_server(
             self._stack, self.store.build()
         )
+        self.cache = platform_cache.ManagedStore()
+        self.way_to_cache = proxy.Proxy(
+            await platform_site.start_server(self._stack, self.cache.build())
+        )
+        await self.way_to_cache.start(self._stack)
         self._put_configuration()
+        self._put_weights()
         self.engines = []
         for number in range(ENGINES):
             engine = platform_engine.PlatformEngine(
-                "", events=EVENTS, event_seconds=0.03
+                "",
+                memory=engine_memory.Engine(TRAITS),
+                stores={self.way_to_cache.address: self.cache},
+                isolated=(ISOLATED,),
             )
+            working = asyncio.create_task(engine.memory.work())
+            self._stack.callback(working.cancel)
             target = await platform_site.start_server(
                 self._stack, engine.handle
             )
@@ -205,12 +226,31 @@
 
     def _put_configuration(self) -> None:
         configuration = platform_site.make_configuration(self._config_version)
-        keys = [platform_site.KEY]
-        if self._second_key_until == float("inf"):
-            keys.append(SECOND_KEY)
-        configuration["tenants"][0]["api_keys"] = keys
+        isolated = {
+            **configuration["tenants"][0],
+            "name": ISOLATED,
+            "isolated": True,
+            "api_keys": (
+                [SECOND_KEY] if self._second_key_until == float("inf") else []
+            ),
+        }
+        configuration["tenants"].append(isolated)
+        configuration["services"].append(
+            {
+                "name": "cache",
+                "kv_store_addr": self.way_to_cache.address,
+                "zone": "dc-1",
+                "kv_capacity": self.cache.capacity,
+            }
+        )
         self.store.put("op/config", configuration)
 
+    def _put_weights(self) -> None:
+        self.store.put(
+            f"op/version/{platform_site.MODEL}",
+            {"model": platform_site.MODEL, "version": self._weights},
+        )
+
     def _start_life(
         self, engine: platform_engine.PlatformEngine, way: proxy.Proxy
     ) -> None:
@@ -219,8 +259,9 @@
         if engine.id:
             self.store.remove(f"servers/{engine.id}")
         engine.id = f"i-{self._lives}"
-        engine.weights = {platform_site.MODEL: 1}
+        engine.weights = {platform_site.MODEL: self._weights}
         engine.orders.clear()
+        engine.memory.crash()
         self._report(engine, way)
 
     def _report(
@@ -263,8 +304,10 @@
             session = self._random.randrange(20)
             headers |= {
                 "Sesamefold-Model": platform_site.MODEL,
-                "Sesamefold-Token-Usage": "300,50",
-                "Sesamefold-Prompt-Prefix": f"a:50,{session:x}:200,c:50",
+                "Sesamefold-Token-Usage": f"{100 + SHARED_TOKENS},{EVENTS}",
+                "Sesamefold-Prompt-Prefix": (
+                    f"a:50,{session:x}:{SHARED_TOKENS},c:50"
+                ),
             }
         try:
             async with self.session.post(
@@ -297,6 +340,8 @@
                 self._pause_host,
                 self._end_host,
                 self._change_keys,
+                self._name_weights,
+                self._disturb_cache,
             )
         )
         seconds = self._random.uniform(0.3, 3.0)
@@ -382,6 +427,17 @@
             self._second_key_until = time.monotonic()
         self._put_configuration()
 
+    async def _name_weights(self, seconds: float) -> None:
+        self._weights += 1
+        self._put_weights()
+
+    async def _disturb_cache(self, seconds: float) -> None:
+        """Empty the store of context, or hold its events back."""
+        if self._random.random() < 0.5:
+            self.cache.restart()
+        else:
+            await self._disturb(self.way_to_cache, seconds)
+
     async def _check_recovery(self) -> None:
         for engine, _ in self.engines:
             engine.faults.clear()
@@ -401,7 +457,14 @@
 
     def _check_promises(self) -> None:
         runs: t.Dict[str, t.List[platform_engine.Run]] = {}
+        if self.cache.read_while_freed:
+            self.broken.append("context was freed while it was read")
         for engine, _ in self.engines:
+            foreign = engine.memory.counters["foreign"]
+            if foreign:
+                self.broken.append(f"{engine.id} used {foreign} foreign parts")
+            if engine.weights[platform_site.MODEL] != self._weights:
+                self.broken.append(f"{engine.id} has {engine.weights}")
             for run in engine.runs:
                 runs.setdefault(run.request_id, []).append(run)
         for request_id in runs.keys() - self._sent.keys():
