--- a/src/sesamefold/commands.py
+++ b/src/sesamefold/commands.py
@@ -17,6 +17,7 @@
 import typer
 
 import sesamefold
+from sesamefold import chunking
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import documents
@@ -436,7 +437,7 @@
         record.name
         for digest in digests
         for record in configuration.decode_records(
-            "data_centres", revisions.decompress(chunks[digest])
+            "data_centres", chunking.decompress(chunks[digest])
         )
     ]
 
--- a/src/sesamefold/revisions.py
+++ b/src/sesamefold/revisions.py
@@ -6,16 +6,15 @@
 import hashlib
 import itertools
 import json
-import operator
 import random
 import time
 import typing as t
 import uuid
-import zlib
 
 import attrs
 
 from sesamefold import audit
+from sesamefold import chunking
 from sesamefold import configuration
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
@@ -25,13 +24,6 @@
 HEAD_KEY = "config/head"
 CHUNK_PREFIX = "config/chunk/"
 
-# Average number of records in a chunk of a section, and its bound.
-RECORDS_PER_CHUNK = 64
-MAX_RECORDS = 2048
-# Average number of lines in a chunk of the text, and its bound in bytes.
-LINES_PER_CHUNK = 256
-MAX_TEXT_RUN_BYTES = 256 * 1024
-MAX_CONTENT_BYTES = defaults.MAX_TEXT_BYTES
 # Chunks read or written at once. The key-value service handles several
 # hundred writes a second for all its users.
 PARALLEL_CALLS = 4
@@ -93,64 +85,11 @@
         )
 
 
-class RecordCache:
-    """Decoded records by digest of their chunk.
-
-    With it a host decodes the changed chunks of an edit only.
-    """
-
-    def __init__(self) -> None:
-        self._records: t.Dict[str, t.Tuple[t.Any, ...]] = {}
-
-    def __contains__(self, digest: str) -> bool:
-        return digest in self._records
-
-    def decode(
-        self, section: str, digest: str, chunks: t.Mapping[str, bytes]
-    ) -> t.Tuple[t.Any, ...]:
-        """Return the records of a chunk.
-
-        A digest that is neither cached nor in `chunks` raises KeyError.
-        """
-        records = self._records.get(digest)
-        if records is None:
-            records = tuple(
-                configuration.decode_records(
-                    section, decompress(chunks[digest])
-                )
-            )
-            self._records[digest] = records
-        return records
-
-    def retain(self, digests: t.Iterable[str]) -> None:
-        """Drop the records of all other chunks."""
-        self._records = {
-            digest: self._records[digest]
-            for digest in digests
-            if digest in self._records
-        }
-
-
-def decompress(data: bytes) -> bytes:
-    """Return the content of a chunk; its size is bounded.
-
-    Raises `exceptions.InternalError` when the chunk is damaged.
-    """
-    decompressor = zlib.decompressobj()
-    try:
-        content = decompressor.decompress(data, MAX_CONTENT_BYTES)
-    except zlib.error as error:
-        raise exceptions.InternalError(f"damaged chunk: {error}") from None
-    if not decompressor.eof:
-        raise exceptions.InternalError("truncated or oversized chunk")
-    return content
-
-
 def build_configuration(
     head: Head,
     chunks: t.Mapping[str, bytes],
     customers: bool,
-    cache: t.Optional[RecordCache] = None,
+    cache: t.Optional[chunking.RecordCache] = None,
 ) -> configuration.Configuration:
     """Return the configuration of `head`.
 
@@ -158,7 +97,7 @@
     digest that is missing there and in `cache` raises KeyError. The cache
     then holds the chunks of `head` only.
     """
-    records = RecordCache() if cache is None else cache
+    records = chunking.RecordCache() if cache is None else cache
     sections = {
         section: {
             record.name: record
@@ -181,86 +120,6 @@
     )
 
 
-def _hash_name(name: str) -> int:
-    return int.from_bytes(
-        hashlib.blake2b(name.encode(), digest_size=4).digest(), "big"
-    )
-
-
-def _pack(content: bytes) -> t.Tuple[str, bytes]:
-    """Return digest and compressed bytes of a chunk."""
-    data = zlib.compress(content, 6)
-    return hashlib.sha256(data).hexdigest(), data
-
-
-def split_records(records: t.Iterable[t.Any]) -> t.Iterator[t.List[t.Any]]:
-    """Yield records by name in runs that end where a name's hash says so.
-
-    Adding or removing a record therefore changes one or two runs.
-    """
-    run: t.List[t.Any] = []
-    for record in sorted(records, key=operator.attrgetter("name")):
-        run.append(record)
-        boundary = _hash_name(record.name) % RECORDS_PER_CHUNK == 0
-        if boundary or len(run) >= MAX_RECORDS:
-            yield run
-            run = []
-    if run:
-        yield run
-
-
-def split_text(text: str) -> t.Iterator[bytes]:
-    """Yield the UTF-8 of a text in runs of lines, cut by their hash.
-
-    The hash covers a line and the one before it: a line that every customer
-    has, such as an equal share, would else cut at all of its places.
-    """
-    run: t.List[bytes] = []
-    size = 0
-    before = 0
-    for line in text.encode().splitlines(keepends=True):
-        for start in range(0, len(line), MAX_TEXT_RUN_BYTES):
-            part = line[start : start + MAX_TEXT_RUN_BYTES]
-            run.append(part)
-            size += len(part)
-            boundary = zlib.crc32(part, before) % LINES_PER_CHUNK == 0
-            before = zlib.crc32(part)
-            if boundary or size >= MAX_TEXT_RUN_BYTES:
-                yield b"".join(run)
-                run, size = [], 0
-    if run:
-        yield b"".join(run)
-
-
-@attrs.frozen
-class Compiled:
-    """A configuration as chunks, by digest, and their order by section."""
-
-    sections: t.Mapping[str, t.Tuple[str, ...]]
-    text: t.Tuple[str, ...]
-    chunks: t.Mapping[str, bytes]
-
-
-def compile_chunks(parsed: configuration.Configuration, text: str) -> Compiled:
-    """Return the chunks of a configuration and of its text."""
-    chunks: t.Dict[str, bytes] = {}
-
-    def add(content: bytes) -> str:
-        digest, data = _pack(content)
-        chunks[digest] = data
-        return digest
-
-    sections = {
-        section: tuple(
-            add(configuration.encode_records(run))
-            for run in split_records(getattr(parsed, section).values())
-        )
-        for section in configuration.SECTIONS
-    }
-    pieces = tuple(add(piece) for piece in split_text(text))
-    return Compiled(sections, pieces, chunks)
-
-
 @attrs.frozen
 class Manifest:
     """What is kept of a revision beside its audit entry.
@@ -396,14 +255,14 @@
     deadline: deadlines.Deadline,
 ) -> str:
     chunks = await read_chunks(store, digests, deadline)
-    return b"".join(decompress(chunks[d]) for d in digests).decode()
+    return b"".join(chunking.decompress(chunks[d]) for d in digests).decode()
 
 
 async def _read_manifest(
     store: keyvalue.KeyValue, digest: str, deadline: deadlines.Deadline
 ) -> Manifest:
     chunks = await read_chunks(store, [digest], deadline)
-    return Manifest.decode(decompress(chunks[digest]))
+    return Manifest.decode(chunking.decompress(chunks[digest]))
 
 
 async def read_text(
@@ -488,7 +347,7 @@
 async def _list_changes(
     store: keyvalue.KeyValue,
     base: t.Optional[Head],
-    compiled: Compiled,
+    compiled: chunking.Compiled,
     parsed: configuration.Configuration,
     deadline: deadlines.Deadline,
 ) -> t.List[audit.Change]:
@@ -516,7 +375,7 @@
     def collect(
         digests: t.Mapping[str, t.Iterable[str]],
     ) -> t.Dict[str, t.Dict[str, t.Any]]:
-        cache = RecordCache()
+        cache = chunking.RecordCache()
         return {
             section: {
                 record.name: record
@@ -692,7 +551,7 @@
     from sesamefold import validation
 
     parsed = validation.parse_text(text)
-    compiled = compile_chunks(parsed, text)
+    compiled = chunking.compile_chunks(parsed, text)
     version, base = await _read_entry(store, deadline)
     revision = base.revision if base else 0
     if expected_revision not in (None, revision):
@@ -704,7 +563,7 @@
     edit_id = str(uuid.uuid4())
     now = time.time()
     held = {*base.list_digests(True), *base.text} if base else set()
-    manifest, manifest_data = _pack(
+    manifest, manifest_data = chunking.pack(
         Manifest(
             revision + 1,
             compiled.text,
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -9,6 +9,7 @@
 import zlib
 
 from sesamefold import audit
+from sesamefold import chunking
 from sesamefold import configuration
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
@@ -175,11 +176,11 @@
             f"    share: {number}"
             for number in itertools.count(1)
             if zlib.crc32(f"    share: {number}\n".encode())
-            % revisions.LINES_PER_CHUNK
+            % chunking.LINES_PER_CHUNK
             == 0
         )
         text = "".join(f"  c{n}:\n{share}\n" for n in range(5000))
-        chunks = list(revisions.split_text(text))
+        chunks = list(chunking.split_text(text))
         self.assertEqual(text.encode(), b"".join(chunks))
         self.assertLess(len(chunks), 5000 // 8)
 
@@ -378,7 +379,7 @@
     async def test_the_cache_decodes_changed_chunks_only(self) -> None:
         """Guards against decoding all customers for each edit."""
         store = MemoryKeyValue()
-        cache = revisions.RecordCache()
+        cache = chunking.RecordCache()
         for share in (1, 2):
             head = await self.apply(store, write_text(1000, share))
             needed = [d for d in head.list_digests(True) if d not in cache]
--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -17,6 +17,7 @@
 import tracemalloc
 import typing as t
 
+from sesamefold import chunking
 from sesamefold import deadline as deadlines
 from sesamefold import keyvalue
 from sesamefold import revisions
@@ -167,7 +168,7 @@
     )
     new_chunks = _read_chunks(store, second.list_digests(True))
 
-    def build(cache: t.Optional[revisions.RecordCache], head: t.Any) -> None:
+    def build(cache: t.Optional[chunking.RecordCache], head: t.Any) -> None:
         revisions.build_configuration(
             head, {**chunks, **new_chunks}, True, cache
         )
@@ -179,14 +180,14 @@
     )
     seconds = []
     for _ in range(repeat):
-        cache = revisions.RecordCache()
+        cache = chunking.RecordCache()
         build(cache, first)
         start = time.perf_counter()
         build(cache, second)
         seconds.append(time.perf_counter() - start)
     figures["build_cached_seconds"] = round(statistics.median(seconds), 4)
     if memory:
-        cache = revisions.RecordCache()
+        cache = chunking.RecordCache()
         figures["build_peak_mb"] = _trace(lambda: build(cache, second))
     # The peak of the process so far, this program included.
     figures["process_peak_mb"] = round(
