--- a/src/sesamefold/entry/loads.py
+++ b/src/sesamefold/entry/loads.py
@@ -182,12 +182,8 @@
             return other or _NO_LOAD
         return own if other is None else own + other
 
-    def uses_sums(self) -> bool:
-        """Tell whether collectors sum up this region's loads."""
-        return self.region in self._regions
-
     def _sum_others(self) -> t.Dict[str, Load]:
-        if self.uses_sums():
+        if self.region in self._regions:
             return _sum(told.loads for told in self._regions.values())
         return _sum(
             told.loads
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -55,9 +55,6 @@
 # priority are sent, the most urgent first. What runs need is estimated, and an
 # engine that runs out of memory preempts runs and reads their prompts again.
 MEMORY_SHARES = (0.97, 0.93, 0.87)
-# Part of those shares that is used where loads come as sums: several hosts may
-# send to an engine before their requests are in the sums.
-SUMS_MEMORY_SHARE = 0.85
 # Time after a server's refusal in which it gets no request, seconds. Engines
 # refuse while they load weights, which takes about a second.
 REFUSAL_SECONDS = 0.4
@@ -264,15 +261,12 @@
         self, call: requests.Call, prompt: requests.Prompt
     ) -> _Demand:
         rank = min(call.route.priority, len(MEMORY_SHARES) - 1)
-        share = MEMORY_SHARES[rank]
-        if self.loads.uses_sums():
-            share *= SUMS_MEMORY_SHARE
         return _Demand(
             model=prompt.model,
             tokens=prompt.tokens,
             shared_tokens=prompt.count_shared(),
             memory_tokens=loads.estimate_memory(prompt),
-            memory_limit=share * self._get_capacity(call),
+            memory_limit=MEMORY_SHARES[rank] * self._get_capacity(call),
         )
 
     def _estimate_ms(
