--- a/tools/soak.py
+++ b/tools/soak.py
@@ -36,22 +36,17 @@
 from standins import platform_site
 from standins import platform_store
 from standins import proxy
+from tools import soak_promises
 
 ENGINES = 4
-EVENTS = 5
 REQUESTS_PER_SECOND = 60
 # Bounds of a run.
 MAX_HOSTS = 100
 MAX_SECONDS = 120
-# Time that callers wait, and the bound on withdrawn keys, seconds.
-WAIT = 2.0
-REVOKE_SECONDS = 5.0
 # Time after the last fault in which the hosts must serve again, and the share
 # of requests that they must answer then.
 RECOVERY_SECONDS = 12.0
 RECOVERED_SHARE = 0.9
-# Largest time by which a server is handed more than is left, seconds.
-DEADLINE_SLACK = 0.5
 SECOND_KEY = "another-key"
 # The customer with the second key; its context is apart.
 ISOLATED = "customer-2"
@@ -59,10 +54,6 @@
 TRAITS = engine_memory.Traits(
     slots=8, memory_tokens=4000, step_seconds=0.03, load_seconds=0.5
 )
-# Statuses that promise that a request did not run and never will.
-PROMISES = (408, 421, 429, 503)
-ONCE_KINDS = ("/unsafe/", "/stream/")
-KINDS = ("/safe/", "/resumable/", *ONCE_KINDS)
 ENGINE_FAULTS = (
     "refuse",
     "misdirect",
@@ -75,23 +66,6 @@
 )
 
 
-@attrs.define
-class Sent:
-    """A caller's request and what became of it.
-
-    `status` is None while nothing was answered; `whole` tells that the answer
-    ended as complete.
-    """
-
-    kind: str
-    key: str
-    at: float
-    status: t.Optional[int] = None
-    whole: bool = False
-    answered_id: t.Optional[str] = None
-    body: bytes = b""
-
-
 @attrs.define
 class Host:
     """An entry host's process and its own way to the store."""
@@ -113,7 +87,7 @@
         self._seconds = seconds
         self._host_count = hosts
         self._stack = contextlib.AsyncExitStack()
-        self._sent: t.Dict[str, Sent] = {}
+        self._sent: t.Dict[str, soak_promises.Sent] = {}
         self._config_version = 1
         self._weights = 1
         self._second_key_until = float("inf")
@@ -288,23 +262,27 @@
                 await asyncio.sleep(1 / REQUESTS_PER_SECOND)
                 group.create_task(self._call())
 
-    async def _call(self) -> Sent:
+    async def _call(self) -> soak_promises.Sent:
         request_id = f"r-{len(self._sent)}"
-        kind = self._random.choice(KINDS)
+        kind = self._random.choice(soak_promises.KINDS)
         key = self._random.choice((platform_site.KEY, SECOND_KEY))
         host = self._random.choice(self.hosts)
-        sent = self._sent[request_id] = Sent(kind, key, time.monotonic())
+        sent = self._sent[request_id] = soak_promises.Sent(
+            kind, key, time.monotonic()
+        )
         headers = {
             "Host": platform_site.HOST,
             "Sesamefold-Request-Id": request_id,
-            "Sesamefold-Deadline-Ms": str(int(WAIT * 1000)),
+            "Sesamefold-Deadline-Ms": str(int(soak_promises.WAIT * 1000)),
             "Api-Key": key,
         }
         if kind in ("/stream/", "/resumable/"):
             session = self._random.randrange(20)
             headers |= {
                 "Sesamefold-Model": platform_site.MODEL,
-                "Sesamefold-Token-Usage": f"{100 + SHARED_TOKENS},{EVENTS}",
+                "Sesamefold-Token-Usage": (
+                    f"{100 + SHARED_TOKENS},{soak_promises.EVENTS}"
+                ),
                 "Sesamefold-Prompt-Prefix": (
                     f"a:50,{session:x}:{SHARED_TOKENS},c:50"
                 ),
@@ -314,7 +292,7 @@
                 f"http://{host.address}:{host.ports[0]}{kind}x",
                 headers=headers,
                 data=b"body",
-                timeout=aiohttp.ClientTimeout(total=WAIT + 1.0),
+                timeout=aiohttp.ClientTimeout(total=soak_promises.WAIT + 1.0),
             ) as response:
                 sent.status = response.status
                 sent.answered_id = response.headers.get(
@@ -470,49 +448,18 @@
         for request_id in runs.keys() - self._sent.keys():
             self.broken.append(f"{request_id} ran, and nobody sent it")
         for request_id, sent in self._sent.items():
-            for fault in self._find_broken(sent, runs.get(request_id, [])):
+            withdrawn = (
+                sent.key == SECOND_KEY
+                and sent.at
+                > self._second_key_until + soak_promises.REVOKE_SECONDS
+            )
+            for fault in soak_promises.find_broken(
+                sent, runs.get(request_id, []), withdrawn
+            ):
                 self.broken.append(f"{request_id} {sent.kind} {fault}")
             if sent.whole and sent.answered_id not in (None, request_id):
                 self.broken.append(f"{request_id} got another's answer")
 
-    def _find_broken(
-        self, sent: Sent, runs: t.Sequence[platform_engine.Run]
-    ) -> t.Iterator[str]:
-        """Yield the promises that were broken for one request."""
-        if sent.kind in ONCE_KINDS:
-            if len(runs) > 1:
-                yield f"ran {len(runs)} times"
-            if runs and sent.status in PROMISES:
-                yield f"ran and was answered {sent.status}"
-        if runs and sent.key == SECOND_KEY:
-            if sent.at > self._second_key_until + REVOKE_SECONDS:
-                yield "ran with a withdrawn key"
-        for run in runs:
-            left = float(run.headers["Sesamefold-Deadline-Ms"]) / 1000
-            if left > WAIT + DEADLINE_SLACK:
-                yield f"was handed {left} s"
-            if (run.method, run.target, run.body) != (
-                "POST",
-                f"{sent.kind}x",
-                b"body",
-            ):
-                yield "was changed on its way"
-        if sent.status == 200 and not self._is_genuine(sent):
-            yield f"got {sent.body!r}, whole: {sent.whole}"
-
-    def _is_genuine(self, sent: Sent) -> bool:
-        """Tell whether an answer is the server's own, as far as it goes."""
-        if sent.kind in ("/safe/", "/unsafe/"):
-            whole = b"answer"
-        else:
-            whole = b"".join(
-                f"id: {number}\ndata: x\n\n".encode()
-                for number in range(1, EVENTS + 1)
-            )
-        return (
-            sent.body == whole if sent.whole else whole.startswith(sent.body)
-        )
-
 
 def main() -> int:
     """Parse the arguments, run the seeds and print their results."""
