--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -4,6 +4,7 @@
 import hashlib
 import itertools
 import typing as t
+import unittest
 import unittest.mock
 import zlib
 
@@ -446,3 +447,40 @@
     async with asyncio.timeout(seconds):
         while not condition():
             await asyncio.sleep(0.005)
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    """A gateway with a fake control and two fake engines."""
+
+    options = {}
+
+    async def asyncSetUp(self):
+        self.bench = Bench()
+        await self.bench.start(**self.options)
+        self.addAsyncCleanup(self.bench.stop)
+
+    async def get_error(self, response):
+        """Return code and `executed` of an error in the documented form."""
+        error = (await response.json())["error"]
+        self.assertEqual(
+            {"code", "type", "message", "retryable", "executed", "request"},
+            set(error),
+        )
+        return error["code"], error["executed"]
+
+    async def publish(self, **values):
+        """Put a configuration in force."""
+        revision = self.bench.state.configuration.revision + 1
+        self.bench.control.configuration = build_message(
+            build_configuration(revision=revision, **values)
+        )
+        self.bench.control.publish()
+        await wait_until(
+            lambda: self.bench.state.configuration.revision == revision
+        )
+
+    async def wait_for_backends(self):
+        """Wait until the gateway knows the states that were published."""
+        await wait_until(
+            lambda: self.bench.state.backends == self.bench.control.backends
+        )
