--- a/src/sesamefold/commands.py
+++ b/src/sesamefold/commands.py
@@ -17,10 +17,10 @@
 import typer
 
 import sesamefold
+from sesamefold import checks
 from sesamefold import chunking
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
-from sesamefold import documents
 from sesamefold import exceptions
 from sesamefold import exitcodes
 from sesamefold import presentation
@@ -177,12 +177,12 @@
 
 
 def _check_platform(url: str) -> None:
-    if not documents.is_url(url):
+    if not checks.is_url(url):
         raise typer.BadParameter("--platform needs an http or https URL")
 
 
 def _check_controls(addresses: t.Optional[t.Sequence[str]]) -> None:
-    if not addresses or not all(map(documents.is_address, addresses)):
+    if not addresses or not all(map(checks.is_address, addresses)):
         raise typer.BadParameter("--control needs ip:port, at least once")
 
 
--- a/src/sesamefold/documents.py
+++ b/src/sesamefold/documents.py
@@ -1,10 +1,8 @@
-"""YAML documents as nodes with positions, and checks of their content."""
+"""YAML documents as nodes with positions, and their reading by fields."""
 
 import enum
-import ipaddress
 import re
 import typing as t
-import urllib.parse
 
 import attrs
 import yaml
@@ -99,7 +97,7 @@
     """The reader stopped because a bound was exceeded."""
 
 
-def _show(text: str) -> str:
+def show(text: str) -> str:
     """Return `text` quoted and shortened for a message."""
     shown = text[:_SHOWN_CHARACTERS]
     return repr(shown) + ("..." if len(text) > _SHOWN_CHARACTERS else "")
@@ -252,7 +250,7 @@
                         *position,
                         "",
                         Kind.MALFORMED,
-                        f"alias {_show(event.anchor)} has no anchor"
+                        f"alias {show(event.anchor)} has no anchor"
                         + (" that ended before it" if found else ""),
                     )
                     return None
@@ -280,7 +278,7 @@
                 *position,
                 "",
                 Kind.UNSUPPORTED,
-                f"tag {_show(event.tag)} is not supported",
+                f"tag {show(event.tag)} is not supported",
             )
         extent = (
             *position,
@@ -335,7 +333,7 @@
                     key,
                     join(path, key.raw),
                     Kind.DUPLICATE_KEY,
-                    f"{_show(key.raw)} is also in line "
+                    f"{show(key.raw)} is also in line "
                     f"{first[key.raw].line}",
                 )
             else:
@@ -361,7 +359,7 @@
                     key,
                     join(path, name),
                     Kind.UNKNOWN_KEY,
-                    f"unknown key {_show(name)}; known: "
+                    f"unknown key {show(name)}; known: "
                     + ", ".join(sorted(fields)),
                 )
                 continue
@@ -405,169 +403,7 @@
     required: bool = False
 
 
-def matches(pattern: str, text: str) -> bool:
-    """Tell whether a text matches a pattern as a whole."""
-    return re.fullmatch(pattern, text) is not None
-
-
 def join(path: str, name: str) -> str:
     """Return the path of a key below `path`."""
     name = name[:_SHOWN_CHARACTERS]
     return f"{path}.{name}" if path else name
-
-
-def check_text(pattern: str, meaning: str, secret: bool = False) -> "Check":
-    """Return a check for text that matches `pattern` as a whole.
-
-    A `secret` value never appears in a message.
-    """
-    compiled = re.compile(pattern)
-
-    def check(reader: Reader, node: Node, path: str) -> t.Any:
-        if not reader.expect(node, path, "text"):
-            return None
-        if compiled.fullmatch(node.value):
-            return node.value
-        shown = "" if secret else f"{_show(node.value)} is "
-        reader.report(node, path, Kind.BAD_VALUE, f"{shown}not {meaning}")
-        return None
-
-    return check
-
-
-def check_choice(*choices: str) -> "Check":
-    """Return a check for one of several words."""
-    return check_text(
-        "|".join(map(re.escape, choices)), "one of " + ", ".join(choices)
-    )
-
-
-def check_boolean(reader: Reader, node: Node, path: str) -> t.Any:
-    """Check for `true` or `false`."""
-    return node.value if reader.expect(node, path, "boolean") else None
-
-
-def _check_range(low: float, high: float, kinds: t.Sequence[str]) -> "Check":
-    def check(reader: Reader, node: Node, path: str) -> t.Any:
-        if not reader.expect(node, path, *kinds):
-            return None
-        if low <= node.value <= high:
-            return node.value
-        reader.report(
-            node,
-            path,
-            Kind.OUT_OF_RANGE,
-            f"{_show(node.raw)} is not between {low} and {high}",
-        )
-        return None
-
-    return check
-
-
-def check_integer(low: int, high: int) -> "Check":
-    """Return a check for an integer from `low` to `high`."""
-    return _check_range(low, high, ["integer"])
-
-
-def check_number(low: float, high: float) -> "Check":
-    """Return a check for a number from `low` to `high`."""
-    check = _check_range(low, high, ["number", "integer"])
-
-    def convert(reader: Reader, node: Node, path: str) -> t.Any:
-        value = check(reader, node, path)
-        return None if value is None else float(value)
-
-    return convert
-
-
-def is_address(text: str, lowest_port: int = 1) -> bool:
-    """Tell whether a text is ip:port, with brackets around IPv6."""
-    host, _, port = text.rpartition(":")
-    if not re.fullmatch(r"0|[1-9][0-9]{0,4}", port):
-        return False
-    bracketed = host.startswith("[") and host.endswith("]")
-    try:
-        version = ipaddress.ip_address(host[1:-1] if bracketed else host)
-    except ValueError:
-        return False
-    return (
-        lowest_port <= int(port) <= 65535
-        and (version.version == 6) == bracketed
-    )
-
-
-def check_address(lowest_port: int = 1) -> "Check":
-    """Return a check for ip:port; port 0 lets the kernel choose."""
-
-    def check(reader: Reader, node: Node, path: str) -> t.Any:
-        if not reader.expect(node, path, "text"):
-            return None
-        if is_address(node.value, lowest_port):
-            return node.value
-        reader.report(
-            node,
-            path,
-            Kind.BAD_ADDRESS,
-            f"{_show(node.value)} is not ip:port with a port between "
-            f"{lowest_port} and 65535",
-        )
-        return None
-
-    return check
-
-
-def is_url(text: str) -> bool:
-    """Tell whether a text is an http or https URL with a host."""
-    try:
-        parts = urllib.parse.urlsplit(text)
-        return (
-            parts.scheme in ("http", "https")
-            and bool(parts.hostname)
-            and parts.port != 0
-            and not (parts.query or parts.fragment or parts.username)
-            and not re.search(r"\s", text)
-        )
-    except ValueError:
-        return False
-
-
-def check_url(reader: Reader, node: Node, path: str) -> t.Any:
-    """Check for an http or https URL."""
-    if not reader.expect(node, path, "text"):
-        return None
-    if is_url(node.value):
-        return node.value
-    # The value may contain a password, so it is not shown.
-    reader.report(node, path, Kind.BAD_ADDRESS, "not an http or https URL")
-    return None
-
-
-def check_items(check: "Check", limit: int) -> "Check":
-    """Return a check for a list of at most `limit` different items."""
-
-    def check_all(reader: Reader, node: Node, path: str) -> t.Any:
-        items = reader.read_items(node, path)
-        if len(items) > limit:
-            reader.report(
-                node,
-                path,
-                Kind.OUT_OF_RANGE,
-                f"{len(items)} items, at most {limit} are allowed",
-            )
-            return None
-        values: t.Dict[t.Any, None] = {}
-        for index, item in enumerate(items):
-            below = f"{path}[{index}]"
-            value = check(reader, item, below)
-            if value in values:
-                reader.report(
-                    item,
-                    below,
-                    Kind.DUPLICATE_KEY,
-                    "the item is in the list already",
-                )
-            elif value is not None:
-                values[value] = None
-        return tuple(values) if node.kind == "sequence" else None
-
-    return check_all
--- a/src/sesamefold/settings.py
+++ b/src/sesamefold/settings.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from sesamefold import checks
 from sesamefold import documents
 from sesamefold import exceptions
 
@@ -65,20 +66,20 @@
 # control reads settings too, and does not import `routing`.
 PLACEMENTS = ("random", "least_loaded", "affinity", "estimate")
 
-_NAME = documents.check_text(
+_NAME = checks.check_text(
     r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}",
     "a name of letters, digits, '.', '_' and '-'",
 )
 _KEY_FIELDS = {
     "id": documents.Field(
-        documents.check_text(
+        checks.check_text(
             r"[A-Za-z0-9_-]{1,16}",
             "a key id of up to 16 letters, digits, '_' and '-'",
         ),
         required=True,
     ),
     "secret": documents.Field(
-        documents.check_text(
+        checks.check_text(
             r"[^\s,:]{16,256}",
             "a secret of 16 to 256 characters without spaces, ',' and ':'",
             secret=True,
@@ -111,15 +112,15 @@
 FIELDS: t.Dict[str, documents.Field] = {
     "host": documents.Field(_NAME, required=True),
     "data_centre": documents.Field(_NAME, required=True),
-    "key_value_url": documents.Field(documents.check_url, required=True),
-    "host_list_url": documents.Field(documents.check_url, required=True),
-    "gateway_address": documents.Field(documents.check_address(0)),
-    "control_address": documents.Field(documents.check_address(0)),
-    "metrics_address": documents.Field(documents.check_address(0)),
+    "key_value_url": documents.Field(checks.check_url, required=True),
+    "host_list_url": documents.Field(checks.check_url, required=True),
+    "gateway_address": documents.Field(checks.check_address(0)),
+    "control_address": documents.Field(checks.check_address(0)),
+    "metrics_address": documents.Field(checks.check_address(0)),
     "handle_keys": documents.Field(_check_keys),
-    "drain_delay": documents.Field(documents.check_number(0, 600)),
-    "drain_time": documents.Field(documents.check_number(0, 86400)),
-    "placement": documents.Field(documents.check_choice(*PLACEMENTS)),
+    "drain_delay": documents.Field(checks.check_number(0, 600)),
+    "drain_time": documents.Field(checks.check_number(0, 86400)),
+    "placement": documents.Field(checks.check_choice(*PLACEMENTS)),
 }
 
 
--- a/src/sesamefold/validation.py
+++ b/src/sesamefold/validation.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from sesamefold import checks
 from sesamefold import configuration
 from sesamefold import defaults
 from sesamefold import documents
@@ -33,17 +34,17 @@
     "a name of at most 64 letters, digits, '.', '_' and '-' that starts with "
     "a letter or digit"
 )
-_check_name = documents.check_text(_PATTERN, _MEANING)
+_check_name = checks.check_text(_PATTERN, _MEANING)
 _field = documents.Field
 
 FIELDS: t.Dict[str, t.Dict[str, documents.Field]] = {
     "data_centres": {
         "region": _field(_check_name, required=True),
-        "in": _field(documents.check_boolean),
+        "in": _field(checks.check_boolean),
     },
     "models": {
         "version": _field(
-            documents.check_text(
+            checks.check_text(
                 r"[A-Za-z0-9][A-Za-z0-9._+-]{0,63}",
                 "a version of at most 64 letters, digits, '.', '_', '+' and "
                 "'-'",
@@ -51,34 +52,32 @@
             required=True,
         ),
         "block_tokens": _field(
-            documents.check_integer(1, defaults.MAX_PROMPT_TOKENS)
+            checks.check_integer(1, defaults.MAX_PROMPT_TOKENS)
         ),
     },
     "groups": {
         "data_centre": _field(_check_name, required=True),
         "kind": _field(
-            documents.check_choice("engine", "service"), required=True
+            checks.check_choice("engine", "service"), required=True
         ),
         "model": _field(_check_name),
         "service": _field(_check_name),
-        "checks_fencing": _field(documents.check_boolean),
-        "cold_limit": _field(documents.check_integer(1, 1024)),
-        "warm_limit": _field(documents.check_integer(1, 65536)),
-        "concurrent_loads": _field(documents.check_integer(1, 64)),
+        "checks_fencing": _field(checks.check_boolean),
+        "cold_limit": _field(checks.check_integer(1, 1024)),
+        "warm_limit": _field(checks.check_integer(1, 65536)),
+        "concurrent_loads": _field(checks.check_integer(1, 64)),
     },
     "stores": {
         "region": _field(_check_name, required=True),
-        "address": _field(documents.check_address(), required=True),
+        "address": _field(checks.check_address(), required=True),
     },
     "services": {
-        "kind": _field(
-            documents.check_choice("model", "plain"), required=True
-        ),
+        "kind": _field(checks.check_choice("model", "plain"), required=True),
         "model": _field(_check_name),
-        "depends_on": _field(documents.check_items(_check_name, 64)),
+        "depends_on": _field(checks.check_items(_check_name, 64)),
         "repeatable": _field(
-            documents.check_items(
-                documents.check_text(
+            checks.check_items(
+                checks.check_text(
                     r"(\*|[A-Z]{1,16}) (\*|/[!-~]{0,255})",
                     "\"METHOD path\", such as 'GET *' or 'POST /lookup'",
                 ),
@@ -88,14 +87,14 @@
     },
     "customers": {
         "token_sha256": _field(
-            documents.check_text(r"[0-9a-f]{64}", "64 lower-case hex digits"),
+            checks.check_text(r"[0-9a-f]{64}", "64 lower-case hex digits"),
             required=True,
         ),
-        "share": _field(documents.check_integer(1, 1000)),
+        "share": _field(checks.check_integer(1, 1000)),
     },
 }
 POLICY_FIELDS: t.Dict[str, documents.Field] = {
-    "seconds_per_link_megabyte": _field(documents.check_number(0, 3600)),
+    "seconds_per_link_megabyte": _field(checks.check_number(0, 3600)),
 }
 # A text without them is more likely a mistake than an intention.
 REQUIRED_SECTIONS = ("regions", "data_centres")
@@ -191,7 +190,7 @@
         for name, key, entry in self.reader.read_pairs(node, section):
             path = documents.join(section, name)
             names[name] = key
-            if not documents.matches(_PATTERN, name):
+            if not checks.matches(_PATTERN, name):
                 self.reader.report(
                     key,
                     path,
