--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -190,7 +190,8 @@
     ) -> t.Tuple[admission.Place, quarantines.Run]:
         """Return a place, and the registration of the run on its server.
 
-        A server on which a suspect request runs is left to it.
+        A server on which a suspect request runs is left to it. A response
+        that has begun waits for a server to come back.
         """
         busy: t.Set[str] = set()
         limit = self.deadline.cap(RETURN_SECONDS)
@@ -204,11 +205,11 @@
                     self.deadline,
                 )
             except exceptions.NoBackend as error:
-                if not busy and not self.output:
-                    raise
-                if not busy and not self._may_return(limit):
-                    raise self.state_executed(error) from error
                 if not busy:
+                    if not self.output:
+                        raise
+                    if not self._may_return(limit):
+                        raise self.state_executed(error) from error
                     self.excluded.clear()
                 busy.clear()
                 await asyncio.sleep(_BUSY_SECONDS)
