--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -121,7 +121,16 @@
         if fault == "fail":
             return web.Response(status=500, headers=headers, body=b"failed")
         if "Sesamefold-Model" in request.headers and self.memory is not None:
-            return await self._generate(request, headers, self.memory, fault)
+            try:
+                return await self._generate(
+                    request, headers, self.memory, fault
+                )
+            except engine_memory.Full:
+                # A request that is not admitted is no run.
+                self.runs = [r for r in self.runs if r is not run]
+                return web.Response(
+                    status=503, headers={"Sesamefold-Not-Executed": "1"}
+                )
         if "Sesamefold-Model" in request.headers:
             return await self._stream(request, headers, fault)
         if fault == "cut-unframed":
@@ -154,16 +163,15 @@
         memory: engine_memory.Engine,
         fault: str,
     ) -> web.StreamResponse:
-        """Answer from a run in the memory."""
+        """Answer from a run in the memory.
+
+        Raises `engine_memory.Full` for a request that is not admitted.
+        """
         prompt = self._make_prompt(request.headers)
         await self._fetch(request.headers, prompt, memory)
         try:
             made = int(request.headers.get("Last-Event-Id", "0"))
             run = memory.submit(prompt, made)
-        except engine_memory.Full:
-            return web.Response(
-                status=503, headers={"Sesamefold-Not-Executed": "1"}
-            )
         except ConnectionResetError:
             self._abort(request)
         running, waiting = len(memory.running), len(memory.waiting)
--- a/tests/test_entry_emulator.py
+++ b/tests/test_entry_emulator.py
@@ -172,6 +172,20 @@
         self.assertGreaterEqual(statuses.count(200), fitting)
         self.assertEqual(0, self.count("preemptions"))
 
+    async def test_a_refused_request_is_no_run(self) -> None:
+        """Guards against a stand-in that calls refused requests runs."""
+        loading = self.engines[0].memory
+        assert loading is not None
+        loading.loading = True
+        statuses = [
+            await self.ask(number, f"{number:x}", "/stream/")
+            for number in range(6)
+        ]
+        self.assertEqual([200] * 6, statuses)
+        runs = [run.request_id for run in self.list_runs()]
+        self.assertEqual(sorted(set(runs)), sorted(runs))
+        self.assertEqual([], self.engines[0].runs)
+
     async def test_a_crash_moves_resumable_streams(self) -> None:
         """Guards against the loss of streams that may go on elsewhere."""
         asking = asyncio.gather(
