--- a/src/sesamefold/entry/datagrams.py
+++ b/src/sesamefold/entry/datagrams.py
@@ -92,7 +92,13 @@
             handler = self._handlers.get(topic)
             if handler is not None and host != self._host:
                 handler(host, (addr[0], addr[1]), body)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except (
+            ValueError,
+            TypeError,
+            KeyError,
+            AttributeError,
+            RecursionError,
+        ) as error:
             self._log.write(
                 "peer_message_rejected",
                 address=str(addr),
--- a/src/sesamefold/platform/headers.py
+++ b/src/sesamefold/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers of requests and replies, decoded into product types."""
 
+import re
 import typing as t
 
 import multidict
@@ -9,6 +10,10 @@
 from sesamefold.platform import wire
 
 _MS = 1000.0
+# Numbers as callers write them. More digits are no number: they would be too
+# large to count with.
+_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+_COUNT = re.compile(r"[0-9]{1,15}")
 _MISDIRECTED = 421
 _NO_ADDRESS = "-"
 # Headers of one connection, and those that are computed anew.
@@ -172,7 +177,7 @@
 
 def _parse_number(text: t.Optional[str]) -> t.Optional[float]:
     """Return a number that is not negative, None for any other text."""
-    if text is None or not text.strip().replace(".", "", 1).isdigit():
+    if text is None or _NUMBER.fullmatch(text.strip()) is None:
         return None
     return float(text)
 
@@ -199,7 +204,7 @@
 def _parse_parts(text: str) -> t.Iterator[requests.PromptPart]:
     for entry in filter(None, text.split(",")):
         part_id, _, tokens = entry.strip().partition(":")
-        if not tokens.isdigit():
+        if _COUNT.fullmatch(tokens) is None:
             raise exceptions.MalformedRequest("a part of the prompt is broken")
         yield requests.PromptPart(part_id, int(tokens))
 
@@ -207,6 +212,8 @@
 def _parse_load(text: t.Optional[str]) -> t.Optional[requests.ServerLoad]:
     """Return the load, None when it is missing or broken."""
     numbers = (text or "").split(",")
-    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+    if len(numbers) != 3 or not all(
+        _COUNT.fullmatch(number.strip()) for number in numbers
+    ):
         return None
     return requests.ServerLoad(*(int(n) for n in numbers))
--- a/src/sesamefold/platform/records.py
+++ b/src/sesamefold/platform/records.py
@@ -8,6 +8,7 @@
 from sesamefold.platform import wire
 
 _MS = 1000.0
+_MAX_PORT = 65535
 _STREAM = "streaming"
 _SAFE = "safe"
 _STATES = {"ready": False, "draining": True}
@@ -64,8 +65,10 @@
     if state not in _STATES:
         raise ValueError(f"unknown state {state}")
     host, _, port = _read(body, "address", str).rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isascii() or not port.isdigit():
         raise ValueError("the address has no port")
+    if not 0 < int(port) <= _MAX_PORT:
+        raise ValueError("the port is out of range")
     # The milliseconds for which the server is still cold.
     cold_ms = _read(body, "cold_left_ms", (int, float))
     return topology.Server(
--- a/src/sesamefold/platform/wire.py
+++ b/src/sesamefold/platform/wire.py
@@ -53,4 +53,7 @@
 
 def decode(data: bytes) -> t.Any:
     """Return the value of a body; raises `ValueError`."""
-    return json.loads(data)
+    try:
+        return json.loads(data)
+    except RecursionError as error:
+        raise ValueError("the body is nested too deep") from error
