--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -104,6 +104,13 @@
         except ConnectionError as error:
             code = exceptions.CallerLeft.code
             raise asyncio.CancelledError() from error
+        except Exception as error:
+            # A fault of this host; the log must not call it an answer.
+            unexpected = exceptions.InternalError(
+                f"{type(error).__name__}: {error}"
+            )
+            code = unexpected.code
+            return self._answer_error(request, request_id, writer, unexpected)
         finally:
             self.in_progress -= 1
             seconds = clock.read_time() - arrived
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -1,11 +1,14 @@
 """The entry host as a whole, before stand-ins of the platform."""
 
 import asyncio
+import json
 import unittest
 import unittest.mock
 
 import aiohttp
 
+from sesamefold.entry import topology
+from sesamefold import exceptions
 from standins import platform_site
 from tests import entry_fakes
 
@@ -209,6 +212,26 @@
         self.assertEqual(401, (await self.call("/safe/"))[0])
 
 
+class UnexpectedErrorTest(entry_fakes.EntryHostCase):
+    """Errors that no part of the host expects."""
+
+    async def test_an_unexpected_error_is_answered_and_logged(self) -> None:
+        """Guards against a failure that the log calls an answer."""
+        log = entry_fakes.RecordingLog()
+        self.host.frontend.log = log
+        with unittest.mock.patch.object(
+            topology.Configuration,
+            "find_route",
+            side_effect=RuntimeError("unexpected"),
+        ):
+            status, _, body = await self.call("/safe/")
+        self.assertEqual(500, status)
+        self.assertEqual(
+            {"code": exceptions.InternalError.code}, json.loads(body)
+        )
+        self.assertEqual(["error", "failed"], log.events)
+
+
 class ReadinessTest(entry_fakes.EntryHostCase):
     """Readiness, shutdown and metrics."""
 
