--- a/src/sesamefold/commands.py
+++ b/src/sesamefold/commands.py
@@ -23,6 +23,7 @@
 from sesamefold import defaults
 from sesamefold import exceptions
 from sesamefold import exitcodes
+from sesamefold import log_commands
 from sesamefold import presentation
 from sesamefold import settings as process_settings
 
@@ -536,33 +537,8 @@
     _run(lambda: asyncio.run(work()), as_json)
 
 
-@app.command()
-def explain(
-    request_id: t.Annotated[str, typer.Argument(help="Id of a request.")],
-    logs: t.Annotated[
-        t.List[pathlib.Path], typer.Argument(help="Logs of entry hosts.")
-    ],
-) -> None:
-    """Show the timeline of a request from the logs of entry hosts.
-
-    Example: sesamefold explain 9c41d07be2a35f68 front-*.log
-    """
-    from sesamefold import timelines
-
-    texts: t.List[str] = []
-    for path in logs:
-        try:
-            texts.extend(path.read_text(errors="replace").splitlines())
-        except OSError as error:
-            print(f"{path}: {error.strerror}", file=sys.stderr)
-            raise typer.Exit(exitcodes.EXIT_INVALID) from error
-    timeline = timelines.build_timeline(request_id, texts)
-    if not timeline:
-        print(f"no line about {request_id}", file=sys.stderr)
-        raise typer.Exit(exitcodes.EXIT_DIFFERENT)
-    start = timeline[0][0].at
-    for line, about_request in timeline:
-        print("*" if about_request else " ", line.format(start))
+app.command()(log_commands.explain)
+app.command()(log_commands.replay)
 
 
 def _print_version(value: bool) -> None:
