--- a/tools/soak.py
+++ b/tools/soak.py
@@ -174,13 +174,13 @@
         self._stack.callback(reporting.cancel)
 
     async def _start_process(self, host: Host) -> None:
-        host.ended_on_purpose = False
         host.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "deploy/entry.py",
             env={**os.environ, "SESAMEFOLD_CONFIG": str(host.path)},
             stdout=asyncio.subprocess.DEVNULL,
         )
+        host.ended_on_purpose = False
 
     async def _kill_all(self) -> None:
         for host in self.hosts:
@@ -386,7 +386,9 @@
         if process is None or host.ended_on_purpose:
             return
         if process.returncode is not None:
-            self.broken.append(f"{host.name} ended by itself")
+            self.broken.append(
+                f"{host.name} ended by itself, {process.returncode}"
+            )
             return
         host.ended_on_purpose = True
         process.send_signal(
