--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -1,7 +1,7 @@
 """A small deployment of the users' platform on loopback."""
 
-import asyncio
 import contextlib
+import socket
 import typing as t
 
 from aiohttp import web
@@ -142,13 +142,24 @@
 
 
 async def find_ports(count: int) -> t.List[int]:
-    """Return ports that are free."""
-    servers = [
-        await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        for _ in range(count)
-    ]
-    ports = [s.sockets[0].getsockname()[1] for s in servers]
-    for server in servers:
-        server.close()
-        await server.wait_closed()
+    """Return ports that are free for connections and for datagrams."""
+    ports: t.List[int] = []
+    with contextlib.ExitStack() as stack:
+        while len(ports) < count:
+            listener = stack.enter_context(socket.socket())
+            listener.bind(("127.0.0.1", 0))
+            port = listener.getsockname()[1]
+            if is_free_for_datagrams(port):
+                ports.append(port)
     return ports
+
+
+def is_free_for_datagrams(port: int) -> bool:
+    """Tell whether a UDP socket can be bound to a port."""
+    with socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+        try:
+            datagrams.bind(("127.0.0.1", port))
+        except OSError:
+            # Another process has the port.
+            return False
+    return True
