--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -152,6 +152,7 @@
             )
         limit = deadline.cap(_BACKEND_WAIT_SECONDS)
         pause = _BACKEND_POLL_SECONDS
+        lack: t.Optional[exceptions.RoutingError] = None
         while True:
             completion = intake.open_completion(
                 self._state,
@@ -171,6 +172,11 @@
                 reason = completion.state_executed(error)
                 if completion.failures:
                     raise reason from error
+            except exceptions.DeadlineUnreachable:
+                # The look before this one says what is missing.
+                if lack is not None:
+                    raise lack from None
+                raise
             except exceptions.BackendRefused:
                 # A server that swaps its weights refuses the earlier version
                 # before the new one is in force here or reported. Other
@@ -194,9 +200,8 @@
                     or not self._state.expects_backend(completion.model.name)
                 ):
                     raise
+            lack = reason
             await asyncio.sleep(_BACKEND_POLL_SECONDS)
-            if deadline.has_passed():
-                raise reason
 
     async def call(self, request: web.Request) -> web.StreamResponse:
         """Answer a call of a plain service."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,6 +14,7 @@
 
 from sesamefold import defaults
 from sesamefold import exceptions
+from sesamefold import lookups
 from tests import gateway_fakes
 
 
@@ -286,6 +287,28 @@
                 error = await self.get_error(response)
         self.assertEqual((1201, "no"), error)
 
+    async def test_deadline_during_a_later_look(self) -> None:
+        """Guards against a lack of servers that a slow look hides."""
+        for name in ("a", "b"):
+            self.bench.control.backends[name].versions[:] = ["model-a@v2"]
+        self.bench.control.publish()
+        await self.wait_for_backends()
+        looks = []
+
+        async def look_up(*arguments):
+            looks.append(arguments)
+            if len(looks) > 1:
+                await asyncio.sleep(2.0)
+            return {}
+
+        with unittest.mock.patch.object(lookups, "look_up_blocks", look_up):
+            async with self.bench.post(
+                Sesamefold_Deadline=str(time.time() + 0.6)
+            ) as response:
+                error = await self.get_error(response)
+        self.assertEqual((1201, "no"), error)
+        self.assertEqual(2, len(looks))
+
     async def test_permits_of_a_cold_server(self):
         """Guards against more runs on a cold server than permits."""
         for name in ("a", "b"):
