--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -44,11 +44,16 @@
 
 @attrs.frozen
 class Run:
-    """One attempt at a server; `note_first` is called at its first event."""
+    """One attempt at a server; `note_first` is called at its first event.
+
+    `may_move` tells whether a stream that falls silent can go on at another
+    server. If it cannot, silence is no reason to end it.
+    """
 
     server: topology.Server
     placement: placements.Placement
     resumable: bool
+    may_move: t.Callable[[], bool]
     note_first: t.Callable[[], None]
 
 
@@ -135,6 +140,8 @@
                 return chunk
 
     def _is_lost(self, run: Run, silence: float) -> bool:
+        if not run.may_move():
+            return False
         if silence >= STREAM_SILENCE_SECONDS:
             return True
         return self.started and run.placement.is_silent(
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -222,7 +222,14 @@
                 )
 
         run = deliveries.Run(
-            server, self.placement, call.route.resumable, note_first
+            server,
+            self.placement,
+            call.route.resumable,
+            lambda: (
+                len(call.tried) < call.route.max_servers
+                and self.retries.may_spend(call.service)
+            ),
+            note_first,
         )
         try:
             async with self.upstream.send(server, call, dispatch) as reply:
--- a/src/sesamefold/entry/throttle.py
+++ b/src/sesamefold/entry/throttle.py
@@ -115,17 +115,22 @@
         window.count(now)
         window.instants.append(now)
 
-    def try_spend(self, service: str) -> bool:
-        """Count a retry if the budget allows it."""
+    def may_spend(self, service: str) -> bool:
+        """Tell whether the budget allows a retry now."""
         now = self.read_time()
         requests = self._find(self._requests, service).count(now)
-        retries = self._find(self._retries, service)
+        retries = self._find(self._retries, service).count(now)
         members = len(self.members())
         extra = self.limits.extra / members if members else 0.0
         allowed = BUDGET_SHARE * (self.limits.ratio * requests + extra)
-        if retries.count(now) + 1 > allowed:
+        return retries + 1 <= allowed
+
+    def try_spend(self, service: str) -> bool:
+        """Count a retry if the budget allows it."""
+        if not self.may_spend(service):
             return False
-        retries.instants.append(now)
+        retries = self._find(self._retries, service)
+        retries.instants.append(self.read_time())
         return True
 
     def _find(self, windows: t.Dict[str, _Window], service: str) -> _Window:
