Let requests that may have been executed wait for capacity

Cause: traced in the log of a failing run of OverloadTest. The fourth stream breaks at the crashed engine before its first event; the other engine has room for three. The stream then waited only as long as a request that can still be refused as not executed (0.15 to 0.25 s) and got 502, although it could no longer be refused and an engine had memory 0.1 s later. Change: a request that may have been executed waits until its deadline while there is a server that it has not tried. If none is left, it fails at once as before.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -108,7 +108,9 @@
         """Return a server with free capacity, and whether it is cold.
 
         A stream that has started continues even on a server without free
-        capacity. Raises `TimeoutError` when the deadline has passed.
+        capacity. A request that may have been executed waits until its
+        deadline, because it can no longer be refused as not executed. Raises
+        `TimeoutError` when the deadline has passed.
         """
         give_up_at = clock.read_time() + min(
             MAX_CAPACITY_WAIT_SECONDS,
@@ -126,7 +128,9 @@
                 or self.placement.has_capacity(call, chosen[0])
             ):
                 return chosen
-            if clock.read_time() >= give_up_at:
+            if clock.read_time() >= give_up_at and not (
+                maybe_executed and self.placement.has_untried_server(call)
+            ):
                 error = exceptions.NoRoom(
                     self.placement.describe_missing_capacity(call, chosen)
                 )
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -204,16 +204,35 @@
             if server.id not in call.tried_servers
             and now >= self.states[server.id].suspected_until
             and now >= self.states[server.id].backoff_until
-            and (
-                allowed is None
-                or self.regions.get(server.data_centre) in allowed
-            )
+            and self._is_permitted(server, allowed)
             and (
                 now >= server.cold_until
                 or self.cold_throttle.allows_request(server.id, rate)
             )
         ]
 
+    def has_untried_server(self, call: requests.Call) -> bool:
+        """Return whether a server may yet take a request that failed at others.
+
+        Servers that are suspected or paused for the moment count.
+        """
+        allowed = call.list_permitted_regions()
+        return any(
+            server.id not in call.tried_servers
+            and self._is_permitted(server, allowed)
+            for server in self.catalog.list_usable_servers(call.service)
+        )
+
+    def _is_permitted(
+        self,
+        server: topology.Server,
+        regions: t.Optional[t.Container[str]],
+    ) -> bool:
+        """Return whether a server is in one of the regions, if any are set."""
+        return (
+            regions is None or self.regions.get(server.data_centre) in regions
+        )
+
     def _is_in_region(self, server: topology.Server) -> bool:
         return self.regions.get(server.data_centre) == self.region
 
--- a/tests/test_entry_simulated_engines.py
+++ b/tests/test_entry_simulated_engines.py
@@ -4,6 +4,8 @@
 import random
 import typing as t
 
+import attrs
+
 from sesamefold.entry import store_views
 from standins import engine_simulator
 from standins import platform_context_store
@@ -23,6 +25,8 @@
 class SimulatedEnginesCase(entry_fakes.EntryHostCase):
     """Two engines with little memory and a large store of context."""
 
+    engine_options = ENGINE_OPTIONS
+
     async def asyncSetUp(self) -> None:
         """Start the servers and wait until the store can be used."""
         await super().asyncSetUp()
@@ -34,7 +38,9 @@
         )
         for engine in self.engines:
             engine.weights = {platform_fixtures.MODEL: 1}
-            engine.simulator = engine_simulator.EngineSimulator(ENGINE_OPTIONS)
+            engine.simulator = engine_simulator.EngineSimulator(
+                self.engine_options
+            )
             engine.context_stores = {address: self.context_store}
             simulation = asyncio.create_task(engine.simulator.run())
             self.stack.callback(simulation.cancel)
@@ -230,3 +236,30 @@
         await asyncio.sleep(0.02)
         max(simulators, key=lambda simulator: len(simulator.running)).crash()
         self.assertEqual([200] * 4, await sending)
+
+
+class SlowEnginesTest(SimulatedEnginesCase):
+    """Engines whose streams last much longer than a refusal is delayed."""
+
+    engine_options = attrs.evolve(ENGINE_OPTIONS, step_seconds=0.03)
+
+    async def test_a_broken_stream_without_events_waits_for_memory(
+        self,
+    ) -> None:
+        """Guards against an error for a stream that only has to wait.
+
+        The other engine has no memory for the last of the streams before one
+        of its own ends, and the caller of that stream cannot be told that it
+        was not executed.
+        """
+        sending = asyncio.gather(
+            *(self.send_prompt(n, f"b{n}", "/resumable/") for n in range(4))
+        )
+        simulators = [
+            e.simulator for e in self.engines if e.simulator is not None
+        ]
+        await self.wait_until(
+            lambda: sum(len(s.running) for s in simulators) == 4
+        )
+        simulators[0].crash()
+        self.assertEqual([200] * 4, await sending)
