Continue runs that broke off before their first token

Cause: a run whose server crashed after it had begun and before its first token was treated as if it had never been sent: with no usable server its caller was told 1201, executed "no", and it did not wait for a server. Change: waiting for a server and the truthful error depend on whether a run may have begun, not on whether a token was received. Before: both new tests of ResumeTest failed with 1201 and executed "no". After: both pass, with the 12 tests of the module. This may also be what CrashingRequestTest met once; that is not shown.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -211,7 +211,7 @@
         """Return a slot and the registration of the request on its server.
 
         A server that runs a suspect request receives no other request. A
-        response that has begun waits for a usable server, up to
+        run that may have begun elsewhere waits for a usable server, up to
         `RECOVERY_WAIT_SECONDS`.
         """
         busy_backends: t.Set[str] = set()
@@ -227,7 +227,7 @@
                 )
             except exceptions.NoBackend as error:
                 if not busy_backends:
-                    if not self.token_texts:
+                    if not self.may_have_executed:
                         raise
                     if not self._may_recover(recovery_deadline):
                         raise self.convert_error(error) from error
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from sesamefold import completions
 from sesamefold import configuration
 from sesamefold import defaults
 from tests import gateway_fakes
@@ -149,6 +150,44 @@
         self.assertIn("[DONE]", text)
         self.assertEqual(2, len(self.bench.engine_requests))
 
+    async def test_stream_without_tokens_continues_on_a_recovered_server(self):
+        """Guards against "not executed" for a run that had begun.
+
+        The first server crashes after it has begun the run and before its
+        first token, while no other server is usable.
+        """
+        self.bench.control.backends["b"].state = "down"
+        self.bench.control.publish()
+        await self.wait_for_backends()
+        self.bench.engines["a:1"].faults = [gateway_fakes.Fault("crash", 1)]
+        async with self.bench.post({"stream": True}) as response:
+            await gateway_fakes.wait_until(
+                lambda: self.bench.control.failed_backends
+            )
+            await asyncio.sleep(0.3)
+            self.bench.control.backends["b"].state = "warm"
+            self.bench.control.publish()
+            text = await response.text()
+        self.assertIn("[DONE]", text)
+        self.assertEqual(2, len(self.bench.engine_requests))
+
+    async def test_crash_before_the_first_token_is_not_called_unexecuted(self):
+        """Guards against "not executed" for a run that had begun.
+
+        No other server becomes usable before the wait for one ends.
+        """
+        self.bench.control.backends["b"].state = "down"
+        self.bench.control.publish()
+        await self.wait_for_backends()
+        self.bench.engines["a:1"].faults = [gateway_fakes.Fault("crash", 1)]
+        with unittest.mock.patch.object(
+            completions, "RECOVERY_WAIT_SECONDS", 0.3
+        ):
+            async with self.bench.post({"stream": True}) as response:
+                text = await response.text()
+        self.assertIn('"code": 1205', text)
+        self.assertIn('"executed": "unknown"', text)
+
     async def test_deadline_during_a_run_returns_an_error(self):
         """Guards against a response that ends without an error."""
         for stream in (True, False):
