--- a/src/sesamefold/calls.py
+++ b/src/sesamefold/calls.py
@@ -19,6 +19,7 @@
 from sesamefold import routing
 from sesamefold import services
 from sesamefold import state as states
+from sesamefold import transport
 from sesamefold.wire import control_pb2
 
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -42,6 +43,7 @@
         "keep-alive",
         "proxy-authorization",
         "sesamefold-customer",
+        "sesamefold-exchange",
         "sesamefold-executed",
         "sesamefold-forwarded",
         "te",
@@ -372,6 +374,7 @@
 
     def _request(self, call: Call, backend: control_pb2.BackendState) -> t.Any:
         query = f"?{call.query}" if call.query else ""
+        identity = transport.make_identity(anonymous=True)
         headers = [
             (name, value)
             for name, value in call.headers
@@ -380,12 +383,15 @@
             ("Sesamefold-Customer", call.customer),
             ("Sesamefold-Request", call.request_id),
             ("Sesamefold-Deadline", f"{call.deadline.at:.3f}"),
+            (transport.EXCHANGE_HEADER, identity.request_id),
         ]
-        return self._state.session.request(
+        return transport.request(
+            self._state.session,
             call.method,
             yarl.URL(
                 f"http://{backend.address}{call.path}{query}", encoded=True
             ),
+            identity,
             data=call.body or None,
             headers=headers,
             allow_redirects=False,
--- a/src/sesamefold/control.py
+++ b/src/sesamefold/control.py
@@ -11,7 +11,6 @@
 import types
 import typing as t
 
-import aiohttp
 import grpc
 import logbook
 import mode
@@ -30,6 +29,7 @@
 from sesamefold import relay as relays
 from sesamefold import settings as process_settings
 from sesamefold import status
+from sesamefold import transport
 from sesamefold.wire import control_pb2
 from sesamefold.wire import control_pb2_grpc
 
@@ -225,7 +225,7 @@
 
     async def on_start(self) -> None:
         """Bind the ports and set up the components."""
-        self.session = aiohttp.ClientSession()
+        self.session = transport.make_session(report=logs.log_stray_answer)
         self._server = grpc.aio.server(
             options=(*client.CHANNEL_OPTIONS, ("grpc.so_reuseport", 0))
         )
--- a/src/sesamefold/engines.py
+++ b/src/sesamefold/engines.py
@@ -181,7 +181,7 @@
     """HTTP client of an engine; docs/design.md section 5 lists the calls.
 
     Streams are server-sent events whose data is a JSON object. A stream on
-    which no byte arrives for `idle_seconds` fails; engines send comment lines
+    which no line arrives for `idle_seconds` fails; engines send comment lines
     while a run is queued or in prefill. 0 disables the limit. A timeout
     around the iteration would close the iterator and so cancel the run; this
     limit leaves the run alive, so that it can be resumed.
@@ -340,11 +340,8 @@
     ) -> t.AsyncIterator[TokenEvent]:
         self._check_deadline(deadline)
         try:
-            async with self._session.request(
-                method,
-                f"http://{self.address}/{path}",
-                timeout=transport.make_timeout(deadline, self._idle_seconds),
-                **options,
+            async with self._request(
+                method, path, deadline, self._idle_seconds, **options
             ) as response:
                 if method == "GET" and response.status == 404:
                     # The engine may have executed the run and deleted it.
@@ -353,7 +350,7 @@
                         executed=exceptions.UNKNOWN,
                     )
                 await self._check_status(response)
-                async for line in response.content:
+                while line := await self._read_line(response):
                     if not line.startswith(b"data:"):
                         continue
                     event = self._decode_event(
@@ -368,6 +365,34 @@
             f"engine {self.address}: the stream ended before the final event"
         )
 
+    def _request(
+        self,
+        method: str,
+        path: str,
+        deadline: deadlines.Deadline,
+        idle_seconds: float = 0.0,
+        **options: t.Any,
+    ) -> t.AsyncContextManager[aiohttp.ClientResponse]:
+        identity = transport.make_identity()
+        return transport.request(
+            self._session,
+            method,
+            f"http://{self.address}/{path}",
+            identity,
+            headers={transport.EXCHANGE_HEADER: identity.request_id},
+            timeout=transport.make_timeout(deadline, idle_seconds),
+            **options,
+        )
+
+    async def _read_line(self, response: aiohttp.ClientResponse) -> bytes:
+        """Return the next line of a stream, b"" at its end.
+
+        Raises `TimeoutError` when no line is complete within the idle time;
+        single bytes do not extend it.
+        """
+        async with asyncio.timeout(self._idle_seconds or None):
+            return await response.content.readline()
+
     def _decode_event(self, body: t.Mapping[str, t.Any]) -> TokenEvent:
         if body["kind"] != "error":
             return _build_from_json(TokenEvent, body)
@@ -387,16 +412,13 @@
     ) -> t.Any:
         self._check_deadline(deadline)
         try:
-            async with self._session.request(
-                method,
-                f"http://{self.address}/{path}",
-                timeout=transport.make_timeout(deadline),
-                **options,
+            async with self._request(
+                method, path, deadline, **options
             ) as response:
                 if missing_ok and response.status == 404:
                     return None
                 await self._check_status(response)
-                return decode(await response.json())
+                return decode(json.loads(await transport.read_body(response)))
         except transport.CALL_ERRORS as error:
             raise self._convert_error(error) from error
 
--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -13,11 +13,13 @@
 from sesamefold.entry import upstream
 from sesamefold import exceptions
 
-# Silence of a resumable stream after which it fails over to another server if
-# its server has sent nothing to other callers for as long either.
+# Time without an event of a resumable stream after which it fails over to
+# another server if its server has sent no event to other callers for as long
+# either.
 SERVER_SILENCE_SECONDS = 0.8
-# Silence of a resumable stream after which it fails over in any case. The
-# server may only have preempted the run, but callers leave after 2 s.
+# Time without an event of a resumable stream after which it fails over in any
+# case. The server may only have preempted the run, but callers leave after
+# 2 s.
 STREAM_SILENCE_SECONDS = 1.8
 
 
@@ -47,7 +49,7 @@
 class Attempt:
     """One attempt to serve a request at a server.
 
-    `may_fail_over` returns whether a stream that falls silent can continue at
+    `may_fail_over` returns whether a stream without events can continue at
     another server; while it returns False, silence does not end the attempt.
     `on_first_event` is called at the first event of the stream.
     """
@@ -108,55 +110,85 @@
     async def _forward_stream(
         self, call: requests.Call, reply: upstream.Reply, attempt: Attempt
     ) -> None:
-        buffer = events.EventBuffer()
+        stream = _EventStream(self, attempt, reply)
         first = True
-        while chunk := await self._read_chunk(attempt, reply):
-            whole_events = buffer.feed(chunk)
-            if not whole_events:
-                continue
+        while whole_events := await stream.read_events():
             if first:
                 first = False
                 attempt.on_first_event()
             await self._ensure_started(reply.head)
             await self.writer.write(whole_events)
-            call.last_event_id = buffer.last_event_id or call.last_event_id
-        if buffer.partial:
+            call.last_event_id = (
+                stream.buffer.last_event_id or call.last_event_id
+            )
+        if stream.buffer.partial:
             raise exceptions.ReplyBroken("the stream ends within an event")
         await self._ensure_started(reply.head)
         await self.writer.finish()
 
-    async def _read_chunk(
-        self, attempt: Attempt, reply: upstream.Reply
-    ) -> bytes:
-        """Return the next bytes of a stream, b"" at its end.
 
-        Raises `exceptions.ReplyBroken` when a resumable stream has been
-        silent for so long that it should fail over.
+@attrs.define
+class _EventStream:
+    """The events of one reply, and how long the last one has been waited for.
+
+    Only an event with an id of its own ends the silence of a stream; neither
+    comments nor bytes that complete no event do. Time in which the caller
+    does not take data is no silence of the server.
+    """
+
+    response: CallerResponse
+    attempt: Attempt
+    reply: upstream.Reply
+    buffer: events.EventBuffer = attrs.field(factory=events.EventBuffer)
+    silence_seconds: float = 0.0
+    next_check_seconds: float = SERVER_SILENCE_SECONDS
+
+    async def read_events(self) -> bytes:
+        """Return the next whole events and comments, b"" at the end.
+
+        Raises `exceptions.ReplyBroken` when a resumable stream has had no
+        event for so long that it should fail over.
         """
-        if not attempt.resumable:
-            return await reply.read_chunk()
-        waiting_since = clock.read_time()
         while True:
+            waiting_since = clock.read_time()
             try:
-                async with asyncio.timeout(SERVER_SILENCE_SECONDS):
-                    chunk = await reply.read_chunk()
+                async with asyncio.timeout(self._get_wait_seconds()):
+                    chunk = await self.reply.read_chunk()
             except TimeoutError as error:
-                silence = clock.read_time() - waiting_since
-                if self._should_fail_over(attempt, silence):
+                self.silence_seconds += clock.read_time() - waiting_since
+                if self._should_fail_over():
                     raise exceptions.ReplyBroken(
-                        f"the stream was silent for {silence:.1f} s"
+                        f"no event for {self.silence_seconds:.1f} s"
                     ) from error
-            else:
-                attempt.placement.record_activity(attempt.server)
-                return chunk
-
-    def _should_fail_over(
-        self, attempt: Attempt, silence_seconds: float
-    ) -> bool:
-        if not attempt.may_fail_over():
+                self.next_check_seconds = (
+                    self.silence_seconds + SERVER_SILENCE_SECONDS
+                )
+                continue
+            self.silence_seconds += clock.read_time() - waiting_since
+            whole_events = self._feed(chunk)
+            if whole_events or not chunk:
+                return whole_events
+
+    def _feed(self, chunk: bytes) -> bytes:
+        """Return the events that a chunk completes."""
+        previous_id = self.buffer.last_event_id
+        whole_events = self.buffer.feed(chunk)
+        if self.buffer.last_event_id != previous_id:
+            self.silence_seconds = 0.0
+            self.next_check_seconds = SERVER_SILENCE_SECONDS
+            self.attempt.placement.record_activity(self.attempt.server)
+        return whole_events
+
+    def _get_wait_seconds(self) -> t.Optional[float]:
+        if not self.attempt.resumable:
+            return None
+        return max(0.0, self.next_check_seconds - self.silence_seconds)
+
+    def _should_fail_over(self) -> bool:
+        if not self.attempt.may_fail_over():
             return False
-        if silence_seconds >= STREAM_SILENCE_SECONDS:
+        if self.silence_seconds >= STREAM_SILENCE_SECONDS:
             return True
-        return self.started and attempt.placement.is_silent(
-            attempt.server, SERVER_SILENCE_SECONDS
+        return self.response.started and self.attempt.placement.is_silent(
+            self.attempt.server, SERVER_SILENCE_SECONDS
         )
--- a/src/sesamefold/entry/events.py
+++ b/src/sesamefold/entry/events.py
@@ -3,8 +3,13 @@
 import re
 import typing as t
 
+from sesamefold import exceptions
+
 # A blank line ends an event.
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+# Size of an event above which the stream counts as malformed. Events of
+# engines hold a few tokens.
+MAX_EVENT_BYTES = 256 * 1024
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -29,12 +34,19 @@
         return self._partial
 
     def feed(self, data: bytes) -> bytes:
-        """Add a chunk and return the events that it completes, else b""."""
+        """Add a chunk and return the events that it completes, else b"".
+
+        Raises `exceptions.ReplyBroken` for an event that is too large.
+        """
         data = self._partial + data
         end = 0
         for match in _EVENT_END.finditer(data):
             end = match.end()
         whole, self._partial = data[:end], data[end:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise exceptions.ReplyBroken(
+                f"an event exceeds {MAX_EVENT_BYTES} bytes"
+            )
         ids = _ID_LINE.findall(whole)
         if ids:
             self.last_event_id = ids[-1].decode("latin-1").strip()
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -31,6 +31,7 @@
 from sesamefold.entry import upstream
 from sesamefold.entry import weight_status
 from sesamefold import exceptions
+from sesamefold import exchanges
 
 # Time after the signal to stop in which new requests are still accepted. The
 # load balancer checks a host once a second and removes it after two failures.
@@ -139,7 +140,7 @@
             metrics=":".join(map(str, self.settings.metrics_address or ())),
         )
         await self.channel.open()
-        self.session = upstream.make_session()
+        self.session = upstream.make_session(self._log_stray_answer)
         self.dispatcher = dispatch.Dispatcher(
             self.catalog,
             self.placement,
@@ -310,6 +311,9 @@
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         self.decisions.write("stopped", unfinished=self.frontend.in_progress)
 
+    def _log_stray_answer(self, stray: exchanges.StrayAnswer) -> None:
+        self.decisions.write("stray_answer", **attrs.asdict(stray))
+
     async def on_stop(self) -> None:
         """Close the sockets and flush the decision log."""
         await self.session.close()
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -212,7 +212,7 @@
         ]
 
     def has_untried_server(self, call: requests.Call) -> bool:
-        """Return whether a server may yet take a request that failed at others.
+        """Return whether a server may take a request that failed at others.
 
         Servers that are suspected or paused for the moment count.
         """
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -198,7 +198,6 @@
     """
 
     status: int
-    request_id: t.Optional[str]
     not_executed: bool
     sealed: bool
     content_encoded: bool
@@ -220,6 +219,14 @@
     def write_request(self, head: RequestHead, added: AddedHeaders) -> Headers:
         """Return the headers of a forwarded request."""
 
+    def read_reply_id(
+        self, headers: "multidict.MultiMapping[str]"
+    ) -> t.Optional[str]:
+        """Return the id of the request that a reply names, None without one.
+
+        Several ids are none.
+        """
+
     def read_reply(
         self, status: int, headers: t.Mapping[str, str]
     ) -> ReplyHead:
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -9,6 +9,7 @@
 from sesamefold.entry import requests
 from sesamefold.entry import topology
 from sesamefold import exceptions
+from sesamefold import exchanges
 from sesamefold import transport
 
 # Timeout for connecting to a server: ten round trips between regions. A server
@@ -111,15 +112,20 @@
         the connection, which cancels the request at the server. Raises
         `exceptions.NotExecuted` and `exceptions.ReplyBroken`.
         """
+        identity = exchanges.Identity(
+            call.request_id, self._codec.read_reply_id
+        )
         async with contextlib.AsyncExitStack() as stack:
             try:
                 response = await stack.enter_async_context(
-                    self._session.request(
+                    transport.request(
+                        self._session,
                         call.method,
                         yarl.URL(
                             f"http://{server.address}{call.target}",
                             encoded=True,
                         ),
+                        identity,
                         headers=self._codec.write_request(call.head, added),
                         data=call.body or None,
                         skip_auto_headers=_AUTOMATIC_HEADERS,
@@ -137,7 +143,7 @@
                 # A connection can be reused only after the whole body has
                 # been read.
                 await reply.read_body()
-            _check_reply_head(head, call)
+            _check_reply_head(head)
             yield reply
 
 
@@ -145,11 +151,13 @@
     message = transport.describe_error(error)
     if transport.is_unsent(error):
         return exceptions.NotExecuted(message, reachable=False)
+    if isinstance(error, exchanges.ForeignAnswer):
+        return exceptions.ForeignReply(message)
     return exceptions.ReplyBroken(message)
 
 
-def _check_reply_head(head: requests.ReplyHead, call: requests.Call) -> None:
-    """Check that a head belongs to a genuine reply to this request.
+def _check_reply_head(head: requests.ReplyHead) -> None:
+    """Check that the head of the reply to a request is a genuine one.
 
     Raises `exceptions.NotExecuted` or `exceptions.ReplyBroken` otherwise.
     """
@@ -159,8 +167,6 @@
             reachable=True,
             mismatched=head.mismatched,
         )
-    if head.request_id != call.request_id:
-        raise exceptions.ReplyBroken("the reply belongs to another request")
     if head.content_encoded:
         raise exceptions.ReplyBroken(
             "the reply has a content encoding that was not requested"
@@ -171,8 +177,13 @@
         )
 
 
-def make_session() -> aiohttp.ClientSession:
-    """Return the session for requests to backend servers."""
+def make_session(report: exchanges.Reporter) -> aiohttp.ClientSession:
+    """Return the session for requests to backend servers.
+
+    `report` is called with each answer that belongs to no request.
+    """
     return transport.make_session(
-        keepalive_seconds=KEEPALIVE_SECONDS, auto_decompress=False
+        keepalive_seconds=KEEPALIVE_SECONDS,
+        report=report,
+        auto_decompress=False,
     )
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -244,6 +244,12 @@
     executed = NO
 
 
+class ForeignReply(ReplyBroken):
+    """A reply is not shown to be that to the request; it may have run."""
+
+    code = 1220
+
+
 class AnswerCut(RoutingError):
     """The answer had begun and cannot be completed."""
 
--- /dev/null
+++ b/src/sesamefold/exchanges.py
@@ -0,0 +1,309 @@
+"""Connections that carry one request and the answer to it at a time."""
+
+import asyncio
+import collections
+import itertools
+import time
+import typing as t
+import weakref
+
+import aiohttp
+import attrs
+import multidict
+
+from sesamefold import exceptions
+
+# Bytes that may arrive while neither the head of an answer is complete nor its
+# body grows. Three times what the HTTP client buffers before it stops reading.
+MAX_OVERHEAD_BYTES = 768 * 1024
+# Latest requests of a connection whose ids may not be sent on it again.
+REMEMBERED_REQUESTS = 64
+
+_HEAD_END = b"\r\n\r\n"
+_connection_numbers = itertools.count(1)
+
+IdReader = t.Callable[["multidict.MultiMapping[str]"], t.Optional[str]]
+
+
+class ForeignAnswer(aiohttp.ClientError):
+    """An answer is not shown to belong to the request that waits for it."""
+
+
+@attrs.frozen
+class StrayAnswer:
+    """Report of bytes that do not belong to the request of their connection.
+
+    `connection` counts the connections of the process, `age_seconds` is how
+    long ago this one was opened and `exchanges` how many requests it carried
+    before. `request_id` is that of the request that waits, None if none does;
+    `received_id` is that of the answer, None if it has none.
+    """
+
+    reason: str
+    address: str
+    connection: int
+    age_seconds: float
+    exchanges: int
+    request_id: t.Optional[str] = None
+    received_id: t.Optional[str] = None
+    code: int = exceptions.ForeignReply.code
+
+
+Reporter = t.Callable[[StrayAnswer], None]
+
+
+@attrs.frozen
+class Identity:
+    """The id of a request and how the id in the head of an answer is read.
+
+    With `anonymous`, an answer without an id is accepted as well, but only on
+    a connection that has carried no other request, and ends that connection.
+    """
+
+    request_id: str
+    read_id: IdReader
+    anonymous: bool = False
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """One request and the answer to it, as a middleware of the HTTP client.
+
+    No caller of the client gets an answer that is not shown to be that of its
+    request. Without an identity, all answers that arrive while the request
+    waits are accepted. `is_first` says whether the connection has carried no
+    other request.
+    """
+
+    connector: "ExchangeConnector"
+    identity: t.Optional[Identity] = None
+    response: t.Optional[aiohttp.ClientResponse] = None
+    carrier: t.Optional["_Carrier"] = None
+    is_first: bool = False
+
+    async def __call__(
+        self, request: aiohttp.ClientRequest, handler: t.Any
+    ) -> aiohttp.ClientResponse:
+        """Send the request once and return the answer to it.
+
+        Raises `ForeignAnswer`.
+        """
+        self.connector.register(request, self)
+        response = await handler(request)
+        try:
+            self._check_answer(response)
+        except ForeignAnswer:
+            response.close()
+            raise
+        self.response = response
+        return response
+
+    def _check_answer(self, response: aiohttp.ClientResponse) -> None:
+        assert self.carrier is not None
+        if response.status < 200:
+            self._reject("the answer switches to another protocol", None)
+        if self.identity is None:
+            return
+        received_id = self.identity.read_id(response.headers)
+        if received_id == self.identity.request_id:
+            return
+        if received_id is not None:
+            self._reject("the answer has another request's id", received_id)
+        if not self.identity.anonymous or not self.is_first:
+            self._reject("the answer has no request id", None)
+        self.carrier.retire()
+
+    def _reject(self, reason: str, received_id: t.Optional[str]) -> t.NoReturn:
+        assert self.carrier is not None
+        request_id = self.identity.request_id if self.identity else None
+        self.carrier.discard(reason, request_id, received_id)
+        raise ForeignAnswer(reason)
+
+    def count_body_bytes(self) -> int:
+        """Return the size of the answer's body so far."""
+        return self.response.content.total_bytes if self.response else 0
+
+
+class _Carrier(asyncio.Protocol):
+    """Owner of a connection, between its transport and the HTTP client.
+
+    Bytes reach the HTTP client only while an exchange is open. Those that
+    arrive at another time, or that lead to no answer, end the connection.
+    """
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        handler: t.Any,
+        report: Reporter,
+    ) -> None:
+        self.exchanges = 0
+        self._transport = transport
+        self._handler = handler
+        self._report = report
+        self._number = next(_connection_numbers)
+        self._opened_at = time.monotonic()
+        self._exchange: t.Optional[Exchange] = None
+        self._request_ids: t.Deque[str] = collections.deque(
+            maxlen=REMEMBERED_REQUESTS
+        )
+        self._body_bytes = 0
+        self._overhead_bytes = 0
+        transport.set_protocol(self)
+
+    def may_carry(self, exchange: Exchange) -> bool:
+        """Return whether a request can be told apart from all earlier ones.
+
+        A late copy of an answer has the id of the request that it answered.
+        """
+        if self._handler.should_close:
+            return False
+        return exchange.identity is None or (
+            exchange.identity.request_id not in self._request_ids
+        )
+
+    def begin(self, exchange: Exchange) -> None:
+        """Open an exchange; the connection carries no other until `end`."""
+        self._exchange = exchange
+        exchange.carrier = self
+        exchange.is_first = not self.exchanges
+        self._body_bytes = self._overhead_bytes = 0
+
+    def end(self) -> None:
+        """Close the exchange; its answer is complete or was given up."""
+        if self._exchange is None:
+            return
+        if self._exchange.identity is not None:
+            self._request_ids.append(self._exchange.identity.request_id)
+        self._exchange = None
+        self.exchanges += 1
+
+    def retire(self) -> None:
+        """Let the connection carry no further request."""
+        if self._exchange is None:
+            self._transport.close()
+        else:
+            self._handler.force_close()
+
+    def discard(
+        self,
+        reason: str,
+        request_id: t.Optional[str] = None,
+        received_id: t.Optional[str] = None,
+    ) -> None:
+        """Report bytes that belong to no request and end the connection."""
+        if self._transport.is_closing():
+            return
+        host, port = self._transport.get_extra_info("peername")[:2]
+        self._report(
+            StrayAnswer(
+                reason,
+                f"{host}:{port}",
+                self._number,
+                time.monotonic() - self._opened_at,
+                self.exchanges,
+                request_id,
+                received_id,
+            )
+        )
+        self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes on to the HTTP client while an exchange is open."""
+        if self._exchange is None:
+            self.discard("bytes arrived while no request was waiting")
+            return
+        for part in self._split_after_head(data):
+            self._handler.data_received(part)
+        if self._exchange is None:
+            if self._handler.should_close:
+                self.discard("another answer follows a complete one")
+        elif self._count_overhead(len(data)) > MAX_OVERHEAD_BYTES:
+            identity = self._exchange.identity
+            self.discard(
+                "the bytes lead to no answer",
+                identity.request_id if identity else None,
+            )
+
+    def _split_after_head(self, data: bytes) -> t.Iterable[bytes]:
+        """Return the data in one part or, behind a head, in two.
+
+        The HTTP client discards a head that arrives together with bytes that
+        are malformed. In a part of its own, the head and a body of its length
+        are kept if such bytes follow them.
+        """
+        assert self._exchange is not None
+        if self._exchange.response is not None:
+            return (data,)
+        head, end, rest = data.partition(_HEAD_END)
+        return (head + end, rest) if end and rest else (data,)
+
+    def _count_overhead(self, size: int) -> int:
+        """Return the bytes since the answer's body last grew."""
+        assert self._exchange is not None
+        body_bytes = self._exchange.count_body_bytes()
+        if body_bytes > self._body_bytes:
+            self._body_bytes, self._overhead_bytes = body_bytes, 0
+        else:
+            self._overhead_bytes += size
+        return self._overhead_bytes
+
+    def eof_received(self) -> t.Optional[bool]:
+        """Tell the HTTP client that the server sends no more."""
+        return t.cast(t.Optional[bool], self._handler.eof_received())
+
+    def connection_lost(self, exc: t.Optional[Exception]) -> None:
+        """Tell the HTTP client that the connection is closed."""
+        self._handler.connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        """Tell the HTTP client to stop sending."""
+        self._handler.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Tell the HTTP client to go on sending."""
+        self._handler.resume_writing()
+
+
+class ExchangeConnector(aiohttp.TCPConnector):
+    """Connector whose connections carry one exchange at a time.
+
+    `report` is called with each `StrayAnswer`. Each request must be sent
+    through an `Exchange`.
+    """
+
+    def __init__(self, report: Reporter, **options: t.Any) -> None:
+        super().__init__(**options)
+        self._report_stray = report
+        self._exchanges: t.MutableMapping[aiohttp.ClientRequest, Exchange] = (
+            weakref.WeakKeyDictionary()
+        )
+
+    def register(
+        self, request: aiohttp.ClientRequest, exchange: Exchange
+    ) -> None:
+        """Name the exchange to which a request belongs."""
+        self._exchanges[request] = exchange
+
+    async def connect(
+        self, req: aiohttp.ClientRequest, *args: t.Any, **options: t.Any
+    ) -> t.Any:
+        """Return a connection on which the answer to `req` can be told."""
+        exchange = self._exchanges[req]
+        while True:
+            connection = await super().connect(req, *args, **options)
+            carrier = self._take_over(connection)
+            if carrier.may_carry(exchange):
+                carrier.begin(exchange)
+                connection.add_callback(carrier.end)
+                return connection
+            connection.close()
+
+    def _take_over(self, connection: t.Any) -> _Carrier:
+        """Return the carrier of a connection, a new one for a new one."""
+        protocol = connection.transport.get_protocol()
+        if isinstance(protocol, _Carrier):
+            return protocol
+        return _Carrier(
+            connection.transport, connection.protocol, self._report_stray
+        )
--- a/src/sesamefold/gateway.py
+++ b/src/sesamefold/gateway.py
@@ -35,6 +35,7 @@
 from sesamefold import revisions
 from sesamefold import settings as settings_module
 from sesamefold import state as states
+from sesamefold import transport
 from sesamefold.wire import control_pb2
 
 _log = logbook.Logger("gateway")
@@ -407,16 +408,9 @@
 
 def build_backend_session() -> aiohttp.ClientSession:
     """Return the client session for requests to backend servers."""
-    session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=_MAX_CONNECTIONS, limit_per_host=0
-        ),
+    return transport.make_session(
+        max_connections=_MAX_CONNECTIONS,
+        report=logs.log_stray_answer,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=2.0),
-        cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
     )
-    # By default, aiohttp retries a PUT or DELETE whose connection was lost.
-    # The server may have executed the call, and calls must run at most once.
-    # aiohttp has no public option to turn the retry off.
-    session._retry_connection = False
-    return session
--- a/src/sesamefold/keyvalue.py
+++ b/src/sesamefold/keyvalue.py
@@ -233,7 +233,7 @@
                 if response.status in (204, 404):
                     return None
                 response.raise_for_status()
-                return decode(json.loads(await response.read()))
+                return decode(json.loads(await transport.read_body(response)))
         except transport.CALL_ERRORS as error:
             raise exceptions.PlatformUnavailable(
                 f"key-value service: {transport.describe_error(error)}"
@@ -265,7 +265,7 @@
                 timeout=transport.make_timeout(deadline),
             ) as response:
                 status = response.status
-                reply = json.loads(await response.read())
+                reply = json.loads(await transport.read_body(response))
                 if status in (200, 409):
                     return status, decode(reply)
         except transport.CALL_ERRORS as error:
--- a/src/sesamefold/logs.py
+++ b/src/sesamefold/logs.py
@@ -7,10 +7,12 @@
 import traceback
 import typing as t
 
+import attrs
 import logbook
 import logbook.compat
 
 from sesamefold import exceptions
+from sesamefold import exchanges
 
 # Extra fields with these names are dropped from every log record.
 SECRET_FIELDS = frozenset(
@@ -30,6 +32,8 @@
 )
 MAX_MESSAGE_CHARACTERS = 2000
 
+_log = logbook.Logger("http")
+
 _LEVELS = {
     logbook.INFO: logging.INFO,
     logbook.NOTICE: logging.INFO,
@@ -114,3 +118,8 @@
     logbook.compat.redirect_logging(set_root_logger_level=False)
     logging.root.setLevel(_LEVELS.get(level, logging.DEBUG))
     return handler
+
+
+def log_stray_answer(stray: exchanges.StrayAnswer) -> None:
+    """Log an answer that belongs to no request of its connection."""
+    _log.warning("stray answer: {}", stray.reason, extra=attrs.asdict(stray))
--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -26,6 +26,9 @@
 # both: the platform charges for each call, and servers report continuously.
 _PLATFORM_PREFIXES = (wire.OPERATIONS_PREFIX, wire.SERVERS_PREFIX)
 _ALL_KEYS = ""
+# Largest reply of the store: a watch may return many values of up to a
+# megabyte.
+MAX_REPLY_BYTES = 32 * 1024 * 1024
 # Statuses with which the store rejects a call without executing it.
 _REJECTION_STATUSES = (429, 503)
 
@@ -202,7 +205,7 @@
                     total=seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
                 ),
             ) as response:
-                data = await response.read()
+                data = await transport.read_body(response, MAX_REPLY_BYTES)
                 if response.status in _REJECTION_STATUSES:
                     raise exceptions.PlatformUnavailable(
                         f"the store answered {response.status}"
--- a/src/sesamefold/platform/engines.py
+++ b/src/sesamefold/platform/engines.py
@@ -99,7 +99,7 @@
                     sock_connect=CONNECT_TIMEOUT_SECONDS,
                 ),
             ) as response:
-                data = await response.read()
+                data = await transport.read_body(response)
                 decoded = wire.decode(data) if response.status == 200 else None
                 return response.status, decoded
         except transport.CALL_ERRORS as error:
--- a/src/sesamefold/platform/headers.py
+++ b/src/sesamefold/platform/headers.py
@@ -114,6 +114,16 @@
             headers[wire.LAST_EVENT_ID] = added.last_event_id
         return headers
 
+    def read_reply_id(
+        self, headers: "multidict.MultiMapping[str]"
+    ) -> t.Optional[str]:
+        """Return the id of the request that a reply names, None without one.
+
+        Several ids are none.
+        """
+        ids = headers.getall(wire.REQUEST_ID, ())
+        return ids[0] if len(ids) == 1 else None
+
     def read_reply(
         self, status: int, headers: t.Mapping[str, str]
     ) -> requests.ReplyHead:
@@ -121,7 +131,6 @@
         length = _parse_number(headers.get("Content-Length"))
         return requests.ReplyHead(
             status=status,
-            request_id=headers.get(wire.REQUEST_ID),
             not_executed=(
                 wire.NOT_EXECUTED in headers or status == _MISDIRECTED_STATUS
             ),
--- a/src/sesamefold/platform/stores.py
+++ b/src/sesamefold/platform/stores.py
@@ -95,7 +95,7 @@
                 ),
                 **options,
             ) as response:
-                data = await response.read()
+                data = await transport.read_body(response)
                 if response.status != 200:
                     raise exceptions.StoreUnavailable(
                         f"status {response.status}"
--- a/src/sesamefold/transport.py
+++ b/src/sesamefold/transport.py
@@ -1,17 +1,27 @@
 """HTTP sessions, timeouts and errors that all HTTP clients share."""
 
 import asyncio
+import json
 import typing as t
+import uuid
 
 import aiohttp
+import yarl
 
 from sesamefold import deadline as deadlines
+from sesamefold import exchanges
 
 # Largest fraction of the remaining time that connecting may take. A timeout
 # while connecting shows that a host which drops packets has not received the
 # request; a timeout of the whole call would leave that unknown.
 CONNECT_TIMEOUT_FRACTION = 0.5
 
+# Header with the id of a request on its connection, which the answer repeats.
+EXCHANGE_HEADER = "Sesamefold-Exchange"
+# Largest body of an answer that is read as a whole, as the lists of an
+# engine's blocks are.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
 # Errors of a call. ValueError covers responses that are not valid JSON,
 # KeyError and TypeError those that lack fields.
 CALL_ERRORS = (
@@ -24,6 +34,10 @@
 )
 
 
+class BodyTooLarge(aiohttp.ClientError):
+    """The body of an answer is larger than any answer to the request."""
+
+
 class ConnectionLost(aiohttp.ClientConnectionError):
     """The connection closed after the request may have been sent."""
 
@@ -45,28 +59,96 @@
         raise ConnectionLost(describe_error(error)) from error
 
 
+def _ignore_stray_answer(stray: exchanges.StrayAnswer) -> None:
+    """Report nothing; for sessions without a log."""
+
+
 def make_session(
-    keepalive_seconds: float = 15.0, **options: t.Any
+    keepalive_seconds: float = 15.0,
+    max_connections: int = 0,
+    report: exchanges.Reporter = _ignore_stray_answer,
+    **options: t.Any,
 ) -> aiohttp.ClientSession:
     """Return an HTTP session for all clients of a process.
 
     It sends each request at most once, so a call fails when the server has
-    closed a reused connection. It stores no cookies, which would pass from
-    the call of one customer to that of another, and has no limit of
-    connections, because waiting for a free one would count as time to
-    connect. Redirects are followed unless the call disables them. A
-    connection that was idle for `keepalive_seconds` is not reused.
+    closed a reused connection. A connection on which bytes arrive while no
+    request waits is closed, and `report` is called. The session stores no
+    cookies, which would pass from the call of one customer to that of
+    another. It has no limit of connections unless `max_connections` is set,
+    because waiting for a free one would count as time to connect. Redirects
+    are followed unless the call disables them. A connection that was idle for
+    `keepalive_seconds` is not reused.
     """
+    connector = exchanges.ExchangeConnector(
+        report, limit=max_connections, keepalive_timeout=keepalive_seconds
+    )
+
+    async def open_exchange(
+        request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        return await exchanges.Exchange(connector)(request, handler)
+
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=keepalive_seconds
-        ),
+        connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
-        middlewares=(_prevent_automatic_retry,),
+        middlewares=(_prevent_automatic_retry, open_exchange),
         **options,
     )
 
 
+def request(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: t.Union[str, yarl.URL],
+    identity: exchanges.Identity,
+    **options: t.Any,
+) -> t.AsyncContextManager[aiohttp.ClientResponse]:
+    """Send a request of a session and yield the answer to it.
+
+    Any other answer raises `exchanges.ForeignAnswer`, one of `CALL_ERRORS`.
+    `session` is one of `make_session`; the options are those of aiohttp.
+    """
+    connector = t.cast(exchanges.ExchangeConnector, session.connector)
+    return session.request(
+        method,
+        url,
+        middlewares=(
+            _prevent_automatic_retry,
+            exchanges.Exchange(connector, identity),
+        ),
+        **options,
+    )
+
+
+def make_identity(anonymous: bool = False) -> exchanges.Identity:
+    """Return the identity of one call of this product's own interfaces.
+
+    The request carries its id in the header `EXCHANGE_HEADER`, and the answer
+    repeats it.
+    """
+    return exchanges.Identity(
+        uuid.uuid4().hex,
+        lambda headers: headers.get(EXCHANGE_HEADER),
+        anonymous,
+    )
+
+
+async def read_body(
+    response: aiohttp.ClientResponse, max_bytes: int = MAX_BODY_BYTES
+) -> bytes:
+    """Return the whole body; raises `BodyTooLarge` above `max_bytes`."""
+    chunks = []
+    size = 0
+    while chunk := await response.content.readany():
+        size += len(chunk)
+        if size > max_bytes:
+            response.close()
+            raise BodyTooLarge(f"the body exceeds {max_bytes} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 def make_timeout(
     deadline: deadlines.Deadline, idle_seconds: float = 0.0
 ) -> aiohttp.ClientTimeout:
@@ -102,7 +184,7 @@
 ) -> t.Dict[str, t.Any]:
     """Return the JSON object of an error response, {} without one."""
     try:
-        body = await response.json(content_type=None)
+        body = json.loads(await read_body(response))
     except CALL_ERRORS:
         return {}
     return body if isinstance(body, dict) else {}
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -85,11 +85,9 @@
             )
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "misdirect" or not self._has_expected_target(request):
-            return web.Response(status=421)
+            return _make_refusal(request, 421)
         if fault == "refuse":
-            return web.Response(
-                status=503, headers={"Sesamefold-Not-Executed": "1"}
-            )
+            return _make_refusal(request, 503)
         return await self._execute(request, fault)
 
     def _has_expected_target(self, request: web.BaseRequest) -> bool:
@@ -142,9 +140,7 @@
             except engine_simulator.AdmissionError:
                 # A request that was not admitted was not executed.
                 self.runs = [r for r in self.runs if r is not run]
-                return web.Response(
-                    status=503, headers={"Sesamefold-Not-Executed": "1"}
-                )
+                return _make_refusal(request, 503)
         if "Sesamefold-Model" in request.headers:
             return await self._stream_fixed_events(request, headers, fault)
         if fault == "cut-unframed":
@@ -328,6 +324,17 @@
         return web.Response(status=202)
 
 
+def _make_refusal(request: web.BaseRequest, status: int) -> web.Response:
+    """Return the statement that a request was not executed."""
+    return web.Response(
+        status=status,
+        headers={
+            "Sesamefold-Not-Executed": "1",
+            "Sesamefold-Request-Id": request.headers["Sesamefold-Request-Id"],
+        },
+    )
+
+
 def parse_prompt(headers: t.Mapping[str, str]) -> engine_simulator.Prompt:
     """Return the prompt that the headers of a request describe."""
     size, output = (
--- /dev/null
+++ b/standins/scripted_server.py
@@ -0,0 +1,139 @@
+"""Stand-in of a faulty backend server that plays scripted bytes."""
+
+import asyncio
+import itertools
+import typing as t
+
+import attrs
+
+# Pause after each piece of a step that is written in pieces.
+PIECE_PAUSE_SECONDS = 0.002
+
+
+@attrs.frozen
+class Step:
+    """Bytes that the server writes, and what it does after them.
+
+    `text` may contain "{id}", the id of the request, and "{earlier}", that of
+    the request before it at the server. The bytes are written in pieces of
+    `piece_bytes`, 0 for one piece, `repeat` times or, with `endless`, until
+    the caller closes. Then the server pauses for `pause_seconds`.
+    """
+
+    text: str
+    piece_bytes: int = 0
+    repeat: int = 1
+    endless: bool = False
+    pause_seconds: float = 0.0
+
+
+@attrs.frozen
+class Script:
+    """What the server does with one request.
+
+    With `executes`, it runs the request before the first step. With `closes`,
+    it closes the connection after the last one.
+    """
+
+    steps: t.Tuple[Step, ...]
+    executes: bool = True
+    closes: bool = False
+
+
+class ScriptedServer:
+    """A server that plays the next script for each request.
+
+    `id_header` names the header of requests with their id. `executed` and
+    `received` are the ids of the requests that it ran and received, and
+    `closed_by_peer` counts the connections that the caller closed.
+    """
+
+    def __init__(self, id_header: str) -> None:
+        self.scripts: t.List[Script] = []
+        self.executed: t.List[str] = []
+        self.received: t.List[str] = []
+        self.connections = 0
+        self.closed_by_peer = 0
+        self.address = ""
+        self._id_header = id_header.lower().encode()
+        self._server: t.Optional[asyncio.Server] = None
+        self._tasks: t.Set["asyncio.Task[t.Any]"] = set()
+
+    async def __aenter__(self) -> "t.Self":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "%s:%d" % self._server.sockets[0].getsockname()
+        return self
+
+    async def __aexit__(self, *exc_info: t.Any) -> None:
+        assert self._server is not None
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self.connections += 1
+        try:
+            while request_id := await self._read_request(reader):
+                if await self._play(request_id, writer):
+                    return
+        except OSError:
+            self.closed_by_peer += 1
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _read_request(self, reader: asyncio.StreamReader) -> str:
+        """Read a request and return its id, "" when the caller has closed."""
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            self.closed_by_peer += 1
+            return ""
+        fields = dict(
+            (name.lower(), value.strip())
+            for name, _, value in (
+                line.partition(b":") for line in head.split(b"\r\n")[1:-2]
+            )
+        )
+        await reader.readexactly(int(fields.get(b"content-length", b"0")))
+        request_id = fields[self._id_header].decode()
+        self.received.append(request_id)
+        return request_id
+
+    async def _play(
+        self, request_id: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Play the next script and return whether it ends the connection."""
+        script = self.scripts.pop(0)
+        if script.executes:
+            self.executed.append(request_id)
+        names = {"id": request_id, "earlier": (["none"] + self.received)[-2]}
+        for step in script.steps:
+            text = step.text
+            for name, value in names.items():
+                text = text.replace("{%s}" % name, value)
+            await _write(writer, text.encode(), step)
+            await asyncio.sleep(step.pause_seconds)
+        return script.closes
+
+
+async def _write(
+    writer: asyncio.StreamWriter, data: bytes, step: Step
+) -> None:
+    """Write the bytes of a step; raises `OSError` once the caller closed."""
+    repeats = itertools.repeat(0) if step.endless else range(step.repeat)
+    size = step.piece_bytes or len(data) or 1
+    pieces = [
+        data[start : start + size] for start in range(0, len(data), size)
+    ]
+    for piece in (piece for _ in repeats for piece in pieces):
+        writer.write(piece)
+        await writer.drain()
+        if step.piece_bytes:
+            await asyncio.sleep(PIECE_PAUSE_SECONDS)
--- a/standins/server.py
+++ b/standins/server.py
@@ -89,6 +89,7 @@
         app = web.Application(
             middlewares=[self._apply_faults], client_max_size=MAX_BODY_BYTES
         )
+        app.on_response_prepare.append(_repeat_exchange_id)
         app.router.add_post("/faults", self._post_faults)
         app.router.add_get("/counters", self._get_counters)
         self.add_routes(app.router)
@@ -219,6 +220,15 @@
         return response
 
 
+async def _repeat_exchange_id(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> None:
+    """Name the request that a response belongs to."""
+    exchange_id = request.headers.get("Sesamefold-Exchange")
+    if exchange_id is not None:
+        response.headers["Sesamefold-Exchange"] = exchange_id
+
+
 def make_error_response(
     status: int, message: str, executed: str = "", **details: t.Any
 ) -> web.Response:
--- a/tests/test_entry_deliveries.py
+++ b/tests/test_entry_deliveries.py
@@ -18,7 +18,7 @@
 
     def __init__(self, seconds: float) -> None:
         self.head = requests.ReplyHead(
-            200, "r-1", False, True, False, None, multidict.CIMultiDict()
+            200, False, True, False, None, multidict.CIMultiDict()
         )
         self._chunks: t.Iterator[bytes] = iter(
             (b"id: 1\n\n", b"id: 2\n\n", b"")
--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,394 @@
+"""Tests of answers that belong to no request, at both interfaces."""
+
+import asyncio
+import time
+import typing as t
+import unittest
+
+import multidict
+
+from sesamefold import deadline as deadlines
+from sesamefold import engines
+from sesamefold.entry import requests
+from sesamefold.entry import upstream
+from sesamefold import exceptions
+from sesamefold import exchanges
+from sesamefold.platform import headers
+from sesamefold import transport
+from standins import scripted_server
+from tests import entry_fakes
+
+ID_HEADER = "Sesamefold-Request-Id"
+# Longest time that an attempt may take whose server sends no answer. Its
+# deadline is much later.
+GIVE_UP_SECONDS = 5.0
+
+
+def make_answer(
+    request_id: str = "{id}", body: str = "answer to {id}", extra: str = ""
+) -> str:
+    """Return an answer of the users' engines; `body` may name a request."""
+    size = len(body.replace("{id}", "r-1").replace("{earlier}", "r-1"))
+    return (
+        "HTTP/1.1 200 OK\r\nSesamefold-Response-Seal: seal\r\n"
+        f"{ID_HEADER}: {request_id}\r\n{extra}"
+        f"Content-Length: {size}\r\n\r\n{body}"
+    )
+
+
+def make_refusal(request_id: t.Optional[str], status: int = 503) -> str:
+    """Return a statement that a request was not executed."""
+    name = "" if request_id is None else f"{ID_HEADER}: {request_id}\r\n"
+    return (
+        f"HTTP/1.1 {status} Refused\r\nSesamefold-Not-Executed: 1\r\n"
+        f"{name}Content-Length: 2\r\n\r\nno"
+    )
+
+
+ANSWER = make_answer()
+OWN_REFUSAL = make_refusal("{id}")
+STREAM_HEAD = (
+    "HTTP/1.1 200 OK\r\nSesamefold-Response-Seal: seal\r\n"
+    f"{ID_HEADER}: {{id}}\r\nTransfer-Encoding: chunked\r\n"
+)
+
+
+def script(*texts: str, executes: bool = True, **step: t.Any) -> t.Any:
+    """Return a script with a step for each text."""
+    return scripted_server.Script(
+        tuple(scripted_server.Step(text, **step) for text in texts), executes
+    )
+
+
+class UpstreamCase(unittest.IsolatedAsyncioTestCase):
+    """A client of the users' engines and a server that plays scripts."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the server and open the session."""
+        self.server = await self.enterAsyncContext(
+            scripted_server.ScriptedServer(ID_HEADER)
+        )
+        self.strays: t.List[exchanges.StrayAnswer] = []
+        self.session = await self.enterAsyncContext(
+            upstream.make_session(self.strays.append)
+        )
+        self.client = upstream.UpstreamClient(
+            self.session, headers.HeaderCodec()
+        )
+
+    async def send(self, request_id: str) -> bytes:
+        """Send a request and return the body of its answer."""
+        head = requests.RequestHead(
+            request_id, multidict.CIMultiDict({ID_HEADER: request_id})
+        )
+        route: t.Any = None
+        call = requests.Call(
+            head, route, "chat", None, "POST", "/", b"x", 0.0, 60.0
+        )
+        server = entry_fakes.make_server("i-1", address=self.server.address)
+        added = requests.AddedHeaders("i-1", 5.0, None, 0)
+        async with asyncio.timeout(GIVE_UP_SECONDS):
+            async with self.client.send(server, call, added) as reply:
+                return await reply.read_body()
+
+    async def find_outcome(self, request_id: str) -> t.Any:
+        """Return the body of the answer or the class of the error."""
+        try:
+            return await self.send(request_id)
+        except exceptions.RoutingError as error:
+            return type(error)
+
+    async def play(
+        self, *scripts: t.Any, pause: float = 0.05
+    ) -> t.List[t.Any]:
+        """Return the outcomes of a request for each script, one by one."""
+        self.server.scripts = list(scripts)
+        outcomes = []
+        for number in range(1, len(scripts) + 1):
+            outcomes.append(await self.find_outcome(f"r-{number}"))
+            await asyncio.sleep(pause)
+        return outcomes
+
+
+class StrayAnswerTest(UpstreamCase):
+    """Answers to other requests on kept connections."""
+
+    async def test_earlier_refusal_in_place_of_an_answer_proves_nothing(
+        self,
+    ) -> None:
+        """Guards against "not executed" for a request that has run.
+
+        The server runs the second request and then writes the refusal of the
+        first once more, with its id or without one.
+        """
+        for repeated in (
+            make_refusal("{earlier}"),
+            make_refusal(None),
+            make_refusal("{earlier}", 421),
+            make_refusal(None, 421),
+            make_refusal("{earlier}") * 2,
+            make_refusal("{earlier}") + ANSWER,
+        ):
+            with self.subTest(repeated=repeated):
+                outcomes = await self.play(
+                    script(OWN_REFUSAL, executes=False), script(repeated)
+                )
+                self.assertEqual(
+                    [exceptions.NotExecuted, exceptions.ForeignReply], outcomes
+                )
+        self.assertEqual({1220}, {stray.code for stray in self.strays})
+
+    async def test_refusal_with_the_id_of_its_request_is_believed(
+        self,
+    ) -> None:
+        """Guards against retries that are not made for lack of proof."""
+        outcomes = await self.play(
+            *(
+                script(make_refusal("{id}", status), executes=False)
+                for status in (503, 429, 421, 400)
+            )
+        )
+        self.assertEqual([exceptions.NotExecuted] * 4, outcomes)
+        self.assertEqual(1, self.server.connections)
+
+    async def test_late_copy_is_not_the_answer_to_the_next_request(
+        self,
+    ) -> None:
+        """Guards against an answer that is another caller's.
+
+        The copy comes at once, before the next request, in its place or in
+        pieces across both.
+        """
+        copy = make_answer("{earlier}", "answer to {earlier}")
+        own = b"answer to r-2"
+        table = (
+            ("at once", (ANSWER + ANSWER,), ANSWER, own),
+            ("head first", (ANSWER[:80], ANSWER[80:] + ANSWER), ANSWER, own),
+            ("before the next", (ANSWER, ANSWER), ANSWER, own),
+            ("in its place", (ANSWER,), copy + ANSWER, None),
+            ("instead of it", (ANSWER,), copy, None),
+            ("after it", (ANSWER,), ANSWER + copy, own),
+        )
+        for name, first, second, expected in table:
+            with self.subTest(name):
+                outcomes = await self.play(
+                    script(*first, pause_seconds=0.02), script(second)
+                )
+                self.assertEqual(b"answer to r-1", outcomes[0])
+                self.assertEqual(
+                    expected or exceptions.ForeignReply, outcomes[1]
+                )
+
+    async def test_half_of_a_copy_behind_an_answer_harms_no_other(
+        self,
+    ) -> None:
+        """Guards against the rest of a copy that becomes an answer."""
+        for size in (1, 20, len(ANSWER) - 3):
+            outcomes = await self.play(
+                script(ANSWER + ANSWER[:size]), script(ANSWER[size:] + ANSWER)
+            )
+            self.assertEqual(b"answer to r-1", outcomes[0])
+            self.assertIn(
+                outcomes[1],
+                (
+                    b"answer to r-2",
+                    exceptions.ReplyBroken,
+                    exceptions.ForeignReply,
+                ),
+            )
+
+    async def test_bytes_behind_an_answer_do_not_spoil_it(self) -> None:
+        """Guards against the loss of an answer that is whole."""
+        for extra in ("spoiled", "HTTP/1.1 999\r\n\r\n", "\r\n\r\n", "0"):
+            with self.subTest(extra=extra):
+                outcomes = await self.play(
+                    script(ANSWER + extra), script(ANSWER + extra)
+                )
+                self.assertEqual(
+                    [b"answer to r-1", b"answer to r-2"], outcomes
+                )
+
+    async def test_id_is_not_sent_twice_on_a_connection(self) -> None:
+        """Guards against a copy that bears the id of a repeated request."""
+        self.server.scripts = [
+            script(OWN_REFUSAL, executes=False),
+            script(ANSWER),
+        ]
+        self.assertEqual(
+            exceptions.NotExecuted, await self.find_outcome("r-1")
+        )
+        self.assertEqual(b"answer to r-1", await self.find_outcome("r-1"))
+        self.assertEqual(2, self.server.connections)
+
+    async def test_connection_with_stray_bytes_is_closed_and_reported(
+        self,
+    ) -> None:
+        """Guards against a pooled connection that holds an old answer."""
+        self.server.scripts = [
+            script(ANSWER, make_refusal("{id}"), pause_seconds=0.02),
+            script(ANSWER),
+        ]
+        await self.find_outcome("r-1")
+        await asyncio.sleep(0.1)
+        self.assertEqual(1, self.server.closed_by_peer)
+        (stray,) = self.strays
+        self.assertEqual(self.server.address, stray.address)
+        self.assertEqual((1, None), (stray.exchanges, stray.request_id))
+        await self.find_outcome("r-2")
+        self.assertEqual(2, self.server.connections)
+
+    async def test_sound_server_keeps_its_connection(self) -> None:
+        """Guards against a check that costs new connections."""
+        await self.play(*[script(ANSWER, piece_bytes=40)] * 9, pause=0.0)
+        self.assertEqual(1, self.server.connections)
+        self.assertEqual([], self.strays)
+
+    async def test_switch_to_another_protocol_is_no_answer(self) -> None:
+        """Guards against a reply that hands the connection over."""
+        (outcome,) = await self.play(
+            script(
+                "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\n"
+                f"Upgrade: x\r\n{ID_HEADER}: {{id}}\r\n\r\nbytes"
+            )
+        )
+        self.assertEqual(exceptions.ForeignReply, outcome)
+
+
+class EndlessBytesTest(UpstreamCase):
+    """Bytes without end, which no answer is made of."""
+
+    async def test_endless_bytes_end_the_attempt_and_the_connection(
+        self,
+    ) -> None:
+        """Guards against an attempt that takes memory or time without end.
+
+        Each case has the bytes that come first and those that are repeated
+        until the caller closes.
+        """
+        chunked = STREAM_HEAD + "\r\n"
+        sized = f"{ANSWER.partition('Content-Length')[0]}Content-Length: "
+        table = (
+            ("status line", "HTTP/1.1 200 ", "x"),
+            ("header", "HTTP/1.1 200 OK\r\nX: ", "x"),
+            ("headers", "HTTP/1.1 200 OK\r\n", "X: y\r\n"),
+            ("blank lines", "", "\r\n"),
+            ("interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+            ("chunk size", chunked, "0"),
+            ("chunk extension", chunked + "5;", "x"),
+            ("trailers", chunked + "0\r\n", "X: y\r\n"),
+            ("body with a length", sized + "99999999999\r\n\r\n", "x"),
+            ("chunks", chunked, "5\r\nabcde\r\n"),
+            ("body without a length", sized[:-16] + "\r\n", "x"),
+        )
+        for name, first, repeated in table:
+            with self.subTest(name):
+                started_at = time.monotonic()
+                closed = self.server.closed_by_peer
+                self.server.scripts = [
+                    scripted_server.Script(
+                        (
+                            scripted_server.Step(first),
+                            scripted_server.Step(
+                                repeated * 4096, endless=True
+                            ),
+                        )
+                    )
+                ]
+                outcome = await self.find_outcome("r-1")
+                self.assertTrue(
+                    issubclass(outcome, exceptions.ReplyBroken), outcome
+                )
+                self.assertLess(time.monotonic() - started_at, GIVE_UP_SECONDS)
+                async with asyncio.timeout(GIVE_UP_SECONDS):
+                    while self.server.closed_by_peer == closed:
+                        await asyncio.sleep(0.01)
+
+    async def test_endless_bytes_behind_an_answer_leave_it_whole(
+        self,
+    ) -> None:
+        """Guards against a connection that is read after its answer."""
+        self.server.scripts = [
+            scripted_server.Script(
+                (
+                    scripted_server.Step(ANSWER),
+                    scripted_server.Step("x" * 4096, endless=True),
+                )
+            )
+        ]
+        self.assertEqual(b"answer to r-1", await self.find_outcome("r-1"))
+        async with asyncio.timeout(GIVE_UP_SECONDS):
+            while not self.server.closed_by_peer:
+                await asyncio.sleep(0.01)
+
+
+class OwnEnginesTest(unittest.IsolatedAsyncioTestCase):
+    """The same reports before engines of the product's own interface."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the server and open the session."""
+        self.server = await self.enterAsyncContext(
+            scripted_server.ScriptedServer(transport.EXCHANGE_HEADER)
+        )
+        self.session = await self.enterAsyncContext(transport.make_session())
+        self.engine = engines.HttpEngine(
+            self.session, self.server.address, idle_seconds=0.3
+        )
+
+    async def run_prompt(self, *scripts: t.Any) -> t.Any:
+        """Return the class of the error that ends the last of the runs."""
+        self.server.scripts = list(scripts)
+        outcome: t.Any = None
+        for _ in scripts:
+            request = engines.CompletionRequest(
+                request_id="r-1",
+                model="m",
+                weight_version="v1",
+                prompt="p",
+                max_tokens=1,
+                cache_salt="",
+                seed=1,
+                deadline=deadlines.Deadline.after(GIVE_UP_SECONDS),
+            )
+            try:
+                outcome = [e async for e in self.engine.complete(request)]
+            except exceptions.RoutingError as error:
+                outcome = type(error)
+        return outcome
+
+    def make_own_refusal(self, name: str) -> str:
+        """Return a refusal before execution; `name` is its id."""
+        return (
+            "HTTP/1.1 503 Refused\r\nSesamefold-Executed: no\r\n"
+            f"{name}Content-Length: 2\r\n\r\n{{}}"
+        )
+
+    async def test_earlier_refusal_proves_nothing(self) -> None:
+        """Guards against "not executed" for a run that began."""
+        header = transport.EXCHANGE_HEADER
+        refusal = script(
+            self.make_own_refusal(f"{header}: {{id}}\r\n"), executes=False
+        )
+        self.assertEqual(
+            exceptions.BackendRefused, await self.run_prompt(refusal, refusal)
+        )
+        for name in (f"{header}: {{earlier}}\r\n", ""):
+            self.assertEqual(
+                exceptions.BackendFailed,
+                await self.run_prompt(
+                    refusal, script(self.make_own_refusal(name))
+                ),
+            )
+
+    async def test_trickled_bytes_are_no_line(self) -> None:
+        """Guards against a stalled stream that single bytes keep open."""
+        head = (
+            f"HTTP/1.1 200 OK\r\n{transport.EXCHANGE_HEADER}: {{id}}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        trickle = [scripted_server.Step("1\r\n:\r\n", pause_seconds=0.1)] * 100
+        started_at = time.monotonic()
+        outcome = await self.run_prompt(
+            scripted_server.Script((scripted_server.Step(head), *trickle))
+        )
+        self.assertEqual(exceptions.BackendFailed, outcome)
+        self.assertLess(time.monotonic() - started_at, 2.0)
