--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 SOURCES = src standins tests tools deploy
 
-.PHONY: test check format demo bench load soak wire clean
+.PHONY: test check format demo bench load soak fuzz wire clean
 
 $(BIN)/.installed: requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -41,6 +41,11 @@
 soak: $(BIN)/.installed
 	$(BIN)/python -m tools.soak --seeds $(or $(SEEDS),1 2 3)
 
+# Generated behaviour of faulty servers, with other examples for each seed.
+fuzz: $(BIN)/.installed
+	FUZZ_SEED=$(or $(SEED),1) FUZZ_EXAMPLES=$(or $(EXAMPLES),5000) \
+		$(BIN)/python -m unittest -v tests.test_exchange_fuzz
+
 # Needs grpcio-tools; the generated code is committed.
 wire: $(BIN)/.installed
 	$(BIN)/python -m grpc_tools.protoc -Iproto \
--- a/src/sesamefold/exchanges.py
+++ b/src/sesamefold/exchanges.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import itertools
+import re
 import time
 import typing as t
 import weakref
@@ -20,6 +21,9 @@
 REMEMBERED_REQUESTS = 64
 
 _HEAD_END = b"\r\n\r\n"
+# The begin of a head. Within another head it shows that the first one was cut
+# off, so that its fields would count as those of the second.
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] [0-9]{3}")
 _connection_numbers = itertools.count(1)
 
 IdReader = t.Callable[["multidict.MultiMapping[str]"], t.Optional[str]]
@@ -104,6 +108,9 @@
             self._reject("the answer switches to another protocol", None)
         if self.identity is None:
             return
+        texts = (response.reason or "", *response.headers.values())
+        if any(map(_STATUS_LINE.search, texts)):
+            self._reject("the head contains the begin of another one", None)
         received_id = self.identity.read_id(response.headers)
         if received_id == self.identity.request_id:
             return
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -15,12 +15,15 @@
     """Bytes that the server writes, and what it does after them.
 
     `text` may contain "{id}", the id of the request, and "{earlier}", that of
-    the request before it at the server. The bytes are written in pieces of
-    `piece_bytes`, 0 for one piece, `repeat` times or, with `endless`, until
-    the caller closes. Then the server pauses for `pause_seconds`.
+    the request before it at the server. Of the text with the ids, the bytes
+    from `start` to `stop` are written in pieces of `piece_bytes`, 0 for one
+    piece, `repeat` times or, with `endless`, until the caller closes. Then
+    the server pauses for `pause_seconds`.
     """
 
     text: str
+    start: t.Optional[int] = None
+    stop: t.Optional[int] = None
     piece_bytes: int = 0
     repeat: int = 1
     endless: bool = False
@@ -118,7 +121,8 @@
             text = step.text
             for name, value in names.items():
                 text = text.replace("{%s}" % name, value)
-            await _write(writer, text.encode(), step)
+            data = text.encode()[step.start : step.stop]
+            await _write(writer, data, step)
             await asyncio.sleep(step.pause_seconds)
         return script.closes
 
--- a/tests/test_entry_deliveries.py
+++ b/tests/test_entry_deliveries.py
@@ -8,15 +8,20 @@
 import multidict
 
 from sesamefold.entry import deliveries
+from sesamefold.entry import events
 from sesamefold.entry import requests
 from sesamefold import exceptions
 from tests import entry_fakes
 
 
 class SilentReply:
-    """Stream that pauses for some seconds after its first event."""
+    """Stream that pauses for some seconds after its first event.
 
-    def __init__(self, seconds: float) -> None:
+    With `trickle`, it sends these bytes each 0.1 s of the pause.
+    """
+
+    def __init__(self, seconds: float, trickle: bytes = b"") -> None:
+        self._trickle = trickle
         self.head = requests.ReplyHead(
             200, False, True, False, None, multidict.CIMultiDict()
         )
@@ -30,6 +35,9 @@
         """Return the next event; a call after a cancelled one waits again."""
         if not self._first:
             now = asyncio.get_running_loop().time()
+            if self._trickle and now < self._resumes_at:
+                await asyncio.sleep(0.1)
+                return self._trickle
             await asyncio.sleep(max(0.0, self._resumes_at - now))
         self._first = False
         return next(self._chunks)
@@ -57,11 +65,15 @@
 class SilentStreamTest(unittest.IsolatedAsyncioTestCase):
     """Resumable streams whose server falls silent."""
 
-    async def deliver(self, may_fail_over: bool) -> RecordingWriter:
+    placement_is_silent = True
+
+    async def deliver(
+        self, may_fail_over: bool, trickle: bytes = b"", seconds: float = 0.4
+    ) -> RecordingWriter:
         """Forward a stream that pauses longer than the limit on silence."""
         placement: t.Any = types.SimpleNamespace(
             record_activity=lambda server: None,
-            is_silent=lambda server, seconds: True,
+            is_silent=lambda server, seconds: self.placement_is_silent,
         )
         attempt = deliveries.Attempt(
             entry_fakes.make_server("i-1"),
@@ -74,7 +86,9 @@
             route=types.SimpleNamespace(streamed=True), last_event_id=None
         )
         writer = RecordingWriter()
-        reply: t.Any = SilentReply(deliveries.STREAM_SILENCE_SECONDS + 0.4)
+        reply: t.Any = SilentReply(
+            deliveries.STREAM_SILENCE_SECONDS + seconds, trickle
+        )
         await deliveries.CallerResponse(writer).forward_reply(
             call, reply, attempt
         )
@@ -94,3 +108,32 @@
     async def test_a_silent_stream_that_can_fail_over_is_aborted(self) -> None:
         with self.assertRaises(exceptions.ReplyBroken):
             await self.deliver(may_fail_over=True)
+
+    async def test_bytes_that_are_no_event_do_not_end_the_silence(
+        self,
+    ) -> None:
+        """Guards against a stalled stream that single bytes keep alive."""
+        for trickle in (b"i", b": comment\n\n", b"data: no id\n\n"):
+            with self.subTest(trickle=trickle):
+                with self.assertRaises(exceptions.ReplyBroken):
+                    await self.deliver(may_fail_over=True, trickle=trickle)
+
+    async def test_slow_stream_is_kept_if_its_events_come_in_pieces(
+        self,
+    ) -> None:
+        """Guards against the loss of a sound stream that is only slow.
+
+        Its pause is shorter than the limit of a stream, and other streams of
+        its server go on.
+        """
+        self.placement_is_silent = False
+        writer = await self.deliver(True, b": comment\n\n", seconds=-0.4)
+        self.assertTrue(writer.data.endswith(b"id: 2\n\n"))
+        self.assertTrue(writer.finished)
+
+    async def test_event_without_end_breaks_the_stream(self) -> None:
+        """Guards against an event that takes memory without end."""
+        buffer = events.EventBuffer()
+        with self.assertRaises(exceptions.ReplyBroken):
+            for _ in range(events.MAX_EVENT_BYTES):
+                buffer.feed(b"data: " + b"x" * 1000)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -60,21 +60,24 @@
     )
 
 
-class UpstreamCase(unittest.IsolatedAsyncioTestCase):
+class UpstreamRig:
     """A client of the users' engines and a server that plays scripts."""
 
-    async def asyncSetUp(self) -> None:
-        """Start the server and open the session."""
-        self.server = await self.enterAsyncContext(
-            scripted_server.ScriptedServer(ID_HEADER)
-        )
+    def __init__(self) -> None:
+        self.server = scripted_server.ScriptedServer(ID_HEADER)
         self.strays: t.List[exchanges.StrayAnswer] = []
-        self.session = await self.enterAsyncContext(
-            upstream.make_session(self.strays.append)
-        )
+
+    async def __aenter__(self) -> "t.Self":
+        await self.server.__aenter__()
+        self.session = upstream.make_session(self.strays.append)
         self.client = upstream.UpstreamClient(
             self.session, headers.HeaderCodec()
         )
+        return self
+
+    async def __aexit__(self, *exc_info: t.Any) -> None:
+        await self.session.close()
+        await self.server.__aexit__()
 
     async def send(self, request_id: str) -> bytes:
         """Send a request and return the body of its answer."""
@@ -98,6 +101,19 @@
         except exceptions.RoutingError as error:
             return type(error)
 
+
+class UpstreamCase(unittest.IsolatedAsyncioTestCase):
+    """Test case with a rig."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the server and open the session."""
+        self.rig = await self.enterAsyncContext(UpstreamRig())
+        self.server, self.strays = self.rig.server, self.rig.strays
+
+    async def find_outcome(self, request_id: str) -> t.Any:
+        """Return the body of the answer or the class of the error."""
+        return await self.rig.find_outcome(request_id)
+
     async def play(
         self, *scripts: t.Any, pause: float = 0.05
     ) -> t.List[t.Any]:
@@ -138,6 +154,28 @@
                 )
         self.assertEqual({1220}, {stray.code for stray in self.strays})
 
+    async def test_cut_refusal_does_not_join_the_answer_behind_it(
+        self,
+    ) -> None:
+        """Guards against fields of an earlier head in the head of an answer.
+
+        The server begins to repeat the refusal, breaks off within a field or
+        the status line and then writes the answer.
+        """
+        refusal = make_refusal("{earlier}")
+        for size in range(1, len(refusal)):
+            if refusal[:size].endswith("\r\n\r\n"):
+                break
+            with self.subTest(size=size):
+                outcomes = await self.play(
+                    script(OWN_REFUSAL, executes=False),
+                    script(refusal[:size] + ANSWER),
+                    pause=0.0,
+                )
+                self.assertTrue(
+                    issubclass(outcomes[1], exceptions.ReplyBroken), outcomes
+                )
+
     async def test_refusal_with_the_id_of_its_request_is_believed(
         self,
     ) -> None:
