Test a stop under load and a restart after withdrawals

Change: tests with processes. Around SIGTERM 360 requests are sent whole, in halves and two at a time; a process restarts while the store, from which a key and a server were removed meanwhile, refuses all calls.

--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import sys
 import tempfile
@@ -172,3 +173,100 @@
         self.process.send_signal(signal.SIGCONT)
         self.assertIn(await sent, (401, 503))
         self.assertEqual(["r-1"], [run.request_id for run in self.engine.runs])
+
+    async def exchange(self, *pieces: bytes, pause: float = 0.0) -> bytes:
+        """Send bytes on a connection of their own; return all that comes."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.ports[0]
+        )
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(pause)
+        try:
+            async with asyncio.timeout(8.0):
+                return await reader.read()
+        except ConnectionError:
+            return b""
+        finally:
+            writer.close()
+
+    async def test_no_request_is_cut_by_a_stop_under_load(self) -> None:
+        """Guards against requests cut off that had just been accepted.
+
+        Around SIGTERM, requests are sent whole, in halves and two at a time;
+        each runs for a second. Each that was read is answered, and one
+        without an answer has not run.
+        """
+        self.engine.faults = ["late"] * 400
+        self.write_settings()
+        await self.start()
+        await self.wait_ready()
+        loads = []
+        for number in range(90):
+            whole = make_request(f"w-{number}")
+            first, second = whole[: len(whole) // 2], whole[len(whole) // 2 :]
+            pair = make_request(f"p-{number}"), make_request(f"q-{number}")
+            loads += [
+                asyncio.create_task(self.exchange(whole)),
+                asyncio.create_task(self.exchange(first, second, pause=0.4)),
+                asyncio.create_task(self.exchange(pair[0] + pair[1])),
+            ]
+            if number == 10:
+                self.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.015)
+        received = await asyncio.gather(*loads, return_exceptions=True)
+        answers = b"".join(r for r in received if isinstance(r, bytes))
+        answered = set(
+            re.findall(rb"Sesamefold-Request-Id: ([wpq]-[0-9]+)", answers)
+        )
+        executed = {run.request_id.encode() for run in self.engine.runs}
+        self.assertEqual(set(), executed - answered)
+        self.assertEqual(
+            answers.count(b"HTTP/1.1 200 OK"), answers.count(b"answer")
+        )
+        self.assertGreater(len(executed), 100)
+        self.assertEqual(0, await self.process.wait())
+        await self.wait_until(lambda: self.find_lines("stopped"))
+        self.assertEqual(0, self.find_lines("stopped")[0]["unfinished"])
+
+    async def test_restart_does_not_use_what_was_withdrawn_meanwhile(
+        self,
+    ) -> None:
+        """Guards against a key or server that is in use again by a restart.
+
+        Both are withdrawn while the process is away. The store then refuses
+        all calls for two seconds, so that nothing newer can be read.
+        """
+        self.write_settings()
+        await self.start()
+        await self.wait_ready()
+        self.assertEqual(200, await self.call("/unsafe/", "r-1"))
+        await self.kill()
+        configuration = platform_fixtures.make_configuration(2)
+        configuration["tenants"][0]["api_keys"] = []
+        self.store.put("op/config", configuration)
+        self.store.remove("servers/i-0")
+        self.store.error_status = 503
+        await self.start()
+        statuses = set()
+        for number in range(40):
+            if number == 20:
+                self.store.error_status = 0
+            with contextlib.suppress(aiohttp.ClientError):
+                statuses.add(await self.call("/unsafe/", f"s-{number}"))
+            await asyncio.sleep(0.1)
+        self.assertLessEqual(statuses, {401, 503})
+        self.assertIn(401, statuses)
+        self.assertEqual(["r-1"], [run.request_id for run in self.engine.runs])
+
+
+def make_request(request_id: str) -> bytes:
+    """Return a request that may run only once."""
+    return (
+        "POST /unsafe/ HTTP/1.1\r\n"
+        f"Host: {platform_fixtures.ROUTE_HOST}\r\n"
+        f"Sesamefold-Request-Id: {request_id}\r\n"
+        "Sesamefold-Deadline-Ms: 4000\r\n"
+        f"Api-Key: {platform_fixtures.API_KEY}\r\n"
+        "Content-Length: 4\r\n\r\nbody"
+    ).encode()
