Check the types of events of context stores and of engines' reports

Cause: a field of the wrong type in an event of a store of context or in an engine's report passed the adapter and raised TypeError in the task that follows the store or rolls out weights, which ends the task and with it the host. Found by tests that put other types at each place of a sound body. Before: 40 errors and 3 failures in StoreEventsTest. After: it passes, with the modules of translation, contexts and simulated engines.

--- a/src/sesamefold/platform/engines.py
+++ b/src/sesamefold/platform/engines.py
@@ -39,11 +39,16 @@
             if status != 200:
                 raise ValueError(f"status {status}")
             return orders.EngineReport(
-                weights={m["name"]: m["version"] for m in body["models"]},
+                weights={
+                    wire.get_field(model, "name", str): wire.get_count(
+                        model, "version"
+                    )
+                    for model in wire.get_field(body, "models", list)
+                },
                 # Counts accepted orders; in the servers' records the field of
                 # this name counts reports.
-                orders_accepted=body["seq"],
-                busy=bool(body["busy"]),
+                orders_accepted=wire.get_count(body, "seq"),
+                busy=wire.get_field(body, "busy", bool),
             )
         except (KeyError, TypeError, ValueError) as error:
             raise exceptions.BackendUnreachable(
--- a/src/sesamefold/platform/records.py
+++ b/src/sesamefold/platform/records.py
@@ -38,8 +38,8 @@
             )
         if key.startswith(wire.WEIGHTS_PREFIX):
             return changes.TargetWeightsChanged(
-                _get_field(body, "model", str),
-                _get_field(body, "version", int),
+                wire.get_field(body, "model", str),
+                wire.get_field(body, "version", int),
             )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return changes.RecordRejected(key, f"{type(error).__name__}: {error}")
@@ -57,47 +57,37 @@
     return changes.RecordRejected(key, "removed record with an unknown key")
 
 
-def _get_field(body: JsonObject, name: str, expected_type: t.Any) -> t.Any:
-    """Return a field of a record.
-
-    Raises `KeyError` if it is missing and `TypeError` if it has another type;
-    a boolean does not count as a number.
-    """
-    value = body[name]
-    if not isinstance(value, expected_type) or isinstance(value, bool):
-        raise TypeError(f"{name} has the wrong type {type(value).__name__}")
-    return value
-
-
 def _decode_server(server_id: str, body: JsonObject) -> topology.Server:
-    state = _get_field(body, "state", str)
+    state = wire.get_field(body, "state", str)
     if state not in _DRAINING_BY_STATE:
         raise ValueError(f"unknown state {state}")
-    host, _, port = _get_field(body, "address", str).rpartition(":")
+    host, _, port = wire.get_field(body, "address", str).rpartition(":")
     if not host or not port.isascii() or not port.isdigit():
         raise ValueError("the address has no port")
     if not 0 < int(port) <= _MAX_PORT:
         raise ValueError("the port of the address is out of range")
     # How long the server stays cold from now on.
-    cold_ms = _get_field(body, "cold_left_ms", (int, float))
+    cold_ms = wire.get_field(body, "cold_left_ms", (int, float))
     return topology.Server(
         id=server_id,
-        service=_get_field(body, "service", str),
+        service=wire.get_field(body, "service", str),
         address=f"{host}:{port}",
-        data_centre=_get_field(body, "zone", str),
-        slots=_get_field(body, "slots", int),
+        data_centre=wire.get_field(body, "zone", str),
+        slots=wire.get_field(body, "slots", int),
         draining=_DRAINING_BY_STATE[state],
         # Unix time of the start, milliseconds. A server may restart under the
         # same id.
-        started_at=_get_field(body, "born", int) if "born" in body else 0,
-        sequence=_get_field(body, "seq", int),
+        started_at=wire.get_field(body, "born", int) if "born" in body else 0,
+        sequence=wire.get_field(body, "seq", int),
         cold_until=(
             clock.read_time() + cold_ms / _MS_PER_SECOND
             if cold_ms > 0
             else 0.0
         ),
         weights={
-            _get_field(model, "name", str): _get_field(model, "version", int)
+            wire.get_field(model, "name", str): wire.get_field(
+                model, "version", int
+            )
             for model in body.get("models", ())
         },
     )
@@ -106,7 +96,7 @@
 def _decode_configuration(body: JsonObject) -> topology.Configuration:
     limits = body["limits"]
     return topology.Configuration(
-        version=_get_field(body, "version", int),
+        version=wire.get_field(body, "version", int),
         routes=tuple(_decode_route(route) for route in body["routes"]),
         services={
             service["name"]: _decode_service(service)
--- a/src/sesamefold/platform/stores.py
+++ b/src/sesamefold/platform/stores.py
@@ -15,6 +15,8 @@
 # Timeout of a call, on top of the time that the store is asked to wait.
 CALL_TIMEOUT_SECONDS = 0.7
 CONNECT_TIMEOUT_SECONDS = 0.3
+# Latest time of the engines' clock that is taken for one, in milliseconds.
+_MAX_CLOCK_MS = 1e15
 _MS_PER_SECOND = 1000.0
 # Kind of the event of a part that was added; any other is a removal.
 _ADDED_KIND = "+"
@@ -112,15 +114,13 @@
     return store_views.EventBatch(
         start_position=since,
         # Identifies one run of this store; it is not a fleet-wide epoch.
-        boot_epoch=body["boot_epoch"],
+        boot_epoch=wire.get_field(body, "boot_epoch", int),
         # The position to continue from in the next call.
-        position=body["next"],
-        gap=bool(body["lost"]),
+        position=wire.get_count(body, "next"),
+        gap=wire.get_field(body, "lost", bool),
         engine_time=_decode_engine_time(body),
         events=tuple(
-            store_views.ContextEvent(
-                number, kind == _ADDED_KIND, salt, part, tokens
-            )
+            _make_event(number, kind == _ADDED_KIND, salt, part, tokens)
             for number, kind, salt, part, tokens, *_ in body["events"]
         ),
     )
@@ -131,18 +131,35 @@
     return store_views.EventBatch(
         is_snapshot=True,
         start_position=0,
-        boot_epoch=body["boot_epoch"],
-        position=body["next"],
+        boot_epoch=wire.get_field(body, "boot_epoch", int),
+        position=wire.get_count(body, "next"),
         gap=False,
         engine_time=_decode_engine_time(body),
         events=tuple(
-            store_views.ContextEvent(0, True, salt, part, tokens)
+            _make_event(0, True, salt, part, tokens)
             for salt, part, tokens, *_ in body["held"]
         ),
     )
 
 
+def _make_event(
+    number: t.Any, added: bool, salt: t.Any, part: t.Any, tokens: t.Any
+) -> store_views.ContextEvent:
+    """Return an event; raises `TypeError` or `ValueError`."""
+    return store_views.ContextEvent(
+        wire.check_count(number, "number"),
+        added,
+        wire.check_type(salt, "salt", str),
+        wire.check_type(part, "part", str),
+        wire.check_count(tokens, "tokens"),
+    )
+
+
 def _decode_engine_time(body: t.Mapping[str, t.Any]) -> t.Optional[float]:
     """Return the engines' clock in seconds, None if it is not given."""
-    clock_ms = body.get("clock_ms")
-    return None if clock_ms is None else clock_ms / _MS_PER_SECOND
+    if body.get("clock_ms") is None:
+        return None
+    clock_ms = wire.get_field(body, "clock_ms", (int, float))
+    if not 0 <= clock_ms <= _MAX_CLOCK_MS:
+        raise ValueError("clock_ms is out of range")
+    return float(clock_ms) / _MS_PER_SECOND
--- a/src/sesamefold/platform/wire.py
+++ b/src/sesamefold/platform/wire.py
@@ -66,3 +66,41 @@
         return json.loads(data)
     except RecursionError as error:
         raise ValueError("the JSON body is nested too deeply") from error
+
+
+def get_field(
+    body: t.Mapping[str, t.Any], name: str, expected_type: t.Any
+) -> t.Any:
+    """Return a field of a body.
+
+    Raises `KeyError` if it is missing and `TypeError` if it has another type;
+    a boolean does not count as a number.
+    """
+    return check_type(body[name], name, expected_type)
+
+
+def check_type(value: t.Any, name: str, expected_type: t.Any) -> t.Any:
+    """Return a value; raises `TypeError` as `get_field` does."""
+    is_boolean = isinstance(value, bool) and expected_type is not bool
+    if not isinstance(value, expected_type) or is_boolean:
+        raise TypeError(f"{name} has the wrong type {type(value).__name__}")
+    return value
+
+
+def get_count(body: t.Mapping[str, t.Any], name: str) -> int:
+    """Return a field that is a whole number of 0 or more.
+
+    Raises `KeyError`, `TypeError` or `ValueError`.
+    """
+    return check_count(body[name], name)
+
+
+def check_count(value: t.Any, name: str) -> int:
+    """Return a value that is a whole number of 0 or more.
+
+    Raises `TypeError` or `ValueError`.
+    """
+    count: int = check_type(value, name, int)
+    if count < 0:
+        raise ValueError(f"{name} is negative")
+    return count
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,8 +1,12 @@
 """Property tests of the decoders of external input."""
 
+import contextlib
+import copy
 import json
+import typing as t
 import unittest
 
+from aiohttp import web
 import hypothesis
 from hypothesis import strategies
 import multidict
@@ -13,10 +17,16 @@
 from sesamefold.entry import events
 from sesamefold.entry import loads
 from sesamefold.entry import requests
+from sesamefold.entry import store_views
+from sesamefold.entry import topology
 from sesamefold import exceptions
+from sesamefold.platform import engines
 from sesamefold.platform import headers
 from sesamefold.platform import records
+from sesamefold.platform import stores
 from sesamefold.platform import wire
+from sesamefold import transport
+from standins import platform_fixtures
 from tests import entry_fakes
 
 # Every run generates the same input. There is no deadline for one example,
@@ -188,6 +198,91 @@
             self.assertIsInstance(change, changes.RecordRejected, port)
 
 
+class StoreEventsTest(unittest.IsolatedAsyncioTestCase):
+    """Bodies of stores of context and of engines' reports."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a server that answers each call with `self.body`."""
+        self.body: object = None
+        stack = await self.enterAsyncContext(contextlib.AsyncExitStack())
+        self.address = await platform_fixtures.start_server(stack, self.answer)
+        self.session = await stack.enter_async_context(
+            transport.make_session()
+        )
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        """Return the body as JSON."""
+        return web.json_response(self.body)
+
+    def generate_bodies(self, sound: t.Dict[str, t.Any]) -> t.List[t.Any]:
+        """Return bodies in which one value at any depth has another type."""
+        values = (None, True, -1, 1.5, "x", [], {}, [1], {"a": 1}, 10**30)
+        return [
+            body
+            for value in values
+            for body in (value, *_replace_each(sound, value))
+        ]
+
+    async def test_malformed_events_are_an_error_of_the_store(self) -> None:
+        """Guards against an event that ends the task that reads a store."""
+        client = stores.ContextStoreClient(self.session)
+        store = topology.ContextStore(self.address, "dc-1", 1000)
+        sound = {
+            "boot_epoch": 7,
+            "next": 3,
+            "lost": False,
+            "clock_ms": 5,
+            "events": [[1, "+", "s", "a", 10, "m"]],
+            "held": [["s", "a", 10, "m"]],
+        }
+        for self.body in self.generate_bodies(sound):
+            for read in (
+                client.read_events(store, 0, 0.0),
+                client.read_snapshot(store),
+            ):
+                with self.subTest(body=self.body):
+                    try:
+                        batch = await read
+                    except exceptions.StoreUnavailable:
+                        continue
+                    view = store_views.StoreView(store)
+                    view.apply_batch(batch, 0.0, 0.0)
+                    self.assertGreaterEqual(view.stored_tokens, 0)
+                    self.assertFalse(view.may_save(0.0, 10**9))
+
+    async def test_malformed_report_is_an_error_of_the_engine(self) -> None:
+        """Guards against a report that ends the rollout of weights."""
+        client = engines.EngineClient(self.session)
+        server = entry_fakes.make_server("i-1", address=self.address)
+        sound = {
+            "models": [{"name": "m", "version": 1}],
+            "seq": 1,
+            "busy": False,
+        }
+        for self.body in self.generate_bodies(sound):
+            with self.subTest(body=self.body):
+                try:
+                    report = await client.read_report(server)
+                except exceptions.BackendUnreachable:
+                    continue
+                self.assertGreaterEqual(report.weights.get("m", 0), 0)
+                self.assertGreaterEqual(report.orders_accepted, 0)
+
+
+def _replace_each(body: t.Any, value: t.Any) -> t.Iterator[t.Any]:
+    """Yield copies of a JSON value with one value at any depth replaced."""
+    entries: t.Any = ()
+    if isinstance(body, dict):
+        entries = body.items()
+    elif isinstance(body, list):
+        entries = enumerate(body)
+    for key, inner in entries:
+        for replaced in (value, *_replace_each(inner, value)):
+            copied = copy.copy(body)
+            copied[key] = replaced
+            yield copied
+
+
 class EventsTest(unittest.TestCase):
     """Event streams that arrive in chunks."""
 
