--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         self.replies = []
         self.received = []
+        self.used_connections = set()
         self.close_before_read = False
         self.released = asyncio.Event()
 
@@ -45,6 +46,7 @@
         try:
             while not self.close_before_read:
                 self.received.append(await reader.readuntil(b"\r\n\r\n"))
+                self.used_connections.add(writer)
                 reply = self.replies.pop(0) if self.replies else b""
                 if reply is None:
                     await self.released.wait()
@@ -240,6 +242,17 @@
         self.assertIn("201", body["message"])
         self.assertEqual([], self.service.received)
 
+    async def test_service_without_exchange_ids_gets_new_connections(self):
+        """Guards against a late answer that becomes that of another call.
+
+        An answer without an id can only be told by its connection.
+        """
+        self.service.replies = [_OK_HEAD + b"\r\ndone"] * 3
+        for _ in range(3):
+            status, text, _ = await self.call("POST", "/a", create_key())
+            self.assertEqual((200, "done"), (status, text))
+        self.assertEqual(3, len(self.service.used_connections))
+
     async def test_only_repeatable_calls_run_without_a_control(self):
         """Guards against unrecorded calls, and refused repeatable calls."""
         await self.bench.control.server.stop(None)
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -160,6 +160,30 @@
         last = {run.headers.get("Last-Event-Id") for run in (first, second)}
         self.assertEqual({None, "1"}, last)
 
+    async def test_an_answer_lost_after_the_run_is_told_truly(self) -> None:
+        """Guards against a second run, and against "not executed".
+
+        Each case has the path, the status and the runs of a request whose
+        first server runs it and resets the connection without an answer.
+        """
+        for number, (path, headers, status, runs) in enumerate(
+            (
+                ("/unsafe/", {}, 502, 1),
+                ("/stream/", PROMPT, 502, 1),
+                ("/safe/", {}, 200, 2),
+                ("/resumable/", PROMPT, 200, 2),
+            )
+        ):
+            with self.subTest(path=path):
+                shared = ["reset"]
+                for engine in self.engines:
+                    engine.faults = shared
+                    engine.runs.clear()
+                self.host.placement.states.clear()
+                answer = await self.call(path, f"l-{number}", headers=headers)
+                self.assertEqual(status, answer[0])
+                self.assertEqual(runs, len(self.list_runs()))
+
     async def test_a_cut_stream_that_cannot_resume_ends_incomplete(
         self,
     ) -> None:
