--- a/standins/platform_fixtures.py
+++ b/standins/platform_fixtures.py
@@ -30,6 +30,8 @@
 grace_s = 6
 lease_ms = 3000
 drain_ms = 2500
+contact_ms = {contact_ms}
+version_ms = {version_ms}
 [platform]
 address = "{store}"
 """
@@ -42,9 +44,16 @@
 
     `ports` are those for callers, for readiness checks and for other entry
     hosts; `store` is the address of the platform's store. `changes` may set
-    `ratio`, the retry budget ratio, and `revoke_ms`.
+    `ratio`, the retry budget ratio, and the bounds `revoke_ms`, `contact_ms`
+    and `version_ms`.
     """
-    values = {"ratio": 0.2, "revoke_ms": 5000, **changes}
+    values = {
+        "ratio": 0.2,
+        "revoke_ms": 5000,
+        "contact_ms": 4000,
+        "version_ms": 10000,
+        **changes,
+    }
     return SETTINGS_TEMPLATE.format(ports=ports, store=store, **values)
 
 
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -20,6 +20,11 @@
 from standins import platform_store
 
 ROOT = pathlib.Path(__file__).parent.parent
+PROMPT = {
+    "Sesamefold-Model": platform_fixtures.MODEL,
+    "Sesamefold-Token-Usage": "900,80",
+    "Sesamefold-Prompt-Prefix": "aa:400,bb:300,cc:200",
+}
 
 
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
@@ -37,11 +42,11 @@
             self.stack, self.store.build_app()
         )
         self.engine = platform_engine.PlatformEngine("i-0")
-        engine_address = await platform_fixtures.start_server(
+        self.engine_address = await platform_fixtures.start_server(
             self.stack, self.engine.handle
         )
         self.store.put("op/config", platform_fixtures.make_configuration())
-        entry = platform_fixtures.make_server_entry(engine_address)
+        entry = platform_fixtures.make_server_entry(self.engine_address)
         self.store.put("servers/i-0", entry)
         self.store_address = address
         self.ports = await platform_fixtures.find_free_ports(3)
@@ -105,7 +110,9 @@
                             return
                 await asyncio.sleep(0.05)
 
-    async def call(self, path: str, request_id: str) -> int:
+    async def call(
+        self, path: str, request_id: str, **headers: str
+    ) -> int:
         """Send a request and return its status."""
         async with self.caller.post(
             f"http://127.0.0.1:{self.ports[0]}{path}",
@@ -114,6 +121,7 @@
                 "Sesamefold-Request-Id": request_id,
                 "Sesamefold-Deadline-Ms": "2000",
                 "Api-Key": platform_fixtures.API_KEY,
+                **headers,
             },
             data=b"body",
         ) as response:
@@ -259,6 +267,37 @@
         self.assertIn(401, statuses)
         self.assertEqual(["r-1"], [run.request_id for run in self.engine.runs])
 
+    async def test_no_request_begins_on_weights_that_expired(self) -> None:
+        """Guards against requests on weights replaced for too long (VERSION).
+
+        The engine takes no order, so it keeps the old weights. A request is
+        then refused at once, and served once the engine has the new ones.
+        """
+        models = [{"name": platform_fixtures.MODEL, "version": 1}]
+        entry = platform_fixtures.make_server_entry(
+            self.engine_address, models=models
+        )
+        self.store.put("servers/i-0", entry)
+        self.engine.weights = {platform_fixtures.MODEL: 1}
+        self.engine.orders_to_ignore = 1000
+        self.write_settings(contact_ms=500, version_ms=2000)
+        await self.start()
+        await self.wait_ready()
+        self.assertEqual(200, await self.call("/resumable/", "r-1", **PROMPT))
+        self.store.put(
+            "op/version/model-1",
+            {"model": platform_fixtures.MODEL, "version": 2},
+        )
+        await asyncio.sleep(2.0)
+        sent_at = time.monotonic()
+        self.assertEqual(503, await self.call("/resumable/", "r-2", **PROMPT))
+        self.assertLess(time.monotonic() - sent_at, 1.0)
+        self.assertEqual(["r-1"], [run.request_id for run in self.engine.runs])
+        self.engine.orders_to_ignore = 0
+        await self.wait_until(lambda: self.engine.orders)
+        await self.wait_until(lambda: self.find_lines("weights"))
+        self.assertEqual(200, await self.call("/resumable/", "r-3", **PROMPT))
+
 
 def make_request(request_id: str) -> bytes:
     """Return a request that may run only once."""
