Let weights expire some time after they were replaced

Cause: nothing ended the use of replaced weights. In the choice of an engine they only cost 25 ms, so the bound held as long as the rollout was faster than it.

Change: a target version is stored with the time from which no request may begin on older ones: the bound after the last confirmation before it was read. The first newer version counts, later ones do not postpone it. A host that was out of contact, or has just started, cannot know when the version was named and uses older weights for the contact time only. An engine gets no request from half a second before the expiry, and a resumable stream that has not begun by then is cancelled and goes elsewhere. Without a usable engine a request is refused at once. The bounds come from the settings.

The two tests of test_entry_placement fail without the check in the choice, the test of the late stream fails without the timeout (it runs to the end).

--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -21,6 +21,33 @@
 MAX_TARGET_HISTORY = 100
 
 
+@attrs.frozen
+class _TargetWeights:
+    """A target version of a model's weights.
+
+    `superseded_at` is the earliest time at which it may have replaced older
+    versions, and `older_expire_at` the time from which no request may begin
+    on an older version, both in seconds of `clock.read_time`.
+    """
+
+    version: int
+    superseded_at: float
+    older_expire_at: float
+
+
+@attrs.frozen
+class WeightsLimits:
+    """Limits on the use of weights after a newer version was named.
+
+    No request begins on them after `lifetime_seconds`. A host that was out of
+    contact with the store cannot tell when the version was named; it may use
+    them for `contact_grace_seconds` after the contact began.
+    """
+
+    lifetime_seconds: float
+    contact_grace_seconds: float
+
+
 @attrs.define
 class Catalog:
     """State read from the platform store, and how recent it is.
@@ -28,7 +55,8 @@
     `confirmed_at` is the latest time at which the catalog is known to have
     been up to date, in seconds of `clock.read_time`. `has_snapshot` is set
     after the first complete read. `target_weights` maps each model to the
-    weight version that its engines should load.
+    weight version that its engines should load. Without `weights_limits`,
+    replaced weights never expire.
 
     A configuration is never replaced by an older one. A server whose report
     expired during a store outage stays usable for `EXPIRY_GRACE_SECONDS` after
@@ -40,6 +68,7 @@
 
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
+    weights_limits: t.Optional[WeightsLimits] = None
     configuration: t.Optional[topology.Configuration] = None
     confirmed_at: float = float("-inf")
     servers: t.Dict[str, topology.Server] = attrs.field(factory=dict)
@@ -50,11 +79,12 @@
         factory=list
     )
     on_removal: t.List[t.Callable[[str], None]] = attrs.field(factory=list)
-    _target_history: t.Dict[str, t.List[t.Tuple[int, float]]] = attrs.field(
+    _target_history: t.Dict[str, t.List[_TargetWeights]] = attrs.field(
         factory=dict
     )
     _removal_deadlines: t.Dict[str, float] = attrs.field(factory=dict)
     _last_contact_at: float = float("-inf")
+    _contact_since: float = float("-inf")
     _reconnected_at: float = float("-inf")
 
     def require_configuration(self) -> topology.Configuration:
@@ -97,8 +127,10 @@
         """
         now = self.read_time()
         overdue = now - self._last_contact_at > MAX_CONTACT_GAP_SECONDS
-        if self.has_snapshot and (overdue or after_failure):
-            self._reconnected_at = now
+        if overdue or after_failure:
+            self._contact_since = now
+            if self.has_snapshot:
+                self._reconnected_at = now
         self._last_contact_at = now
 
     def apply_changes(self, batch: changes.Batch) -> None:
@@ -137,22 +169,50 @@
     def _set_target_weights(self, model: str, version: int) -> None:
         self.target_weights[model] = version
         history = self._target_history.setdefault(model, [])
-        history.append((version, self.confirmed_at))
+        history.append(
+            _TargetWeights(
+                version, self.confirmed_at, self._compute_older_expiry()
+            )
+        )
         del history[:-MAX_TARGET_HISTORY]
 
+    def _compute_older_expiry(self) -> float:
+        """Return when weights expire that were found to be replaced now."""
+        if self.weights_limits is None:
+            return float("inf")
+        return max(
+            self.confirmed_at + self.weights_limits.lifetime_seconds,
+            self._contact_since + self.weights_limits.contact_grace_seconds,
+        )
+
     def find_earliest_supersession(self, model: str, version: int) -> float:
         """Return the earliest time at which a newer version may have been set.
 
         This is the last confirmation before this host read the newer target
         version of `model`, and `inf` while it knows of none.
         """
+        target = self._find_successor(model, version)
+        return target.superseded_at if target else float("inf")
+
+    def find_weights_expiry(self, model: str, version: int) -> float:
+        """Return the time from which no request may begin on a version.
+
+        It is `inf` while this host knows of no newer target version.
+        """
+        target = self._find_successor(model, version)
+        return target.older_expire_at if target else float("inf")
+
+    def _find_successor(
+        self, model: str, version: int
+    ) -> t.Optional[_TargetWeights]:
+        """Return the first target version of a model after `version`."""
         return next(
             (
-                at
-                for v, at in self._target_history.get(model, ())
-                if v > version
+                target
+                for target in self._target_history.get(model, ())
+                if target.version > version
             ),
-            float("inf"),
+            None,
         )
 
     def _accept_configuration(
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import typing as t
 
 import attrs
@@ -239,8 +240,13 @@
         server: topology.Server,
         cold: bool,
     ) -> None:
-        """Make one attempt at a server and relay its reply."""
+        """Make one attempt at a server and relay its reply.
+
+        Raises `exceptions.ReplyBroken` for a resumable stream that has not
+        begun when the server's weights expire.
+        """
         added = self._make_added_headers(call, server)
+        expiry = self.placement.find_weights_expiry(call, server)
         context = added.context
         self.log.write(
             "sent",
@@ -254,6 +260,7 @@
             fetched=context.count_fetched_tokens() if context else None,
             saved=context.count_saved_parts() if context else None,
             left=round(added.seconds_left, 3),
+            weights_left=_round_finite(expiry - clock.read_time()),
             version=self.catalog.require_configuration().version,
         )
         sent_at = clock.read_time()
@@ -261,6 +268,7 @@
 
         def record_first_event() -> None:
             reservation.record_prefill()
+            start_timeout.reschedule(None)
             if call.head.prompt is not None and context is not None:
                 self.context_stores.record_first_token(
                     call.head.prompt, context, clock.read_time() - sent_at
@@ -276,10 +284,22 @@
             ),
             record_first_event,
         )
+        start_timeout = asyncio.timeout(
+            expiry - sent_at
+            if call.route.resumable and math.isfinite(expiry)
+            else None
+        )
         try:
-            async with self.upstream.send(server, call, added) as reply:
-                self.placement.record_reply(server, reply.head)
-                await response.forward_reply(call, reply, attempt)
+            async with start_timeout:
+                async with self.upstream.send(server, call, added) as reply:
+                    self.placement.record_reply(server, reply.head)
+                    await response.forward_reply(call, reply, attempt)
+        except TimeoutError as error:
+            if not start_timeout.expired():
+                raise
+            raise exceptions.ReplyBroken(
+                "the server's weights expired before the stream began"
+            ) from error
         finally:
             reservation.release()
         self.placement.record_outcome(server, failed=False)
@@ -298,6 +318,11 @@
         )
 
 
+def _round_finite(seconds: float) -> t.Optional[float]:
+    """Return the seconds rounded for the log, None if they are infinite."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
 def _convert_error(
     error: exceptions.RoutingError, maybe_executed: bool
 ) -> exceptions.RoutingError:
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -47,6 +47,7 @@
     {
         "retries",
         "key_withdrawal_seconds",
+        "weights_limits",
         "shutdown_seconds",
         "order_pause_seconds",
     }
@@ -84,7 +85,9 @@
         # Not named `log`, which is an attribute of mode.Service.
         self.decisions = log
         self.metrics = entry_metrics.EntryMetrics()
-        self.catalog = catalogs.Catalog(self.decisions)
+        self.catalog = catalogs.Catalog(
+            self.decisions, weights_limits=settings.weights_limits
+        )
         self.members = member_lists.Membership(
             member_lists.Member(
                 settings.host,
@@ -279,6 +282,7 @@
         self.dispatcher.key_withdrawal_seconds = (
             self.settings.key_withdrawal_seconds
         )
+        self.catalog.weights_limits = self.settings.weights_limits
         self.election.handover_pause_seconds = (
             self.settings.order_pause_seconds
         )
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -59,6 +59,9 @@
 # estimate, and an engine that runs out of memory preempts requests and
 # prefills their prompts again.
 MEMORY_SHARES = (0.97, 0.93, 0.87)
+# Time before the expiry of replaced weights from which an engine gets no new
+# request on them, seconds. A request begins with its first token only.
+WEIGHTS_EXPIRY_MARGIN_SECONDS = 0.5
 # Time without requests for a server that refused one, seconds. Engines refuse
 # requests while they load weights, which takes about a second.
 REFUSAL_BACKOFF_SECONDS = 0.4
@@ -205,12 +208,37 @@
             and now >= self.states[server.id].suspected_until
             and now >= self.states[server.id].backoff_until
             and self._is_permitted(server, allowed)
+            and now < self._get_last_start(call, server)
             and (
                 now >= server.cold_until
                 or self.cold_throttle.allows_request(server.id, rate)
             )
         ]
 
+    def find_weights_expiry(
+        self, call: requests.Call, server: topology.Server
+    ) -> float:
+        """Return when the weights that a request would use expire.
+
+        It is `inf` for a request without a prompt, and for an engine that has
+        the newest weights known.
+        """
+        prompt = call.head.prompt
+        if prompt is None or prompt.model not in server.weights:
+            return float("inf")
+        return self.catalog.find_weights_expiry(
+            prompt.model, server.weights[prompt.model]
+        )
+
+    def _get_last_start(
+        self, call: requests.Call, server: topology.Server
+    ) -> float:
+        """Return until when a request may be sent to begin in time."""
+        return (
+            self.find_weights_expiry(call, server)
+            - WEIGHTS_EXPIRY_MARGIN_SECONDS
+        )
+
     def has_untried_server(self, call: requests.Call) -> bool:
         """Return whether a server may take a request that failed at others.
 
@@ -394,7 +422,12 @@
         """
         known = self.catalog.list_usable_servers(call.service)
         if chosen is None:
-            return f"none of {len(known)} backend servers is usable"
+            now = self.read_time()
+            expired = sum(now >= self._get_last_start(call, s) for s in known)
+            return (
+                f"none of {len(known)} backend servers is usable, "
+                f"{expired} have expired weights"
+            )
         server, _ = chosen
         load = self.loads.get_load(server.id)
         return (
--- a/src/sesamefold/entry/settings.py
+++ b/src/sesamefold/entry/settings.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from sesamefold.entry import catalog
 from sesamefold.entry import throttle
 
 
@@ -14,7 +15,8 @@
     `regions` maps data centres to regions. `key_withdrawal_seconds` is the
     time after which a request with a withdrawn API key must not run on any
     host, None if hosts that cannot reach the store may continue to accept
-    keys. `shutdown_seconds` is the time that the process has to stop.
+    keys. `weights_limits` bounds the use of replaced weights, None if it is
+    not limited. `shutdown_seconds` is the time that the process has to stop.
     `order_pause_seconds` is the minimum time between the orders of two
     different entry hosts. `leaving_seconds` is the time after a server
     announces that it leaves from which it must get no new requests.
@@ -32,6 +34,7 @@
     store_address: str
     retries: throttle.RetryLimits
     key_withdrawal_seconds: t.Optional[float]
+    weights_limits: t.Optional[catalog.WeightsLimits]
     shutdown_seconds: float
     order_pause_seconds: float
     leaving_seconds: float
--- a/src/sesamefold/platform/settings.py
+++ b/src/sesamefold/platform/settings.py
@@ -4,6 +4,7 @@
 import tomllib
 import typing as t
 
+from sesamefold.entry import catalog
 from sesamefold.entry import settings as entry_settings
 from sesamefold.entry import throttle
 from sesamefold import exceptions
@@ -80,6 +81,14 @@
             if rejects_keys_offline
             else None
         ),
+        weights_limits=(
+            catalog.WeightsLimits(
+                lifetime_seconds=bounds["version_ms"] / _MS_PER_SECOND,
+                contact_grace_seconds=bounds["contact_ms"] / _MS_PER_SECOND,
+            )
+            if "version_ms" in bounds
+            else None
+        ),
         shutdown_seconds=bounds["grace_s"],
         order_pause_seconds=bounds["lease_ms"] / _MS_PER_SECOND,
         leaving_seconds=bounds["drain_ms"] / _MS_PER_SECOND,
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -41,7 +41,7 @@
 
     A stream sends `stream_events` events, one each `event_seconds`. `runs`
     are the requests that were executed, unless `keep_runs` is off, and
-    `cancelled_requests` counts the late ones that were cancelled. The next
+    `cancelled_requests` counts those cancelled while they waited. The next
     `orders_to_ignore` orders are held for 30 s, longer than callers wait, so
     they get no response and have no effect. With `lose_order_answers`,
     orders are applied and the connection is reset instead of a response.
@@ -113,11 +113,7 @@
         if self.keep_runs:
             self.runs.append(run)
         if fault == "late":
-            try:
-                await asyncio.sleep(1.0)
-            except asyncio.CancelledError:
-                self.cancelled_requests += 1
-                raise
+            await self._sleep_unless_cancelled(1.0)
         if fault == "reset":
             self._reset_connection(request)
         headers = {
@@ -147,6 +143,13 @@
             return await self._send_truncated_body(request, headers)
         return web.Response(headers=headers, body=b"answer")
 
+    async def _sleep_unless_cancelled(self, seconds: float) -> None:
+        try:
+            await asyncio.sleep(seconds)
+        except asyncio.CancelledError:
+            self.cancelled_requests += 1
+            raise
+
     async def _stream_fixed_events(
         self, request: web.BaseRequest, headers: t.Dict[str, str], fault: str
     ) -> web.StreamResponse:
@@ -157,7 +160,7 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.stream_events + 1):
             if self.event_seconds:
-                await asyncio.sleep(self.event_seconds)
+                await self._sleep_unless_cancelled(self.event_seconds)
             await response.write(f"id: {number}\ndata: x\n\n".encode())
             if fault == "cut":
                 await response.write(b"id: 99\nda")
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -191,6 +191,7 @@
         "store_address": store,
         "retries": throttle.RetryLimits(0.2, 58, 10),
         "key_withdrawal_seconds": 5.0,
+        "weights_limits": catalog.WeightsLimits(10.0, 4.0),
         "shutdown_seconds": 8.0,
         "order_pause_seconds": 3.0,
         "leaving_seconds": 2.5,
--- a/tests/test_entry_catalog.py
+++ b/tests/test_entry_catalog.py
@@ -110,6 +110,65 @@
         self.catalog.apply_changes(entry_fakes.make_report_batch(restarted))
         self.assertIn("i-0", self.list_ids())
 
+    def name_weights(self, version: int) -> None:
+        """Apply a new target version of model m."""
+        change = changes.TargetWeightsChanged("m", version)
+        self.catalog.apply_changes(changes.Batch((change,), 2))
+
+    def limit_weights(self) -> None:
+        """Let replaced weights expire after 10 s."""
+        self.catalog.weights_limits = catalog.WeightsLimits(10.0, 4.0)
+
+    def test_weights_expire_after_the_first_newer_version(self) -> None:
+        """Guards against an expiry that each further version postpones.
+
+        The time counts from the confirmation before the version was read,
+        because it may have been named right after that.
+        """
+        self.limit_weights()
+        start = self.clock.now
+        self.clock.now = start + 60.0
+        self.catalog.confirm(start + 59.0)
+        self.name_weights(2)
+        self.catalog.confirm(start + 65.0)
+        self.name_weights(3)
+        self.assertEqual(
+            [start + 69.0, start + 75.0, float("inf")],
+            [self.catalog.find_weights_expiry("m", v) for v in (1, 2, 3)],
+        )
+
+    def test_versions_read_after_an_outage_expire_after_a_grace_time(
+        self,
+    ) -> None:
+        """Guards against refusing all requests after an outage of the store.
+
+        It is not known when the version was named.
+        """
+        self.limit_weights()
+        self.catalog.confirm(self.clock.now)
+        self.clock.now += 60.0
+        self.catalog.record_store_contact(True)
+        self.name_weights(2)
+        self.assertEqual(
+            self.clock.now + 4.0, self.catalog.find_weights_expiry("m", 1)
+        )
+
+    def test_outage_does_not_postpone_the_expiry(self) -> None:
+        self.limit_weights()
+        self.catalog.confirm(self.clock.now)
+        self.name_weights(2)
+        expiry = self.catalog.find_weights_expiry("m", 1)
+        self.clock.now += 8.0
+        self.catalog.record_store_contact(True)
+        self.name_weights(3)
+        self.assertEqual(expiry, self.catalog.find_weights_expiry("m", 1))
+
+    def test_weights_do_not_expire_without_limits(self) -> None:
+        self.name_weights(2)
+        self.assertEqual(
+            float("inf"), self.catalog.find_weights_expiry("m", 1)
+        )
+
     def test_evacuated_data_centre_has_no_usable_servers_until_end(
         self,
     ) -> None:
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -7,6 +7,9 @@
 
 import aiohttp
 
+from sesamefold.entry import catalog as catalogs
+from sesamefold.entry import changes
+from sesamefold.entry import clock
 from sesamefold.entry import topology
 from sesamefold import exceptions
 from standins import platform_fixtures
@@ -355,6 +358,30 @@
             6.0,
         )
 
+    async def test_a_stream_that_begins_too_late_for_its_weights_is_cancelled(
+        self,
+    ) -> None:
+        """Guards against requests that an engine begins on expired weights.
+
+        The engine begins only after a second, which is after the expiry.
+        """
+        catalog = self.host.catalog
+        for engine in self.engines:
+            engine.weights = {platform_fixtures.MODEL: 1}
+            engine.event_seconds = 1.0
+            engine.orders_to_ignore = 1000
+            catalog.update_weights(engine.id, engine.weights)
+        catalog.weights_limits = catalogs.WeightsLimits(0.8, 0.0)
+        catalog.confirm(clock.read_time())
+        change = changes.TargetWeightsChanged(platform_fixtures.MODEL, 2)
+        catalog.apply_changes(changes.Batch((change,), 2))
+        status, _, _ = await self.call("/resumable/", headers=PROMPT)
+        self.assertEqual(504, status)
+        self.assertEqual(1, len(self.list_runs()))
+        self.assertEqual(
+            1, sum(engine.cancelled_requests for engine in self.engines)
+        )
+
     async def test_a_host_holds_the_lease_before_new_weights_are_published(
         self,
     ) -> None:
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -4,6 +4,8 @@
 import typing as t
 import unittest
 
+from sesamefold.entry import catalog as catalogs
+from sesamefold.entry import changes
 from sesamefold.entry import clock
 from sesamefold.entry import context_stores
 from sesamefold.entry import loads
@@ -126,6 +128,48 @@
         counts = [self.loads.get_load(s.id).requests for s in self.servers]
         self.assertEqual([2, 2], counts)
 
+    def test_engine_gets_no_request_shortly_before_its_weights_expire(
+        self,
+    ) -> None:
+        """Guards against requests that begin on expired weights (VERSION).
+
+        The engine with the old weights is idle and the other one busy, so
+        that only the expiry keeps the requests from it.
+        """
+        self.make(2)
+        catalog = self.placement.catalog
+        catalog.weights_limits = catalogs.WeightsLimits(10.0, 0.0)
+        catalog.update_weights("i-1", {"m": 2})
+        self.loads.reserve("i-1", CAPACITY - 1000, 3000)
+        now = clock.read_time()
+        times = entry_fakes.FakeClock(now)
+        catalog.read_time = self.placement.read_time = times
+        catalog.confirm(now)
+        change = changes.TargetWeightsChanged("m", 2)
+        catalog.apply_changes(changes.Batch((change,), 2))
+        margin = placement.WEIGHTS_EXPIRY_MARGIN_SECONDS
+        call = self.make_call("a")
+        for seconds, expected in (
+            (9.9 - margin, "i-0"),
+            (10.1 - margin, "i-1"),
+            (60.0, "i-1"),
+        ):
+            times.now = now + seconds
+            self.assertEqual(expected, self.choose(call).id, seconds)
+
+    def test_request_is_refused_when_all_weights_have_expired(self) -> None:
+        self.make(2)
+        catalog = self.placement.catalog
+        catalog.weights_limits = catalogs.WeightsLimits(0.0, 0.0)
+        change = changes.TargetWeightsChanged("m", 2)
+        catalog.apply_changes(changes.Batch((change,), 2))
+        call = self.make_call("a")
+        self.assertIsNone(self.placement.choose_server(call))
+        self.assertIn(
+            "2 have expired weights",
+            self.placement.describe_missing_capacity(call, None),
+        )
+
     def test_hosts_with_equal_loads_choose_many_engines(self) -> None:
         """Guards against hosts that all choose the engine with the least load.
 
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -110,9 +110,7 @@
                             return
                 await asyncio.sleep(0.05)
 
-    async def call(
-        self, path: str, request_id: str, **headers: str
-    ) -> int:
+    async def call(self, path: str, request_id: str, **headers: str) -> int:
         """Send a request and return its status."""
         async with self.caller.post(
             f"http://127.0.0.1:{self.ports[0]}{path}",
