Order engines to load whose weights expire first

Callers got answers on replaced weights, or none, while the engine with the oldest weights waited for its order: in the incident three engines that had version 6 for a second at most were ordered to load 7 at 41.7 to 41.9 s, and the one on 4, whose weights had expired at 40.5 s, at 43.2 s.

Cause: outdated engines were taken in the order in which the store lists them. They are sorted by the time at which their weights were replaced now.

test_engine_whose_weights_expire_first_is_ordered_first failed before: the first two orders went to i-0 and i-1 (on 6) instead of i-3 (on 4) and i-2 (on 5).

--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -146,14 +146,28 @@
     def _list_outdated_engines(
         self,
     ) -> t.List[t.Tuple[topology.Server, str, int]]:
-        """Return engines with old weights, the model and target version."""
-        return [
-            (server, model, self.catalog.target_weights[model])
-            for server in list(self.catalog.servers.values())
+        """Return engines with old weights, the model and target version.
+
+        Those whose weights were replaced first come first, because they are
+        the first that get no more requests.
+        """
+        outdated = [
+            (server, model, version)
+            for server in self.catalog.servers.values()
             if not server.draining
             for model, version in server.weights.items()
             if version < self.catalog.target_weights.get(model, 0)
         ]
+        outdated.sort(
+            key=lambda entry: (
+                self.catalog.find_earliest_supersession(*entry[1:]),
+                entry[2],
+            )
+        )
+        return [
+            (server, model, self.catalog.target_weights[model])
+            for server, model, _ in outdated
+        ]
 
     def _track_progress(
         self, outdated: t.List[t.Tuple[topology.Server, str, int]]
--- /dev/null
+++ b/tests/test_entry_orders.py
@@ -0,0 +1,130 @@
+"""Tests of the rollout of new weights, without a network."""
+
+import asyncio
+import typing as t
+import unittest
+
+from sesamefold.entry import changes
+from sesamefold.entry import clock
+from sesamefold.entry import election
+from sesamefold.entry import orders
+from sesamefold.entry import store
+from sesamefold.entry import topology
+from sesamefold import exceptions
+from tests import entry_fakes
+
+
+class FakeElection(election.Election):
+    """Election whose host always holds the lease."""
+
+    def may_send_orders(self) -> bool:
+        """Return that orders may be sent."""
+        return True
+
+    def get_fencing_token(self) -> t.Optional[int]:
+        """Return a constant token."""
+        return 1
+
+
+class FakeEngines:
+    """Engines that load weights at once; implements `orders.EngineControl`.
+
+    `unreachable` has the ids of engines that do not answer for 0.5 s.
+    `ordered` has the ids of engines in the order of their orders.
+    """
+
+    def __init__(self) -> None:
+        self.weights: t.Dict[str, t.Dict[str, int]] = {}
+        self.unreachable: t.Set[str] = set()
+        self.ordered: t.List[str] = []
+
+    async def read_report(
+        self, server: topology.Server
+    ) -> orders.EngineReport:
+        """Return the weights of an engine."""
+        if server.id in self.unreachable:
+            await asyncio.sleep(0.5)
+            raise exceptions.BackendUnreachable("no answer")
+        return orders.EngineReport(self.weights[server.id], 0, False)
+
+    async def order_weights(
+        self, server: topology.Server, order: orders.WeightsOrder
+    ) -> None:
+        """Record an order and load the weights."""
+        self.ordered.append(server.id)
+        self.weights[server.id] = {order.model: order.version}
+
+
+class FakeAnnouncer:
+    """Announcer that applies the status to a catalog."""
+
+    def __init__(self, catalog: t.Any) -> None:
+        self.catalog = catalog
+
+    def announce_loading(self, server_id: str) -> None:
+        """Ignore that an engine loads weights."""
+
+    def announce_loaded(
+        self, server_id: str, weights: t.Mapping[str, int]
+    ) -> None:
+        """Update the catalog."""
+        self.catalog.update_weights(server_id, weights)
+
+
+class WeightsRolloutTest(unittest.IsolatedAsyncioTestCase):
+    """The lease holder and fake engines."""
+
+    async def asyncSetUp(self) -> None:
+        """Create a rollout without engines."""
+        self.catalog = entry_fakes.make_catalog(clock.read_time)
+        self.engines = FakeEngines()
+        log = entry_fakes.make_log()
+        self.rollout = orders.WeightsRollout(
+            "entry-1",
+            self.catalog,
+            self.engines,
+            FakeElection(
+                "entry-1", t.cast(store.HostRecordStore, None), 0.0, log
+            ),
+            FakeAnnouncer(self.catalog),
+            lambda: ["entry-1"],
+            log,
+        )
+
+    def name_weights(self, version: int) -> None:
+        """Apply a new target version."""
+        change = changes.TargetWeightsChanged("m", version)
+        self.catalog.confirm(clock.read_time())
+        self.catalog.apply_changes(changes.Batch((change,), 1))
+
+    def add_engines(self, versions: t.Mapping[str, int]) -> None:
+        """Add engines with their versions, in the given order."""
+        for server_id, version in versions.items():
+            weights = {"m": version}
+            self.engines.weights[server_id] = weights
+            server = entry_fakes.make_server(server_id, weights=weights)
+            self.catalog.apply_changes(entry_fakes.make_report_batch(server))
+
+    async def run_until_loaded(self, count: int, seconds: float) -> None:
+        """Run the rollout until a number of orders were sent."""
+        task = asyncio.create_task(self.rollout.run())
+        try:
+            async with asyncio.timeout(seconds):
+                while len(self.engines.ordered) < count:
+                    await asyncio.sleep(0.01)
+        finally:
+            task.cancel()
+
+    async def test_engine_whose_weights_expire_first_is_ordered_first(
+        self,
+    ) -> None:
+        """Guards against engines that wait beyond their expiry (VERSION).
+
+        Engines that had nearly new weights were ordered first, because the
+        store listed them first.
+        """
+        for version in (5, 6, 7):
+            self.name_weights(version)
+        self.add_engines({"i-0": 6, "i-1": 6, "i-2": 5, "i-3": 4})
+        await self.run_until_loaded(4, 5.0)
+        self.assertEqual(["i-3", "i-2"], self.engines.ordered[:2])
