Keep unreachable engines from holding up a rollout

Callers got answers on replaced weights while the lease holder was busy with engines that had crashed: in the incident it asked two of them again each 0.37 s from 41.2 to 43.2 s, and the engine on the oldest weights got its order at 43.2 s, 1.6 s after its entry was read.

Cause: engines that are asked again counted towards the engines that may load at a time, so a place that a crashed engine had given up was not given to another one. Only engines that load, or are about to be ordered to, count now.

test_unreachable_engines_do_not_hold_up_the_others failed before: with four of six engines unreachable, the two others got no order within 5 s.

--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -197,12 +197,13 @@
             [s for s in self.catalog.servers.values() if s.weights]
         )
         loading_limit = max(1, round(CONCURRENT_LOADING_SHARE * engine_count))
+        loading = sum(p.loading for p in self._pending_orders.values())
         due: t.List[t.Tuple[topology.Server, str, int]] = []
         for server, model, version in outdated:
             pending = self._pending_orders.get(server.id)
             if pending is None:
-                loading = sum(p.loading for p in self._pending_orders.values())
-                if loading + len(due) < loading_limit:
+                if loading < loading_limit:
+                    loading += 1
                     due.append((server, model, version))
             elif now >= pending.next_report_at:
                 pending.next_report_at = now + REPORT_INTERVAL_SECONDS
--- a/tests/test_entry_orders.py
+++ b/tests/test_entry_orders.py
@@ -128,3 +128,15 @@
         self.add_engines({"i-0": 6, "i-1": 6, "i-2": 5, "i-3": 4})
         await self.run_until_loaded(4, 5.0)
         self.assertEqual(["i-3", "i-2"], self.engines.ordered[:2])
+
+    async def test_unreachable_engines_do_not_hold_up_the_others(self) -> None:
+        """Guards against a rollout that stalls on engines that have crashed.
+
+        They are asked again and again, which took the places of engines that
+        could load.
+        """
+        self.name_weights(2)
+        self.add_engines({f"i-{number}": 1 for number in range(6)})
+        self.engines.unreachable = {"i-0", "i-1", "i-2", "i-3"}
+        await self.run_until_loaded(2, 5.0)
+        self.assertEqual({"i-4", "i-5"}, set(self.engines.ordered))
