Believe no report of another engine at an engine's address

Cause: calls for a report are not addressed to an engine, and the report's start time was not read. It is compared with that of the engine's entry now; another engine's report counts as no answer.

test_report_of_another_engine_at_the_address_proves_nothing fails without the comparison: the first order goes to i-1, which has ended.

--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -39,12 +39,14 @@
     """An engine's report of its own state.
 
     `orders_accepted` counts the orders accepted since the engine started, and
-    `busy` says that it is loading weights.
+    `busy` says that it is loading weights. `started_at` is the Unix time of
+    its start in milliseconds, None if the report does not say.
     """
 
     weights: t.Mapping[str, int]
     orders_accepted: int
     busy: bool
+    started_at: t.Optional[int] = None
 
 
 class EngineControl(t.Protocol):
@@ -227,7 +229,7 @@
             server.id, _PendingOrder(now + FIRST_REPORT_DELAY_SECONDS)
         )
         try:
-            report = await self.control.read_report(server)
+            report = await self._read_report(server)
             if report.weights.get(model, 0) >= version:
                 self.announcer.announce_loaded(server.id, report.weights)
                 self._pending_orders.pop(server.id, None)
@@ -245,6 +247,24 @@
             pending.loading = False
             pending.next_report_at = self.read_time() + REPORT_INTERVAL_SECONDS
 
+    async def _read_report(self, server: topology.Server) -> EngineReport:
+        """Return the report of an engine, which is that of no other one.
+
+        Reports are not addressed to an engine, and the address of one that
+        crashed may belong to another already. Raises
+        `exceptions.BackendUnreachable`.
+        """
+        report = await self.control.read_report(server)
+        if (
+            server.started_at
+            and report.started_at is not None
+            and report.started_at != server.started_at
+        ):
+            raise exceptions.BackendUnreachable(
+                f"the engine at {server.address} is another one"
+            )
+        return report
+
     async def _send_order(
         self,
         server: topology.Server,
--- a/src/sesamefold/entry/topology.py
+++ b/src/sesamefold/entry/topology.py
@@ -169,9 +169,9 @@
     """A backend server as it last reported itself.
 
     `started_at` is the Unix time of its start in milliseconds and identifies
-    the incarnation; `sequence` grows with each report of an incarnation.
-    `cold_until` is in seconds of `clock.read_time`. `weights` maps the names
-    of its models to their weight versions.
+    the incarnation; it is 0 if it is not known. `sequence` grows with each
+    report of an incarnation. `cold_until` is in seconds of `clock.read_time`.
+    `weights` maps the names of its models to their weight versions.
     """
 
     id: str
--- a/src/sesamefold/platform/engines.py
+++ b/src/sesamefold/platform/engines.py
@@ -49,6 +49,11 @@
                 # this name counts reports.
                 orders_accepted=wire.get_count(body, "seq"),
                 busy=wire.get_field(body, "busy", bool),
+                started_at=(
+                    wire.get_field(body, "born", int)
+                    if "born" in body
+                    else None
+                ),
             )
         except (KeyError, TypeError, ValueError) as error:
             raise exceptions.BackendUnreachable(
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -39,8 +39,9 @@
     first event), "cut-unframed" (a body without a length, reset before its
     end), "late" (responds after a second), or "" for none.
 
-    A stream sends `stream_events` events, one each `event_seconds`. `runs`
-    are the requests that were executed, unless `keep_runs` is off, and
+    `born` is the Unix time of the server's start in milliseconds. A stream
+    sends `stream_events` events, one each `event_seconds`. `runs` are the
+    requests that were executed, unless `keep_runs` is off, and
     `cancelled_requests` counts those cancelled while they waited. The next
     `orders_to_ignore` orders are held for 30 s, longer than callers wait, so
     they get no response and have no effect. With `lose_order_answers`,
@@ -52,6 +53,7 @@
     """
 
     id: str
+    born: int = 1
     stream_events: int = 3
     faults: t.List[str] = attrs.field(factory=list)
     runs: t.List[Run] = attrs.field(factory=list)
@@ -300,6 +302,7 @@
                 ],
                 "busy": self.simulator is not None and self.simulator.loading,
                 "seq": len(self.orders),
+                "born": self.born,
             }
         )
 
--- a/tests/test_entry_orders.py
+++ b/tests/test_entry_orders.py
@@ -29,13 +29,15 @@
 class FakeEngines:
     """Engines that load weights at once; implements `orders.EngineControl`.
 
-    `unreachable` has the ids of engines that do not answer for 0.5 s.
+    Those of `replaced` have ended, and another engine answers at their
+    address. `unreachable` has the ids of engines that do not answer for 0.5 s.
     `ordered` has the ids of engines in the order of their orders.
     """
 
     def __init__(self) -> None:
         self.weights: t.Dict[str, t.Dict[str, int]] = {}
         self.unreachable: t.Set[str] = set()
+        self.replaced: t.Set[str] = set()
         self.ordered: t.List[str] = []
 
     async def read_report(
@@ -45,7 +47,10 @@
         if server.id in self.unreachable:
             await asyncio.sleep(0.5)
             raise exceptions.BackendUnreachable("no answer")
-        return orders.EngineReport(self.weights[server.id], 0, False)
+        started_at = server.started_at + (server.id in self.replaced)
+        return orders.EngineReport(
+            self.weights[server.id], 0, False, started_at
+        )
 
     async def order_weights(
         self, server: topology.Server, order: orders.WeightsOrder
@@ -140,3 +145,21 @@
         self.engines.unreachable = {"i-0", "i-1", "i-2", "i-3"}
         await self.run_until_loaded(2, 5.0)
         self.assertEqual({"i-4", "i-5"}, set(self.engines.ordered))
+
+    async def test_report_of_another_engine_at_the_address_proves_nothing(
+        self,
+    ) -> None:
+        """Guards against beliefs about an engine that has ended.
+
+        The weights of its successor at the address counted as its own, and
+        it got orders that its successor refused.
+        """
+        self.name_weights(2)
+        self.add_engines({"i-0": 1, "i-1": 1, "i-2": 1})
+        self.engines.weights["i-0"] = {"m": 2}
+        self.engines.replaced = {"i-0", "i-1"}
+        await self.run_until_loaded(1, 5.0)
+        self.assertEqual(["i-2"], self.engines.ordered)
+        for server_id in ("i-0", "i-1"):
+            known = self.catalog.servers[server_id]
+            self.assertEqual({"m": 1}, known.weights)
