Update each engine of a rollout in a task of its own

In the incident three orders to i-8a4b2634c5 were not answered (30.7 to 32.6 s), and engines that had crashed took 0.3 to 0.4 s to connect to.

Cause: the updates of all due engines were awaited together. Each engine has a task now, and at most one at a time.

test_engines_do_not_wait_for_an_answer_of_another_one failed before: with one engine of six that does not answer, five others were not ordered within 8 s.

--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -132,18 +132,23 @@
         t.Tuple[bool, t.FrozenSet[t.Tuple[str, int]]]
     ] = None
     _stalled_since: float = 0.0
+    _updates: t.Dict[str, "asyncio.Task[None]"] = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Send orders, or compete for the lease, until cancelled."""
-        while True:
-            outdated = self._list_outdated_engines()
-            self._track_progress(outdated)
-            if self.election.may_send_orders():
-                await self._send_due_orders(outdated)
-            elif (outdated or self.election.vacant) and self._is_stalled():
-                self._stalled_since = self.read_time()
-                await self.election.campaign()
-            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        try:
+            while True:
+                outdated = self._list_outdated_engines()
+                self._track_progress(outdated)
+                if self.election.may_send_orders():
+                    self._start_due_updates(outdated)
+                elif (outdated or self.election.vacant) and self._is_stalled():
+                    self._stalled_since = self.read_time()
+                    await self.election.campaign()
+                await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        finally:
+            for task in self._updates.values():
+                task.cancel()
 
     def _list_outdated_engines(
         self,
@@ -190,9 +195,13 @@
         )
         return self.read_time() >= self._stalled_since + wait
 
-    async def _send_due_orders(
+    def _start_due_updates(
         self, outdated: t.List[t.Tuple[topology.Server, str, int]]
     ) -> None:
+        """Start updates of engines, each a task of its own.
+
+        An engine that does not answer must not delay the others.
+        """
         self._drop_completed_orders({server.id for server, _, _ in outdated})
         now = self.read_time()
         engine_count = len(
@@ -200,19 +209,34 @@
         )
         loading_limit = max(1, round(CONCURRENT_LOADING_SHARE * engine_count))
         loading = sum(p.loading for p in self._pending_orders.values())
-        due: t.List[t.Tuple[topology.Server, str, int]] = []
         for server, model, version in outdated:
             pending = self._pending_orders.get(server.id)
+            if server.id in self._updates:
+                continue
             if pending is None:
-                if loading < loading_limit:
-                    loading += 1
-                    due.append((server, model, version))
+                if loading >= loading_limit:
+                    continue
+                loading += 1
+                pending = _PendingOrder(now + FIRST_REPORT_DELAY_SECONDS)
+                self._pending_orders[server.id] = pending
             elif now >= pending.next_report_at:
                 pending.next_report_at = now + REPORT_INTERVAL_SECONDS
-                due.append((server, model, version))
-        await asyncio.gather(
-            *(self._update_engine(*entry, now=now) for entry in due)
+            else:
+                continue
+            self._start_update(server, model, version, pending)
+
+    def _start_update(
+        self,
+        server: topology.Server,
+        model: str,
+        version: int,
+        pending: _PendingOrder,
+    ) -> None:
+        task = asyncio.create_task(
+            self._update_engine(server, model, version, pending)
         )
+        self._updates[server.id] = task
+        task.add_done_callback(lambda _: self._updates.pop(server.id))
 
     def _drop_completed_orders(self, outdated: t.Set[str]) -> None:
         self._pending_orders = {
@@ -222,12 +246,13 @@
         }
 
     async def _update_engine(
-        self, server: topology.Server, model: str, version: int, now: float
+        self,
+        server: topology.Server,
+        model: str,
+        version: int,
+        pending: _PendingOrder,
     ) -> None:
         """Ask an engine for its report, and send an order if it needs one."""
-        pending = self._pending_orders.setdefault(
-            server.id, _PendingOrder(now + FIRST_REPORT_DELAY_SECONDS)
-        )
         try:
             report = await self._read_report(server)
             if report.weights.get(model, 0) >= version:
--- a/tests/test_entry_orders.py
+++ b/tests/test_entry_orders.py
@@ -30,7 +30,8 @@
     """Engines that load weights at once; implements `orders.EngineControl`.
 
     Those of `replaced` have ended, and another engine answers at their
-    address. `unreachable` has the ids of engines that do not answer for 0.5 s.
+    address. `unreachable` has the ids of engines whose calls fail after
+    `answer_seconds`.
     `ordered` has the ids of engines in the order of their orders.
     """
 
@@ -38,6 +39,7 @@
         self.weights: t.Dict[str, t.Dict[str, int]] = {}
         self.unreachable: t.Set[str] = set()
         self.replaced: t.Set[str] = set()
+        self.answer_seconds = 0.5
         self.ordered: t.List[str] = []
 
     async def read_report(
@@ -45,7 +47,7 @@
     ) -> orders.EngineReport:
         """Return the weights of an engine."""
         if server.id in self.unreachable:
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(self.answer_seconds)
             raise exceptions.BackendUnreachable("no answer")
         started_at = server.started_at + (server.id in self.replaced)
         return orders.EngineReport(
@@ -163,3 +165,17 @@
         for server_id in ("i-0", "i-1"):
             known = self.catalog.servers[server_id]
             self.assertEqual({"m": 1}, known.weights)
+
+    async def test_engines_do_not_wait_for_an_answer_of_another_one(
+        self,
+    ) -> None:
+        """Guards against a rollout that waits for engines that have crashed.
+
+        Each of them delayed all others by the time that its call took.
+        """
+        self.name_weights(2)
+        self.add_engines({f"i-{number}": 1 for number in range(6)})
+        self.engines.unreachable = {"i-0"}
+        self.engines.answer_seconds = 30.0
+        await self.run_until_loaded(5, 8.0)
+        self.assertNotIn("i-0", self.engines.ordered)
