Read which server refused a request that names another one

Callers got 503 while engines were usable: in the incident requests went to an engine that had crashed, its successor at the address answered 421, and the hosts took the refusal for a sign that the crashed engine had loaded the target weights. It then looked better than before and got further requests (three of the histories of failed requests show two such refusals in a row).

Cause: a refusal for other weights and one by another server were not told apart. A refusal names the server that gave it; if that is another one, the server that was meant gets no request until it reports itself again, and nothing is concluded about its weights.

test_refusal_by_another_server_proves_nothing_about_weights failed before: the weights of the server that ended were taken for 2 instead of 1.

--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -190,7 +190,8 @@
 
     `not_executed` is the server's promise that it did not execute the request;
     `mismatched` says that this is because it is not the server that the
-    request names or because it has other weights. `sealed` says whether the
+    request names or because it has other weights. `server_id` is the id of
+    the server that replied, None if it does not say. `sealed` says whether the
     reply carries the server's seal, without which a success is not genuine.
     `content_encoded` says whether the body has a content encoding.
     `content_length` is in bytes. `forwarded` are the headers that are passed
@@ -205,6 +206,7 @@
     forwarded: Headers
     load: t.Optional[ReportedLoad] = None
     mismatched: bool = False
+    server_id: t.Optional[str] = None
 
 
 class Codec(t.Protocol):
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -143,7 +143,7 @@
                 # A connection can be reused only after the whole body has
                 # been read.
                 await reply.read_body()
-            _check_reply_head(head)
+            _check_reply_head(head, server)
             yield reply
 
 
@@ -156,11 +156,19 @@
     return exceptions.ReplyBroken(message)
 
 
-def _check_reply_head(head: requests.ReplyHead) -> None:
-    """Check that the head of the reply to a request is a genuine one.
+def _check_reply_head(
+    head: requests.ReplyHead, server: topology.Server
+) -> None:
+    """Check that the head of a server's reply to a request is a genuine one.
 
-    Raises `exceptions.NotExecuted` or `exceptions.ReplyBroken` otherwise.
+    Raises `exceptions.NotExecuted` or `exceptions.ReplyBroken` otherwise. A
+    refusal by another server at the address says that `server` has ended, and
+    nothing about its weights.
     """
+    if head.mismatched and head.server_id not in (None, server.id):
+        raise exceptions.NotExecuted(
+            f"the server at {server.address} is another one", reachable=False
+        )
     if head.not_executed:
         raise exceptions.NotExecuted(
             f"the server replied with status {head.status}",
--- a/src/sesamefold/platform/headers.py
+++ b/src/sesamefold/platform/headers.py
@@ -142,6 +142,7 @@
             ),
             load=_parse_load(headers.get(wire.SERVER_LOAD)),
             mismatched=status == _MISDIRECTED_STATUS,
+            server_id=headers.get(wire.SERVER_ID),
         )
 
     def write_error(
--- a/src/sesamefold/platform/wire.py
+++ b/src/sesamefold/platform/wire.py
@@ -37,6 +37,8 @@
 
 RESPONSE_SEAL = "Sesamefold-Response-Seal"
 NOT_EXECUTED = "Sesamefold-Not-Executed"
+# In refusals of a request that names another server.
+SERVER_ID = "Sesamefold-Instance-Id"
 SERVER_LOAD = "Sesamefold-Server-Load"
 WEIGHT_VERSIONS = "Sesamefold-Weight-Versions"
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -42,7 +42,8 @@
     `born` is the Unix time of the server's start in milliseconds. A stream
     sends `stream_events` events, one each `event_seconds`. `runs` are the
     requests that were executed, unless `keep_runs` is off, and
-    `cancelled_requests` counts those cancelled while they waited. The next
+    `cancelled_requests` counts those cancelled while they waited. `refusals`
+    counts the requests that named another instance or other weights. The next
     `orders_to_ignore` orders are held for 30 s, longer than callers wait, so
     they get no response and have no effect. With `lose_order_answers`,
     orders are applied and the connection is reset instead of a response.
@@ -58,6 +59,7 @@
     faults: t.List[str] = attrs.field(factory=list)
     runs: t.List[Run] = attrs.field(factory=list)
     cancelled_requests: int = 0
+    refusals: int = 0
     weights: t.Dict[str, int] = attrs.field(factory=dict)
     orders: t.List[t.Dict[str, t.Any]] = attrs.field(factory=list)
     lose_order_answers: bool = False
@@ -87,7 +89,12 @@
             )
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "misdirect" or not self._has_expected_target(request):
-            return _make_refusal(request, 421)
+            self.refusals += 1
+            refusal = _make_refusal(request, 421)
+            refusal.headers["Sesamefold-Instance-Id"] = (
+                "another" if fault == "misdirect" else self.id
+            )
+            return refusal
         if fault == "refuse":
             return _make_refusal(request, 503)
         return await self._execute(request, fault)
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -225,6 +225,29 @@
             "5", self.list_runs()[-1].headers[EXPECTED_VERSION_HEADER]
         )
 
+    async def test_refusal_by_another_server_proves_nothing_about_weights(
+        self,
+    ) -> None:
+        """Guards against target weights ascribed to an engine that ended.
+
+        Its successor at the address refuses requests that name it. Further
+        requests then went there as well, and none to an engine that runs.
+        """
+        model = platform_fixtures.MODEL
+        for engine in self.engines:
+            engine.weights = {model: 1}
+            self.host.catalog.update_weights(engine.id, {model: 1})
+        self.host.catalog.target_weights[model] = 2
+        self.host.election.handover_pause_seconds = 60.0
+        self.engines[0].id = "i-9"
+        statuses = [
+            (await self.call("/resumable/", f"r-{n}", headers=PROMPT))[0]
+            for n in range(8)
+        ]
+        self.assertEqual([200] * 8, statuses)
+        self.assertEqual({model: 1}, self.host.catalog.servers["i-0"].weights)
+        self.assertLessEqual(self.engines[0].refusals, 1)
+
 
 class KeyTest(entry_fakes.EntryHostCase):
     """API keys that are withdrawn or cannot be confirmed."""
