Expect the target weights of engines that report no version

A request to an engine whose entry lists no version of its model named no version at all, so an engine with replaced weights would have run it, with context under no version.

The target version is expected of such an engine; one with another version refuses the request.

test_engine_without_a_version_is_expected_to_have_the_target failed before: the engine with the old weights ran requests.

--- a/src/sesamefold/entry/context_stores.py
+++ b/src/sesamefold/entry/context_stores.py
@@ -171,9 +171,9 @@
         not known.
         """
         prompt = call.head.prompt
-        if prompt is None or prompt.model not in server.weights:
+        version = prompt and self._get_weight_version(prompt.model, server)
+        if prompt is None or version is None:
             return None
-        version = server.weights[prompt.model]
         salt = make_salt(call.customer, version)
         plan = requests.ContextPlan(salt, version)
         now = self.read_time()
@@ -186,9 +186,9 @@
     ) -> int:
         """Return how many prompt tokens the server can fetch from stores."""
         prompt = call.head.prompt
-        if prompt is None or prompt.model not in server.weights:
+        version = prompt and self._get_weight_version(prompt.model, server)
+        if prompt is None or version is None:
             return 0
-        version = server.weights[prompt.model]
         now = self.read_time()
         if not self._may_fetch(prompt.model, version, now):
             return 0
@@ -200,6 +200,18 @@
             if _find_holder(views, salt, part) is not None
         )
 
+    def _get_weight_version(
+        self, model: str, server: topology.Server
+    ) -> t.Optional[int]:
+        """Return the weight version that a request expects of an engine.
+
+        An engine that does not report its version is expected to have the
+        target version; it refuses the request if it has another one.
+        """
+        return server.weights.get(
+            model, self.catalog.target_weights.get(model)
+        )
+
     def record_first_token(
         self,
         prompt: requests.Prompt,
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -225,6 +225,26 @@
             "5", self.list_runs()[-1].headers[EXPECTED_VERSION_HEADER]
         )
 
+    async def test_engine_without_a_version_is_expected_to_have_the_target(
+        self,
+    ) -> None:
+        """Guards against requests on weights that nobody knows (VERSION)."""
+        model = platform_fixtures.MODEL
+        self.engines[0].weights = {model: 1}
+        self.engines[1].weights = {model: 2}
+        self.host.catalog.target_weights[model] = 2
+        self.host.election.handover_pause_seconds = 60.0
+        for number in range(4):
+            await self.call("/resumable/", f"r-{number}", headers=PROMPT)
+        self.assertEqual([], self.engines[0].runs)
+        self.assertEqual(
+            {"2"},
+            {
+                run.headers[EXPECTED_VERSION_HEADER]
+                for run in self.engines[1].runs
+            },
+        )
+
     async def test_refusal_by_another_server_proves_nothing_about_weights(
         self,
     ) -> None:
