Begin the grace time for replaced weights with the start of a host

A host that starts during a rollout used replaced weights for the contact time after its first answer of the store.

The time of the start is estimated now, and counts unless the first answer of the store comes late.

test_grace_time_of_a_host_begins_with_its_start failed before: the expiry was the first read plus the contact time.

--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -16,6 +16,9 @@
 # Time without an answer of the store that counts as an outage. A watch is
 # answered within 1.5 s and starts within 1.3 s of the previous one.
 MAX_CONTACT_GAP_SECONDS = 3.0
+# Time from the start of the process to that of the catalog: imports and
+# settings. The platform counts from the start of the process.
+STARTUP_SECONDS = 1.0
 # Target versions remembered for each model. No engine is that many versions
 # behind.
 MAX_TARGET_HISTORY = 100
@@ -83,9 +86,13 @@
         factory=dict
     )
     _removal_deadlines: t.Dict[str, float] = attrs.field(factory=dict)
-    _last_contact_at: float = float("-inf")
-    _contact_since: float = float("-inf")
     _reconnected_at: float = float("-inf")
+    _last_contact_at: float = attrs.field(init=False)
+    _contact_since: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._contact_since = self.read_time() - STARTUP_SECONDS
+        self._last_contact_at = self._contact_since
 
     def require_configuration(self) -> topology.Configuration:
         """Return the configuration.
@@ -127,10 +134,10 @@
         """
         now = self.read_time()
         overdue = now - self._last_contact_at > MAX_CONTACT_GAP_SECONDS
-        if overdue or after_failure:
+        if self.has_snapshot and (overdue or after_failure):
+            self._reconnected_at = self._contact_since = now
+        elif overdue:
             self._contact_since = now
-            if self.has_snapshot:
-                self._reconnected_at = now
         self._last_contact_at = now
 
     def apply_changes(self, batch: changes.Batch) -> None:
--- a/tests/test_entry_catalog.py
+++ b/tests/test_entry_catalog.py
@@ -163,6 +163,23 @@
         self.name_weights(3)
         self.assertEqual(expiry, self.catalog.find_weights_expiry("m", 1))
 
+    def test_grace_time_of_a_host_begins_with_its_start(self) -> None:
+        """Guards against weights that a restarted host uses for too long.
+
+        The grace time of a host that has started does not wait for its first
+        read of the store.
+        """
+        started_at = self.clock.now
+        restarted = entry_fakes.make_catalog(self.clock)
+        restarted.weights_limits = catalog.WeightsLimits(10.0, 4.0)
+        self.clock.now += 1.0
+        restarted.record_store_contact(False)
+        change = changes.TargetWeightsChanged("m", 2)
+        restarted.apply_snapshot(changes.Batch((change,), 2))
+        self.assertLessEqual(
+            restarted.find_weights_expiry("m", 1), started_at + 4.0
+        )
+
     def test_weights_do_not_expire_without_limits(self) -> None:
         self.name_weights(2)
         self.assertEqual(
