Count the wait at an engine towards the expiry of its weights

The estimated time to the first token is added to the margin, and all streams that have not begun by the expiry are cancelled, not only resumable ones. The error is 1221.

test_request_that_cannot_be_cancelled_begins_before_the_expiry failed before: an engine with two seconds of prompts before it got a request one second before the expiry.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -242,8 +242,8 @@
     ) -> None:
         """Make one attempt at a server and relay its reply.
 
-        Raises `exceptions.ReplyBroken` for a resumable stream that has not
-        begun when the server's weights expire.
+        Raises `exceptions.WeightsExpired` for a stream that has not begun
+        when the server's weights expire.
         """
         added = self._make_added_headers(call, server)
         expiry = self.placement.find_weights_expiry(call, server)
@@ -286,7 +286,7 @@
         )
         start_timeout = asyncio.timeout(
             expiry - sent_at
-            if call.route.resumable and math.isfinite(expiry)
+            if call.route.streamed and math.isfinite(expiry)
             else None
         )
         try:
@@ -297,7 +297,7 @@
         except TimeoutError as error:
             if not start_timeout.expired():
                 raise
-            raise exceptions.ReplyBroken(
+            raise exceptions.WeightsExpired(
                 "the server's weights expired before the stream began"
             ) from error
         finally:
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -2,6 +2,7 @@
 
 import collections
 import functools
+import math
 import random
 import typing as t
 
@@ -59,8 +60,9 @@
 # estimate, and an engine that runs out of memory preempts requests and
 # prefills their prompts again.
 MEMORY_SHARES = (0.97, 0.93, 0.87)
-# Time before the expiry of replaced weights from which an engine gets no new
-# request on them, seconds. A request begins with its first token only.
+# Time before the expiry of replaced weights by which the first token of a
+# request on them is expected at the latest, seconds. A request begins with its
+# first token only.
 WEIGHTS_EXPIRY_MARGIN_SECONDS = 0.5
 # Time without requests for a server that refused one, seconds. Engines refuse
 # requests while they load weights, which takes about a second.
@@ -234,10 +236,14 @@
         self, call: requests.Call, server: topology.Server
     ) -> float:
         """Return until when a request may be sent to begin in time."""
-        return (
-            self.find_weights_expiry(call, server)
-            - WEIGHTS_EXPIRY_MARGIN_SECONDS
+        expiry = self.find_weights_expiry(call, server)
+        prompt = call.head.prompt
+        if prompt is None or not math.isfinite(expiry):
+            return expiry
+        first_token_ms = self._estimate_first_token_ms(
+            self._estimate_demand(call, prompt), server, 0.0, 0
         )
+        return expiry - WEIGHTS_EXPIRY_MARGIN_SECONDS - first_token_ms / 1000.0
 
     def has_untried_server(self, call: requests.Call) -> bool:
         """Return whether a server may take a request that failed at others.
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -250,6 +250,12 @@
     code = 1220
 
 
+class WeightsExpired(ReplyBroken):
+    """A stream was cancelled that had not begun before its weights expired."""
+
+    code = 1221
+
+
 class AnswerCut(RoutingError):
     """The answer had begun and cannot be completed."""
 
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -4,6 +4,8 @@
 import typing as t
 import unittest
 
+import attrs
+
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import changes
 from sesamefold.entry import clock
@@ -170,6 +172,38 @@
             self.placement.describe_missing_capacity(call, None),
         )
 
+    def make_outdated(self, engines: int) -> entry_fakes.FakeClock:
+        """Make a placement whose engines' weights were replaced just now.
+
+        They expire after 10 s. The result is the clock.
+        """
+        self.make(engines)
+        catalog = self.placement.catalog
+        catalog.weights_limits = catalogs.WeightsLimits(10.0, 0.0)
+        times = entry_fakes.FakeClock(clock.read_time())
+        catalog.read_time = self.placement.read_time = times
+        catalog.confirm(times.now)
+        change = changes.TargetWeightsChanged("m", 2)
+        catalog.apply_changes(changes.Batch((change,), 2))
+        return times
+
+    def test_request_that_cannot_be_cancelled_begins_before_the_expiry(
+        self,
+    ) -> None:
+        """Guards against requests that an engine begins on expired weights.
+
+        Its prompts in progress take longer than the weights may be used.
+        """
+        times = self.make_outdated(1)
+        self.route = attrs.evolve(self.route, resumable=False)
+        backlog_seconds = 2.0
+        backlog_tokens = (
+            backlog_seconds * 1000.0 * placement.PREFILL_TOKENS_PER_MS
+        )
+        self.loads.reserve("i-0", 100, int(backlog_tokens))
+        times.now += 10.0 - backlog_seconds / 2
+        self.assertIsNone(self.placement.choose_server(self.make_call("a")))
+
     def test_hosts_with_equal_loads_choose_many_engines(self) -> None:
         """Guards against hosts that all choose the engine with the least load.
 
