Withdraw supposed weights when a second request is refused

An engine that refuses a request for its weights is supposed to have loaded the target weights.

The weights known before are kept and hold again after the next refusal.

test_engine_that_refuses_the_supposed_weights_does_not_have_them and test_expired_engine_is_not_replaced_by_one_that_has_ended failed before: the engine still had the target weights, and was chosen for them.

--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -124,7 +124,8 @@
     Instants are in seconds of `clock.read_time`. No request is sent before
     `backoff_until` and `suspected_until`. `suspected_report` holds the start
     time and the sequence of the server's latest report when the server became
-    suspected.
+    suspected. `weights_before_refusal` are the weights that were known before
+    a refusal made other ones seem likely, until they are reported.
     """
 
     reported_load: t.Optional[requests.ReportedLoad] = None
@@ -132,6 +133,7 @@
     backoff_until: float = float("-inf")
     suspected_until: float = float("-inf")
     suspected_report: t.Tuple[int, int] = (0, 0)
+    weights_before_refusal: t.Optional[t.Mapping[str, int]] = None
     last_activity_at: float = float("-inf")
     failure_rate: float = 0.0
     last_failure_at: float = float("-inf")
@@ -175,7 +177,7 @@
     _last_engines: t.Dict[str, str] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.catalog.on_report.append(self._clear_suspicion)
+        self.catalog.on_report.append(self._apply_report)
         self.catalog.on_removal.append(self._forget_server)
 
     def choose_server(
@@ -448,16 +450,23 @@
         """Record that a server is not the expected one or has other weights.
 
         An engine with old weights has probably loaded the target weights
-        meanwhile. If it has not, it refuses the next request as well.
+        meanwhile. If it refuses the next request as well, it has not.
         """
         prompt = call.head.prompt
+        state = self.states[server.id]
         if prompt is not None and self._has_old_weights(prompt.model, server):
+            state.weights_before_refusal = server.weights
             target = {prompt.model: self.catalog.target_weights[prompt.model]}
             self.catalog.update_weights(
                 server.id, {**server.weights, **target}
             )
-        else:
-            self.record_refusal(server)
+            return
+        if state.weights_before_refusal is not None:
+            self.catalog.update_weights(
+                server.id, state.weights_before_refusal
+            )
+            state.weights_before_refusal = None
+        self.record_refusal(server)
 
     def record_refusal(self, server: topology.Server) -> None:
         """Record a refusal and pause requests to the server.
@@ -477,7 +486,9 @@
 
     def record_loaded(self, server: topology.Server) -> None:
         """Record that an engine has loaded weights and resume requests."""
-        self.states[server.id].backoff_until = float("-inf")
+        state = self.states[server.id]
+        state.backoff_until = float("-inf")
+        state.weights_before_refusal = None
 
     def _get_memory_capacity(self, call: requests.Call) -> float:
         configuration = self.catalog.require_configuration()
@@ -555,9 +566,13 @@
         self.states.pop(server_id, None)
         self.cold_throttle.forget_server(server_id)
 
-    def _clear_suspicion(self, server: topology.Server) -> None:
+    def _apply_report(self, server: topology.Server) -> None:
+        """Drop what a newer report of a server replaces."""
         state = self.states.get(server.id)
-        if state is None or state.suspected_until == float("-inf"):
+        if state is None:
+            return
+        state.weights_before_refusal = None
+        if state.suspected_until == float("-inf"):
             return
         if (server.started_at, server.sequence) > state.suspected_report:
             state.suspected_until = float("-inf")
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -187,6 +187,37 @@
         catalog.apply_changes(changes.Batch((change,), 2))
         return times
 
+    def test_engine_that_refuses_the_supposed_weights_does_not_have_them(
+        self,
+    ) -> None:
+        """Guards against a preference for engines that have ended.
+
+        Another engine at the address refuses all requests to the old one,
+        whatever weights they expect.
+        """
+        times = self.make_outdated(2)
+        ended = self.servers[0]
+        call = self.make_call("a")
+        for _ in range(2):
+            known = self.placement.catalog.servers[ended.id]
+            self.placement.record_mismatch(call, known)
+        times.now += placement.REFUSAL_BACKOFF_SECONDS + 0.1
+        known = self.placement.catalog.servers[ended.id]
+        self.assertEqual({"m": 1}, dict(known.weights))
+
+    def test_expired_engine_is_not_replaced_by_one_that_has_ended(
+        self,
+    ) -> None:
+        """Guards against weights that do not expire because of a refusal."""
+        times = self.make_outdated(2)
+        ended = self.servers[0]
+        call = self.make_call("a")
+        for _ in range(2):
+            known = self.placement.catalog.servers[ended.id]
+            self.placement.record_mismatch(call, known)
+        times.now += 11.0
+        self.assertIsNone(self.placement.choose_server(self.make_call("b")))
+
     def test_request_that_cannot_be_cancelled_begins_before_the_expiry(
         self,
     ) -> None:
