Name the incarnation in messages about loaded weights

Messages carry the start time of the engine and are ignored for another one. Messages of the earlier build are taken as before; the earlier build rejects the new ones, which costs it no more than a lost message.

test_message_about_an_earlier_incarnation_is_ignored failed before.

--- a/src/sesamefold/entry/weight_status.py
+++ b/src/sesamefold/entry/weight_status.py
@@ -7,6 +7,7 @@
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import datagrams
 from sesamefold.entry import placement as placements
+from sesamefold.entry import topology
 
 TOPIC = "weights"
 
@@ -19,8 +20,9 @@
     the new weights takes up to two seconds. A lost message costs no more than
     these delays, because hosts learn the same from refusals and reports.
 
-    A message holds a server id and the weights of the engine, which are empty
-    while the engine loads.
+    A message holds a server id, the weights of the engine, which are empty
+    while the engine loads, and the start time of the engine. Messages of an
+    earlier build lack the latter.
     """
 
     channel: datagrams.PeerChannel
@@ -44,28 +46,33 @@
     def _announce_status(
         self, server_id: str, weights: t.Mapping[str, int]
     ) -> None:
-        self._apply_status(server_id, weights)
+        server = self.catalog.servers.get(server_id)
+        if server is None:
+            return
+        self._apply_status(server, weights)
         addresses = [
             address
             for same_region in (True, False)
             for address in self.peers.list_peers(same_region).values()
         ]
-        self.channel.send(TOPIC, [server_id, dict(weights)], addresses)
+        self.channel.send(
+            TOPIC, [server_id, dict(weights), server.started_at], addresses
+        )
 
     def _receive_status(
         self, host: str, sender: datagrams.Address, body: t.Any
     ) -> None:
-        server_id, weights = body
+        server_id, weights, *started_at = body
+        server = self.catalog.servers.get(str(server_id))
+        if server is None or started_at not in ([], [server.started_at]):
+            return
         self._apply_status(
-            str(server_id), {str(m): int(v) for m, v in weights.items()}
+            server, {str(m): int(v) for m, v in weights.items()}
         )
 
     def _apply_status(
-        self, server_id: str, weights: t.Mapping[str, int]
+        self, server: topology.Server, weights: t.Mapping[str, int]
     ) -> None:
-        server = self.catalog.servers.get(server_id)
-        if server is None:
-            return
         if not weights:
             self.placement.record_loading(server)
             return
@@ -74,5 +81,5 @@
             model: max(version, server.weights.get(model, 0))
             for model, version in weights.items()
         }
-        self.catalog.update_weights(server_id, {**server.weights, **newer})
+        self.catalog.update_weights(server.id, {**server.weights, **newer})
         self.placement.record_loaded(server)
--- a/tests/test_entry_weight_status.py
+++ b/tests/test_entry_weight_status.py
@@ -3,6 +3,8 @@
 import typing as t
 import unittest
 
+import attrs
+
 from sesamefold.entry import catalog
 from sesamefold.entry import context_stores
 from sesamefold.entry import datagrams
@@ -88,6 +90,18 @@
         self.sender.announce_loaded("i-1", {"m": 2})
         self.assertEqual({"m": 3, "n": 7}, self.get_weights())
 
+    def test_message_about_an_earlier_incarnation_is_ignored(self) -> None:
+        """Guards against weights that an engine had before its restart."""
+        self.network.delayed_deliveries = []
+        self.sender.announce_loaded("i-1", {"m": 2})
+        restarted = attrs.evolve(self.server, started_at=2)
+        self.receiver.catalog.apply_changes(
+            entry_fakes.make_report_batch(restarted)
+        )
+        for deliver in self.network.delayed_deliveries:
+            deliver()
+        self.assertEqual({"m": 1, "n": 7}, self.get_weights())
+
     def test_message_about_unknown_engine_is_ignored(self) -> None:
         self.sender.announce_loading("i-9")
         self.sender.announce_loaded("i-9", {"m": 2})
