Do not charge an engine for a stream that its host cancelled

The cancellation says nothing about the engine and is not recorded.

test_a_stream_that_begins_too_late_for_its_weights_is_cancelled, extended by the failure rates, failed before.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -231,6 +231,8 @@
             else:
                 self.placement.suspect(server, error.message)
             return
+        if isinstance(error, exceptions.WeightsExpired):
+            return
         self.placement.record_outcome(server, failed=True)
 
     async def _send_to_server(
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -424,6 +424,10 @@
         self.assertEqual(
             1, sum(engine.cancelled_requests for engine in self.engines)
         )
+        self.assertEqual(
+            {0.0},
+            {s.failure_rate for s in self.host.placement.states.values()},
+        )
 
     async def test_a_host_holds_the_lease_before_new_weights_are_published(
         self,
