Keep the status of a server by incarnation, in a module of its own

An engine that restarted under the same id was judged by its former run: the pause after a refusal, the failure rate and the reported load counted on until they expired or its entry was removed. A late failure of a request to the former run counted against the new one too.

Change: what a host learns of a server moves from placement to entry/server_status.py, which keeps it for one incarnation, the id with the start time. A newer start time begins an empty status, and what arrives of an older one is dropped. Failures and loads are kept with deadlines instead of the times of their recording.

--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -1,6 +1,5 @@
 """Choice of a backend server for a request."""
 
-import collections
 import functools
 import random
 import typing as t
@@ -13,17 +12,11 @@
 from sesamefold.entry import decisions
 from sesamefold.entry import loads
 from sesamefold.entry import requests
+from sesamefold.entry import server_status
 from sesamefold.entry import throttle
 from sesamefold.entry import topology
 from sesamefold import rendezvous
 
-# Time without requests for a server that could not be reached, seconds, unless
-# it reports itself earlier. A server whose reports are missing for three
-# intervals of about 1.2 s is removed anyway.
-SUSPICION_SECONDS = 4.0
-# Age above which a load reported by a server is ignored, seconds. An engine
-# takes about a second for a request.
-REPORTED_LOAD_EXPIRY_SECONDS = 1.0
 # Prompt tokens that an engine prefills per millisecond beside its running
 # requests. The value is rough and affects only the order of the servers.
 PREFILL_TOKENS_PER_MS = 100.0
@@ -62,13 +55,6 @@
 # Time before the expiry of replaced weights from which an engine gets no new
 # request on them, seconds. A request begins with its first token only.
 WEIGHTS_EXPIRY_MARGIN_SECONDS = 0.5
-# Time without requests for a server that refused one, seconds. Engines refuse
-# requests while they load weights, which takes about a second.
-REFUSAL_BACKOFF_SECONDS = 0.4
-# Time without requests for an engine that was ordered to load weights,
-# seconds, unless it is known to have loaded them. Loading takes about a
-# second.
-LOADING_BACKOFF_SECONDS = 1.2
 # Share of a prompt's shared context that is expected in the cache of the
 # engine that served the session last.
 LAST_ENGINE_CACHED_SHARE = 0.8
@@ -77,14 +63,6 @@
 OWNER_CACHED_SHARE = 0.5
 # Number of sessions whose last engine this host remembers.
 REMEMBERED_SESSIONS = 20_000
-# Weight of the latest outcome in the moving average of a server's failures.
-FAILURE_WEIGHT = 0.2
-# Failure rate above which a server gets requests only if no other server can
-# take them.
-FAILURE_RATE_LIMIT = 0.25
-# Time after its last failure from which a server with a high failure rate is
-# tried again, seconds.
-FAILURE_RETRY_SECONDS = 1.5
 
 
 @attrs.frozen
@@ -115,38 +93,6 @@
         )
 
 
-@attrs.define
-class ServerState:
-    """State of a server that this host keeps apart from the server's reports.
-
-    Instants are in seconds of `clock.read_time`. No request is sent before
-    `backoff_until` and `suspected_until`. `suspected_report` holds the start
-    time and the sequence of the server's latest report when the server became
-    suspected.
-    """
-
-    reported_load: t.Optional[requests.ReportedLoad] = None
-    load_reported_at: float = float("-inf")
-    backoff_until: float = float("-inf")
-    suspected_until: float = float("-inf")
-    suspected_report: t.Tuple[int, int] = (0, 0)
-    last_activity_at: float = float("-inf")
-    failure_rate: float = 0.0
-    last_failure_at: float = float("-inf")
-
-    def count_reported_requests(self, now: float) -> int:
-        """Return the running and queued requests that the server reported.
-
-        0 if it has reported no load or if its report has expired.
-        """
-        if (
-            self.reported_load is None
-            or now - self.load_reported_at > REPORTED_LOAD_EXPIRY_SECONDS
-        ):
-            return 0
-        return self.reported_load.running + self.reported_load.queued
-
-
 @attrs.define
 class Placement:
     """Chooses servers for requests and records the outcomes of requests.
@@ -167,13 +113,18 @@
     region: str
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
-    states: t.DefaultDict[str, ServerState] = attrs.field(
-        factory=lambda: collections.defaultdict(ServerState)
+    states: server_status.ServerStatuses = attrs.field(
+        default=attrs.Factory(
+            lambda self: server_status.ServerStatuses(
+                self.log, self.read_time
+            ),
+            takes_self=True,
+        )
     )
     _last_engines: t.Dict[str, str] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.catalog.on_report.append(self._clear_suspicion)
+        self.catalog.on_report.append(self.states.record_report)
         self.catalog.on_removal.append(self._forget_server)
 
     def choose_server(
@@ -184,7 +135,9 @@
         usable = self._list_usable_servers(call, now)
         if not usable:
             return None
-        healthy = [s for s in usable if not self._is_failing(s, now)] or usable
+        healthy = [
+            s for s in usable if not self.states.get(s).is_failing(now)
+        ] or usable
         if call.head.prompt is not None:
             chosen = self._choose_engine(call, call.head.prompt, healthy)
         else:
@@ -205,8 +158,7 @@
             server
             for server in self.catalog.list_usable_servers(call.service)
             if server.id not in call.tried_servers
-            and now >= self.states[server.id].suspected_until
-            and now >= self.states[server.id].backoff_until
+            and self.states.get(server).is_available(now)
             and self._is_permitted(server, allowed)
             and now < self._get_last_start(call, server)
             and (
@@ -264,13 +216,6 @@
     def _is_in_region(self, server: topology.Server) -> bool:
         return self.regions.get(server.data_centre) == self.region
 
-    def _is_failing(self, server: topology.Server, now: float) -> bool:
-        state = self.states[server.id]
-        return (
-            state.failure_rate > FAILURE_RATE_LIMIT
-            and now < state.last_failure_at + FAILURE_RETRY_SECONDS
-        )
-
     def _make_load_key(
         self, server: topology.Server, now: float
     ) -> t.Tuple[float, bool]:
@@ -280,7 +225,7 @@
         tie.
         """
         known = self.loads.get_load(server.id).requests
-        reported = self.states[server.id].count_reported_requests(now)
+        reported = self.states.get(server).count_reported_requests(now)
         return max(known, reported), server.data_centre != self.data_centre
 
     def _choose_engine(
@@ -454,24 +399,16 @@
             self.record_refusal(server)
 
     def record_refusal(self, server: topology.Server) -> None:
-        """Record a refusal and pause requests to the server.
-
-        The pause lasts `REFUSAL_BACKOFF_SECONDS`.
-        """
-        until = self.read_time() + REFUSAL_BACKOFF_SECONDS
-        self.states[server.id].backoff_until = until
+        """Record a refusal and pause requests to the server shortly."""
+        self.states.record_refusal(server)
 
     def record_loading(self, server: topology.Server) -> None:
-        """Record that an engine loads weights and pause requests to it.
-
-        The pause lasts `LOADING_BACKOFF_SECONDS`.
-        """
-        until = self.read_time() + LOADING_BACKOFF_SECONDS
-        self.states[server.id].backoff_until = until
+        """Record that an engine loads weights and pause requests to it."""
+        self.states.record_loading(server)
 
     def record_loaded(self, server: topology.Server) -> None:
         """Record that an engine has loaded weights and resume requests."""
-        self.states[server.id].backoff_until = float("-inf")
+        self.states.record_loaded(server)
 
     def _get_memory_capacity(self, call: requests.Call) -> float:
         configuration = self.catalog.require_configuration()
@@ -508,55 +445,34 @@
         self, server: topology.Server, head: requests.ReplyHead
     ) -> None:
         """Record the load that the head of a reply reports."""
-        state = self.states[server.id]
         if head.load is not None:
-            state.reported_load, state.load_reported_at = (
-                head.load,
-                self.read_time(),
-            )
+            self.states.record_load(server, head.load)
 
     def record_outcome(self, server: topology.Server, failed: bool) -> None:
         """Update a server's failure rate with the outcome of a request."""
-        state = self.states[server.id]
-        state.failure_rate += FAILURE_WEIGHT * (failed - state.failure_rate)
-        if failed:
-            state.last_failure_at = self.read_time()
+        self.states.record_outcome(server, failed)
 
     def suspect(self, server: topology.Server, reason: str) -> None:
-        """Pause requests to a server until it reports itself again.
-
-        The pause ends after `SUSPICION_SECONDS` in any case.
-        """
-        state = self.states[server.id]
-        state.suspected_until = self.read_time() + SUSPICION_SECONDS
-        known = self.catalog.servers.get(server.id, server)
-        state.suspected_report = (known.started_at, known.sequence)
-        self.log.write("server_suspected", server=server.id, reason=reason)
+        """Pause requests to a server until it reports itself again."""
+        latest = self.catalog.servers.get(server.id)
+        if latest is None or latest.started_at == server.started_at:
+            self.states.suspect(latest or server, reason)
 
     def record_activity(self, server: topology.Server) -> None:
         """Record that a server has just sent data."""
-        self.states[server.id].last_activity_at = self.read_time()
+        self.states.record_activity(server)
 
     def is_silent(self, server: topology.Server, seconds: float) -> bool:
         """Return whether a server sent no data in the last `seconds`.
 
         Data of every request that this host has at the server counts.
         """
-        last_activity_at = self.states[server.id].last_activity_at
-        return self.read_time() - last_activity_at >= seconds
+        return self.states.is_silent(server, seconds)
 
     def _forget_server(self, server_id: str) -> None:
-        self.states.pop(server_id, None)
+        self.states.forget_server(server_id)
         self.cold_throttle.forget_server(server_id)
 
-    def _clear_suspicion(self, server: topology.Server) -> None:
-        state = self.states.get(server.id)
-        if state is None or state.suspected_until == float("-inf"):
-            return
-        if (server.started_at, server.sequence) > state.suspected_report:
-            state.suspected_until = float("-inf")
-            self.log.write("server_trusted", server=server.id)
-
 
 def _sample_servers(
     servers: t.Sequence[topology.Server],
--- /dev/null
+++ b/src/sesamefold/entry/server_status.py
@@ -0,0 +1,190 @@
+"""What this host has learnt of each backend server, and for how long it holds.
+
+Servers report themselves to the platform's store every second or two. Between
+reports, and while the store is away, the answers of a server and failures to
+reach it are the only signs of the load that it bears.
+"""
+
+import typing as t
+
+import attrs
+
+from sesamefold.entry import clock
+from sesamefold.entry import decisions
+from sesamefold.entry import requests
+from sesamefold.entry import topology
+
+# Time without requests for a server that could not be reached, seconds, unless
+# it reports itself earlier. A server whose reports are missing for three
+# intervals of about 1.2 s is removed anyway.
+SUSPICION_SECONDS = 4.0
+# Age above which a load reported by a server is ignored, seconds. An engine
+# takes about a second for a request.
+REPORTED_LOAD_EXPIRY_SECONDS = 1.0
+# Time without requests for a server that refused one, seconds. Engines refuse
+# requests while they load weights, which takes about a second.
+REFUSAL_BACKOFF_SECONDS = 0.4
+# Time without requests for an engine that was ordered to load weights,
+# seconds, unless it is known to have loaded them. Loading takes about a
+# second.
+LOADING_BACKOFF_SECONDS = 1.2
+# Weight of the latest outcome in the moving average of a server's failures.
+FAILURE_WEIGHT = 0.2
+# Failure rate above which a server gets requests only if no other server can
+# take them.
+FAILURE_RATE_LIMIT = 0.25
+# Time after its last failure from which a server with a high failure rate is
+# tried again, seconds.
+FAILURE_RETRY_SECONDS = 1.5
+
+_NEVER = float("-inf")
+
+
+@attrs.define
+class ServerStatus:
+    """What this host has learnt of one incarnation of a server.
+
+    `started_at` identifies the incarnation as in `topology.Server`. All other
+    instants are in seconds of `clock.read_time`. No request is sent before
+    `backoff_until` and `suspected_until`. `suspected_sequence` is that of the
+    server's latest report when the server became suspected.
+    """
+
+    started_at: int
+    reported_load: t.Optional[requests.ReportedLoad] = None
+    load_expires_at: float = _NEVER
+    backoff_until: float = _NEVER
+    suspected_until: float = _NEVER
+    suspected_sequence: int = 0
+    last_activity_at: float = _NEVER
+    failure_rate: float = 0.0
+    avoided_until: float = _NEVER
+
+    def is_available(self, now: float) -> bool:
+        """Return whether requests may be sent to the server at `now`."""
+        return now >= self.suspected_until and now >= self.backoff_until
+
+    def is_failing(self, now: float) -> bool:
+        """Return whether other servers should be preferred at `now`."""
+        return (
+            self.failure_rate > FAILURE_RATE_LIMIT and now < self.avoided_until
+        )
+
+    def count_reported_requests(self, now: float) -> int:
+        """Return the running and queued requests that the server reported.
+
+        0 if it has reported no load or if its report has expired.
+        """
+        if self.reported_load is None or now > self.load_expires_at:
+            return 0
+        return self.reported_load.running + self.reported_load.queued
+
+
+@attrs.define
+class ServerStatuses:
+    """Status of each server in its current incarnation.
+
+    What was learnt of an earlier incarnation says nothing of a later one: a
+    server that restarts under the same id begins with an empty status, and an
+    answer that an earlier incarnation gave does not change it.
+
+        statuses.suspect(server, "connection refused")
+        if statuses.get(server).is_available(now):
+            ...
+    """
+
+    log: decisions.DecisionLog
+    read_time: t.Callable[[], float] = clock.read_time
+    _statuses: t.Dict[str, ServerStatus] = attrs.field(factory=dict)
+
+    def get(self, server: topology.Server) -> ServerStatus:
+        """Return the status of a server's incarnation.
+
+        That of an incarnation before the latest known one is empty, and
+        changes to it are lost.
+        """
+        status = self._statuses.get(server.id)
+        if status is not None and status.started_at == server.started_at:
+            return status
+        if status is not None and status.started_at > server.started_at:
+            return ServerStatus(server.started_at)
+        status = ServerStatus(server.started_at)
+        self._statuses[server.id] = status
+        return status
+
+    def record_load(
+        self, server: topology.Server, load: requests.ReportedLoad
+    ) -> None:
+        """Record the load that a server reports in an answer."""
+        status = self.get(server)
+        status.reported_load = load
+        status.load_expires_at = (
+            self.read_time() + REPORTED_LOAD_EXPIRY_SECONDS
+        )
+
+    def record_refusal(self, server: topology.Server) -> None:
+        """Pause requests to a server that refused one.
+
+        The pause lasts `REFUSAL_BACKOFF_SECONDS`.
+        """
+        until = self.read_time() + REFUSAL_BACKOFF_SECONDS
+        self.get(server).backoff_until = until
+
+    def record_loading(self, server: topology.Server) -> None:
+        """Pause requests to an engine that loads weights.
+
+        The pause lasts `LOADING_BACKOFF_SECONDS`.
+        """
+        until = self.read_time() + LOADING_BACKOFF_SECONDS
+        self.get(server).backoff_until = until
+
+    def record_loaded(self, server: topology.Server) -> None:
+        """End the pause of an engine that has loaded weights."""
+        self.get(server).backoff_until = _NEVER
+
+    def record_outcome(self, server: topology.Server, failed: bool) -> None:
+        """Update a server's failure rate with the outcome of a request."""
+        status = self.get(server)
+        status.failure_rate += FAILURE_WEIGHT * (failed - status.failure_rate)
+        if failed:
+            status.avoided_until = self.read_time() + FAILURE_RETRY_SECONDS
+
+    def record_activity(self, server: topology.Server) -> None:
+        """Record that a server has just sent data."""
+        self.get(server).last_activity_at = self.read_time()
+
+    def is_silent(self, server: topology.Server, seconds: float) -> bool:
+        """Return whether a server sent no data in the last `seconds`."""
+        last_activity_at = self.get(server).last_activity_at
+        return self.read_time() - last_activity_at >= seconds
+
+    def suspect(self, server: topology.Server, reason: str) -> None:
+        """Pause requests to a server until it reports itself again.
+
+        `server` is the latest report known of the incarnation. The pause ends
+        after `SUSPICION_SECONDS` in any case.
+        """
+        status = self.get(server)
+        status.suspected_until = self.read_time() + SUSPICION_SECONDS
+        status.suspected_sequence = server.sequence
+        self.log.write("server_suspected", server=server.id, reason=reason)
+
+    def record_report(self, server: topology.Server) -> None:
+        """End the suspicion of a server that has reported itself since."""
+        known = self._statuses.get(server.id)
+        if known is None or known.suspected_until == _NEVER:
+            return
+        if (server.started_at, server.sequence) > (
+            known.started_at,
+            known.suspected_sequence,
+        ):
+            self.get(server).suspected_until = _NEVER
+            self.log.write("server_trusted", server=server.id)
+
+    def forget_server(self, server_id: str) -> None:
+        """Drop the status of a server that was removed."""
+        self._statuses.pop(server_id, None)
+
+    def clear(self) -> None:
+        """Drop the status of all servers."""
+        self._statuses.clear()
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -191,3 +191,19 @@
         last = self.servers[7]
         self.placement.record_request(call, last, cold=False).release()
         self.assertEqual({last.id}, {self.choose(call).id for _ in range(20)})
+
+    def test_restarted_engine_is_not_judged_by_its_former_incarnation(
+        self,
+    ) -> None:
+        """Guards against pauses and failures that outlive an engine's run."""
+        self.make(1)
+        call = self.make_call("a")
+        self.placement.record_refusal(self.servers[0])
+        self.assertIsNone(self.placement.choose_server(call))
+        restarted = entry_fakes.make_server(
+            "i-0", weights={"m": 1}, started_at=2
+        )
+        self.placement.catalog.apply_changes(
+            entry_fakes.make_report_batch(restarted)
+        )
+        self.assertEqual(restarted, self.choose(call))
--- a/tests/test_entry_weight_status.py
+++ b/tests/test_entry_weight_status.py
@@ -8,6 +8,7 @@
 from sesamefold.entry import datagrams
 from sesamefold.entry import loads
 from sesamefold.entry import placement
+from sesamefold.entry import server_status
 from sesamefold.entry import throttle
 from sesamefold.entry import weight_status
 from tests import entry_fakes
@@ -69,7 +70,8 @@
 
     def is_loading(self) -> bool:
         """Return whether the receiver takes the engine to be loading."""
-        return self.clock.now < self.receiver.states["i-1"].backoff_until
+        status = self.receiver.states.get(self.server)
+        return self.clock.now < status.backoff_until
 
     def test_loading_engine_gets_no_requests_until_loaded(self) -> None:
         self.sender.announce_loading("i-1")
@@ -80,7 +82,7 @@
 
     def test_loading_expires_if_loaded_message_is_lost(self) -> None:
         self.sender.announce_loading("i-1")
-        self.clock.now += placement.LOADING_BACKOFF_SECONDS
+        self.clock.now += server_status.LOADING_BACKOFF_SECONDS
         self.assertFalse(self.is_loading())
 
     def test_late_message_with_older_weights_is_ignored(self) -> None:
