Stop requests to a server whose answers say that it leaves

An engine that is emptied adds Server-Leaving: 1 to all its answers and ends some time later. The host knew of it only from the list of servers, and nothing while the store was away, and passed the header on to callers.

Change: the header is read from the head of each answer that repeats the id of its request, also from refusals and answers that break off. The server gets no more requests from that moment unless no other server can take them, and none at all from the bound of the settings on, less a margin. An engine that leaves gets no orders for weights. The notice is bound to the incarnation that the request was for; neither a report of the server nor an entry that lapses and returns undoes it. Any other value is logged as reply_header_ignored. An answer without the seal of a success, and a refusal with 421 unless the engine's weights were old, may be another server's and say nothing. The header is not passed on in either direction.

Tests: new ones in test_entry_server_status, test_entry_placement, test_platform_translation, test_exchanges and test_entry_host; they need the new interfaces, so none could run before.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import math
 import typing as t
 
@@ -291,8 +292,14 @@
         )
         try:
             async with start_timeout:
-                async with self.upstream.send(server, call, added) as reply:
-                    self.placement.record_reply(server, reply.head)
+                async with self.upstream.send(
+                    server,
+                    call,
+                    added,
+                    functools.partial(
+                        self.placement.record_reply, call, server
+                    ),
+                ) as reply:
                     await response.forward_reply(call, reply, attempt)
         except TimeoutError as error:
             if not start_timeout.expired():
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -25,6 +25,7 @@
 from sesamefold.entry import orders
 from sesamefold.entry import placement
 from sesamefold.entry import requests
+from sesamefold.entry import server_status
 from sesamefold.entry import settings as entry_settings
 from sesamefold.entry import store
 from sesamefold.entry import throttle
@@ -113,6 +114,9 @@
         self.context_relay = context_relay.ContextRelay(
             self.channel, self.members, self.context_stores, self.decisions
         )
+        self.server_statuses = server_status.ServerStatuses(
+            self.decisions, leaving_seconds=settings.leaving_seconds
+        )
         self.placement = placement.Placement(
             self.catalog,
             throttle.ColdThrottle(settings.host, self.members.list_hosts),
@@ -122,6 +126,7 @@
             settings.regions,
             settings.region,
             self.decisions,
+            states=self.server_statuses,
         )
         self.weight_status = weight_status.WeightStatusSharing(
             self.channel, self.members, self.catalog, self.placement
@@ -253,6 +258,7 @@
             self.weight_status,
             self.members.list_hosts,
             self.decisions,
+            is_leaving=self.server_statuses.is_leaving,
         ).run()
 
     def reload(self, file: "SettingsFile", cause: str) -> None:
--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -114,7 +114,8 @@
 
     One entry host at a time sends orders, by a lease in the platform store,
     and only while it is certain to hold the lease. `members` returns the live
-    entry hosts, which compete for the lease in an order of ranks.
+    entry hosts, which compete for the lease in an order of ranks. An engine
+    for which `is_leaving` returns True gets no orders.
     """
 
     host: str
@@ -125,6 +126,7 @@
     members: t.Callable[[], t.Collection[str]]
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
+    is_leaving: t.Callable[[topology.Server], bool] = lambda server: False
     _pending_orders: t.Dict[str, _PendingOrder] = attrs.field(factory=dict)
     _last_progress: t.Optional[
         t.Tuple[bool, t.FrozenSet[t.Tuple[str, int]]]
@@ -150,7 +152,7 @@
         return [
             (server, model, self.catalog.target_weights[model])
             for server in list(self.catalog.servers.values())
-            if not server.draining
+            if not server.draining and not self.is_leaving(server)
             for model, version in server.weights.items()
             if version < self.catalog.target_weights.get(model, 0)
         ]
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -135,6 +135,9 @@
         usable = self._list_usable_servers(call, now)
         if not usable:
             return None
+        usable = [
+            s for s in usable if not self.states.get(s).is_leaving(now)
+        ] or usable
         healthy = [
             s for s in usable if not self.states.get(s).is_failing(now)
         ] or usable
@@ -196,10 +199,12 @@
 
         Servers that are suspected or paused for the moment count.
         """
+        now = self.read_time()
         allowed = call.list_permitted_regions()
         return any(
             server.id not in call.tried_servers
             and self._is_permitted(server, allowed)
+            and self.states.get(server).may_serve(now)
             for server in self.catalog.list_usable_servers(call.service)
         )
 
@@ -442,11 +447,35 @@
         )
 
     def record_reply(
-        self, server: topology.Server, head: requests.ReplyHead
+        self,
+        call: requests.Call,
+        server: topology.Server,
+        head: requests.ReplyHead,
     ) -> None:
-        """Record the load that the head of a reply reports."""
-        if head.load is not None:
+        """Record what the head of a reply says of its server."""
+        for header in head.ignored_headers:
+            self.log.write(
+                "reply_header_ignored",
+                request=call.request_id,
+                server=server.id,
+                header=header,
+            )
+        if head.mismatched and not self._may_have_new_weights(call, server):
+            # The reply of another server, to which the address has passed.
+            return
+        if head.load is not None and not head.not_executed:
             self.states.record_load(server, head.load)
+        if head.leaving and head.is_genuine():
+            self.states.record_leaving(server, call.request_id)
+
+    def _may_have_new_weights(
+        self, call: requests.Call, server: topology.Server
+    ) -> bool:
+        """Return whether an engine may have loaded weights unnoticed."""
+        prompt = call.head.prompt
+        return prompt is not None and self._has_old_weights(
+            prompt.model, server
+        )
 
     def record_outcome(self, server: topology.Server, failed: bool) -> None:
         """Update a server's failure rate with the outcome of a request."""
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -194,7 +194,8 @@
     reply carries the server's seal, without which a success is not genuine.
     `content_encoded` says whether the body has a content encoding.
     `content_length` is in bytes. `forwarded` are the headers that are passed
-    to the caller.
+    to the caller. `leaving` says that the server is about to end, and
+    `ignored_headers` has the headers whose values are not the documented ones.
     """
 
     status: int
@@ -205,6 +206,12 @@
     forwarded: Headers
     load: t.Optional[ReportedLoad] = None
     mismatched: bool = False
+    leaving: bool = False
+    ignored_headers: t.Tuple[str, ...] = ()
+
+    def is_genuine(self) -> bool:
+        """Return whether the head is not a success without the seal."""
+        return self.sealed or not 200 <= self.status < 300
 
 
 class Codec(t.Protocol):
@@ -228,7 +235,7 @@
         """
 
     def read_reply(
-        self, status: int, headers: t.Mapping[str, str]
+        self, status: int, headers: "multidict.MultiMapping[str]"
     ) -> ReplyHead:
         """Return the decoded head of a backend server's reply."""
 
--- a/src/sesamefold/entry/server_status.py
+++ b/src/sesamefold/entry/server_status.py
@@ -3,6 +3,12 @@
 Servers report themselves to the platform's store every second or two. Between
 reports, and while the store is away, the answers of a server and failures to
 reach it are the only signs of the load that it bears.
+
+It answers these patterns of load:
+
+- A server is emptied under load, for planned maintenance or for fewer servers
+  at night. Requests that still go to it are lost when it ends, so it gets no
+  more as soon as an answer says so, and the others take its share.
 """
 
 import typing as t
@@ -37,7 +43,35 @@
 # tried again, seconds.
 FAILURE_RETRY_SECONDS = 1.5
 
+# Time before the latest instant of requests to a leaving server from which it
+# gets none, seconds. It covers the latency of the request and differences
+# between the clocks.
+LEAVING_MARGIN_SECONDS = 0.3
+# Time for which another host's notice that a server leaves is believed,
+# seconds. By then the server has ended or has told this host itself.
+PEER_NOTICE_SECONDS = 15.0
+# Number of removed servers whose notices are remembered.
+REMEMBERED_SERVERS = 1000
+
 _NEVER = float("-inf")
+_ALWAYS = float("inf")
+
+
+@attrs.frozen
+class LeavingNotice:
+    """Notice that a server is about to end.
+
+    `learnt_at` is when this host learnt of it. Until `expires_at`, the server
+    gets requests only if no other server can take them, and from `closes_at`
+    none. The notice of another host, `host`, only lowers the server's rank:
+    its `closes_at` is infinite, so that a wrong message cannot shut out all
+    servers.
+    """
+
+    learnt_at: float
+    expires_at: float
+    closes_at: float
+    host: t.Optional[str] = None
 
 
 @attrs.define
@@ -59,10 +93,23 @@
     last_activity_at: float = _NEVER
     failure_rate: float = 0.0
     avoided_until: float = _NEVER
+    leaving: t.Optional[LeavingNotice] = None
 
     def is_available(self, now: float) -> bool:
         """Return whether requests may be sent to the server at `now`."""
-        return now >= self.suspected_until and now >= self.backoff_until
+        return (
+            now >= self.suspected_until
+            and now >= self.backoff_until
+            and self.may_serve(now)
+        )
+
+    def is_leaving(self, now: float) -> bool:
+        """Return whether the server is believed to be about to end."""
+        return self.leaving is not None and now < self.leaving.expires_at
+
+    def may_serve(self, now: float) -> bool:
+        """Return whether the server may get requests before it ends."""
+        return self.leaving is None or now < self.leaving.closes_at
 
     def is_failing(self, now: float) -> bool:
         """Return whether other servers should be preferred at `now`."""
@@ -86,7 +133,13 @@
 
     What was learnt of an earlier incarnation says nothing of a later one: a
     server that restarts under the same id begins with an empty status, and an
-    answer that an earlier incarnation gave does not change it.
+    answer that an earlier incarnation gave does not change it. A removed
+    server's notice that it leaves is remembered, because an entry that lapsed
+    may come back.
+
+    A server that has said that it leaves gets no requests from
+    `leaving_seconds` after it, less `LEAVING_MARGIN_SECONDS`. The callbacks
+    in `on_leaving` are called with a server whose first such answer arrives.
 
         statuses.suspect(server, "connection refused")
         if statuses.get(server).is_available(now):
@@ -95,7 +148,12 @@
 
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
+    leaving_seconds: float = 0.0
+    on_leaving: t.List[t.Callable[[topology.Server], None]] = attrs.field(
+        factory=list
+    )
     _statuses: t.Dict[str, ServerStatus] = attrs.field(factory=dict)
+    _removed: t.Dict[str, ServerStatus] = attrs.field(factory=dict)
 
     def get(self, server: topology.Server) -> ServerStatus:
         """Return the status of a server's incarnation.
@@ -108,9 +166,67 @@
             return status
         if status is not None and status.started_at > server.started_at:
             return ServerStatus(server.started_at)
-        status = ServerStatus(server.started_at)
-        self._statuses[server.id] = status
-        return status
+        removed = self._removed.get(server.id)
+        if removed is not None and removed.started_at > server.started_at:
+            return ServerStatus(server.started_at)
+        self._removed.pop(server.id, None)
+        if removed is None or removed.started_at < server.started_at:
+            removed = ServerStatus(server.started_at)
+        self._statuses[server.id] = removed
+        return removed
+
+    def is_leaving(self, server: topology.Server) -> bool:
+        """Return whether a server is believed to be about to end."""
+        return self.get(server).is_leaving(self.read_time())
+
+    def record_leaving(self, server: topology.Server, request_id: str) -> None:
+        """Record that a server's answer to a request says that it leaves.
+
+        Later answers do not extend the time in which it may get requests.
+        """
+        status = self.get(server)
+        if status.leaving is not None and status.leaving.host is None:
+            return
+        if not self._is_latest(status, server):
+            return
+        now = self.read_time()
+        status.leaving = LeavingNotice(
+            now,
+            _ALWAYS,
+            now + max(0.0, self.leaving_seconds - LEAVING_MARGIN_SECONDS),
+        )
+        self._log_leaving(server, status.leaving, request=request_id)
+        for listener in self.on_leaving:
+            listener(server)
+
+    def record_peer_notice(self, server: topology.Server, host: str) -> None:
+        """Record that another host was told that a server leaves."""
+        status = self.get(server)
+        now = self.read_time()
+        if status.is_leaving(now) or not self._is_latest(status, server):
+            return
+        status.leaving = LeavingNotice(
+            now, now + PEER_NOTICE_SECONDS, _ALWAYS, host
+        )
+        self._log_leaving(server, status.leaving, source=host)
+
+    def _is_latest(
+        self, status: ServerStatus, server: topology.Server
+    ) -> bool:
+        """Return whether a status is that of the latest incarnation."""
+        return self._statuses.get(server.id) is status
+
+    def _log_leaving(
+        self, server: topology.Server, notice: LeavingNotice, **source: str
+    ) -> None:
+        until = min(notice.closes_at, notice.expires_at)
+        self.log.write(
+            "server_leaving",
+            server=server.id,
+            started_at=server.started_at,
+            seconds=round(until - notice.learnt_at, 2),
+            **source,
+        )
 
     def record_load(
         self, server: topology.Server, load: requests.ReportedLoad
@@ -182,9 +298,23 @@
             self.log.write("server_trusted", server=server.id)
 
     def forget_server(self, server_id: str) -> None:
-        """Drop the status of a server that was removed."""
-        self._statuses.pop(server_id, None)
+        """Drop the status of a server that was removed.
+
+        Its own notice that it leaves is kept if its entry names the
+        incarnation.
+        """
+        status = self._statuses.pop(server_id, None)
+        if status is None or not status.started_at:
+            return
+        if status.leaving is not None and status.leaving.host is None:
+            self._removed.pop(server_id, None)
+            self._removed[server_id] = ServerStatus(
+                status.started_at, leaving=status.leaving
+            )
+            if len(self._removed) > REMEMBERED_SERVERS:
+                self._removed.pop(next(iter(self._removed)))
 
     def clear(self) -> None:
         """Drop the status of all servers."""
         self._statuses.clear()
+        self._removed.clear()
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -105,9 +105,12 @@
         server: topology.Server,
         call: requests.Call,
         added: requests.AddedHeaders,
+        on_head: t.Callable[[requests.ReplyHead], None] = lambda head: None,
     ) -> t.AsyncIterator[Reply]:
         """Send a request and yield the reply once its head has arrived.
 
+        `on_head` is called with the head of any reply to the request, also if
+        the reply is a refusal or not genuine.
         Leaving the context before the reply has been read to the end closes
         the connection, which cancels the request at the server. Raises
         `exceptions.NotExecuted` and `exceptions.ReplyBroken`.
@@ -138,6 +141,7 @@
             except transport.CALL_ERRORS as error:
                 raise _convert_transport_error(error) from error
             head = self._codec.read_reply(response.status, response.headers)
+            on_head(head)
             reply = Reply(response, head)
             if head.not_executed:
                 # A connection can be reused only after the whole body has
@@ -171,7 +175,7 @@
         raise exceptions.ReplyBroken(
             "the reply has a content encoding that was not requested"
         )
-    if 200 <= head.status < 300 and not head.sealed:
+    if not head.is_genuine():
         raise exceptions.ReplyBroken(
             "a successful reply lacks the server's seal"
         )
--- a/src/sesamefold/platform/headers.py
+++ b/src/sesamefold/platform/headers.py
@@ -17,6 +17,9 @@
 _INTEGER = re.compile(r"[0-9]{1,15}")
 _MISDIRECTED_STATUS = 421
 _NO_ADDRESS = "-"
+_LEAVING_VALUE = "1"
+# Characters of an ignored header that are logged.
+_MAX_LOGGED_CHARACTERS = 80
 # Headers that are never forwarded: those that apply to one connection only,
 # and those that are set anew for each.
 _UNFORWARDED_NAMES = frozenset(
@@ -38,7 +41,7 @@
 # caller sends, only `_FORWARDED_REQUEST_NAMES` are forwarded.
 _RESERVED_PREFIXES = ("sesamefold-", "kv-")
 # Reserved headers without a reserved prefix.
-_RESERVED_NAMES = frozenset({"api-key", "wait-ms"})
+_RESERVED_NAMES = frozenset({"api-key", "server-leaving", "wait-ms"})
 # Reserved headers that backend servers get as the caller sent them.
 _FORWARDED_REQUEST_NAMES = frozenset(
     name.lower()
@@ -125,9 +128,10 @@
         return ids[0] if len(ids) == 1 else None
 
     def read_reply(
-        self, status: int, headers: t.Mapping[str, str]
+        self, status: int, headers: "multidict.MultiMapping[str]"
     ) -> requests.ReplyHead:
         """Return the decoded head of a backend server's reply."""
+        ignored: t.List[str] = []
         length = _parse_number(headers.get("Content-Length"))
         return requests.ReplyHead(
             status=status,
@@ -142,6 +146,8 @@
             ),
             load=_parse_load(headers.get(wire.SERVER_LOAD)),
             mismatched=status == _MISDIRECTED_STATUS,
+            leaving=_parse_leaving(headers, ignored),
+            ignored_headers=tuple(ignored),
         )
 
     def write_error(
@@ -262,3 +268,22 @@
     ):
         return None
     return requests.ReportedLoad(*(int(field) for field in load_fields))
+
+
+def _parse_leaving(
+    headers: "multidict.MultiMapping[str]", ignored: t.List[str]
+) -> bool:
+    """Return whether a server announces that it leaves.
+
+    A header with another value than the documented one is appended to
+    `ignored`.
+    """
+    values = set(headers.getall(wire.LEAVING, ()))
+    if values and values != {_LEAVING_VALUE}:
+        ignored.append(_describe_header(wire.LEAVING, values))
+    return values == {_LEAVING_VALUE}
+
+
+def _describe_header(name: str, values: t.Iterable[str]) -> str:
+    """Return a header with its values, shortened for the log."""
+    return f"{name}: {', '.join(sorted(values))}"[:_MAX_LOGGED_CHARACTERS]
--- a/src/sesamefold/platform/wire.py
+++ b/src/sesamefold/platform/wire.py
@@ -39,6 +39,8 @@
 NOT_EXECUTED = "Sesamefold-Not-Executed"
 SERVER_LOAD = "Sesamefold-Server-Load"
 WEIGHT_VERSIONS = "Sesamefold-Weight-Versions"
+# "1" in each answer of a server that leaves.
+LEAVING = "Server-Leaving"
 
 # Headers of calls to stores of cached context.
 
--- a/src/sesamefold/timelines.py
+++ b/src/sesamefold/timelines.py
@@ -15,6 +15,7 @@
         "members",
         "server",
         "server_lapsed",
+        "server_leaving",
         "server_removed",
         "server_suspected",
         "store_lost",
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -358,6 +358,25 @@
             6.0,
         )
 
+    async def test_a_leaving_engine_gets_no_order(self) -> None:
+        """Guards against engines that load weights shortly before they end."""
+        leaving, other = self.engines
+        for engine in self.engines:
+            engine.weights = {platform_fixtures.MODEL: 1}
+            self.host.catalog.update_weights(engine.id, engine.weights)
+        self.host.server_statuses.record_leaving(
+            self.host.catalog.servers[leaving.id], "r-1"
+        )
+        self.store.put(
+            "op/version/model-1",
+            {"model": platform_fixtures.MODEL, "version": 2},
+        )
+        await self.wait_until(
+            lambda: other.weights == {platform_fixtures.MODEL: 2}, 6.0
+        )
+        await asyncio.sleep(0.5)
+        self.assertEqual([], leaving.orders)
+
     async def test_a_stream_that_begins_too_late_for_its_weights_is_cancelled(
         self,
     ) -> None:
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -207,3 +207,81 @@
             entry_fakes.make_report_batch(restarted)
         )
         self.assertEqual(restarted, self.choose(call))
+
+    def make_head(self, status: int = 200, **fields: t.Any) -> t.Any:
+        """Return the head of a reply."""
+        values: t.Dict[str, t.Any] = {
+            "not_executed": status in (421, 503),
+            "sealed": True,
+            "content_encoded": False,
+            "content_length": None,
+            "forwarded": requests.Headers(),
+            "mismatched": status == 421,
+        }
+        return requests.ReplyHead(status, **{**values, **fields})
+
+    def test_any_answer_may_say_that_an_engine_leaves(self) -> None:
+        """Guards against requests to an engine that is about to end."""
+        for status in (200, 500, 503):
+            with self.subTest(status=status):
+                self.make(2)
+                call = self.make_call("a")
+                first = self.choose(call)
+                self.placement.record_reply(
+                    call, first, self.make_head(status, leaving=True)
+                )
+                for number in range(20):
+                    self.assertNotEqual(
+                        first, self.choose(self.make_call(f"{number}"))
+                    )
+
+    def test_answer_of_another_server_says_nothing_of_this_one(self) -> None:
+        """Guards against a leaving server at an address that is reused."""
+        self.make(2)
+        call = self.make_call("a")
+        server = self.servers[0]
+        for head in (
+            self.make_head(421, leaving=True),
+            self.make_head(200, leaving=True, sealed=False),
+        ):
+            self.placement.record_reply(call, server, head)
+            self.assertFalse(self.placement.states.is_leaving(server))
+        # An engine whose weights were old has probably loaded new ones.
+        change = changes.TargetWeightsChanged("m", 2)
+        self.placement.catalog.apply_changes(changes.Batch((change,), 2))
+        self.placement.record_reply(
+            call, server, self.make_head(421, leaving=True)
+        )
+        self.assertTrue(self.placement.states.is_leaving(server))
+
+    def test_leaving_engine_serves_until_the_bound_if_no_other_can(
+        self,
+    ) -> None:
+        """Guards against refusals while the last engine still serves."""
+        self.make(2)
+        times = entry_fakes.FakeClock(clock.read_time())
+        self.placement.read_time = self.placement.states.read_time = times
+        self.placement.states.leaving_seconds = 2.5
+        leaving, other = self.servers
+        call = self.make_call("a")
+        self.placement.record_reply(
+            call, leaving, self.make_head(leaving=True)
+        )
+        self.assertEqual(other, self.choose(call))
+        self.placement.record_refusal(other)
+        self.assertEqual(leaving, self.choose(call))
+        retry = self.make_call("a")
+        retry.tried_servers.append(other.id)
+        self.assertEqual(leaving, self.choose(retry))
+        self.assertTrue(self.placement.has_untried_server(retry))
+        times.now += 2.5
+        self.assertIsNone(self.placement.choose_server(retry))
+        self.assertFalse(self.placement.has_untried_server(retry))
+        self.assertEqual(other, self.choose(call))
+
+    def test_headers_with_undocumented_values_are_logged(self) -> None:
+        self.make(1)
+        log = self.placement.log = entry_fakes.RecordingLog()
+        head = self.make_head(ignored_headers=("Server-Leaving: yes",))
+        self.placement.record_reply(self.make_call("a"), self.servers[0], head)
+        self.assertEqual(["reply_header_ignored"], log.events)
--- a/tests/test_entry_server_status.py
+++ b/tests/test_entry_server_status.py
@@ -1,9 +1,11 @@
 """Tests of what a host has learnt of the backend servers."""
 
+import typing as t
 import unittest
 
 from sesamefold.entry import requests
 from sesamefold.entry import server_status
+from sesamefold.entry import topology
 from tests import entry_fakes
 
 
@@ -18,9 +20,9 @@
         self.server = entry_fakes.make_server("i-1", started_at=10)
         self.restarted = entry_fakes.make_server("i-1", started_at=20)
 
-    def is_available(self, server: object = None) -> bool:
+    def is_available(self, server: t.Optional[topology.Server] = None) -> bool:
         """Return whether a server may get requests now."""
-        status = self.statuses.get(server or self.server)  # type: ignore
+        status = self.statuses.get(server or self.server)
         return status.is_available(self.clock.now)
 
 
@@ -104,3 +106,99 @@
         self.assertEqual(7, status.count_reported_requests(self.clock.now))
         self.clock.now += server_status.REPORTED_LOAD_EXPIRY_SECONDS + 0.01
         self.assertEqual(0, status.count_reported_requests(self.clock.now))
+
+
+class LeavingTest(ServerStatusCase):
+    """Servers whose answers say that they leave."""
+
+    def setUp(self) -> None:
+        """Allow 2.5 s of requests to a leaving server."""
+        super().setUp()
+        self.statuses.leaving_seconds = 2.5
+        self.announced: t.List[topology.Server] = []
+        self.statuses.on_leaving.append(self.announced.append)
+
+    def may_serve(self, server: t.Optional[topology.Server] = None) -> bool:
+        """Return whether a server may get requests in need."""
+        status = self.statuses.get(server or self.server)
+        return status.may_serve(self.clock.now)
+
+    def test_leaving_server_may_serve_until_the_bound(self) -> None:
+        """Guards against requests to a server after its time to leave."""
+        self.statuses.record_leaving(self.server, "r-1")
+        self.assertTrue(self.statuses.is_leaving(self.server))
+        self.assertTrue(self.may_serve())
+        self.clock.now += 2.5 - server_status.LEAVING_MARGIN_SECONDS - 0.01
+        self.assertTrue(self.may_serve())
+        self.clock.now += 0.02
+        self.assertFalse(self.may_serve())
+        self.assertFalse(self.is_available())
+        self.clock.now += 1e6
+        self.assertFalse(self.may_serve())
+
+    def test_further_answers_do_not_extend_the_bound(self) -> None:
+        """Guards against a server in use as long as it answers."""
+        for number in range(6):
+            self.statuses.record_leaving(self.server, f"r-{number}")
+            self.clock.now += 0.5
+        self.assertFalse(self.may_serve())
+        self.assertEqual([self.server], self.announced)
+        self.assertEqual(["server_leaving"], self.log.events)
+
+    def test_report_does_not_undo_the_notice(self) -> None:
+        """Guards against a late list that says that the server is ready."""
+        self.statuses.record_leaving(self.server, "r-1")
+        self.statuses.record_report(
+            entry_fakes.make_server("i-1", started_at=10, sequence=9)
+        )
+        self.assertTrue(self.statuses.is_leaving(self.server))
+
+    def test_entry_that_lapsed_and_came_back_does_not_undo_the_notice(
+        self,
+    ) -> None:
+        """Guards against a notice that is lost while the store is away."""
+        self.statuses.record_leaving(self.server, "r-1")
+        self.statuses.forget_server(self.server.id)
+        self.clock.now += 3.0
+        self.assertTrue(self.statuses.is_leaving(self.server))
+        self.assertFalse(self.may_serve())
+
+    def test_notice_does_not_apply_to_the_next_incarnation(self) -> None:
+        """Guards against a restarted server that gets no requests."""
+        self.statuses.record_leaving(self.server, "r-1")
+        self.assertFalse(self.statuses.is_leaving(self.restarted))
+        self.statuses.record_leaving(self.server, "r-2")
+        self.statuses.record_peer_notice(self.server, "entry-2")
+        self.assertFalse(self.statuses.is_leaving(self.restarted))
+        self.assertEqual([self.server], self.announced)
+        self.statuses.record_leaving(self.restarted, "r-3")
+        self.statuses.forget_server(self.server.id)
+        self.statuses.record_leaving(self.server, "r-4")
+        self.assertTrue(self.statuses.is_leaving(self.restarted))
+
+    def test_removed_servers_are_remembered_up_to_a_limit(self) -> None:
+        for number in range(server_status.REMEMBERED_SERVERS + 5):
+            server = entry_fakes.make_server(f"s-{number}", started_at=1)
+            self.statuses.record_leaving(server, "r-1")
+            self.statuses.forget_server(server.id)
+        self.assertEqual(
+            server_status.REMEMBERED_SERVERS, len(self.statuses._removed)
+        )
+
+    def test_notice_of_another_host_never_shuts_a_server_out(self) -> None:
+        """Guards against one wrong message that empties a service."""
+        self.statuses.record_peer_notice(self.server, "entry-2")
+        self.assertTrue(self.statuses.is_leaving(self.server))
+        self.clock.now += server_status.PEER_NOTICE_SECONDS - 0.01
+        self.assertTrue(self.statuses.is_leaving(self.server))
+        self.assertTrue(self.may_serve())
+        self.clock.now += 0.02
+        self.assertFalse(self.statuses.is_leaving(self.server))
+        self.assertTrue(self.may_serve())
+
+    def test_own_notice_outranks_that_of_another_host(self) -> None:
+        self.statuses.record_peer_notice(self.server, "entry-2")
+        self.statuses.record_leaving(self.server, "r-1")
+        self.statuses.record_peer_notice(self.server, "entry-2")
+        self.clock.now += 2.5
+        self.assertFalse(self.may_serve())
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -66,6 +66,7 @@
     def __init__(self) -> None:
         self.server = scripted_server.ScriptedServer(ID_HEADER)
         self.strays: t.List[exchanges.StrayAnswer] = []
+        self.heads: t.List[requests.ReplyHead] = []
 
     async def __aenter__(self) -> "t.Self":
         await self.server.__aenter__()
@@ -91,7 +92,9 @@
         server = entry_fakes.make_server("i-1", address=self.server.address)
         added = requests.AddedHeaders("i-1", 5.0, None, 0)
         async with asyncio.timeout(GIVE_UP_SECONDS):
-            async with self.client.send(server, call, added) as reply:
+            async with self.client.send(
+                server, call, added, self.heads.append
+            ) as reply:
                 return await reply.read_body()
 
     async def find_outcome(self, request_id: str) -> t.Any:
@@ -189,6 +192,29 @@
         self.assertEqual([exceptions.NotExecuted] * 4, outcomes)
         self.assertEqual(1, self.server.connections)
 
+    async def test_head_of_each_answer_to_the_request_is_observed(
+        self,
+    ) -> None:
+        """Guards against notices of servers that are read from successes only.
+
+        The answers are whole, refused, cut off and that to another request.
+        """
+        extra = "Server-Leaving: 1\r\n"
+        refusal = make_refusal("{id}").replace("\r\n", f"\r\n{extra}", 1)
+        await self.play(
+            script(make_answer(extra=extra)),
+            script(refusal, executes=False),
+            scripted_server.Script(
+                (scripted_server.Step(make_answer(extra=extra)[:-3]),),
+                closes=True,
+            ),
+            script(make_answer("{earlier}", extra=extra)),
+        )
+        self.assertEqual(
+            [(200, True), (503, True), (200, True)],
+            [(head.status, head.leaving) for head in self.rig.heads],
+        )
+
     async def test_late_copy_is_not_the_answer_to_the_next_request(
         self,
     ) -> None:
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -2,11 +2,13 @@
 
 import pathlib
 import tempfile
+import typing as t
 import unittest
 
 import multidict
 
 from sesamefold.entry import changes
+from sesamefold.entry import requests
 from sesamefold.entry import store
 from sesamefold import exceptions
 from sesamefold.platform import headers
@@ -173,6 +175,52 @@
                         )
                     )
 
+    def read_reply(
+        self, pairs: t.Iterable[t.Tuple[str, str]], status: int = 200
+    ) -> requests.ReplyHead:
+        """Return the decoded head of a reply with the headers."""
+        return headers.HeaderCodec().read_reply(
+            status, multidict.CIMultiDictProxy(multidict.CIMultiDict(pairs))
+        )
+
+    def test_only_the_documented_value_means_that_a_server_leaves(
+        self,
+    ) -> None:
+        """Guards against a malformed header that takes a server out."""
+        self.assertFalse(self.read_reply([]).leaving)
+        for status in (200, 421, 500, 503):
+            for name in ("Server-Leaving", "server-leaving"):
+                head = self.read_reply([(name, "1")], status)
+                self.assertTrue(head.leaving)
+                self.assertEqual((), head.ignored_headers)
+                self.assertEqual({}, dict(head.forwarded))
+        for values in (
+            ["0"],
+            [""],
+            ["true"],
+            ["1, 1"],
+            ["1", "0"],
+            ["11"],
+            ["\u0661"],
+            ["x" * 5000],
+        ):
+            with self.subTest(values=values):
+                head = self.read_reply([("Server-Leaving", v) for v in values])
+                self.assertFalse(head.leaving)
+                (ignored,) = head.ignored_headers
+                self.assertLessEqual(len(ignored), 80)
+                self.assertEqual({}, dict(head.forwarded))
+
+    def test_leaving_header_of_a_caller_is_not_forwarded(self) -> None:
+        head = headers.HeaderCodec().read_request(
+            multidict.CIMultiDictProxy(
+                multidict.CIMultiDict(
+                    {"Sesamefold-Request-Id": "a", "Server_Leaving": "1"}
+                )
+            )
+        )
+        self.assertEqual([], [n for n in head.forwarded if "eaving" in n])
+
 
 class StoreClientTest(entry_fakes.StoreCase):
     """Store client against the stand-in's replies and faults."""
