Tell the hosts of the region which servers leave

A host that has no requests at a leaving server learns of it only from the next list of servers.

Change: a host sends a notice to the hosts of its region, on the topic "leaving", when an answer first says that a server leaves.

--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -19,6 +19,7 @@
 from sesamefold.entry import election
 from sesamefold.entry import follower
 from sesamefold.entry import frontend
+from sesamefold.entry import leaving_notices
 from sesamefold.entry import loads
 from sesamefold.entry import members as member_lists
 from sesamefold.entry import metrics as entry_metrics
@@ -128,6 +129,12 @@
             self.decisions,
             states=self.server_statuses,
         )
+        self.server_statuses.on_leaving.append(
+            lambda server: self.metrics.count_notice("leaving")
+        )
+        leaving_notices.LeavingNotices(
+            self.channel, self.members, self.catalog, self.server_statuses
+        )
         self.weight_status = weight_status.WeightStatusSharing(
             self.channel, self.members, self.catalog, self.placement
         )
--- a/src/sesamefold/entry/metrics.py
+++ b/src/sesamefold/entry/metrics.py
@@ -32,6 +32,12 @@
             ("code",),
             registry=self.registry,
         )
+        self.server_notices = prometheus_client.Counter(
+            "sesamefold_server_notices",
+            "Notices in answers of servers by kind: leaving or resting.",
+            ("kind",),
+            registry=self.registry,
+        )
         self.request_seconds = prometheus_client.Histogram(
             "sesamefold_request_seconds",
             "Time from the request's arrival to the end of its answer.",
@@ -39,6 +45,10 @@
             registry=self.registry,
         )
 
+    def count_notice(self, kind: str) -> None:
+        """Count a notice of a server: "leaving" or "resting"."""
+        self.server_notices.labels(kind).inc()
+
     def count_request(self, code: int, seconds: float) -> None:
         """Count a finished request by its result code, 0 for success."""
         self.requests.labels(str(code)).inc()
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -12,11 +12,14 @@
 import multidict
 
 from sesamefold.entry import changes
+from sesamefold.entry import clock
 from sesamefold.entry import context_stores
 from sesamefold.entry import datagrams
 from sesamefold.entry import events
+from sesamefold.entry import leaving_notices
 from sesamefold.entry import loads
 from sesamefold.entry import requests
+from sesamefold.entry import server_status
 from sesamefold.entry import store_views
 from sesamefold.entry import topology
 from sesamefold import exceptions
@@ -317,12 +320,20 @@
         self.loads = loads.Loads("a", "region-1")
         self.channel.subscribe(loads.TOPIC, self.loads.receive_loads)
         self.channel.subscribe(loads.SUMS_TOPIC, self.loads.receive_sums)
+        leaving_notices.LeavingNotices(
+            self.channel,
+            entry_fakes.FakePeers("a", "ab"),
+            entry_fakes.make_catalog(clock.read_time),
+            server_status.ServerStatuses(self.log),
+        )
 
     @hypothesis.given(
         strategies.one_of(
             strategies.binary(max_size=60),
             strategies.tuples(
-                strategies.sampled_from((loads.TOPIC, loads.SUMS_TOPIC)),
+                strategies.sampled_from(
+                    (loads.TOPIC, loads.SUMS_TOPIC, leaving_notices.TOPIC)
+                ),
                 strategies.sampled_from("ab"),
                 JSON_VALUES,
             ).map(lambda message: json.dumps(message).encode()),
