Send nothing to a server that has asked for a rest

An engine that refuses a request with 503 may say in Retry-After for how long it wants no requests. The host paused for 0.4 s in any case.

Until its end the server gets no requests, retries or resumed streams from this host. It counts for at most 30 s; a shorter time does not end a longer one. Malformed values are logged as reply_header_ignored. After the rest one request goes to the server, and the number doubles each 0.25 s for a second. Like the notice that a server leaves, a rest is bound to the incarnation and outlasts an entry that lapses. The line server_resting and sesamefold_server_notices report it.

Tests: test_entry_server_status.RestTest, test_platform_translation, test_fuzz (any value), test_entry_placement; they need the new interfaces. test_timelines has a line of a resting server and failed before.

--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -132,6 +132,9 @@
         self.server_statuses.on_leaving.append(
             lambda server: self.metrics.count_notice("leaving")
         )
+        self.server_statuses.on_rest.append(
+            lambda server: self.metrics.count_notice("resting")
+        )
         leaving_notices.LeavingNotices(
             self.channel, self.members, self.catalog, self.server_statuses
         )
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -208,6 +208,33 @@
             for server in self.catalog.list_usable_servers(call.service)
         )
 
+    def find_rest_end(
+        self, call: requests.Call, untried_only: bool
+    ) -> t.Optional[float]:
+        """Return when the first of the servers rests no longer.
+
+        None unless all servers that could take the request have asked for a
+        rest. Without `untried_only`, those that the request was sent to count
+        as well, because they may take it when the caller comes back.
+        """
+        now = self.read_time()
+        allowed = call.list_permitted_regions()
+        ends = []
+        for server in self.catalog.list_usable_servers(call.service):
+            status = self.states.get(server)
+            if (
+                (untried_only and server.id in call.tried_servers)
+                or now < status.suspected_until
+                or not status.may_serve(now)
+                or not self._is_permitted(server, allowed)
+                or now >= self._get_last_start(call, server)
+            ):
+                continue
+            if status.rest is None or not status.is_resting(now):
+                return None
+            ends.append(status.rest.until)
+        return min(ends, default=None)
+
     def _is_permitted(
         self,
         server: topology.Server,
@@ -374,9 +401,10 @@
         if chosen is None:
             now = self.read_time()
             expired = sum(now >= self._get_last_start(call, s) for s in known)
+            resting = sum(self.states.get(s).is_resting(now) for s in known)
             return (
                 f"none of {len(known)} backend servers is usable, "
-                f"{expired} have expired weights"
+                f"{expired} have expired weights, {resting} rest"
             )
         server, _ = chosen
         load = self.loads.get_load(server.id)
@@ -428,6 +456,7 @@
 
         The caller must release the reservation when the request ends.
         """
+        self.states.record_request(server)
         if cold:
             self.cold_throttle.record_request(server.id)
         prompt = call.head.prompt
@@ -467,6 +496,8 @@
             self.states.record_load(server, head.load)
         if head.leaving and head.is_genuine():
             self.states.record_leaving(server, call.request_id)
+        if head.rest_seconds is not None:
+            self.states.record_rest(server, head.rest_seconds, call.request_id)
 
     def _may_have_new_weights(
         self, call: requests.Call, server: topology.Server
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -196,6 +196,8 @@
     `content_length` is in bytes. `forwarded` are the headers that are passed
     to the caller. `leaving` says that the server is about to end, and
     `ignored_headers` has the headers whose values are not the documented ones.
+    `rest_seconds` is the time for which the server asks for no requests, None
+    if it does not.
     """
 
     status: int
@@ -208,6 +210,7 @@
     mismatched: bool = False
     leaving: bool = False
     ignored_headers: t.Tuple[str, ...] = ()
+    rest_seconds: t.Optional[float] = None
 
     def is_genuine(self) -> bool:
         """Return whether the head is not a success without the seal."""
--- a/src/sesamefold/entry/server_status.py
+++ b/src/sesamefold/entry/server_status.py
@@ -9,6 +9,11 @@
 - A server is emptied under load, for planned maintenance or for fewer servers
   at night. Requests that still go to it are lost when it ends, so it gets no
   more as soon as an answer says so, and the others take its share.
+- A service is full, and its servers ask for a rest. Retries would keep them
+  busy with refusals, and all callers that waited would come back at the same
+  moment. So a server that asks for it gets nothing until its rest ends, the
+  callers are told different times to come back, and the first requests after
+  the rest go to it in steps.
 """
 
 import typing as t
@@ -50,6 +55,14 @@
 # Time for which another host's notice that a server leaves is believed,
 # seconds. By then the server has ended or has told this host itself.
 PEER_NOTICE_SECONDS = 15.0
+# Longest rest of a server, seconds. Longer ones that servers ask for are cut:
+# the time may be wrong, and the first request afterwards shows whether the
+# server still asks for it.
+MAX_REST_SECONDS = 30.0
+# Time after a rest in which the number of requests is limited, and the time in
+# which the limit doubles, seconds. It is 1 at the end of the rest.
+RAMP_SECONDS = 1.0
+RAMP_DOUBLING_SECONDS = 0.25
 # Number of removed servers whose notices are remembered.
 REMEMBERED_SERVERS = 1000
 
@@ -74,6 +87,29 @@
     host: t.Optional[str] = None
 
 
+@attrs.define
+class Rest:
+    """A time without requests that a server has asked for.
+
+    `learnt_at` is when it asked and `until` when the rest ends.
+    `requests_since` counts the requests sent since then, of which only a few
+    are allowed until `RAMP_SECONDS` after the rest.
+    """
+
+    learnt_at: float
+    until: float
+    requests_since: int = 0
+
+    def allows_request(self, now: float) -> bool:
+        """Return whether a request may be sent to the server at `now`."""
+        seconds = now - self.until
+        if seconds < 0:
+            return False
+        return seconds >= RAMP_SECONDS or self.requests_since < int(
+            2 ** (seconds / RAMP_DOUBLING_SECONDS)
+        )
+
+
 @attrs.define
 class ServerStatus:
     """What this host has learnt of one incarnation of a server.
@@ -94,6 +130,7 @@
     failure_rate: float = 0.0
     avoided_until: float = _NEVER
     leaving: t.Optional[LeavingNotice] = None
+    rest: t.Optional[Rest] = None
 
     def is_available(self, now: float) -> bool:
         """Return whether requests may be sent to the server at `now`."""
@@ -101,8 +138,13 @@
             now >= self.suspected_until
             and now >= self.backoff_until
             and self.may_serve(now)
+            and (self.rest is None or self.rest.allows_request(now))
         )
 
+    def is_resting(self, now: float) -> bool:
+        """Return whether the server has asked for no requests at `now`."""
+        return self.rest is not None and now < self.rest.until
+
     def is_leaving(self, now: float) -> bool:
         """Return whether the server is believed to be about to end."""
         return self.leaving is not None and now < self.leaving.expires_at
@@ -134,12 +176,13 @@
     What was learnt of an earlier incarnation says nothing of a later one: a
     server that restarts under the same id begins with an empty status, and an
     answer that an earlier incarnation gave does not change it. A removed
-    server's notice that it leaves is remembered, because an entry that lapsed
-    may come back.
+    server's notice that it leaves, and its rest, are remembered, because an
+    entry that lapsed may come back.
 
     A server that has said that it leaves gets no requests from
     `leaving_seconds` after it, less `LEAVING_MARGIN_SECONDS`. The callbacks
-    in `on_leaving` are called with a server whose first such answer arrives.
+    in `on_leaving` are called with a server whose first such answer arrives,
+    those in `on_rest` with one that asks for a rest.
 
         statuses.suspect(server, "connection refused")
         if statuses.get(server).is_available(now):
@@ -152,6 +195,9 @@
     on_leaving: t.List[t.Callable[[topology.Server], None]] = attrs.field(
         factory=list
     )
+    on_rest: t.List[t.Callable[[topology.Server], None]] = attrs.field(
+        factory=list
+    )
     _statuses: t.Dict[str, ServerStatus] = attrs.field(factory=dict)
     _removed: t.Dict[str, ServerStatus] = attrs.field(factory=dict)
 
@@ -210,6 +256,40 @@
         )
         self._log_leaving(server, status.leaving, source=host)
 
+    def record_rest(
+        self, server: topology.Server, seconds: float, request_id: str
+    ) -> None:
+        """Record that a server asks for no requests for some seconds.
+
+        At most `MAX_REST_SECONDS` count. A shorter rest does not end a longer
+        one that the server has asked for.
+        """
+        status = self.get(server)
+        now = self.read_time()
+        until = now + min(seconds, MAX_REST_SECONDS)
+        if until <= now or (
+            status.rest is not None and until <= status.rest.until
+        ):
+            return
+        if not self._is_latest(status, server):
+            return
+        status.rest = Rest(now, until)
+        self.log.write(
+            "server_resting",
+            server=server.id,
+            request=request_id,
+            seconds=round(until - now, 3),
+            requested=seconds if seconds > MAX_REST_SECONDS else None,
+        )
+        for listener in self.on_rest:
+            listener(server)
+
+    def record_request(self, server: topology.Server) -> None:
+        """Record a request about to be sent to a server."""
+        status = self.get(server)
+        if status.rest is not None:
+            status.rest.requests_since += 1
+
     def _is_latest(
         self, status: ServerStatus, server: topology.Server
     ) -> bool:
@@ -300,16 +380,19 @@
     def forget_server(self, server_id: str) -> None:
         """Drop the status of a server that was removed.
 
-        Its own notice that it leaves is kept if its entry names the
-        incarnation.
+        Its own notice that it leaves and its rest are kept if its entry names
+        the incarnation.
         """
         status = self._statuses.pop(server_id, None)
         if status is None or not status.started_at:
             return
-        if status.leaving is not None and status.leaving.host is None:
+        leaving = status.leaving
+        if leaving is not None and leaving.host is not None:
+            leaving = None
+        if leaving is not None or status.is_resting(self.read_time()):
             self._removed.pop(server_id, None)
             self._removed[server_id] = ServerStatus(
-                status.started_at, leaving=status.leaving
+                status.started_at, leaving=leaving, rest=status.rest
             )
             if len(self._removed) > REMEMBERED_SERVERS:
                 self._removed.pop(next(iter(self._removed)))
--- a/src/sesamefold/platform/headers.py
+++ b/src/sesamefold/platform/headers.py
@@ -1,6 +1,9 @@
 """Codec between HTTP headers of the platform and the product's types."""
 
+import datetime
+import email.utils
 import re
+import time
 import typing as t
 
 import multidict
@@ -15,7 +18,11 @@
 _DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 # A whole number that is not negative, of as many digits at most.
 _INTEGER = re.compile(r"[0-9]{1,15}")
+# Seconds, possibly with a fraction; a long number is as good as infinite.
+_DELAY = re.compile(r"[0-9]{1,100}(\.[0-9]{0,100})?|\.[0-9]{1,100}")
+_RETRY_AFTER = "Retry-After"
 _MISDIRECTED_STATUS = 421
+_UNAVAILABLE_STATUS = 503
 _NO_ADDRESS = "-"
 _LEAVING_VALUE = "1"
 # Characters of an ignored header that are logged.
@@ -63,9 +70,13 @@
 class HeaderCodec:
     """Codec of the headers of callers and backend servers.
 
-    Implements `requests.Codec`.
+    Implements `requests.Codec`. `read_date` returns the time of day in Unix
+    seconds, with which dates in headers are compared.
     """
 
+    def __init__(self, read_date: t.Callable[[], float] = time.time) -> None:
+        self._read_date = read_date
+
     def read_request(
         self, headers: "multidict.CIMultiDictProxy[str]"
     ) -> requests.RequestHead:
@@ -147,9 +158,36 @@
             load=_parse_load(headers.get(wire.SERVER_LOAD)),
             mismatched=status == _MISDIRECTED_STATUS,
             leaving=_parse_leaving(headers, ignored),
+            rest_seconds=(
+                self._parse_rest(headers, ignored)
+                if status == _UNAVAILABLE_STATUS
+                else None
+            ),
             ignored_headers=tuple(ignored),
         )
 
+    def _parse_rest(
+        self, headers: "multidict.MultiMapping[str]", ignored: t.List[str]
+    ) -> t.Optional[float]:
+        """Return for how many seconds a server asks for no requests.
+
+        The result is 0.0 for a date in the past and the longest time for
+        several values. Malformed values are appended to `ignored`.
+        """
+        seconds = []
+        for text in headers.getall(_RETRY_AFTER, ()):
+            if _DELAY.fullmatch(text.strip()):
+                seconds.append(float(text))
+                continue
+            try:
+                date = email.utils.parsedate_to_datetime(text)
+                if date.tzinfo is None:
+                    date = date.replace(tzinfo=datetime.timezone.utc)
+                seconds.append(max(0.0, date.timestamp() - self._read_date()))
+            except (ValueError, TypeError, IndexError, OverflowError):
+                ignored.append(_describe_header(_RETRY_AFTER, [text]))
+        return max(seconds, default=None)
+
     def write_error(
         self, request_id: t.Optional[str], retry_seconds: t.Optional[float]
     ) -> requests.Headers:
@@ -158,7 +196,7 @@
         if request_id is not None:
             headers[wire.REQUEST_ID] = request_id
         if retry_seconds is not None:
-            headers["Retry-After"] = f"{retry_seconds:.2f}"
+            headers[_RETRY_AFTER] = f"{retry_seconds:.2f}"
         return headers
 
 
--- a/src/sesamefold/timelines.py
+++ b/src/sesamefold/timelines.py
@@ -17,6 +17,7 @@
         "server_lapsed",
         "server_leaving",
         "server_removed",
+        "server_resting",
         "server_suspected",
         "store_lost",
         "store_regained",
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -285,3 +285,36 @@
         head = self.make_head(ignored_headers=("Server-Leaving: yes",))
         self.placement.record_reply(self.make_call("a"), self.servers[0], head)
         self.assertEqual(["reply_header_ignored"], log.events)
+
+    def test_refusal_with_a_rest_pauses_the_engine(self) -> None:
+        """Guards against requests to an engine that asked for none."""
+        self.make(2)
+        resting, other = self.servers
+        times = entry_fakes.FakeClock(clock.read_time())
+        self.placement.read_time = self.placement.states.read_time = times
+        call = self.make_call("a")
+        self.placement.record_request(call, resting, cold=False)
+        self.placement.record_reply(
+            call, resting, self.make_head(503, rest_seconds=2.0)
+        )
+        self.assertEqual(other, self.choose(call))
+        self.assertIsNone(self.placement.find_rest_end(call, False))
+        self.placement.record_reply(
+            call, other, self.make_head(503, rest_seconds=1.0)
+        )
+        self.assertIsNone(self.placement.choose_server(call))
+        self.assertEqual(
+            times.now + 1.0, self.placement.find_rest_end(call, False)
+        )
+        self.assertIn(
+            "2 rest", self.placement.describe_missing_capacity(call, None)
+        )
+        call.tried_servers.append(other.id)
+        self.assertEqual(
+            times.now + 2.0, self.placement.find_rest_end(call, True)
+        )
+        times.now += 1.0
+        waiting = [self.make_call(f"{number}") for number in range(5)]
+        self.placement.record_request(waiting[0], other, cold=False)
+        for call in waiting[1:]:
+            self.assertIsNone(self.placement.choose_server(call))
--- a/tests/test_entry_server_status.py
+++ b/tests/test_entry_server_status.py
@@ -202,3 +202,96 @@
         self.statuses.record_peer_notice(self.server, "entry-2")
         self.clock.now += 2.5
         self.assertFalse(self.may_serve())
+
+
+class RestTest(ServerStatusCase):
+    """Servers that ask for a time without requests."""
+
+    def setUp(self) -> None:
+        """Record which servers asked."""
+        super().setUp()
+        self.asked: t.List[topology.Server] = []
+        self.statuses.on_rest.append(self.asked.append)
+
+    def rest(self, seconds: float) -> None:
+        """Record that the server asks for a rest."""
+        self.statuses.record_rest(self.server, seconds, "r-1")
+
+    def send_available(self) -> int:
+        """Send requests as long as the server is available; count them."""
+        count = 0
+        while count < 100 and self.is_available():
+            self.statuses.record_request(self.server)
+            count += 1
+        return count
+
+    def test_resting_server_gets_nothing_until_the_end(self) -> None:
+        """Guards against requests to a server that asked for none."""
+        self.rest(3.0)
+        self.assertEqual(["server_resting"], self.log.events)
+        self.assertEqual([self.server], self.asked)
+        for _ in range(29):
+            self.assertFalse(self.is_available())
+            self.clock.now += 0.1
+        self.statuses.record_loaded(self.server)
+        self.assertFalse(self.is_available())
+        self.clock.now += 0.11
+        self.assertTrue(self.is_available())
+
+    def test_shorter_rest_does_not_end_a_longer_one(self) -> None:
+        """Guards against refusals that arrive in another order."""
+        self.rest(5.0)
+        self.clock.now += 1.0
+        self.rest(0.5)
+        self.rest(0.0)
+        self.clock.now += 3.9
+        self.assertFalse(self.is_available())
+        self.clock.now += 0.2
+        self.assertTrue(self.is_available())
+
+    def test_requests_return_in_steps_after_a_rest(self) -> None:
+        """Guards against all waiting requests at once after a rest."""
+        self.rest(2.0)
+        self.clock.now += 2.0
+        counts = []
+        for _ in range(4):
+            counts.append(self.send_available())
+            self.clock.now += server_status.RAMP_DOUBLING_SECONDS
+        self.assertEqual([1, 1, 2, 4], counts)
+        self.assertEqual(100, self.send_available())
+
+    def test_rest_during_the_return_begins_anew(self) -> None:
+        self.rest(2.0)
+        self.clock.now += 2.3
+        self.assertEqual(2, self.send_available())
+        self.rest(2.0)
+        self.assertEqual(0, self.send_available())
+        self.clock.now += 2.0
+        self.assertEqual(1, self.send_available())
+
+    def test_excessive_rest_is_bounded(self) -> None:
+        """Guards against a wrong time that takes a server out for long."""
+        for seconds in (86400.0, 1e300, float("inf")):
+            with self.subTest(seconds=seconds):
+                self.statuses.clear()
+                self.rest(seconds)
+                self.clock.now += server_status.MAX_REST_SECONDS - 0.1
+                self.assertFalse(self.is_available())
+                self.clock.now += 0.2
+                self.assertEqual(1, self.send_available())
+
+    def test_rest_belongs_to_one_incarnation(self) -> None:
+        self.rest(5.0)
+        self.assertTrue(self.is_available(self.restarted))
+        self.rest(5.0)
+        self.assertTrue(self.is_available(self.restarted))
+        self.assertEqual(1, len(self.asked))
+
+    def test_entry_that_lapsed_and_came_back_does_not_end_the_rest(
+        self,
+    ) -> None:
+        self.rest(5.0)
+        self.statuses.forget_server(self.server.id)
+        self.assertFalse(self.is_available())
+        self.clock.now += 5.0
+        self.assertTrue(self.is_available())
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -160,6 +160,27 @@
         reply_head = headers.HeaderCodec().read_reply(status, generated)
         self.assertEqual(status, reply_head.status)
 
+    @hypothesis.given(
+        strategies.one_of(
+            strategies.text(max_size=40),
+            strategies.lists(
+                strategies.sampled_from(
+                    ("Wed", ",", " ", "21", "Oct", "-1", "0", ":", "GMT", "9")
+                )
+            ).map("".join),
+        )
+    )
+    def test_any_time_of_rest_is_a_finite_number_or_ignored(
+        self, value: str
+    ) -> None:
+        generated = multidict.CIMultiDict({"Retry-After": value})
+        reply_head = headers.HeaderCodec().read_reply(503, generated)
+        seconds = reply_head.rest_seconds
+        if seconds is None:
+            self.assertEqual(1, len(reply_head.ignored_headers))
+        else:
+            self.assertTrue(0.0 <= seconds < float("inf"))
+
 
 class RecordsTest(unittest.TestCase):
     """Records of the operator and the servers."""
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -211,6 +211,63 @@
                 self.assertLessEqual(len(ignored), 80)
                 self.assertEqual({}, dict(head.forwarded))
 
+    def read_rest(self, *values: str) -> t.Optional[float]:
+        """Return the rest that a refusal with the values asks for."""
+        codec = headers.HeaderCodec(lambda: 1445412400.0)
+        pairs = [("Retry-After", value) for value in values]
+        head = codec.read_reply(
+            503, multidict.CIMultiDictProxy(multidict.CIMultiDict(pairs))
+        )
+        self.ignored_headers = head.ignored_headers
+        return head.rest_seconds
+
+    def test_rest_is_read_from_seconds_and_dates(self) -> None:
+        cases = (
+            ((), None),
+            (("2",), 2.0),
+            (("0.25",), 0.25),
+            (("0",), 0.0),
+            (("86400",), 86400.0),
+            (("9" * 30,), 1e30),
+            (("1", "3", "2"), 3.0),
+            (("Wed, 21 Oct 2015 07:28:00 GMT",), 80.0),
+            (("Wednesday, 21-Oct-15 07:28:00 GMT",), 80.0),
+            (("Wed Oct 21 07:28:00 2015",), 80.0),
+            (("Wed, 21 Oct 2015 07:20:00 GMT",), 0.0),
+        )
+        for values, expected in cases:
+            with self.subTest(values=values):
+                self.assertEqual(expected, self.read_rest(*values))
+                self.assertEqual((), self.ignored_headers)
+        head = self.read_reply([("Retry-After", "2")], 500)
+        self.assertIsNone(head.rest_seconds)
+
+    def test_malformed_rest_is_ignored(self) -> None:
+        """Guards against a crash or a long rest by a malformed value."""
+        for value in (
+            "",
+            "-1",
+            "-0.5",
+            "inf",
+            "-inf",
+            "NaN",
+            "Infinity",
+            "1e3",
+            "0x10",
+            "2 s",
+            "soon",
+            "\u0662",
+            "1,5",
+            "9" * 5000,
+            "Wed, 99 Oct 2015 07:28:00 GMT",
+            "Wed, 21 Oct 99999999 07:28:00 GMT",
+            "\udcff",
+        ):
+            with self.subTest(value=value):
+                self.assertIsNone(self.read_rest(value))
+                (ignored,) = self.ignored_headers
+                self.assertLessEqual(len(ignored), 80)
+
     def test_leaving_header_of_a_caller_is_not_forwarded(self) -> None:
         head = headers.HeaderCodec().read_request(
             multidict.CIMultiDictProxy(
--- a/tests/test_timelines.py
+++ b/tests/test_timelines.py
@@ -24,6 +24,7 @@
     make_log_line(10.4, "a", "failed", request="r-1", code=1216),
     make_log_line(9.0, "a", "server_suspected", server="i-1"),
     make_log_line(9.5, "a", "server_leaving", server="i-1"),
+    make_log_line(9.6, "a", "server_resting", server="i-1"),
     make_log_line(1.0, "a", "server_suspected", server="i-0"),
     make_log_line(9.0, "b", "store_lost"),
     "no JSON",
@@ -42,6 +43,7 @@
             [
                 ("server_suspected", False),
                 ("server_leaving", False),
+                ("server_resting", False),
                 ("sent", True),
                 ("failed", True),
             ],
