Refuse requests at once while all servers of a service rest

Callers waited as for free capacity, and one whose request may have been executed until its deadline, for servers that take nothing meanwhile. All were told to come back after 1.0 s.

Change: if every server that could take the request rests beyond the longest wait, the request is refused at once. The error carries the time until the earliest end of a rest, plus a random time of up to 1 s. A request that may have been executed waits for the end of a rest before its deadline and fails at once if there is none.

Tests: of test_entry_host.RestTest, two failed before: eight refusals took 1.03 s together, and a retry ended with 504 at its deadline instead of 502 at once. The other two passed.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -7,6 +7,7 @@
 import asyncio
 import functools
 import math
+import random
 import typing as t
 
 import attrs
@@ -34,6 +35,9 @@
 # waits longer is refused, so that its caller can retry once there is capacity.
 MAX_CAPACITY_WAIT_SECONDS = 0.25
 CAPACITY_POLL_INTERVAL_SECONDS = 0.03
+# Time after the end of the servers' rest over which the callers that were
+# refused because of it are told to come back, seconds.
+RETURN_SPREAD_SECONDS = 1.0
 
 
 @attrs.define
@@ -130,11 +134,22 @@
                 or self.placement.has_capacity(call, chosen[0])
             ):
                 return chosen
-            if clock.read_time() >= give_up_at and not (
-                maybe_executed and self.placement.has_untried_server(call)
-            ):
+            rest_end = None
+            if chosen is None:
+                rest_end = self.placement.find_rest_end(call, maybe_executed)
+            if rest_end is not None:
+                # A request that may have been executed cannot be refused and
+                # waits, if the rest ends in time.
+                limit = call.deadline if maybe_executed else give_up_at
+                given_up = rest_end >= limit
+            else:
+                given_up = clock.read_time() >= give_up_at and not (
+                    maybe_executed and self.placement.has_untried_server(call)
+                )
+            if given_up:
                 error = exceptions.NoRoom(
-                    self.placement.describe_missing_capacity(call, chosen)
+                    self.placement.describe_missing_capacity(call, chosen),
+                    _compute_retry_after(rest_end),
                 )
                 self._raise_final(
                     response, call, _convert_error(error, maybe_executed)
@@ -191,7 +206,10 @@
             self.retries.try_acquire_retry(call.service)
         ):
             refusal = exceptions.NoRoom(
-                f"no server executed the request: {error.message}"
+                f"no server executed the request: {error.message}",
+                _compute_retry_after(
+                    self.placement.find_rest_end(call, untried_only=False)
+                ),
             )
             self._raise_final(
                 response, call, _convert_error(refusal, maybe_executed)
@@ -325,6 +343,20 @@
         )
 
 
+def _compute_retry_after(
+    rest_end: t.Optional[float],
+) -> t.Optional[float]:
+    """Return the seconds after which a caller should come back.
+
+    They are spread over `RETURN_SPREAD_SECONDS` after the end of the servers'
+    rest. None if no rest ends.
+    """
+    if rest_end is None:
+        return None
+    spread = random.uniform(0.0, RETURN_SPREAD_SECONDS)
+    return max(0.0, rest_end - clock.read_time()) + spread
+
+
 def _round_finite(seconds: float) -> t.Optional[float]:
     """Return the seconds rounded for the log, None if they are infinite."""
     return round(seconds, 3) if math.isfinite(seconds) else None
--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -22,8 +22,8 @@
 # Largest body of a request while no configuration states a limit. Not used, as
 # requests are refused while there is no configuration.
 MAX_BODY_BYTES = 4 * 1024 * 1024
-# Delay after which callers should retry a refused request. The runs of engines
-# end within a few seconds.
+# Delay after which callers should retry a refused request, unless the error
+# says it. The runs of engines end within a few seconds.
 RETRY_AFTER_SECONDS = 1.0
 
 
@@ -196,9 +196,9 @@
             if request.transport is not None:
                 request.transport.close()
             raise asyncio.CancelledError()
-        retry_after = (
-            RETRY_AFTER_SECONDS if error.status in (429, 503) else None
-        )
+        retry_after = error.retry_after
+        if retry_after is None and error.status in (429, 503):
+            retry_after = RETRY_AFTER_SECONDS
         response = web.Response(
             status=error.status,
             headers=self.codec.write_error(request_id, retry_after),
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -13,13 +13,15 @@
     `code` is the numbered result code, `status` the HTTP status that a caller
     gets, `retryable` tells whether the same request may succeed later, and
     `executed` whether a backend server ran the request: "no", "unknown" or
-    "yes".
+    "yes". `retry_after` is the number of seconds after which a caller should
+    come back, None if the error does not say.
     """
 
     code: t.ClassVar[int] = 1000
     status: t.ClassVar[int] = 500
     retryable: t.ClassVar[bool] = False
     executed: str = UNKNOWN
+    retry_after: t.Optional[float] = None
 
     def __init__(
         self, message: str, *, executed: t.Optional[str] = None
@@ -243,6 +245,12 @@
     code = 1217
     executed = NO
 
+    def __init__(
+        self, message: str, retry_after: t.Optional[float] = None
+    ) -> None:
+        super().__init__(message)
+        self.retry_after = retry_after
+
 
 class ForeignReply(ReplyBroken):
     """A reply is not shown to be that to the request; it may have run."""
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import typing as t
 import unittest
 import unittest.mock
 
@@ -10,6 +11,7 @@
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import changes
 from sesamefold.entry import clock
+from sesamefold.entry import dispatch
 from sesamefold.entry import topology
 from sesamefold import exceptions
 from standins import platform_fixtures
@@ -312,6 +314,71 @@
         self.assertIn('sesamefold_requests_total{code="0"} 1.0', text)
 
 
+class RestTest(entry_fakes.EntryHostCase):
+    """Requests while servers have asked for no requests."""
+
+    def rest(self, number: int, seconds: float) -> None:
+        """Record that a server asks for a rest."""
+        self.host.server_statuses.record_rest(
+            self.host.catalog.servers[f"i-{number}"], seconds, "r-0"
+        )
+
+    async def call_timed(
+        self, path: str, request_id: str = "r-1"
+    ) -> t.Tuple[int, float, float]:
+        """Return the status, the time to return and the time it took."""
+        start = clock.read_time()
+        status, headers, _ = await self.call(path, request_id)
+        retry_after = float(headers.get("Retry-After", "nan"))
+        return status, retry_after, clock.read_time() - start
+
+    async def test_callers_are_refused_at_once_while_all_servers_rest(
+        self,
+    ) -> None:
+        """Guards against callers that wait in vain and return together."""
+        self.rest(0, 3.0)
+        self.rest(1, 2.0)
+        answers = [
+            await self.call_timed("/safe/", f"r-{number}")
+            for number in range(8)
+        ]
+        self.assertEqual({503}, {status for status, _, _ in answers})
+        self.assertLess(sum(seconds for _, _, seconds in answers), 0.5)
+        returns = [retry_after for _, retry_after, _ in answers]
+        self.assertGreater(min(returns), 1.5)
+        self.assertLessEqual(
+            max(returns), 2.0 + dispatch.RETURN_SPREAD_SECONDS
+        )
+        self.assertGreater(max(returns) - min(returns), 0.05)
+        self.assertEqual([], self.list_runs())
+
+    async def test_request_waits_for_a_rest_that_ends_at_once(self) -> None:
+        self.rest(0, 0.1)
+        self.rest(1, 0.1)
+        status, _, seconds = await self.call_timed("/safe/")
+        self.assertEqual(200, status)
+        self.assertGreaterEqual(seconds, 0.09)
+
+    async def test_retry_waits_for_the_end_of_a_rest(self) -> None:
+        """Guards against retries that reach a resting server."""
+        self.rest(1, 0.6)
+        self.engines[0].faults = ["reset"]
+        status, _, seconds = await self.call_timed("/safe/")
+        self.assertEqual(200, status)
+        self.assertGreaterEqual(seconds, 0.58)
+
+    async def test_retry_fails_at_once_if_the_rest_outlasts_the_deadline(
+        self,
+    ) -> None:
+        """Guards against callers that are kept until their deadline."""
+        self.rest(1, 5.0)
+        self.engines[0].faults = ["reset"]
+        status, _, seconds = await self.call_timed("/safe/")
+        self.assertEqual(502, status)
+        self.assertLess(seconds, 0.5)
+        self.assertEqual([], self.engines[1].runs)
+
+
 class WeightsTest(entry_fakes.EntryHostCase):
     """Orders to load new weights."""
 
