Look up the status of each server once per choice

The filters for leaving and failing servers looked it up again for each server, 140 look-ups in a choice among 70 engines.

--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -135,12 +135,12 @@
         usable = self._list_usable_servers(call, now)
         if not usable:
             return None
-        usable = [
-            s for s in usable if not self.states.get(s).is_leaving(now)
+        staying = [
+            pair for pair in usable if not pair[1].is_leaving(now)
         ] or usable
         healthy = [
-            s for s in usable if not self.states.get(s).is_failing(now)
-        ] or usable
+            server for server, status in staying if not status.is_failing(now)
+        ] or [server for server, _ in staying]
         if call.head.prompt is not None:
             chosen = self._choose_engine(call, call.head.prompt, healthy)
         else:
@@ -152,16 +152,16 @@
 
     def _list_usable_servers(
         self, call: requests.Call, now: float
-    ) -> t.List[topology.Server]:
+    ) -> t.List[t.Tuple[topology.Server, server_status.ServerStatus]]:
         allowed = call.list_permitted_regions()
         configuration = self.catalog.require_configuration()
         service = configuration.services.get(call.service)
         rate = service.cold_rate if service else 0.0
         return [
-            server
+            (server, status)
             for server in self.catalog.list_usable_servers(call.service)
             if server.id not in call.tried_servers
-            and self.states.get(server).is_available(now)
+            and (status := self.states.get(server)).is_available(now)
             and self._is_permitted(server, allowed)
             and now < self._get_last_start(call, server)
             and (
