Test late notices of earlier incarnations and servers that have left

Four mutations of the code survived the tests: an old answer that reaches the status of a removed, newer incarnation; a notice of another host about an earlier one; one that outlives the entry; and a server past its bound that counts as free of rest.

--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -318,3 +318,15 @@
         self.placement.record_request(waiting[0], other, cold=False)
         for call in waiting[1:]:
             self.assertIsNone(self.placement.choose_server(call))
+
+    def test_server_that_has_left_does_not_count_as_free_of_rest(self) -> None:
+        """Guards against callers that wait for a server that gets nothing."""
+        self.make(2)
+        left, resting = self.servers
+        call = self.make_call("a")
+        self.placement.record_reply(call, left, self.make_head(leaving=True))
+        self.placement.record_reply(
+            call, resting, self.make_head(503, rest_seconds=2.0)
+        )
+        self.assertIsNone(self.placement.choose_server(call))
+        self.assertIsNotNone(self.placement.find_rest_end(call, False))
--- a/tests/test_entry_server_status.py
+++ b/tests/test_entry_server_status.py
@@ -173,8 +173,11 @@
         self.assertEqual([self.server], self.announced)
         self.statuses.record_leaving(self.restarted, "r-3")
         self.statuses.forget_server(self.server.id)
+        self.statuses.suspect(self.server, "refused")
         self.statuses.record_leaving(self.server, "r-4")
         self.assertTrue(self.statuses.is_leaving(self.restarted))
+        self.assertTrue(self.is_available(self.restarted))
+        self.assertEqual(2, self.log.events.count("server_leaving"))
 
     def test_removed_servers_are_remembered_up_to_a_limit(self) -> None:
         for number in range(server_status.REMEMBERED_SERVERS + 5):
@@ -196,6 +199,12 @@
         self.assertFalse(self.statuses.is_leaving(self.server))
         self.assertTrue(self.may_serve())
 
+    def test_notice_of_another_host_ends_with_the_entry(self) -> None:
+        self.statuses.record_peer_notice(self.server, "entry-2")
+        self.statuses.record_rest(self.server, 5.0, "r-1")
+        self.statuses.forget_server(self.server.id)
+        self.assertFalse(self.statuses.is_leaving(self.server))
+
     def test_own_notice_outranks_that_of_another_host(self) -> None:
         self.statuses.record_peer_notice(self.server, "entry-2")
         self.statuses.record_leaving(self.server, "r-1")
