--- a/src/sesamefold/platform/wire.py
+++ b/src/sesamefold/platform/wire.py
@@ -41,6 +41,8 @@
 SERVER_ID = "Sesamefold-Instance-Id"
 SERVER_LOAD = "Sesamefold-Server-Load"
 WEIGHT_VERSIONS = "Sesamefold-Weight-Versions"
+# "1" in each answer of a server that leaves.
+LEAVING = "Server-Leaving"
 
 # Headers of calls to stores of cached context.
 
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -13,6 +13,7 @@
 from sesamefold.entry import loads
 from sesamefold.entry import placement
 from sesamefold.entry import requests
+from sesamefold.entry import server_status
 from sesamefold.entry import throttle
 from sesamefold.entry import topology
 from tests import entry_fakes
@@ -201,7 +202,7 @@
         for _ in range(2):
             known = self.placement.catalog.servers[ended.id]
             self.placement.record_mismatch(call, known)
-        times.now += placement.REFUSAL_BACKOFF_SECONDS + 0.1
+        times.now += server_status.REFUSAL_BACKOFF_SECONDS + 0.1
         known = self.placement.catalog.servers[ended.id]
         self.assertEqual({"m": 1}, dict(known.weights))
 
@@ -256,3 +257,142 @@
         last = self.servers[7]
         self.placement.record_request(call, last, cold=False).release()
         self.assertEqual({last.id}, {self.choose(call).id for _ in range(20)})
+
+    def test_restarted_engine_is_not_judged_by_its_former_incarnation(
+        self,
+    ) -> None:
+        """Guards against pauses and failures that outlive an engine's run."""
+        self.make(1)
+        call = self.make_call("a")
+        self.placement.record_refusal(self.servers[0])
+        self.assertIsNone(self.placement.choose_server(call))
+        restarted = entry_fakes.make_server(
+            "i-0", weights={"m": 1}, started_at=2
+        )
+        self.placement.catalog.apply_changes(
+            entry_fakes.make_report_batch(restarted)
+        )
+        self.assertEqual(restarted, self.choose(call))
+
+    def make_head(self, status: int = 200, **fields: t.Any) -> t.Any:
+        """Return the head of a reply."""
+        values: t.Dict[str, t.Any] = {
+            "not_executed": status in (421, 503),
+            "sealed": True,
+            "content_encoded": False,
+            "content_length": None,
+            "forwarded": requests.Headers(),
+            "mismatched": status == 421,
+        }
+        return requests.ReplyHead(status, **{**values, **fields})
+
+    def test_any_answer_may_say_that_an_engine_leaves(self) -> None:
+        """Guards against requests to an engine that is about to end."""
+        for status in (200, 500, 503):
+            with self.subTest(status=status):
+                self.make(2)
+                call = self.make_call("a")
+                first = self.choose(call)
+                self.placement.record_reply(
+                    call, first, self.make_head(status, leaving=True)
+                )
+                for number in range(20):
+                    self.assertNotEqual(
+                        first, self.choose(self.make_call(f"{number}"))
+                    )
+
+    def test_answer_of_another_server_says_nothing_of_this_one(self) -> None:
+        """Guards against a leaving server at an address that is reused."""
+        self.make(2)
+        call = self.make_call("a")
+        server = self.servers[0]
+        for head in (
+            self.make_head(421, leaving=True),
+            self.make_head(200, leaving=True, sealed=False),
+        ):
+            self.placement.record_reply(call, server, head)
+            self.assertFalse(self.placement.states.is_leaving(server))
+        # An engine whose weights were old has probably loaded new ones.
+        change = changes.TargetWeightsChanged("m", 2)
+        self.placement.catalog.apply_changes(changes.Batch((change,), 2))
+        self.placement.record_reply(
+            call, server, self.make_head(421, leaving=True)
+        )
+        self.assertTrue(self.placement.states.is_leaving(server))
+
+    def test_leaving_engine_serves_until_the_bound_if_no_other_can(
+        self,
+    ) -> None:
+        """Guards against refusals while the last engine still serves."""
+        self.make(2)
+        times = entry_fakes.FakeClock(clock.read_time())
+        self.placement.read_time = self.placement.states.read_time = times
+        self.placement.states.leaving_seconds = 2.5
+        leaving, other = self.servers
+        call = self.make_call("a")
+        self.placement.record_reply(
+            call, leaving, self.make_head(leaving=True)
+        )
+        self.assertEqual(other, self.choose(call))
+        self.placement.record_refusal(other)
+        self.assertEqual(leaving, self.choose(call))
+        retry = self.make_call("a")
+        retry.tried_servers.append(other.id)
+        self.assertEqual(leaving, self.choose(retry))
+        self.assertTrue(self.placement.has_untried_server(retry))
+        times.now += 2.5
+        self.assertIsNone(self.placement.choose_server(retry))
+        self.assertFalse(self.placement.has_untried_server(retry))
+        self.assertEqual(other, self.choose(call))
+
+    def test_headers_with_undocumented_values_are_logged(self) -> None:
+        self.make(1)
+        log = self.placement.log = entry_fakes.RecordingLog()
+        head = self.make_head(ignored_headers=("Server-Leaving: yes",))
+        self.placement.record_reply(self.make_call("a"), self.servers[0], head)
+        self.assertEqual(["reply_header_ignored"], log.events)
+
+    def test_refusal_with_a_rest_pauses_the_engine(self) -> None:
+        """Guards against requests to an engine that asked for none."""
+        self.make(2)
+        resting, other = self.servers
+        times = entry_fakes.FakeClock(clock.read_time())
+        self.placement.read_time = self.placement.states.read_time = times
+        call = self.make_call("a")
+        self.placement.record_request(call, resting, cold=False)
+        self.placement.record_reply(
+            call, resting, self.make_head(503, rest_seconds=2.0)
+        )
+        self.assertEqual(other, self.choose(call))
+        self.assertIsNone(self.placement.find_rest_end(call, False))
+        self.placement.record_reply(
+            call, other, self.make_head(503, rest_seconds=1.0)
+        )
+        self.assertIsNone(self.placement.choose_server(call))
+        self.assertEqual(
+            times.now + 1.0, self.placement.find_rest_end(call, False)
+        )
+        self.assertIn(
+            "2 rest", self.placement.describe_missing_capacity(call, None)
+        )
+        call.tried_servers.append(other.id)
+        self.assertEqual(
+            times.now + 2.0, self.placement.find_rest_end(call, True)
+        )
+        times.now += 1.0
+        waiting = [self.make_call(f"{number}") for number in range(5)]
+        self.placement.record_request(waiting[0], other, cold=False)
+        for call in waiting[1:]:
+            self.assertIsNone(self.placement.choose_server(call))
+
+    def test_server_that_has_left_does_not_count_as_free_of_rest(self) -> None:
+        """Guards against callers that wait for a server that gets nothing."""
+        self.make(2)
+        left, resting = self.servers
+        call = self.make_call("a")
+        self.placement.record_reply(call, left, self.make_head(leaving=True))
+        self.placement.record_reply(
+            call, resting, self.make_head(503, rest_seconds=2.0)
+        )
+        self.assertIsNone(self.placement.choose_server(call))
+        self.assertIsNotNone(self.placement.find_rest_end(call, False))
