Let the stand-in engine announce that it leaves and ask for a rest

An engine that leaves says so in all its answers (Server-Leaving), one that turns a request away may name the seconds for which it wants nothing (Retry-After). Both texts can be set to malformed ones. The engine records when each request that names it arrived, so that tests can count the requests after a notice, and answers health checks.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -14,6 +14,7 @@
 from standins import platform_context_store
 
 RESPONSE_SEAL = "3e1b.07.5a2"
+HEALTH_PATH = "/healthz"
 
 
 @attrs.frozen
@@ -27,12 +28,24 @@
     body: bytes
 
 
+@attrs.frozen
+class Arrival:
+    """A request that reached the server, executed or not.
+
+    `at` is in monotonic seconds.
+    """
+
+    request_id: str
+    at: float
+
+
 @attrs.define
 class PlatformEngine:
     """A backend server with faults that a test sets.
 
     Each request takes the next of `faults`: "refuse" (not executed, status
-    503), "misdirect" (not executed, status 421, as from another instance),
+    503), "rest" (the same with `retry_after` as the header `Retry-After`),
+    "misdirect" (not executed, status 421, as from another instance),
     "reset" (executed, connection reset without a response), "fail" (executed,
     status 500), "foreign" (the request ID of another request in the
     response), "unsealed" (no response seal), "cut" (a stream reset after its
@@ -40,11 +53,15 @@
     end), "late" (responds after a second), or "" for none.
 
     A stream sends `stream_events` events, one each `event_seconds`. `runs`
-    are the requests that were executed, unless `keep_runs` is off, and
-    `cancelled_requests` counts those cancelled while they waited. The next
-    `orders_to_ignore` orders are held for 30 s, longer than callers wait, so
-    they get no response and have no effect. With `lose_order_answers`,
-    orders are applied and the connection is reset instead of a response.
+    are the requests that were executed and `arrivals` those that named this
+    instance and its weights, unless `keep_runs` is off; `cancelled_requests`
+    counts those cancelled while they waited. The next `orders_to_ignore`
+    orders are held for 30 s, longer than callers wait, so they get no
+    response and have no effect. With `lose_order_answers`, orders are applied
+    and the connection is reset instead of a response.
+
+    Unless `leaving` is None, all responses carry it as the header
+    `Server-Leaving`; "1" announces that the server leaves.
 
     With a `simulator`, streams take its time and memory, and cached context
     is fetched from and saved to `context_stores`, by address. The context of
@@ -55,6 +72,9 @@
     stream_events: int = 3
     faults: t.List[str] = attrs.field(factory=list)
     runs: t.List[Run] = attrs.field(factory=list)
+    arrivals: t.List[Arrival] = attrs.field(factory=list)
+    leaving: t.Optional[str] = None
+    retry_after: str = "2"
     cancelled_requests: int = 0
     weights: t.Dict[str, int] = attrs.field(factory=dict)
     orders: t.List[t.Dict[str, t.Any]] = attrs.field(factory=list)
@@ -71,6 +91,18 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
+        response = await self._answer(request)
+        if not response.prepared:
+            response.headers.update(self._make_notice())
+        return response
+
+    def _make_notice(self) -> t.Dict[str, str]:
+        """Return the header that announces that the server leaves."""
+        return {} if self.leaving is None else {"Server-Leaving": self.leaving}
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == HEALTH_PATH:
+            return self._answer_health_check()
         if request.path == "/report":
             return self._answer_report()
         if request.path == "/order":
@@ -86,8 +118,17 @@
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "misdirect" or not self._has_expected_target(request):
             return _make_refusal(request, 421)
-        if fault == "refuse":
-            return _make_refusal(request, 503)
+        if self.keep_runs:
+            self.arrivals.append(
+                Arrival(
+                    request.headers["Sesamefold-Request-Id"], time.monotonic()
+                )
+            )
+        if fault in ("refuse", "rest"):
+            refusal = _make_refusal(request, 503)
+            if fault == "rest":
+                refusal.headers["Retry-After"] = self.retry_after
+            return refusal
         return await self._execute(request, fault)
 
     def _has_expected_target(self, request: web.BaseRequest) -> bool:
@@ -119,7 +160,8 @@
         headers = {
             "Sesamefold-Request-Id": (
                 "another" if fault == "foreign" else request_id
-            )
+            ),
+            **self._make_notice(),
         }
         if fault != "unsealed":
             headers["Sesamefold-Response-Seal"] = RESPONSE_SEAL
@@ -291,6 +333,12 @@
         t.cast(asyncio.Transport, request.transport).abort()
         raise asyncio.CancelledError()
 
+    def _answer_health_check(self) -> web.Response:
+        return web.Response(
+            status=503 if self.leaving == "1" else 200,
+            headers={"Sesamefold-Instance-Id": self.id},
+        )
+
     def _answer_report(self) -> web.Response:
         return web.json_response(
             {
