--- a/tests/test_entry_server_notices.py
+++ b/tests/test_entry_server_notices.py
@@ -1,4 +1,4 @@
-"""Tests of servers that announce that they leave."""
+"""Tests of servers that announce that they leave or ask for a rest."""
 
 import asyncio
 import itertools
@@ -21,6 +21,27 @@
 SEND_INTERVAL_SECONDS = 0.03
 # Time for which a test looks past the bound of the rule, seconds.
 MARGIN_SECONDS = 0.5
+# Time after an answer that asks for a rest within which requests that were on
+# their way may still arrive, seconds.
+IN_FLIGHT_SECONDS = 0.5
+# Most requests that may arrive in the rest of that time.
+MAX_RESTING_ARRIVALS = 2
+# Slots of an engine, as its entry states them.
+SLOTS = 8
+# Time within which a server that asked for no valid rest is used again.
+MAX_MALFORMED_SECONDS = 5.0
+MALFORMED_RESTS = (
+    "",
+    "-1",
+    "inf",
+    "nan",
+    "soon",
+    "1e9",
+    "1,1",
+    "9" * 5000,
+    "Wed, 21 Oct 2015 07:28:00 GMT",
+    "Wed, 99 Oct 2099 99:99:99 GMT",
+)
 # Longest time that a refusal may take, seconds; the routes' timeout is twice
 # as long.
 REFUSAL_SECONDS = 1.0
@@ -129,6 +150,15 @@
         self.assertEqual(200, status)
         return leaver, time.monotonic()
 
+    def list_arrivals(
+        self,
+        engine: platform_engine.PlatformEngine,
+        after: float,
+        before: float,
+    ) -> t.List[platform_engine.Arrival]:
+        """Return the requests that reached an engine between two times."""
+        return [a for a in engine.arrivals if after < a.at < before]
+
     def list_arrivals_sent_after(
         self, engine: platform_engine.PlatformEngine, at: float
     ) -> t.List[platform_engine.Arrival]:
@@ -358,3 +388,220 @@
         )
         self.assertEqual({200}, set(statuses))
         await self.check_leaver_is_not_used_late(leaver, noticed_at)
+
+
+class RestTest(NoticeCase):
+    """Servers that refuse a request with the time for which they want none.
+
+    At most two requests of this host arrive later than half a second after
+    that and before the end.
+    """
+
+    async def rest(
+        self, engine: platform_engine.PlatformEngine, retry_after: str
+    ) -> float:
+        """Let an engine refuse the next request that reaches it.
+
+        Returns the arrival of that request. The engine must be the one that
+        gets the next request.
+        """
+        engine.faults = ["rest"]
+        engine.retry_after = retry_after
+        arrived = len(engine.arrivals)
+        await self.send()
+        self.assertEqual(arrived + 1, len(engine.arrivals))
+        return engine.arrivals[-1].at
+
+    async def test_nothing_reaches_a_resting_server_before_the_end(
+        self,
+    ) -> None:
+        """Guards against requests to a server that wants none (BUDGET)."""
+        engine, other = await self.find_used_engine()
+        rested_at = await self.rest(engine, "2")
+        statuses = await self.send_until(rested_at + 2.0)
+        self.assertEqual({200}, set(statuses))
+        self.assertEqual(
+            [], self.list_arrivals(engine, rested_at, rested_at + 2.0)
+        )
+        self.assertGreaterEqual(len(other.arrivals), sum(statuses.values()))
+
+    async def test_fractions_of_a_second_are_observed(self) -> None:
+        """Guards against a rest that is cut to whole seconds (BUDGET)."""
+        engine, _ = await self.find_used_engine()
+        rested_at = await self.rest(engine, "1.8")
+        self.assertEqual({200}, set(await self.send_until(rested_at + 1.8)))
+        self.assertEqual(
+            [], self.list_arrivals(engine, rested_at, rested_at + 1.8)
+        )
+
+    async def test_a_rest_holds_in_the_absence_of_other_servers(self) -> None:
+        """Guards against use for want of another server (BUDGET)."""
+        engine = await self.use_one_engine()
+        rested_at = await self.rest(engine, "2")
+        self.assertEqual({503}, set(await self.send_until(rested_at + 1.5)))
+        self.assertEqual(
+            [], self.list_arrivals(engine, rested_at, rested_at + 2.0)
+        )
+
+    async def test_a_rest_told_to_a_stream_holds_for_streams(self) -> None:
+        """Guards against a rest that only plain requests observe (BUDGET)."""
+        engine = await self.use_one_engine()
+        engine.faults = ["rest"]
+        await self.send("/stream/")
+        rested_at = engine.arrivals[-1].at
+        statuses = await self.send_until(rested_at + 1.5, "/stream/")
+        self.assertEqual({503}, set(statuses))
+        self.assertEqual(
+            [], self.list_arrivals(engine, rested_at, rested_at + 2.0)
+        )
+
+    async def test_a_report_does_not_end_a_rest(self) -> None:
+        """Guards against a rest that the list ends (BUDGET)."""
+        engine, _ = await self.find_used_engine()
+        rested_at = await self.rest(engine, "2")
+        await self.report(engine, seq=2)
+        self.assertEqual({200}, set(await self.send_until(rested_at + 2.0)))
+        self.assertEqual(
+            [], self.list_arrivals(engine, rested_at, rested_at + 2.0)
+        )
+
+    async def test_answers_of_other_requests_do_not_end_a_rest(self) -> None:
+        """Guards against a success or a shorter rest that ends it (BUDGET).
+
+        Both come after the longer rest.
+        """
+        engine = await self.use_one_engine()
+        engine.faults = ["late", "late"]
+        arrived = len(engine.arrivals)
+        late = [asyncio.create_task(self.send()) for _ in range(2)]
+        await self.wait_until(lambda: len(engine.arrivals) == arrived + 2)
+        rested_at = await self.rest(engine, "3")
+        self.assertFalse(any(task.done() for task in late))
+        answers = await asyncio.gather(*late)
+        self.assertEqual([200, 200], [answer[0] for answer in answers])
+        await self.send_until(rested_at + 2.5)
+        self.assertEqual(
+            [], self.list_arrivals(engine, rested_at, rested_at + 3.0)
+        )
+
+    async def test_a_burst_at_a_resting_server_ends_with_those_on_the_way(
+        self,
+    ) -> None:
+        """Guards against requests that wait and then come all the same.
+
+        They are sent at once and go on through the rest (BUDGET).
+        """
+        engine, _ = await self.find_used_engine()
+        engine.faults = ["rest"] * 100
+        arrived = len(engine.arrivals)
+        await asyncio.gather(
+            *(
+                self.send(path)
+                for path in ("/safe/", "/unsafe/", "/stream/", "/resumable/")
+                for _ in range(8)
+            )
+        )
+        self.assertGreater(len(engine.arrivals), arrived)
+        engine.faults = []
+        first = engine.arrivals[arrived].at
+        loads = [self.send_until(first + 2.0) for _ in range(5)]
+        await asyncio.gather(*loads)
+        late = self.list_arrivals(
+            engine, first + IN_FLIGHT_SECONDS, first + 2.0
+        )
+        self.assertLessEqual(len(late), MAX_RESTING_ARRIVALS)
+
+    async def test_callers_are_told_when_to_come_back_if_all_servers_rest(
+        self,
+    ) -> None:
+        """Guards against callers that come back too early or all at once.
+
+        `Retry-After` is at least the time to the end of the first rest.
+        """
+        for engine, retry_after in zip(self.engines, ("3", "4")):
+            engine.faults = ["rest"]
+            engine.retry_after = retry_after
+        self.assertEqual(503, (await self.send())[0])
+        end = min(
+            engine.arrivals[-1].at + float(engine.retry_after)
+            for engine in self.engines
+        )
+
+        async def compute_return() -> float:
+            """Return when a caller that comes now is to come again."""
+            sent_at = time.monotonic()
+            status, headers, _ = await self.send()
+            answered_at = time.monotonic()
+            self.assertEqual(503, status)
+            self.assertLess(answered_at - sent_at, REFUSAL_SECONDS)
+            return answered_at + float(headers["Retry-After"])
+
+        returns = await asyncio.gather(*(compute_return() for _ in range(20)))
+        # The header has two decimals.
+        self.assertGreaterEqual(min(returns) + 0.01, end)
+        self.assertGreater(max(returns) - min(returns), 0.1)
+        self.assertEqual([1, 1], [len(e.arrivals) for e in self.engines])
+
+    async def test_malformed_rests_are_bounded(self) -> None:
+        """Guards against a server that is lost, or a host that fails."""
+        engine = await self.use_one_engine()
+        for retry_after in MALFORMED_RESTS:
+            with self.subTest(retry_after=retry_after[:40]):
+                await self.rest(engine, retry_after)
+                async with asyncio.timeout(MAX_MALFORMED_SECONDS):
+                    while (await self.send())[0] != 200:
+                        await asyncio.sleep(SEND_INTERVAL_SECONDS)
+
+    async def test_a_very_long_rest_leaves_the_other_server_in_use(
+        self,
+    ) -> None:
+        """Guards against a host that fails on a rest of a day."""
+        engine, _ = await self.find_used_engine()
+        rested_at = await self.rest(engine, "86400")
+        self.assertEqual({200}, set(await self.send_until(rested_at + 3.0)))
+        late = self.list_arrivals(engine, rested_at, float("inf"))
+        self.assertLessEqual(len(late), MAX_RESTING_ARRIVALS)
+
+    async def test_a_date_as_the_end_of_a_rest_leaves_the_service_up(
+        self,
+    ) -> None:
+        """Guards against a host that fails on the other form of the header.
+
+        The platform's servers state seconds; a date may count or not.
+        """
+        engine, _ = await self.find_used_engine()
+        rested_at = await self.rest(engine, "Wed, 21 Oct 2099 07:28:00 GMT")
+        self.assertEqual({200}, set(await self.send_until(rested_at + 1.0)))
+
+    async def test_a_restart_ends_a_rest(self) -> None:
+        """Guards against a rest that outlives its incarnation."""
+        engine = await self.use_one_engine()
+        await self.rest(engine, "60")
+        self.assertEqual(503, (await self.send())[0])
+        await self.report(engine, born=2)
+        self.assertEqual(200, (await self.send())[0])
+
+    async def test_a_server_is_used_again_after_its_rest_by_few_at_first(
+        self,
+    ) -> None:
+        """Guards against a burst that fills a server again at once.
+
+        At most half of its slots are taken in the first 0.3 seconds.
+        """
+        engine = await self.use_one_engine()
+        rested_at = await self.rest(engine, "1")
+        # Each request takes longer than the test looks at.
+        engine.faults = ["late"] * 1000
+        load = []
+        while time.monotonic() < rested_at + 1.5:
+            load.append(asyncio.create_task(self.send()))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*load)
+        arrivals = self.list_arrivals(engine, rested_at, float("inf"))
+        self.assertTrue(arrivals)
+        at_once = [a for a in arrivals if a.at < arrivals[0].at + 0.3]
+        self.assertLessEqual(len(at_once), SLOTS // 2)
+        engine.faults = []
+        async with asyncio.timeout(MAX_MALFORMED_SECONDS):
+            while (await self.send())[0] != 200:
+                await asyncio.sleep(SEND_INTERVAL_SECONDS)
