Detect crashes of servers that reset connections

Callers saw: requests of other customers sent to a server that was restarting, and ended with 1205 after a second failed run. Cause: a crash was looked for only after the engine had refused a resumed run, or could not be reached for it. A server that resets connections while it restarts did neither, so its requests did not become suspects and the gateway went on using it. Change: the load report is fetched after any failed run.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -497,7 +497,7 @@
             return
         self.excluded_backends.add(slot.backend.name)
         self.failures += 1
-        if run.is_lost and await self._has_crashed(slot):
+        if await self._has_crashed(slot):
             self.state.quarantine.record_crash(in_flight_request)
             self.state.record_failure(
                 slot.backend, self.request_id, error.message
@@ -515,9 +515,11 @@
         self.state.metrics.retries.labels("failed").inc()
 
     async def _has_crashed(self, slot: admission.Slot) -> bool:
-        """Return whether a server restarted or is unreachable.
+        """Return whether a server restarted or does not answer.
 
-        The server may also not know a run because it never began it.
+        The kind of failure of the run does not show it: a server that
+        restarts may reset connections, and one that is healthy may not know
+        a run because it never began it.
         """
         try:
             load = await slot.engine.fetch_load(
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -47,7 +47,8 @@
     """An engine that injects one fault of `faults` into each stream.
 
     It sends a token every `token_delay_seconds`, and appends `padding` to the
-    text of each. A crashed engine refuses all connections.
+    text of each. A crashed engine refuses all connections, or resets them if
+    `resets_connections` is set.
     """
 
     def __init__(self, address: str) -> None:
@@ -58,13 +59,23 @@
         self.cancelled: t.List[str] = []
         self.exported: t.List[str] = []
         self.crashed = False
+        self.resets_connections = False
         self.token_delay_seconds = 0.0
         self.cached_tokens = 0
         self.padding = ""
 
+    def _check_connection(self):
+        if self.crashed:
+            raise (
+                exceptions.BackendFailed("connection reset")
+                if self.resets_connections
+                else exceptions.BackendUnreachable("connection refused")
+            )
+
     async def complete(self, request):
         fault = self.faults.pop(0) if self.faults else Fault("none")
-        if fault.kind == "unreachable" or self.crashed:
+        self._check_connection()
+        if fault.kind == "unreachable":
             raise exceptions.BackendUnreachable("connection refused")
         if fault.kind == "refuse":
             raise exceptions.BackendRefused("not admitted")
@@ -75,8 +86,7 @@
     async def resume(self, request_id, offset, deadline):
         self.resume_offsets.append(offset)
         known = {request.request_id: request for request in self.requests}
-        if self.crashed:
-            raise exceptions.BackendUnreachable("connection refused")
+        self._check_connection()
         if request_id not in known or request_id in self.cancelled:
             raise exceptions.BackendRefused("no such run")
         fault = self.faults.pop(0) if self.faults else Fault("none")
@@ -133,8 +143,7 @@
         self.cancelled.append(request_id)
 
     async def fetch_load(self, deadline):
-        if self.crashed:
-            raise exceptions.BackendUnreachable("connection refused")
+        self._check_connection()
         return engines.Load("1", False, False, 0, 0, 8, (), "serve", 0.0)
 
     async def export_blocks(self, blocks, store, deadline):
@@ -437,15 +446,9 @@
 
     def post(self, body: t.Any = None, customer: str = "acme", **headers):
         """Return a completion request as a context manager."""
-        content = {
-            "model": "draft",
-            "prompt": "one two three four five",
-            "max_tokens": 6,
-            **(body or {}),
-        }
         return self.session.post(
             "/v1/completions",
-            json=content,
+            json=build_content(**(body or {})),
             headers={
                 "Authorization": f"Bearer {TOKENS[customer]}",
                 **{k.replace("_", "-"): v for k, v in headers.items()},
@@ -453,6 +456,16 @@
         )
 
 
+def build_content(**fields: t.Any) -> t.Dict[str, t.Any]:
+    """Return the body of a completion request, with `fields` replaced."""
+    return {
+        "model": "draft",
+        "prompt": "one two three four five",
+        "max_tokens": 6,
+        **fields,
+    }
+
+
 async def wait_until(
     condition: t.Callable[[], t.Any], seconds: float = 10.0
 ) -> None:
