Choose a server again when it failed while a suspect waited

Callers saw: 1205 or 1209 for a request that had met one crash, and engines that were cold got runs beyond their permits. Cause: a suspect request takes a slot and then waits for its turn, often for the end of a suspect that crashes the same server. It then used the slot of before: no permit for a server that had restarted, the epoch of before its crash, and the second of its two runs lost on a server still restarting. Change: a slot is given up after the wait if the server has another epoch, is not usable or needs a permit that the slot lacks. Before: the new test failed, the run on the cold server had no permit. After: it passes, with the 57 other tests of the gateway's streams, limits and engine client.

--- a/src/sesamefold/admission.py
+++ b/src/sesamefold/admission.py
@@ -314,6 +314,20 @@
         backend = self._state.backends.get(slot.backend.name)
         return backend is not None and backend.state == routing.WARM
 
+    def is_current(self, slot: Slot) -> bool:
+        """Return whether the server of a slot is still as it was chosen.
+
+        A server that restarted may be cold, so that a slot without a permit
+        no longer allows a run on it.
+        """
+        backend = self._state.get_backend(slot.backend.name)
+        return (
+            backend is not None
+            and backend.epoch == slot.backend.epoch
+            and backend.state in routing.USABLE_STATES
+            and (slot.permit is not None or backend.state == routing.WARM)
+        )
+
     def release(self, slot: Slot) -> None:
         """Release a slot and offer it to waiting requests."""
         name = slot.backend.name
--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -247,10 +247,14 @@
             except BaseException:
                 self.slots.release(slot)
                 raise
-            if in_flight_request is not None:
+            if in_flight_request is None:
+                busy_backends.add(slot.backend.name)
+            elif self.slots.is_current(slot):
                 return slot, in_flight_request
+            else:
+                # The server failed while a suspect waited for its turn.
+                self.state.quarantine.finish(in_flight_request, False)
             self.slots.release(slot)
-            busy_backends.add(slot.backend.name)
 
     def _may_recover(self, recovery_deadline: deadlines.Deadline) -> bool:
         """Return whether to wait for a server to continue the response."""
--- a/src/sesamefold/state.py
+++ b/src/sesamefold/state.py
@@ -163,6 +163,11 @@
             if backend.group in names
         ]
 
+    def get_backend(self, name: str) -> t.Optional[control_pb2.BackendState]:
+        """Return the state of a server, None if it is not listed."""
+        backend = self.backends.get(name)
+        return None if backend is None else self._apply_failure(backend)
+
     def _apply_failure(
         self, backend: control_pb2.BackendState
     ) -> control_pb2.BackendState:
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -1,5 +1,12 @@
 """Tests of requests at a gateway while servers crash."""
 
+import asyncio
+import hashlib
+import json
+import time
+
+from sesamefold import suspicions
+from sesamefold.wire import control_pb2
 from tests import gateway_fakes
 
 
@@ -24,3 +31,65 @@
         await gateway_fakes.wait_until(
             lambda: self.bench.control.failed_backends == ["a"]
         )
+
+
+class SuspectTest(gateway_fakes.GatewayTestCase):
+    """The server "a" runs a suspect; the server "b" is down at first."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.control = self.bench.control
+        await self.set_states(a="warm", b="down")
+
+    async def set_states(self, epoch="1", **states):
+        """Publish states of servers and wait until the gateway has them."""
+        for name, state in states.items():
+            self.control.backends[name].state = state
+            self.control.backends[name].epoch = epoch
+        self.control.publish()
+        await self.wait_for_backends()
+
+    def make_suspect(self, customer="acme", crash_id=b"crash", **fields):
+        """Count a crash against a request; return the fields of its body."""
+        content = json.dumps(gateway_fakes.build_content(**fields)).encode()
+        digest = suspicions.digest_request(
+            customer, hashlib.sha256(content).digest()
+        )
+        crash = control_pb2.Crash(id=crash_id, until=time.time() + 60.0)
+        self.bench.state.quarantine.merge(
+            [control_pb2.Suspicion(request=digest, crashes=[crash])]
+        )
+        return fields
+
+    async def read(self, fields, customer="acme", **headers):
+        """Return the text of the streamed response to a request."""
+        async with self.bench.post(fields, customer, **headers) as response:
+            return await response.text()
+
+    async def start_suspect(self, seconds, **fault):
+        """Start a suspect of another customer that runs for `seconds`."""
+        self.bench.engines["a:1"].faults = [gateway_fakes.Fault(**fault)]
+        self.bench.engines["a:1"].token_delay_seconds = seconds / 6
+        body = self.make_suspect("other", stream=True, max_tokens=6)
+        task = asyncio.create_task(self.read(body, "other"))
+        await gateway_fakes.wait_until(
+            lambda: self.bench.engines["a:1"].requests
+        )
+        self.bench.engines["a:1"].token_delay_seconds = 0.0
+        return task
+
+    async def test_waiting_suspect_gets_a_permit_for_a_restarted_server(self):
+        """Guards against runs on a cold server without a permit.
+
+        The server restarts while the suspect waits for its turn.
+        """
+        first = await self.start_suspect(0.0, kind="hang", at=3)
+        second = asyncio.create_task(
+            self.read(self.make_suspect(stream=True, max_tokens=5))
+        )
+        await asyncio.sleep(0.1)
+        self.control.permit_limit = 1
+        await self.set_states("2", a="cold")
+        first.cancel()
+        self.assertIn("[DONE]", await second)
+        self.assertEqual(1, len(self.control.granted))
