Let waiting requests use servers that a suspect has left

Callers saw: 1202 or 1204, or 1205 for a response that had begun, up to 10 s after they found a server reserved for a suspect request, although it was free again long before. Cause: a request that found a server reserved went on without it, and kept it excluded while it waited in the queue for any other server, for example one that is cold and has no free permit. Change: each look at the servers excludes those that are reserved at that time. Before: the new test failed with 1204 after 2 s; the suspect took 0.6 s.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -214,7 +214,6 @@
         run that may have begun elsewhere waits for a usable server, up to
         `RECOVERY_WAIT_SECONDS`.
         """
-        busy_backends: t.Set[str] = set()
         recovery_deadline = self.deadline.cap(RECOVERY_WAIT_SECONDS)
         while True:
             try:
@@ -222,17 +221,16 @@
                     self.request_id,
                     self.customer,
                     self.model.name,
-                    lambda: self._rank_backends(busy_backends),
+                    self._rank_backends,
                     self.deadline,
                 )
             except exceptions.NoBackend as error:
-                if not busy_backends:
+                if not self._rank_backends(include_reserved=True):
                     if not self.may_have_executed:
                         raise
                     if not self._may_recover(recovery_deadline):
                         raise self.convert_error(error) from error
                     self.excluded_backends.clear()
-                busy_backends.clear()
                 await asyncio.sleep(_RETRY_PAUSE_SECONDS)
                 continue
             except exceptions.RoutingError as error:
@@ -247,11 +245,9 @@
             except BaseException:
                 self.slots.release(slot)
                 raise
-            if in_flight_request is None:
-                busy_backends.add(slot.backend.name)
-            elif self.slots.is_current(slot):
-                return slot, in_flight_request
-            else:
+            if in_flight_request is not None:
+                if self.slots.is_current(slot):
+                    return slot, in_flight_request
                 # The server failed while a suspect waited for its turn.
                 self.state.quarantine.finish(in_flight_request, False)
             self.slots.release(slot)
@@ -307,8 +303,13 @@
         )
 
     def _rank_backends(
-        self, busy_backends: t.AbstractSet[str]
+        self, include_reserved: bool = False
     ) -> t.List[routing.Choice]:
+        """Return the usable servers, best first.
+
+        A waiting request calls it again and again, so it excludes only the
+        servers that are reserved for a suspect now.
+        """
         config = self.state.configuration
         groups = config.find_groups(
             self.state.settings.data_centre, model=self.model.name
@@ -322,7 +323,12 @@
             holders=self.holders,
             stores=self.state.list_stores(),
             seconds_per_link_megabyte=config.policy.seconds_per_link_megabyte,
-            excluded=frozenset(self.excluded_backends | busy_backends),
+            excluded=frozenset(
+                self.excluded_backends
+                if include_reserved
+                else self.excluded_backends
+                | self.state.quarantine.reserved_servers
+            ),
         )
         return routing.rank_backends(
             query,
--- a/src/sesamefold/quarantine.py
+++ b/src/sesamefold/quarantine.py
@@ -62,6 +62,9 @@
     Suspects are serialised per gateway, not per data centre: with G gateways
     up to G suspects run at once, and two of them may share a server.
 
+    `reserved_servers` are the servers on which a suspect runs or waits for
+    other requests to end; they get no further requests.
+
     Crashes expire after `retention_seconds`. At most `capacity` requests are
     kept. `clock` returns the Unix time in seconds.
     """
@@ -82,8 +85,7 @@
             retention_seconds=retention_seconds, capacity=capacity, clock=clock
         )
         self._in_flight: t.Dict[str, t.Set[InFlightRequest]] = {}
-        # Servers on which a suspect runs or waits to run.
-        self._reserved_servers: t.Set[str] = set()
+        self.reserved_servers: t.Set[str] = set()
         self._suspect_lock = asyncio.Lock()
         self._request_ended = asyncio.Event()
 
@@ -130,7 +132,7 @@
             return await self._start_exclusive(
                 identity, server, deadline, epoch
             )
-        if server in self._reserved_servers:
+        if server in self.reserved_servers:
             return None
         return self._register(self._make_request(identity, server, epoch))
 
@@ -191,7 +193,7 @@
             async with asyncio.timeout(deadline.remaining(self._clock())):
                 await self._suspect_lock.acquire()
                 try:
-                    self._reserved_servers.add(server)
+                    self.reserved_servers.add(server)
                     while self._in_flight.get(server):
                         self._request_ended.clear()
                         await self._request_ended.wait()
@@ -202,7 +204,7 @@
                     request.exclusive = True
                     return self._register(request)
                 except BaseException:
-                    self._reserved_servers.discard(server)
+                    self.reserved_servers.discard(server)
                     self._suspect_lock.release()
                     raise
         except TimeoutError:
@@ -229,6 +231,6 @@
         if not requests:
             del self._in_flight[request.server]
         if request.exclusive:
-            self._reserved_servers.discard(request.server)
+            self.reserved_servers.discard(request.server)
             self._suspect_lock.release()
         self._request_ended.set()
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -84,12 +84,27 @@
         The server restarts while the suspect waits for its turn.
         """
         first = await self.start_suspect(0.0, kind="hang", at=3)
+        await self.set_states(b="warm")
         second = asyncio.create_task(
             self.read(self.make_suspect(stream=True, max_tokens=5))
         )
         await asyncio.sleep(0.1)
         self.control.permit_limit = 1
-        await self.set_states("2", a="cold")
+        await self.set_states("2", a="down", b="cold")
         first.cancel()
         self.assertIn("[DONE]", await second)
         self.assertEqual(1, len(self.control.granted))
+
+    async def test_waiting_request_gets_a_server_that_suspect_has_left(self):
+        """Guards against requests that wait only for another server.
+
+        They found the only free server reserved for a suspect, and no permit
+        is free for the other one.
+        """
+        await self.set_states(b="cold")
+        first = await self.start_suspect(0.6, kind="none")
+        text = await self.read(
+            {"stream": True}, Sesamefold_Deadline=str(time.time() + 2.0)
+        )
+        self.assertIn("[DONE]", text)
+        self.assertIn("[DONE]", await first)
