Try a server again that restarted since it failed a request

Callers saw: 1205 for a response that broke off, and 1202 or 1204 for a request that a server had refused, while that server was back. Cause: a server that failed or refused a request was excluded until no other server was left. With another one that is cold and has no free permit, the request waited for that one alone, up to 10 s. Change: the exclusion holds for the server's boot epoch. Before: the new test failed, the stream met its deadline of 2 s; its server was back after 0.2 s. After: it passes, with the 59 other tests of the gateway's streams, limits and engine client.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -48,6 +48,8 @@
     """A completion request of a caller, which may need several runs.
 
     `token_texts` holds the texts of the tokens after `resume_offset`.
+    `excluded_backends` holds the names and epochs of servers that failed or
+    refused the request; a server that restarted may be tried again.
     `may_have_executed` is set once a run may have begun; later errors must
     not say that the request was not executed.
     """
@@ -69,7 +71,7 @@
         factory=dict
     )
     token_texts: t.List[str] = attrs.field(factory=list)
-    excluded_backends: t.Set[str] = attrs.field(factory=set)
+    excluded_backends: t.Set[t.Tuple[str, str]] = attrs.field(factory=set)
     may_have_executed: bool = False
     finished: bool = False
     failures: int = 0
@@ -314,6 +316,14 @@
         groups = config.find_groups(
             self.state.settings.data_centre, model=self.model.name
         )
+        backends = self.state.list_backends({group.name for group in groups})
+        excluded = {
+            backend.name
+            for backend in backends
+            if (backend.name, backend.epoch) in self.excluded_backends
+        }
+        if not include_reserved:
+            excluded |= self.state.quarantine.reserved_servers
         query = routing.Query(
             model=self.model.name,
             version=self.weight_version,
@@ -323,16 +333,11 @@
             holders=self.holders,
             stores=self.state.list_stores(),
             seconds_per_link_megabyte=config.policy.seconds_per_link_megabyte,
-            excluded=frozenset(
-                self.excluded_backends
-                if include_reserved
-                else self.excluded_backends
-                | self.state.quarantine.reserved_servers
-            ),
+            excluded=frozenset(excluded),
         )
         return routing.rank_backends(
             query,
-            self.state.list_backends({group.name for group in groups}),
+            backends,
             self.state.in_flight,
             self.state.get_rates(self.model.name),
             self.state.random_generator,
@@ -467,6 +472,10 @@
             self.engine_address,
         )
 
+    def _exclude_backend(self, backend: control_pb2.BackendState) -> None:
+        """Send no further run to a server until it restarts."""
+        self.excluded_backends.add((backend.name, backend.epoch))
+
     def _record_refusal(
         self, slot: admission.Slot, error: exceptions.RoutingError
     ) -> None:
@@ -477,7 +486,7 @@
         caller would repeat the whole request.
         """
         self.refusals += 1
-        self.excluded_backends.add(slot.backend.name)
+        self._exclude_backend(slot.backend)
         slot.refused = isinstance(error, exceptions.BackendRefused)
         if not slot.refused:
             self.state.record_failure(
@@ -505,7 +514,7 @@
         """
         if slot.permit_lost:
             return
-        self.excluded_backends.add(slot.backend.name)
+        self._exclude_backend(slot.backend)
         self.failures += 1
         if await self._has_crashed(slot):
             self.state.quarantine.record_crash(in_flight_request)
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -108,3 +108,23 @@
         )
         self.assertIn("[DONE]", text)
         self.assertIn("[DONE]", await first)
+
+    async def test_stream_continues_on_the_restarted_server(self):
+        """Guards against streams that never return to a server.
+
+        Their server is back, and no permit is free for the other one.
+        """
+        await self.set_states(b="cold")
+        engine = self.bench.engines["a:1"]
+        engine.faults = [gateway_fakes.Fault("crash", 3)]
+        task = asyncio.create_task(
+            self.read(
+                {"stream": True}, Sesamefold_Deadline=str(time.time() + 2.0)
+            )
+        )
+        await gateway_fakes.wait_until(lambda: self.control.failed_backends)
+        await asyncio.sleep(0.2)
+        engine.crashed = False
+        self.control.backends["a"].measured_at = time.time() + 1.0
+        await self.set_states("2", a="warm")
+        self.assertIn("[DONE]", await task)
