Time the wait for a usable server from when none is left

Callers saw: 1205 for a response that broke off, at once when the last server crashed, although a server was back within the 3 s for which such a response is to wait. Cause: the 3 s began with the search for a server, and the wait for a suspect request that held the last server used them up. Change: they begin when no server is usable. Before: the new test failed with 1205. After: it passes, with the 60 other tests of the gateway's streams, limits and engine client. The suspect of these tests now runs for the time given; it ran for a sixth of it.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -214,9 +214,9 @@
 
         A server that runs a suspect request receives no other request. A
         run that may have begun elsewhere waits for a usable server, up to
-        `RECOVERY_WAIT_SECONDS`.
+        `RECOVERY_WAIT_SECONDS` at a time.
         """
-        recovery_deadline = self.deadline.cap(RECOVERY_WAIT_SECONDS)
+        recovery_deadline: t.Optional[deadlines.Deadline] = None
         while True:
             try:
                 slot = await self.slots.acquire(
@@ -227,9 +227,14 @@
                     self.deadline,
                 )
             except exceptions.NoBackend as error:
-                if not self._rank_backends(include_reserved=True):
+                if self._rank_backends(include_reserved=True):
+                    recovery_deadline = None
+                else:
                     if not self.may_have_executed:
                         raise
+                    recovery_deadline = recovery_deadline or self.deadline.cap(
+                        RECOVERY_WAIT_SECONDS
+                    )
                     if not self._may_recover(recovery_deadline):
                         raise self.convert_error(error) from error
                     self.excluded_backends.clear()
@@ -253,6 +258,7 @@
                 # The server failed while a suspect waited for its turn.
                 self.state.quarantine.finish(in_flight_request, False)
             self.slots.release(slot)
+            recovery_deadline = None
 
     def _may_recover(self, recovery_deadline: deadlines.Deadline) -> bool:
         """Return whether to wait for a server to continue the response."""
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -4,7 +4,9 @@
 import hashlib
 import json
 import time
+import unittest.mock
 
+from sesamefold import completions
 from sesamefold import suspicions
 from sesamefold.wire import control_pb2
 from tests import gateway_fakes
@@ -75,7 +77,6 @@
         await gateway_fakes.wait_until(
             lambda: self.bench.engines["a:1"].requests
         )
-        self.bench.engines["a:1"].token_delay_seconds = 0.0
         return task
 
     async def test_waiting_suspect_gets_a_permit_for_a_restarted_server(self):
@@ -104,7 +105,7 @@
         await self.set_states(b="cold")
         first = await self.start_suspect(0.6, kind="none")
         text = await self.read(
-            {"stream": True}, Sesamefold_Deadline=str(time.time() + 2.0)
+            {"stream": True}, Sesamefold_Deadline=str(time.time() + 3.0)
         )
         self.assertIn("[DONE]", text)
         self.assertIn("[DONE]", await first)
@@ -124,7 +125,28 @@
         )
         await gateway_fakes.wait_until(lambda: self.control.failed_backends)
         await asyncio.sleep(0.2)
-        engine.crashed = False
-        self.control.backends["a"].measured_at = time.time() + 1.0
-        await self.set_states("2", a="warm")
+        await self.restart("a")
         self.assertIn("[DONE]", await task)
+
+    async def restart(self, name):
+        """Let a crashed server return as warm."""
+        self.bench.engines[f"{name}:1"].crashed = False
+        self.control.backends[name].measured_at = time.time() + 1.0
+        await self.set_states("2", **{name: "warm"})
+
+    async def test_wait_for_a_suspect_leaves_time_for_a_recovery(self):
+        """Guards against streams lost at once after the wait for a suspect.
+
+        The suspect crashes the last server, and the other one returns.
+        """
+        first = await self.start_suspect(1.0, kind="crash", at=6)
+        await self.set_states(b="warm")
+        self.bench.engines["b:1"].faults = [gateway_fakes.Fault("crash", 3)]
+        with unittest.mock.patch.object(
+            completions, "RECOVERY_WAIT_SECONDS", 0.5
+        ):
+            second = asyncio.create_task(self.read({"stream": True}))
+            self.assertIn('"code": 1209', await first)
+            await asyncio.sleep(0.2)
+            await self.restart("b")
+            self.assertIn("[DONE]", await second)
