Wait for a server whose weight versions are not reported yet

Callers saw: 1205 at once, instead of after a wait of 3 s, for a response that broke off while its gateway knew no server with its weight version. Cause: the wait needed a server that reported the version. A control daemon reports a server that it cannot reach, or has not polled yet, without versions, and right after its start no servers at all. Change: only servers that report other versions, or a change of the configured version, show that the version is not coming back. Before: both cases of the new test failed with 1205; a server was back after 0.3 s. After: they pass, with the 61 other tests of the gateway's streams, limits and engine client.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -262,7 +262,15 @@
 
     def _may_recover(self, recovery_deadline: deadlines.Deadline) -> bool:
         """Return whether to wait for a server to continue the response."""
-        return not recovery_deadline.has_passed() and self.is_version_offered()
+        if recovery_deadline.has_passed() or not self._is_version_configured():
+            return False
+        # The versions of a server are not known until it is polled, nor is
+        # any server known right after the start of the control daemon.
+        reported = [backend.versions for backend in self._list_backends()]
+        return not reported or any(
+            not versions or self._pinned_version in versions
+            for versions in reported
+        )
 
     def convert_error(
         self, error: exceptions.RoutingError
@@ -291,24 +299,25 @@
 
         It must be the configured version, and a server must report it.
         """
-        config = self.state.configuration
-        current = config.models.get(self.model.name)
-        groups = config.find_groups(
-            self.state.settings.data_centre, model=self.model.name
-        )
-        pinned = configuration.name_version(
-            self.model.name, self.weight_version
+        return self._is_version_configured() and any(
+            self._pinned_version in backend.versions
+            for backend in self._list_backends()
         )
-        return (
-            current is not None
-            and current.version == self.weight_version
-            and any(
-                pinned in backend.versions
-                for backend in self.state.list_backends(
-                    {group.name for group in groups}
-                )
-            )
+
+    def _is_version_configured(self) -> bool:
+        model = self.state.configuration.models.get(self.model.name)
+        return model is not None and model.version == self.weight_version
+
+    @property
+    def _pinned_version(self) -> str:
+        return configuration.name_version(self.model.name, self.weight_version)
+
+    def _list_backends(self) -> t.List[control_pb2.BackendState]:
+        """Return the states of the servers of the model's groups."""
+        groups = self.state.configuration.find_groups(
+            self.state.settings.data_centre, model=self.model.name
         )
+        return self.state.list_backends({group.name for group in groups})
 
     def _rank_backends(
         self, include_reserved: bool = False
@@ -318,11 +327,8 @@
         A waiting request calls it again and again, so it excludes only the
         servers that are reserved for a suspect now.
         """
-        config = self.state.configuration
-        groups = config.find_groups(
-            self.state.settings.data_centre, model=self.model.name
-        )
-        backends = self.state.list_backends({group.name for group in groups})
+        policy = self.state.configuration.policy
+        backends = self._list_backends()
         excluded = {
             backend.name
             for backend in backends
@@ -338,7 +344,7 @@
             blocks=self.block_names,
             holders=self.holders,
             stores=self.state.list_stores(),
-            seconds_per_link_megabyte=config.policy.seconds_per_link_megabyte,
+            seconds_per_link_megabyte=policy.seconds_per_link_megabyte,
             excluded=frozenset(excluded),
         )
         return routing.rank_backends(
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -1,6 +1,7 @@
 """Tests of requests at a gateway while servers crash."""
 
 import asyncio
+import copy
 import hashlib
 import json
 import time
@@ -150,3 +151,32 @@
             await asyncio.sleep(0.2)
             await self.restart("b")
             self.assertIn("[DONE]", await second)
+
+    async def test_stream_waits_while_no_versions_are_reported(self):
+        """Guards against streams lost while a server is still reported.
+
+        A control daemon knows no versions of a server that it has not polled
+        yet or cannot reach, and no servers right after its start.
+        """
+        for case, backends in (
+            ("no versions", copy.deepcopy(self.control.backends)),
+            ("no servers", {}),
+        ):
+            with self.subTest(case):
+                for backend in backends.values():
+                    backend.state, backend.versions[:] = "down", []
+                self.bench.state.failures.clear()
+                await self.set_states(a="warm")
+                known = self.control.backends
+                engine = self.bench.engines["a:1"]
+                engine.faults = [gateway_fakes.Fault("crash", 3)]
+                task = asyncio.create_task(
+                    self.read({"stream": True, "user": case})
+                )
+                await gateway_fakes.wait_until(lambda: engine.crashed)
+                self.control.backends = backends
+                await self.set_states()
+                await asyncio.sleep(0.3)
+                self.control.backends = known
+                await self.restart("a")
+                self.assertIn("[DONE]", await task)
