Reserve servers for suspect requests in the data centre

Callers saw: 1209 for a request that had crashed nothing. A trace of the failed runs showed both on the same two servers within 1 ms. Cause: a suspect runs alone as far as its own gateway knows. Change: a suspect reserves its server with an exclusive permit, of which the owner of the server grants one at a time and without a handover. If another gateway has it, the suspect looks for another server, for 2 s at most. Two crashes that are known by then still stop it after the reservation. Before: with reservations taken as granted, the test of a server reserved elsewhere failed.

--- a/src/sesamefold/admission.py
+++ b/src/sesamefold/admission.py
@@ -39,7 +39,8 @@
     `permit` is None on a warm server. `permit_lost` is set when the permit
     expired. `queue_delay_seconds` is the time that the run waited on the
     server, None while it is unknown. `refused` is set when the server
-    refused the run for lack of capacity.
+    refused the run for lack of capacity. `reservation` is the permit to run
+    a suspect request, None without one.
     """
 
     choice: routing.Choice
@@ -50,6 +51,8 @@
     renewal_task: t.Optional["asyncio.Task[None]"] = None
     queue_delay_seconds: t.Optional[float] = None
     refused: bool = False
+    reservation: t.Optional[control_pb2.Permit] = None
+    reservation_task: t.Optional["asyncio.Task[None]"] = None
 
     @property
     def backend(self) -> control_pb2.BackendState:
@@ -314,6 +317,44 @@
         backend = self._state.backends.get(slot.backend.name)
         return backend is not None and backend.state == routing.WARM
 
+    async def reserve(self, slot: Slot, deadline: deadlines.Deadline) -> bool:
+        """Reserve the server of a slot for a suspect in the data centre.
+
+        Returns False if another gateway runs a suspect request on it. If the
+        control daemon does not answer, the server counts as free.
+        """
+        permit_deadline = deadline.cap(_PERMIT_TIMEOUT_SECONDS)
+        permit = await self._state.try_call_control(
+            self._state.stub.AcquirePermit,
+            control_pb2.AcquirePermitRequest(
+                backend=slot.backend.name,
+                holder=self._state.settings.host,
+                request=f"{slot.request_id}-{secrets.token_hex(8)}",
+                deadline=permit_deadline.at,
+                exclusive=True,
+            ),
+            permit_deadline.remaining(),
+        )
+        if permit is not None and permit.id:
+            slot.reservation = permit
+            slot.reservation_task = self._state.spawn(
+                self._renew_reservation(slot)
+            )
+        return permit is None or bool(permit.id)
+
+    async def _renew_reservation(self, slot: Slot) -> None:
+        while True:
+            await asyncio.sleep(defaults.PERMIT_RENEWAL_INTERVAL)
+            await self._state.try_call_control(
+                self._state.stub.RenewPermit,
+                control_pb2.RenewPermitRequest(
+                    id=slot.reservation.id,
+                    backend=slot.backend.name,
+                    exclusive=True,
+                ),
+                _PERMIT_TIMEOUT_SECONDS,
+            )
+
     def is_current(self, slot: Slot) -> bool:
         """Return whether the server of a slot is still as it was chosen.
 
@@ -339,19 +380,26 @@
             if limit is not None:
                 limit.release(slot.queue_delay_seconds, slot.refused)
         else:
-            self._release_permit(slot)
+            if slot.renewal_task is not None:
+                slot.renewal_task.cancel()
+            self._release_permit(slot, slot.permit)
+        if slot.reservation is not None:
+            slot.reservation_task.cancel()
+            self._release_permit(slot, slot.reservation, exclusive=True)
         for model_queue in self._queues.values():
             if model_queue.requests.waiting_requests:
                 model_queue.requests.dispatch()
 
-    def _release_permit(self, slot: Slot) -> None:
-        if slot.renewal_task is not None:
-            slot.renewal_task.cancel()
+    def _release_permit(
+        self, slot: Slot, permit: control_pb2.Permit, exclusive: bool = False
+    ) -> None:
         self._state.spawn(
             self._state.try_call_control(
                 self._state.stub.ReleasePermit,
                 control_pb2.ReleasePermitRequest(
-                    id=slot.permit.id, backend=slot.backend.name
+                    id=permit.id,
+                    backend=slot.backend.name,
+                    exclusive=exclusive,
                 ),
                 _PERMIT_TIMEOUT_SECONDS,
             )
--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -42,6 +42,10 @@
 # engine that crashed is back after a second, and reported a second later.
 RECOVERY_WAIT_SECONDS = 3.0
 
+# Longest time that a suspect request waits for a server on which no other
+# gateway runs one. A request that crashes servers does so soon.
+RESERVATION_WAIT_SECONDS = 2.0
+
 
 @attrs.define(eq=False)
 class Completion:
@@ -50,6 +54,8 @@
     `token_texts` holds the texts of the tokens after `resume_offset`.
     `excluded_backends` holds the names and epochs of servers that failed or
     refused the request; a server that restarted may be tried again.
+    A suspect request that found a server reserved at other gateways waits
+    for another one until `reservation_deadline`.
     `may_have_executed` is set once a run may have begun; later errors must
     not say that the request was not executed.
     """
@@ -72,6 +78,7 @@
     )
     token_texts: t.List[str] = attrs.field(factory=list)
     excluded_backends: t.Set[t.Tuple[str, str]] = attrs.field(factory=set)
+    reservation_deadline: t.Optional[deadlines.Deadline] = None
     may_have_executed: bool = False
     finished: bool = False
     failures: int = 0
@@ -252,13 +259,43 @@
             except BaseException:
                 self.slots.release(slot)
                 raise
-            if in_flight_request is not None:
-                if self.slots.is_current(slot):
-                    return slot, in_flight_request
-                # The server failed while a suspect waited for its turn.
-                self.state.quarantine.finish(in_flight_request, False)
-            self.slots.release(slot)
             recovery_deadline = None
+            if in_flight_request is None:
+                self.slots.release(slot)
+                continue
+            may_start = False
+            try:
+                may_start = await self._may_start(slot, in_flight_request)
+            finally:
+                if not may_start:
+                    self.state.quarantine.finish(in_flight_request, False)
+                    self.slots.release(slot)
+            if may_start:
+                return slot, in_flight_request
+            await asyncio.sleep(_RETRY_PAUSE_SECONDS)
+
+    async def _may_start(
+        self,
+        slot: admission.Slot,
+        in_flight_request: quarantines.InFlightRequest,
+    ) -> bool:
+        """Return whether to use a slot, or to choose a server again.
+
+        The server may have failed while a suspect waited for its turn, and
+        another gateway may run a suspect on it.
+        """
+        if in_flight_request.exclusive and not await self.slots.reserve(
+            slot, self.deadline
+        ):
+            if self.reservation_deadline is None:
+                self.reservation_deadline = self.deadline.cap(
+                    RESERVATION_WAIT_SECONDS
+                )
+            if not self.reservation_deadline.has_passed():
+                return False
+        # Another gateway may have reported a crash meanwhile.
+        self.state.quarantine.ensure_not_quarantined(self.identity)
+        return self.slots.is_current(slot)
 
     def _may_recover(self, recovery_deadline: deadlines.Deadline) -> bool:
         """Return whether to wait for a server to continue the response."""
--- a/src/sesamefold/control.py
+++ b/src/sesamefold/control.py
@@ -98,6 +98,11 @@
     return handle
 
 
+def _choose_permits(request: t.Any) -> str:
+    """Return the name of the component for a request of permits."""
+    return "exclusive_permits" if request.exclusive else "permits"
+
+
 class _Servicer(control_pb2_grpc.ControlServicer):
     def __init__(self, control: "Control") -> None:
         self._control = control
@@ -155,15 +160,21 @@
 
     @_handle_unary
     async def AcquirePermit(self, request, context):
-        return await self._delegate("permits", "acquire", request, context)
+        return await self._delegate(
+            _choose_permits(request), "acquire", request, context
+        )
 
     @_handle_unary
     async def RenewPermit(self, request, context):
-        return await self._delegate("permits", "renew", request, context)
+        return await self._delegate(
+            _choose_permits(request), "renew", request, context
+        )
 
     @_handle_unary
     async def ReleasePermit(self, request, context):
-        reply = await self._delegate("permits", "release", request, context)
+        reply = await self._delegate(
+            _choose_permits(request), "release", request, context
+        )
         return reply or control_pb2.Empty()
 
     @_handle_unary
@@ -305,6 +316,11 @@
                 self.get_cold_limit,
                 count_hosts=self.membership.count_hosts,
             )
+            # A suspect that gets none runs after a while all the same, so
+            # these need no handover.
+            self.optional_components["exclusive_permits"] = permits.Permits(
+                self.membership, lambda _: 1, handover_seconds=0.0
+            )
         directory = _import_optional_module("directory")
         if directory is not None:
             self.optional_components["directory"] = directory.Directory(
@@ -324,8 +340,13 @@
 
     @mode.Service.task
     async def _run_permits(self) -> None:
-        if "permits" in self.optional_components:
-            await self.optional_components["permits"].run()
+        await asyncio.gather(
+            *(
+                self.optional_components[name].run()
+                for name in ("permits", "exclusive_permits")
+                if name in self.optional_components
+            )
+        )
 
     @mode.Service.task
     async def _expire_journal(self) -> None:
--- a/src/sesamefold/quarantine.py
+++ b/src/sesamefold/quarantine.py
@@ -60,7 +60,7 @@
     that started before its gateway knew the first crash, and one for each
     gateway whose suspect started before that gateway knew the second crash.
     Suspects are serialised per gateway, not per data centre: with G gateways
-    up to G suspects run at once, and two of them may share a server.
+    up to G suspects run at once. The gateways reserve the servers for them.
 
     `reserved_servers` are the servers on which a suspect runs or waits for
     other requests to end; they get no further requests.
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -158,7 +158,9 @@
     """A control daemon that replies with values set by the test.
 
     It records the requests that it receives. At most `permit_limit` permits
-    are granted at a time, and renewed only if `renews_permits` is set.
+    are granted at a time, and renewed only if `renews_permits` is set. The
+    servers in `reserved_servers` run suspects of other gateways; answers
+    about them take `reservation_delay_seconds`.
     """
 
     def __init__(self) -> None:
@@ -170,6 +172,8 @@
         self.granted: t.List[str] = []
         self.released: t.List[str] = []
         self.renews_permits = True
+        self.reserved_servers: t.Set[str] = set()
+        self.reservation_delay_seconds = 0.0
         self.holders: t.Dict[str, t.List[control_pb2.Holder]] = {}
         self.lookups: t.List[t.Tuple[str, ...]] = []
         self.failed_backends: t.List[str] = []
@@ -211,6 +215,13 @@
         return self.status
 
     async def AcquirePermit(self, request, context):  # noqa: N802
+        if request.exclusive:
+            await asyncio.sleep(self.reservation_delay_seconds)
+            return control_pb2.Permit(
+                id="" if request.backend in self.reserved_servers else "r",
+                backend=request.backend,
+                deadline=request.deadline + 5,
+            )
         if len(self.granted) - len(self.released) >= self.permit_limit:
             return control_pb2.Permit()
         self.granted.append(request.request)
@@ -228,7 +239,8 @@
         )
 
     async def ReleasePermit(self, request, context):  # noqa: N802
-        self.released.append(request.id)
+        if not request.exclusive:
+            self.released.append(request.id)
         return control_pb2.Empty()
 
     async def LookupBlocks(self, request, context):  # noqa: N802
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -89,6 +89,34 @@
         with self.assertRaises(exceptions.ControlUnavailable):
             await gateway.begin_call(control_pb2.BeginCallRequest())
 
+    async def test_one_suspect_reserves_a_server_at_a_time(self):
+        """Guards against suspects of two gateways on one server.
+
+        A daemon that has just started must grant the first one at once.
+        """
+        daemon = await self.start(
+            "h1", control_fakes.KeyValue(), control_fakes.HostList()
+        )
+        gateway = await self.open(daemon)
+
+        async def acquire(holder):
+            permit = await gateway.stub.AcquirePermit(
+                control_pb2.AcquirePermitRequest(
+                    backend="b1", holder=holder, request="r", exclusive=True
+                )
+            )
+            return permit.id
+
+        first = await acquire("h1")
+        self.assertNotEqual("", first)
+        self.assertEqual("", await acquire("h2"))
+        await gateway.stub.ReleasePermit(
+            control_pb2.ReleasePermitRequest(
+                id=first, backend="b1", exclusive=True
+            )
+        )
+        self.assertNotEqual("", await acquire("h2"))
+
     async def test_daemon_without_configuration_is_healthy_but_not_ready(self):
         """Guards against readiness before the configuration is known."""
         key_value = control_fakes.KeyValue()
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -180,3 +180,35 @@
                 self.control.backends = known
                 await self.restart("a")
                 self.assertIn("[DONE]", await task)
+
+    async def test_suspect_leaves_a_server_to_another_gateways_suspect(self):
+        """Guards against two suspects on one server when it crashes.
+
+        Both would be refused, one of them for the crash of the other.
+        """
+        self.control.reserved_servers = {"a"}
+        body = self.make_suspect(stream=True)
+        second = asyncio.create_task(self.read(body))
+        await asyncio.sleep(0.3)
+        self.assertEqual([], self.bench.engine_requests)
+        await self.set_states(b="warm")
+        self.assertIn("[DONE]", await second)
+        self.assertEqual([], self.bench.engines["a:1"].requests)
+
+    async def test_suspect_waits_only_briefly_for_other_gateways(self):
+        """Guards against suspects that miss their deadlines in a queue."""
+        self.control.reserved_servers = {"a", "b"}
+        with unittest.mock.patch.object(
+            completions, "RESERVATION_WAIT_SECONDS", 0.3
+        ):
+            text = await self.read(self.make_suspect(stream=True))
+        self.assertIn("[DONE]", text)
+
+    async def test_crash_reported_during_reservation_stops_the_run(self):
+        """Guards against a third crash while a server is being reserved."""
+        self.control.reservation_delay_seconds = 0.3
+        second = asyncio.create_task(self.read(self.make_suspect(stream=True)))
+        await asyncio.sleep(0.1)
+        self.make_suspect(crash_id=b"later", stream=True)
+        self.assertIn('"code": 1209', await second)
+        self.assertEqual([], self.bench.engine_requests)
