Say that a suspect may have run when its deadline passes

Callers saw: 1204 with executed "no" for a response that had begun, if its deadline passed while it waited to run as a suspect. Cause: the error of the quarantine was passed on; it says what is true of a request that never ran. Change: the deadline is reported as at any other point of the request, by 1208 once a run may have begun. Before: the new test failed with 1204. After: it passes, with the 9 other tests of its module.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -256,6 +256,9 @@
                     self.deadline,
                     slot.backend.epoch,
                 )
+            except exceptions.DeadlineUnreachable as error:
+                self.slots.release(slot)
+                raise self.build_timeout() from error
             except BaseException:
                 self.slots.release(slot)
                 raise
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -8,6 +8,7 @@
 import unittest.mock
 
 from sesamefold import completions
+from sesamefold import exceptions
 from sesamefold import suspicions
 from sesamefold.wire import control_pb2
 from tests import gateway_fakes
@@ -212,3 +213,26 @@
         self.make_suspect(crash_id=b"later", stream=True)
         self.assertIn('"code": 1209', await second)
         self.assertEqual([], self.bench.engine_requests)
+
+    async def test_deadline_of_a_suspect_that_ran_is_not_called_unexecuted(
+        self,
+    ):
+        """Guards against "not executed" for a run that had begun.
+
+        The deadline passes while the request waits for its second run.
+        """
+        await self.set_states(b="warm")
+        for engine in self.bench.engines.values():
+            engine.faults = [gateway_fakes.Fault("crash", 3)]
+        quarantine = self.bench.state.quarantine
+        start = quarantine.start
+
+        async def start_once(identity, *rest):
+            if quarantine.count_crashes(identity):
+                raise exceptions.DeadlineUnreachable("timed out")
+            return await start(identity, *rest)
+
+        with unittest.mock.patch.object(quarantine, "start", start_once):
+            text = await self.read({"stream": True})
+        self.assertIn('"code": 1208', text)
+        self.assertIn('"executed": "unknown"', text)
