Seek permits for the servers of all waiting requests

Callers saw: 1202 or 1204, or 1205 for a response that had begun, after a wait for a server that had a free permit. Cause: permits for cold servers were sought for the choice of the latest request that had come to wait, even after it had ended. Requests exclude different servers, those that failed them, so another one could wait in vain. Change: permits are sought for the servers of the four oldest waiting requests and of the latest one. Before: the new test failed with 1204 after 5 s. After: it passes, with the 38 other tests of its module, of refusals and of limits.

--- a/src/sesamefold/admission.py
+++ b/src/sesamefold/admission.py
@@ -27,6 +27,8 @@
 # Mean time between two offers of slots while requests wait.
 _OFFER_INTERVAL_SECONDS = 0.05
 _PERMIT_TIMEOUT_SECONDS = 0.5
+# Oldest waiting requests for whose servers permits are acquired.
+_RANKED_REQUESTS = 4
 
 # Returns the usable backend servers, best first.
 RankCallback = t.Callable[[], t.List[routing.Choice]]
@@ -73,16 +75,31 @@
 class _ModelQueue:
     """Waiting requests for one model.
 
-    `rank` is the callback of the latest request, `offer_task` offers slots
-    while requests wait, and `permitted_slots` holds slots with a new permit
-    by backend server until a request takes them.
+    `ranks` holds the callbacks of the waiting requests, oldest first, by
+    an object for each. `offer_task` offers slots while requests wait, and
+    `permitted_slots` holds slots with a new permit by backend server until a
+    request takes them.
     """
 
     requests: limits.FairQueue = attrs.field(factory=limits.FairQueue)
-    rank: t.Optional[RankCallback] = None
+    ranks: t.Dict[object, RankCallback] = attrs.field(factory=dict)
     offer_task: t.Optional["asyncio.Task[None]"] = None
     permitted_slots: t.Dict[str, Slot] = attrs.field(factory=dict)
 
+    def list_cold_choices(self) -> t.List[routing.Choice]:
+        """Return the servers for which waiting requests need a permit.
+
+        Requests exclude different servers. Those of the oldest requests and
+        of the latest one are returned, since each ranking takes time.
+        """
+        ranks = list(self.ranks.values())
+        choices: t.Dict[str, routing.Choice] = {}
+        for rank in ranks[:_RANKED_REQUESTS] + ranks[_RANKED_REQUESTS:][-1:]:
+            for choice in rank():
+                if choice.cold:
+                    choices.setdefault(choice.backend.name, choice)
+        return list(choices.values())
+
 
 class Admission:
     """Assigns slots; requests wait in a fair queue by customer's share."""
@@ -132,7 +149,8 @@
         rank: RankCallback,
         deadline: deadlines.Deadline,
     ) -> Slot:
-        model_queue.rank = rank
+        key = object()
+        model_queue.ranks[key] = rank
         if model_queue.offer_task is None or model_queue.offer_task.done():
             model_queue.offer_task = self._state.spawn(
                 self._offer_slots(model_queue)
@@ -150,6 +168,8 @@
             if wait_deadline.at < deadline.at:
                 raise exceptions.Overloaded(error.message) from error
             raise
+        finally:
+            del model_queue.ranks[key]
 
     async def _acquire_first(
         self,
@@ -198,12 +218,9 @@
         """
         while model_queue.requests.waiting_requests:
             model_queue.requests.dispatch()
-            for choice in model_queue.rank() if model_queue.rank else ():
-                if (
-                    not choice.cold
-                    or not model_queue.requests.waiting_requests
-                ):
-                    continue
+            for choice in model_queue.list_cold_choices():
+                if not model_queue.requests.waiting_requests:
+                    break
                 permit_deadline = deadlines.Deadline.after(
                     _PERMIT_TIMEOUT_SECONDS
                 )
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -7,8 +7,11 @@
 import time
 import unittest.mock
 
+from sesamefold import admission
 from sesamefold import completions
+from sesamefold import deadline as deadlines
 from sesamefold import exceptions
+from sesamefold import routing
 from sesamefold import suspicions
 from sesamefold.wire import control_pb2
 from tests import gateway_fakes
@@ -236,3 +239,35 @@
             text = await self.read({"stream": True})
         self.assertIn('"code": 1208', text)
         self.assertIn('"executed": "unknown"', text)
+
+
+class OfferTest(gateway_fakes.GatewayTestCase):
+    async def test_permits_are_sought_for_all_waiting_requests(self):
+        """Guards against requests that wait although a permit is free.
+
+        The latest request, which has given up, was not to use that server.
+        """
+        state = self.bench.state
+        slots = admission.Admission(state)
+        customer = state.configuration.customers["acme"]
+
+        def wait_for(name, seconds):
+            backend = gateway_fakes.build_backend(name, state="cold")
+            choice = routing.Choice(backend, True, 0.0)
+            return asyncio.create_task(
+                slots.acquire(
+                    name,
+                    customer,
+                    "model-a",
+                    lambda: [choice],
+                    deadlines.Deadline.after(seconds),
+                )
+            )
+
+        first = wait_for("a", 5.0)
+        await asyncio.sleep(0.1)
+        second = wait_for("b", 0.2)
+        with self.assertRaises(exceptions.DeadlineUnreachable):
+            await second
+        self.bench.control.permit_limit = 1
+        self.assertEqual("a", (await first).backend.name)
