Send urgent changes to hosts that have just met

Callers saw: a third server lost to a request sent again through another gateway, half a second after it was refused with 1209 by the first one. Cause: a heartbeat task looks for urgent changes after a random delay of up to 0.1 s. A change within the delay was not sent at once, and by the host of a pair that only answers heartbeats not until the other one called, a second later. Change: urgent changes count from the creation of the task, and end the delay.

--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -480,7 +480,9 @@
         if not self.started or self.should_stop:
             return
         for name in self._peers.keys() - self._tasks.keys():
-            self._tasks[name] = self.add_future(self._send_heartbeats(name))
+            self._tasks[name] = self.add_future(
+                self._send_heartbeats(name, self._urgent.event)
+            )
         for name in self._tasks.keys() - self._peers.keys():
             self._tasks.pop(name).cancel()
 
@@ -488,10 +490,11 @@
         """Start the heartbeat tasks of the peers known before the start."""
         self._update_heartbeat_tasks()
 
-    async def _send_heartbeats(self, name: str) -> None:
+    async def _send_heartbeats(self, name: str, urgent: asyncio.Event) -> None:
         # A random delay spreads the first heartbeats to the peers.
-        await self.sleep(self._random.uniform(0.0, 0.1))
-        is_urgent = False
+        is_urgent = await notification.wait_with_timeout(
+            urgent, self._random.uniform(0.0, 0.1)
+        )
         while not self.should_stop and name in self._peers:
             urgent = self._urgent.event
             must_retry = False
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -155,6 +155,27 @@
         Of each pair, one host only answers heartbeats; it must send one itself
         when a change is urgent.
         """
+        name, called = await self.start_with_calling_peer()
+        await asyncio.sleep(0.2)
+        self.assertEqual([], called)
+        self.membership.send_heartbeats_now()
+        await control_fakes.wait_until(lambda: called == [name])
+
+    async def test_urgent_heartbeat_goes_to_a_peer_just_met(self):
+        """Guards against an urgent change that a new peer misses.
+
+        The change comes during the delay before the first heartbeat.
+        """
+        name, called = await self.start_with_calling_peer()
+        await asyncio.sleep(0.0)
+        self.membership.send_heartbeats_now()
+        await control_fakes.wait_until(lambda: called == [name], 1.0)
+
+    async def start_with_calling_peer(self):
+        """Start with a peer that usually sends the heartbeats of the pair.
+
+        Returns its name, and a list of the peers that are sent heartbeats.
+        """
         names = (f"p{index}" for index in range(100))
         name = next(
             n for n in names if self.membership.name != self.choose_caller(n)
@@ -168,10 +189,7 @@
         self.membership._send_heartbeat = record
         await self.membership.start()
         self.addAsyncCleanup(self.membership.stop)
-        await asyncio.sleep(0.2)
-        self.assertEqual([], called)
-        self.membership.send_heartbeats_now()
-        await control_fakes.wait_until(lambda: called == [name])
+        return name, called
 
     def choose_caller(self, name):
         pair = sorted((self.membership.name, name))
