--- a/src/sesamefold/admission.py
+++ b/src/sesamefold/admission.py
@@ -27,6 +27,8 @@
 # Mean time between two offers of slots while requests wait.
 _OFFER_INTERVAL_SECONDS = 0.05
 _PERMIT_TIMEOUT_SECONDS = 0.5
+# Oldest waiting requests for whose servers permits are acquired.
+_RANKED_REQUESTS = 4
 
 # Returns the usable backend servers, best first.
 RankCallback = t.Callable[[], t.List[routing.Choice]]
@@ -39,7 +41,8 @@
     `permit` is None on a warm server. `permit_lost` is set when the permit
     expired. `queue_delay_seconds` is the time that the run waited on the
     server, None while it is unknown. `refused` is set when the server
-    refused the run for lack of capacity.
+    refused the run for lack of capacity. `reservation` is the permit to run
+    a suspect request, None without one.
     """
 
     choice: routing.Choice
@@ -50,6 +53,8 @@
     renewal_task: t.Optional["asyncio.Task[None]"] = None
     queue_delay_seconds: t.Optional[float] = None
     refused: bool = False
+    reservation: t.Optional[control_pb2.Permit] = None
+    reservation_task: t.Optional["asyncio.Task[None]"] = None
 
     @property
     def backend(self) -> control_pb2.BackendState:
@@ -70,16 +75,31 @@
 class _ModelQueue:
     """Waiting requests for one model.
 
-    `rank` is the callback of the latest request, `offer_task` offers slots
-    while requests wait, and `permitted_slots` holds slots with a new permit
-    by backend server until a request takes them.
+    `ranks` holds the callbacks of the waiting requests, oldest first, by
+    an object for each. `offer_task` offers slots while requests wait, and
+    `permitted_slots` holds slots with a new permit by backend server until a
+    request takes them.
     """
 
     requests: limits.FairQueue = attrs.field(factory=limits.FairQueue)
-    rank: t.Optional[RankCallback] = None
+    ranks: t.Dict[object, RankCallback] = attrs.field(factory=dict)
     offer_task: t.Optional["asyncio.Task[None]"] = None
     permitted_slots: t.Dict[str, Slot] = attrs.field(factory=dict)
 
+    def list_cold_choices(self) -> t.List[routing.Choice]:
+        """Return the servers for which waiting requests need a permit.
+
+        Requests exclude different servers. Those of the oldest requests and
+        of the latest one are returned, since each ranking takes time.
+        """
+        ranks = list(self.ranks.values())
+        choices: t.Dict[str, routing.Choice] = {}
+        for rank in ranks[:_RANKED_REQUESTS] + ranks[_RANKED_REQUESTS:][-1:]:
+            for choice in rank():
+                if choice.cold:
+                    choices.setdefault(choice.backend.name, choice)
+        return list(choices.values())
+
 
 class Admission:
     """Assigns slots; requests wait in a fair queue by customer's share."""
@@ -129,7 +149,8 @@
         rank: RankCallback,
         deadline: deadlines.Deadline,
     ) -> Slot:
-        model_queue.rank = rank
+        key = object()
+        model_queue.ranks[key] = rank
         if model_queue.offer_task is None or model_queue.offer_task.done():
             model_queue.offer_task = self._state.spawn(
                 self._offer_slots(model_queue)
@@ -147,6 +168,8 @@
             if wait_deadline.at < deadline.at:
                 raise exceptions.Overloaded(error.message) from error
             raise
+        finally:
+            del model_queue.ranks[key]
 
     async def _acquire_first(
         self,
@@ -195,12 +218,9 @@
         """
         while model_queue.requests.waiting_requests:
             model_queue.requests.dispatch()
-            for choice in model_queue.rank() if model_queue.rank else ():
-                if (
-                    not choice.cold
-                    or not model_queue.requests.waiting_requests
-                ):
-                    continue
+            for choice in model_queue.list_cold_choices():
+                if not model_queue.requests.waiting_requests:
+                    break
                 permit_deadline = deadlines.Deadline.after(
                     _PERMIT_TIMEOUT_SECONDS
                 )
@@ -314,6 +334,58 @@
         backend = self._state.backends.get(slot.backend.name)
         return backend is not None and backend.state == routing.WARM
 
+    async def reserve(self, slot: Slot, deadline: deadlines.Deadline) -> bool:
+        """Reserve the server of a slot for a suspect in the data centre.
+
+        Returns False if another gateway runs a suspect request on it. If the
+        control daemon does not answer, the server counts as free.
+        """
+        permit_deadline = deadline.cap(_PERMIT_TIMEOUT_SECONDS)
+        permit = await self._state.try_call_control(
+            self._state.stub.AcquirePermit,
+            control_pb2.AcquirePermitRequest(
+                backend=slot.backend.name,
+                holder=self._state.settings.host,
+                request=f"{slot.request_id}-{secrets.token_hex(8)}",
+                deadline=permit_deadline.at,
+                exclusive=True,
+            ),
+            permit_deadline.remaining(),
+        )
+        if permit is not None and permit.id:
+            slot.reservation = permit
+            slot.reservation_task = self._state.spawn(
+                self._renew_reservation(slot)
+            )
+        return permit is None or bool(permit.id)
+
+    async def _renew_reservation(self, slot: Slot) -> None:
+        while True:
+            await asyncio.sleep(defaults.PERMIT_RENEWAL_INTERVAL)
+            await self._state.try_call_control(
+                self._state.stub.RenewPermit,
+                control_pb2.RenewPermitRequest(
+                    id=slot.reservation.id,
+                    backend=slot.backend.name,
+                    exclusive=True,
+                ),
+                _PERMIT_TIMEOUT_SECONDS,
+            )
+
+    def is_current(self, slot: Slot) -> bool:
+        """Return whether the server of a slot is still as it was chosen.
+
+        A server that restarted may be cold, so that a slot without a permit
+        no longer allows a run on it.
+        """
+        backend = self._state.get_backend(slot.backend.name)
+        return (
+            backend is not None
+            and backend.epoch == slot.backend.epoch
+            and backend.state in routing.USABLE_STATES
+            and (slot.permit is not None or backend.state == routing.WARM)
+        )
+
     def release(self, slot: Slot) -> None:
         """Release a slot and offer it to waiting requests."""
         name = slot.backend.name
@@ -325,19 +397,26 @@
             if limit is not None:
                 limit.release(slot.queue_delay_seconds, slot.refused)
         else:
-            self._release_permit(slot)
+            if slot.renewal_task is not None:
+                slot.renewal_task.cancel()
+            self._release_permit(slot, slot.permit)
+        if slot.reservation is not None:
+            slot.reservation_task.cancel()
+            self._release_permit(slot, slot.reservation, exclusive=True)
         for model_queue in self._queues.values():
             if model_queue.requests.waiting_requests:
                 model_queue.requests.dispatch()
 
-    def _release_permit(self, slot: Slot) -> None:
-        if slot.renewal_task is not None:
-            slot.renewal_task.cancel()
+    def _release_permit(
+        self, slot: Slot, permit: control_pb2.Permit, exclusive: bool = False
+    ) -> None:
         self._state.spawn(
             self._state.try_call_control(
                 self._state.stub.ReleasePermit,
                 control_pb2.ReleasePermitRequest(
-                    id=slot.permit.id, backend=slot.backend.name
+                    id=permit.id,
+                    backend=slot.backend.name,
+                    exclusive=exclusive,
                 ),
                 _PERMIT_TIMEOUT_SECONDS,
             )
--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -42,12 +42,20 @@
 # engine that crashed is back after a second, and reported a second later.
 RECOVERY_WAIT_SECONDS = 3.0
 
+# Longest time that a suspect request waits for a server on which no other
+# gateway runs one. A request that crashes servers does so soon.
+RESERVATION_WAIT_SECONDS = 2.0
+
 
 @attrs.define(eq=False)
 class Completion:
     """A completion request of a caller, which may need several runs.
 
     `token_texts` holds the texts of the tokens after `resume_offset`.
+    `excluded_backends` holds the names and epochs of servers that failed or
+    refused the request; a server that restarted may be tried again.
+    A suspect request that found a server reserved at other gateways waits
+    for another one until `reservation_deadline`.
     `may_have_executed` is set once a run may have begun; later errors must
     not say that the request was not executed.
     """
@@ -69,7 +77,8 @@
         factory=dict
     )
     token_texts: t.List[str] = attrs.field(factory=list)
-    excluded_backends: t.Set[str] = attrs.field(factory=set)
+    excluded_backends: t.Set[t.Tuple[str, str]] = attrs.field(factory=set)
+    reservation_deadline: t.Optional[deadlines.Deadline] = None
     may_have_executed: bool = False
     finished: bool = False
     failures: int = 0
@@ -212,27 +221,30 @@
 
         A server that runs a suspect request receives no other request. A
         run that may have begun elsewhere waits for a usable server, up to
-        `RECOVERY_WAIT_SECONDS`.
+        `RECOVERY_WAIT_SECONDS` at a time.
         """
-        busy_backends: t.Set[str] = set()
-        recovery_deadline = self.deadline.cap(RECOVERY_WAIT_SECONDS)
+        recovery_deadline: t.Optional[deadlines.Deadline] = None
         while True:
             try:
                 slot = await self.slots.acquire(
                     self.request_id,
                     self.customer,
                     self.model.name,
-                    lambda: self._rank_backends(busy_backends),
+                    self._rank_backends,
                     self.deadline,
                 )
             except exceptions.NoBackend as error:
-                if not busy_backends:
+                if self._rank_backends(include_reserved=True):
+                    recovery_deadline = None
+                else:
                     if not self.may_have_executed:
                         raise
+                    recovery_deadline = recovery_deadline or self.deadline.cap(
+                        RECOVERY_WAIT_SECONDS
+                    )
                     if not self._may_recover(recovery_deadline):
                         raise self.convert_error(error) from error
                     self.excluded_backends.clear()
-                busy_backends.clear()
                 await asyncio.sleep(_RETRY_PAUSE_SECONDS)
                 continue
             except exceptions.RoutingError as error:
@@ -244,17 +256,61 @@
                     self.deadline,
                     slot.backend.epoch,
                 )
+            except exceptions.DeadlineUnreachable as error:
+                self.slots.release(slot)
+                raise self.build_timeout() from error
             except BaseException:
                 self.slots.release(slot)
                 raise
-            if in_flight_request is not None:
+            recovery_deadline = None
+            if in_flight_request is None:
+                self.slots.release(slot)
+                continue
+            may_start = False
+            try:
+                may_start = await self._may_start(slot, in_flight_request)
+            finally:
+                if not may_start:
+                    self.state.quarantine.finish(in_flight_request, False)
+                    self.slots.release(slot)
+            if may_start:
                 return slot, in_flight_request
-            self.slots.release(slot)
-            busy_backends.add(slot.backend.name)
+            await asyncio.sleep(_RETRY_PAUSE_SECONDS)
+
+    async def _may_start(
+        self,
+        slot: admission.Slot,
+        in_flight_request: quarantines.InFlightRequest,
+    ) -> bool:
+        """Return whether to use a slot, or to choose a server again.
+
+        The server may have failed while a suspect waited for its turn, and
+        another gateway may run a suspect on it.
+        """
+        if in_flight_request.exclusive and not await self.slots.reserve(
+            slot, self.deadline
+        ):
+            if self.reservation_deadline is None:
+                self.reservation_deadline = self.deadline.cap(
+                    RESERVATION_WAIT_SECONDS
+                )
+            if not self.reservation_deadline.has_passed():
+                return False
+        # Another gateway may have reported a crash meanwhile.
+        self.state.quarantine.ensure_not_quarantined(self.identity)
+        return self.slots.is_current(slot)
 
     def _may_recover(self, recovery_deadline: deadlines.Deadline) -> bool:
         """Return whether to wait for a server to continue the response."""
-        return not recovery_deadline.has_passed() and self.is_version_offered()
+        if recovery_deadline.has_passed() or not self._is_version_configured():
+            return False
+        # The versions of a server are not known until it is polled, nor is
+        # any server known right after the start of the control daemon.
+        reported = [backend.versions for backend in self._list_backends()]
+        return not reported or any(
+            not versions or self._pinned_version in versions
+            for versions in reported
+        )
 
     def convert_error(
         self, error: exceptions.RoutingError
@@ -283,32 +339,43 @@
 
         It must be the configured version, and a server must report it.
         """
-        config = self.state.configuration
-        current = config.models.get(self.model.name)
-        groups = config.find_groups(
-            self.state.settings.data_centre, model=self.model.name
-        )
-        pinned = configuration.name_version(
-            self.model.name, self.weight_version
+        return self._is_version_configured() and any(
+            self._pinned_version in backend.versions
+            for backend in self._list_backends()
         )
-        return (
-            current is not None
-            and current.version == self.weight_version
-            and any(
-                pinned in backend.versions
-                for backend in self.state.list_backends(
-                    {group.name for group in groups}
-                )
-            )
+
+    def _is_version_configured(self) -> bool:
+        model = self.state.configuration.models.get(self.model.name)
+        return model is not None and model.version == self.weight_version
+
+    @property
+    def _pinned_version(self) -> str:
+        return configuration.name_version(self.model.name, self.weight_version)
+
+    def _list_backends(self) -> t.List[control_pb2.BackendState]:
+        """Return the states of the servers of the model's groups."""
+        groups = self.state.configuration.find_groups(
+            self.state.settings.data_centre, model=self.model.name
         )
+        return self.state.list_backends({group.name for group in groups})
 
     def _rank_backends(
-        self, busy_backends: t.AbstractSet[str]
+        self, include_reserved: bool = False
     ) -> t.List[routing.Choice]:
-        config = self.state.configuration
-        groups = config.find_groups(
-            self.state.settings.data_centre, model=self.model.name
-        )
+        """Return the usable servers, best first.
+
+        A waiting request calls it again and again, so it excludes only the
+        servers that are reserved for a suspect now.
+        """
+        policy = self.state.configuration.policy
+        backends = self._list_backends()
+        excluded = {
+            backend.name
+            for backend in backends
+            if (backend.name, backend.epoch) in self.excluded_backends
+        }
+        if not include_reserved:
+            excluded |= self.state.quarantine.reserved_servers
         query = routing.Query(
             model=self.model.name,
             version=self.weight_version,
@@ -317,12 +384,12 @@
             blocks=self.block_names,
             holders=self.holders,
             stores=self.state.list_stores(),
-            seconds_per_link_megabyte=config.policy.seconds_per_link_megabyte,
-            excluded=frozenset(self.excluded_backends | busy_backends),
+            seconds_per_link_megabyte=policy.seconds_per_link_megabyte,
+            excluded=frozenset(excluded),
         )
         return routing.rank_backends(
             query,
-            self.state.list_backends({group.name for group in groups}),
+            backends,
             self.state.in_flight,
             self.state.get_rates(self.model.name),
             self.state.random_generator,
@@ -457,6 +524,10 @@
             self.engine_address,
         )
 
+    def _exclude_backend(self, backend: control_pb2.BackendState) -> None:
+        """Send no further run to a server until it restarts."""
+        self.excluded_backends.add((backend.name, backend.epoch))
+
     def _record_refusal(
         self, slot: admission.Slot, error: exceptions.RoutingError
     ) -> None:
@@ -467,7 +538,7 @@
         caller would repeat the whole request.
         """
         self.refusals += 1
-        self.excluded_backends.add(slot.backend.name)
+        self._exclude_backend(slot.backend)
         slot.refused = isinstance(error, exceptions.BackendRefused)
         if not slot.refused:
             self.state.record_failure(
@@ -495,9 +566,9 @@
         """
         if slot.permit_lost:
             return
-        self.excluded_backends.add(slot.backend.name)
+        self._exclude_backend(slot.backend)
         self.failures += 1
-        if run.is_lost and await self._has_crashed(slot):
+        if await self._has_crashed(slot):
             self.state.quarantine.record_crash(in_flight_request)
             self.state.record_failure(
                 slot.backend, self.request_id, error.message
@@ -515,9 +586,11 @@
         self.state.metrics.retries.labels("failed").inc()
 
     async def _has_crashed(self, slot: admission.Slot) -> bool:
-        """Return whether a server restarted or is unreachable.
+        """Return whether a server restarted or does not answer.
 
-        The server may also not know a run because it never began it.
+        The kind of failure of the run does not show it: a server that
+        restarts may reset connections, and one that is healthy may not know
+        a run because it never began it.
         """
         try:
             load = await slot.engine.fetch_load(
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -47,7 +47,8 @@
     """An engine that injects one fault of `faults` into each stream.
 
     It sends a token every `token_delay_seconds`, and appends `padding` to the
-    text of each. A crashed engine refuses all connections.
+    text of each. A crashed engine refuses all connections, or resets them if
+    `resets_connections` is set.
     """
 
     def __init__(self, address: str) -> None:
@@ -58,13 +59,23 @@
         self.cancelled: t.List[str] = []
         self.exported: t.List[str] = []
         self.crashed = False
+        self.resets_connections = False
         self.token_delay_seconds = 0.0
         self.cached_tokens = 0
         self.padding = ""
 
+    def _check_connection(self):
+        if self.crashed:
+            raise (
+                exceptions.BackendFailed("connection reset")
+                if self.resets_connections
+                else exceptions.BackendUnreachable("connection refused")
+            )
+
     async def complete(self, request):
         fault = self.faults.pop(0) if self.faults else Fault("none")
-        if fault.kind == "unreachable" or self.crashed:
+        self._check_connection()
+        if fault.kind == "unreachable":
             raise exceptions.BackendUnreachable("connection refused")
         if fault.kind == "refuse":
             raise exceptions.BackendRefused("not admitted")
@@ -75,8 +86,7 @@
     async def resume(self, request_id, offset, deadline):
         self.resume_offsets.append(offset)
         known = {request.request_id: request for request in self.requests}
-        if self.crashed:
-            raise exceptions.BackendUnreachable("connection refused")
+        self._check_connection()
         if request_id not in known or request_id in self.cancelled:
             raise exceptions.BackendRefused("no such run")
         fault = self.faults.pop(0) if self.faults else Fault("none")
@@ -133,8 +143,7 @@
         self.cancelled.append(request_id)
 
     async def fetch_load(self, deadline):
-        if self.crashed:
-            raise exceptions.BackendUnreachable("connection refused")
+        self._check_connection()
         return engines.Load("1", False, False, 0, 0, 8, (), "serve", 0.0)
 
     async def export_blocks(self, blocks, store, deadline):
@@ -149,7 +158,9 @@
     """A control daemon that replies with values set by the test.
 
     It records the requests that it receives. At most `permit_limit` permits
-    are granted at a time, and renewed only if `renews_permits` is set.
+    are granted at a time, and renewed only if `renews_permits` is set. The
+    servers in `reserved_servers` run suspects of other gateways; answers
+    about them take `reservation_delay_seconds`.
     """
 
     def __init__(self) -> None:
@@ -161,6 +172,8 @@
         self.granted: t.List[str] = []
         self.released: t.List[str] = []
         self.renews_permits = True
+        self.reserved_servers: t.Set[str] = set()
+        self.reservation_delay_seconds = 0.0
         self.holders: t.Dict[str, t.List[control_pb2.Holder]] = {}
         self.lookups: t.List[t.Tuple[str, ...]] = []
         self.failed_backends: t.List[str] = []
@@ -202,6 +215,13 @@
         return self.status
 
     async def AcquirePermit(self, request, context):  # noqa: N802
+        if request.exclusive:
+            await asyncio.sleep(self.reservation_delay_seconds)
+            return control_pb2.Permit(
+                id="" if request.backend in self.reserved_servers else "r",
+                backend=request.backend,
+                deadline=request.deadline + 5,
+            )
         if len(self.granted) - len(self.released) >= self.permit_limit:
             return control_pb2.Permit()
         self.granted.append(request.request)
@@ -219,7 +239,8 @@
         )
 
     async def ReleasePermit(self, request, context):  # noqa: N802
-        self.released.append(request.id)
+        if not request.exclusive:
+            self.released.append(request.id)
         return control_pb2.Empty()
 
     async def LookupBlocks(self, request, context):  # noqa: N802
@@ -437,15 +458,9 @@
 
     def post(self, body: t.Any = None, customer: str = "acme", **headers):
         """Return a completion request as a context manager."""
-        content = {
-            "model": "draft",
-            "prompt": "one two three four five",
-            "max_tokens": 6,
-            **(body or {}),
-        }
         return self.session.post(
             "/v1/completions",
-            json=content,
+            json=build_content(**(body or {})),
             headers={
                 "Authorization": f"Bearer {TOKENS[customer]}",
                 **{k.replace("_", "-"): v for k, v in headers.items()},
@@ -453,6 +468,16 @@
         )
 
 
+def build_content(**fields: t.Any) -> t.Dict[str, t.Any]:
+    """Return the body of a completion request, with `fields` replaced."""
+    return {
+        "model": "draft",
+        "prompt": "one two three four five",
+        "max_tokens": 6,
+        **fields,
+    }
+
+
 async def wait_until(
     condition: t.Callable[[], t.Any], seconds: float = 10.0
 ) -> None:
