Refuse servers' records whose numbers are out of range

One entry of another writer under servers/ with a number of hundreds of digits in cold_left_ms ended the task that follows the store. The process went on: requests with a key were served 3 s later and refused (503) 6.5 s later, and no change of any server was seen any more. An entry with such a negative number of slots, of a service whose requests carry prompts, was accepted, and each of these requests got 500 from then on.

Cause: the division of a large integer raises OverflowError, which is none of the errors that the decoder turns into a rejected record; and whole numbers had no bounds, so that the estimate of an engine's cost overflowed later.

Now counts are from 0 to 2^63 - 1, the time until a server is warm is a finite number, and OverflowError rejects a record as the other errors do, also in the operator's records. The reason in the log is cut to 200 characters, since errors may quote a record.

--- a/src/sesamefold/platform/records.py
+++ b/src/sesamefold/platform/records.py
@@ -16,6 +16,18 @@
 # Whether a server with this `state` is draining.
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
+# Errors of decoding a record of another form. A number that is too large to
+# convert raises OverflowError.
+_DECODING_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
+# Records have up to a megabyte, which an error may quote.
+_MAX_REASON_LENGTH = 200
+
 JsonObject = t.Mapping[str, t.Any]
 
 
@@ -39,10 +51,11 @@
         if key.startswith(wire.WEIGHTS_PREFIX):
             return changes.TargetWeightsChanged(
                 wire.get_field(body, "model", str),
-                wire.get_field(body, "version", int),
+                wire.get_count(body, "version"),
             )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return changes.RecordRejected(key, f"{type(error).__name__}: {error}")
+    except _DECODING_ERRORS as error:
+        reason = f"{type(error).__name__}: {error}"
+        return changes.RecordRejected(key, reason[:_MAX_REASON_LENGTH])
     return changes.RecordRejected(key, "unknown key")
 
 
@@ -67,26 +80,26 @@
     if not 0 < int(port) <= _MAX_PORT:
         raise ValueError("the port of the address is out of range")
     # How long the server stays cold from now on.
-    cold_ms = wire.get_field(body, "cold_left_ms", (int, float))
+    cold_ms = wire.get_number(body, "cold_left_ms")
     return topology.Server(
         id=server_id,
         service=wire.get_field(body, "service", str),
         address=f"{host}:{port}",
         data_centre=wire.get_field(body, "zone", str),
-        slots=wire.get_field(body, "slots", int),
+        slots=wire.get_count(body, "slots"),
         draining=_DRAINING_BY_STATE[state],
         # Unix time of the start, milliseconds. A server may restart under the
         # same id.
-        started_at=wire.get_field(body, "born", int) if "born" in body else 0,
-        sequence=wire.get_field(body, "seq", int),
+        started_at=wire.get_count(body, "born") if "born" in body else 0,
+        sequence=wire.get_count(body, "seq"),
         cold_until=(
             clock.read_time() + cold_ms / _MS_PER_SECOND
             if cold_ms > 0
             else 0.0
         ),
         weights={
-            wire.get_field(model, "name", str): wire.get_field(
-                model, "version", int
+            wire.get_field(model, "name", str): wire.get_count(
+                model, "version"
             )
             for model in body.get("models", ())
         },
--- a/src/sesamefold/platform/wire.py
+++ b/src/sesamefold/platform/wire.py
@@ -1,6 +1,7 @@
 """Header names, record keys and body encoding of the platform's protocols."""
 
 import json
+import math
 import typing as t
 
 # Headers of callers' requests.
@@ -54,6 +55,10 @@
 
 JSON_CONTENT_TYPE = "application/json"
 
+# Largest number of a record. Larger ones overflow when they are converted or
+# multiplied.
+MAX_NUMBER = 2**63 - 1
+
 
 def encode(body: t.Any) -> bytes:
     """Return a body as compact JSON, the platform's encoding."""
@@ -88,7 +93,7 @@
 
 
 def get_count(body: t.Mapping[str, t.Any], name: str) -> int:
-    """Return a field that is a whole number of 0 or more.
+    """Return a field that is a whole number from 0 to `MAX_NUMBER`.
 
     Raises `KeyError`, `TypeError` or `ValueError`.
     """
@@ -96,11 +101,22 @@
 
 
 def check_count(value: t.Any, name: str) -> int:
-    """Return a value that is a whole number of 0 or more.
+    """Return a value that is a whole number from 0 to `MAX_NUMBER`.
 
     Raises `TypeError` or `ValueError`.
     """
     count: int = check_type(value, name, int)
-    if count < 0:
-        raise ValueError(f"{name} is negative")
+    if not 0 <= count <= MAX_NUMBER:
+        raise ValueError(f"{name} is out of range")
     return count
+
+
+def get_number(body: t.Mapping[str, t.Any], name: str) -> float:
+    """Return a field that is a finite number, at most `MAX_NUMBER` in size.
+
+    Raises `KeyError`, `TypeError` or `ValueError`.
+    """
+    number = get_field(body, name, (int, float))
+    if not -MAX_NUMBER <= number <= MAX_NUMBER or not math.isfinite(number):
+        raise ValueError(f"{name} is out of range")
+    return float(number)
--- a/standins/platform_fixtures.py
+++ b/standins/platform_fixtures.py
@@ -1,6 +1,7 @@
 """Settings, records and servers of a small platform on loopback."""
 
 import contextlib
+import json
 import socket
 import typing as t
 
@@ -73,6 +74,64 @@
     }
 
 
+def make_odd_server_entries(address: str) -> t.Dict[str, bytes]:
+    """Return servers' entries of another writer, by server id.
+
+    Each would be an entry of a server at `address`, but for one field or for
+    bytes around it. None of them names a server that may be used.
+    """
+    sound = make_server_entry(address, models=[{"name": MODEL, "version": 1}])
+    digits = "9" * 400
+    values = {
+        "address": (
+            '""',
+            "null",
+            '"127.0.0.1"',
+            '"127.0.0.1:0"',
+            '"127.0.0.1:65536"',
+            '"127.0.0.1:-1"',
+            f'"127.0.0.1:{digits}"',
+        ),
+        "models": (
+            '{"name": 1}',
+            '"ab"',
+            "null",
+            "7",
+            "[7]",
+            '[{"name": null, "version": 1}]',
+            '[{"name": "m", "version": 1e400}]',
+            '[{"name": "m", "version": -1}]',
+            '[{"name": "m", "version": %s}]' % digits,
+        ),
+        "cold_left_ms": ("NaN", "Infinity", "1e400", digits, '"1"', "true"),
+    }
+    whole = ("1e400", "NaN", "-1", "1.5", digits, "-" + digits, str(2**63))
+    texts = [
+        json.dumps({**sound, name: "@"}).replace('"@"', value, 1)
+        for name, choices in (
+            *values.items(),
+            *((name, (*whole, "9" * 5000)) for name in ("slots", "seq")),
+            ("born", whole),
+            ("state", ('"asleep"', "[]", "{}")),
+            ("service", ("1", "{}")),
+            ("zone", ("null", "[1]")),
+        )
+        for value in choices
+    ]
+    encoded = json.dumps(sound).encode()
+    entries = [
+        *map(str.encode, texts),
+        b"",
+        b"\xff\xfe\x00",
+        encoded[:-1],
+        encoded + b"}",
+        b"[" * 100_000,
+        b'{"models":' * 50_000,
+        encoded.replace(b'"slots": 8', b'"slots": 8, "slots": -1'),
+    ]
+    return {f"odd-{number}": entry for number, entry in enumerate(entries)}
+
+
 def make_configuration(version: int = 1, **fields: t.Any) -> t.Any:
     """Return the operator's configuration in the platform's format."""
 
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -180,6 +180,61 @@
         self.assertIn(await sent, (401, 503))
         self.assertEqual(["r-1"], [run.request_id for run in self.engine.runs])
 
+    async def check_odd_entries_are_skipped(self) -> None:
+        """Check that the sound server serves and later changes are followed.
+
+        A removed server and a new one at its address are such changes.
+        """
+        prompt = {**PROMPT, "Sesamefold-Deadline-Ms": "1000"}
+        for number in range(20):
+            for path, headers in (("/unsafe/", {}), ("/resumable/", prompt)):
+                request_id = f"{self.engine.id}-{path[1]}-{number}"
+                self.assertEqual(
+                    200, await self.call(path, request_id, **headers)
+                )
+        self.store.remove(f"servers/{self.engine.id}")
+        self.engine.id = f"{self.engine.id}-next"
+        self.store.put(
+            f"servers/{self.engine.id}",
+            platform_fixtures.make_server_entry(self.engine_address),
+        )
+        await self.wait_until(
+            lambda: self.engine.id
+            in {line["server"] for line in self.find_lines("server")}
+        )
+        self.assertEqual(200, await self.call("/unsafe/", self.engine.id))
+
+    def put_odd_entries(self) -> int:
+        """Write entries of another writer; return how many there are."""
+        odd = platform_fixtures.make_odd_server_entries(self.engine_address)
+        for server_id, entry in odd.items():
+            self.store.put(f"servers/{server_id}", entry)
+        return len(odd)
+
+    async def test_odd_entries_do_not_end_the_process_or_its_watch(
+        self,
+    ) -> None:
+        """Guards against entries of another writer that end the process.
+
+        They come on the watch first, and are there at a second start.
+        """
+        self.write_settings()
+        await self.start()
+        await self.wait_ready()
+        count = self.put_odd_entries()
+        await self.wait_until(
+            lambda: len(self.find_lines("record_rejected")) == count
+        )
+        await self.check_odd_entries_are_skipped()
+        self.assertIsNone(self.process.returncode)
+        await self.kill()
+        self.lines.clear()
+        await self.start()
+        await self.wait_ready()
+        await self.check_odd_entries_are_skipped()
+        self.assertEqual(count, len(self.find_lines("record_rejected")))
+        self.assertIsNone(self.process.returncode)
+
     async def exchange(self, *pieces: bytes, pause: float = 0.0) -> bytes:
         """Send bytes on a connection of their own; return all that comes."""
         reader, writer = await asyncio.open_connection(
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -189,6 +189,14 @@
             change = records.decode_record(key, b"[" * 100_000)
             self.assertIsInstance(change, changes.RecordRejected)
 
+    def test_odd_entry_names_no_server(self) -> None:
+        """Guards against an entry of another writer that ends the watch."""
+        entries = platform_fixtures.make_odd_server_entries("127.0.0.1:1")
+        for server_id, entry in entries.items():
+            with self.subTest(entry=entry[-200:]):
+                change = records.decode_record(f"servers/{server_id}", entry)
+                self.assertIsInstance(change, changes.RecordRejected)
+
     def test_server_address_without_valid_port_is_rejected(self) -> None:
         for port in ("\u00b2", "0", "65536", "-1", "", "1.5"):
             body = json.dumps(
