Refuse servers' records whose id or address no request can use

Addresses that are no ip:port at all, or with a host that is no address, became servers as well.

The decoder now asks for an id of printable ASCII, as requests name it in a header, and for ip:port. The check of ip:port moves out of sesamefold.checks to a module without YAML, which the entry host does not load.

test_server_id_that_no_header_can_hold_is_rejected and two cases of test_odd_entry_names_no_server failed before.

--- a/src/sesamefold/checks.py
+++ b/src/sesamefold/checks.py
@@ -1,10 +1,10 @@
 """Checks of single values of a YAML document."""
 
-import ipaddress
 import re
 import typing as t
 import urllib.parse
 
+from sesamefold import addresses
 from sesamefold import documents
 
 
@@ -91,22 +91,6 @@
     return convert
 
 
-def is_address(text: str, lowest_port: int = 1) -> bool:
-    """Return whether a text is ip:port, with brackets around IPv6."""
-    host, _, port = text.rpartition(":")
-    if not re.fullmatch(r"0|[1-9][0-9]{0,4}", port):
-        return False
-    bracketed = host.startswith("[") and host.endswith("]")
-    try:
-        version = ipaddress.ip_address(host[1:-1] if bracketed else host)
-    except ValueError:
-        return False
-    return (
-        lowest_port <= int(port) <= 65535
-        and (version.version == 6) == bracketed
-    )
-
-
 def check_address(lowest_port: int = 1) -> documents.Check:
     """Return a check for ip:port; port 0 lets the kernel choose."""
 
@@ -115,14 +99,14 @@
     ) -> t.Any:
         if not reader.expect(node, path, "text"):
             return None
-        if is_address(node.value, lowest_port):
+        if addresses.is_address(node.value, lowest_port):
             return node.value
         reader.report(
             node,
             path,
             documents.Kind.BAD_ADDRESS,
             f"{documents.show(node.value)} is not ip:port with a port between "
-            f"{lowest_port} and 65535",
+            f"{lowest_port} and {addresses.MAX_PORT}",
         )
         return None
 
--- a/src/sesamefold/commands.py
+++ b/src/sesamefold/commands.py
@@ -17,6 +17,7 @@
 import typer
 
 import sesamefold
+from sesamefold import addresses
 from sesamefold import checks
 from sesamefold import chunking
 from sesamefold import deadline as deadlines
@@ -182,8 +183,8 @@
         raise typer.BadParameter("--platform needs an http or https URL")
 
 
-def _check_controls(addresses: t.Optional[t.Sequence[str]]) -> None:
-    if not addresses or not all(map(checks.is_address, addresses)):
+def _check_controls(controls: t.Optional[t.Sequence[str]]) -> None:
+    if not controls or not all(map(addresses.is_address, controls)):
         raise typer.BadParameter("--control needs ip:port, at least once")
 
 
--- a/src/sesamefold/platform/records.py
+++ b/src/sesamefold/platform/records.py
@@ -1,14 +1,15 @@
 """Decoders of the records that the operator and the servers write."""
 
+import re
 import typing as t
 
+from sesamefold import addresses
 from sesamefold.entry import changes
 from sesamefold.entry import clock
 from sesamefold.entry import topology
 from sesamefold.platform import wire
 
 _MS_PER_SECOND = 1000.0
-_MAX_PORT = 65535
 # `kind` of routes whose replies are streams of events.
 _STREAMING_KIND = "streaming"
 # `kind` of routes whose requests may run more than once.
@@ -71,20 +72,21 @@
 
 
 def _decode_server(server_id: str, body: JsonObject) -> topology.Server:
+    # Requests name the server in a header.
+    if not re.fullmatch(r"[!-~]+", server_id):
+        raise ValueError("the id is not printable ASCII")
     state = wire.get_field(body, "state", str)
     if state not in _DRAINING_BY_STATE:
         raise ValueError(f"unknown state {state}")
-    host, _, port = wire.get_field(body, "address", str).rpartition(":")
-    if not host or not port.isascii() or not port.isdigit():
-        raise ValueError("the address has no port")
-    if not 0 < int(port) <= _MAX_PORT:
-        raise ValueError("the port of the address is out of range")
+    address = wire.get_field(body, "address", str)
+    if not addresses.is_address(address):
+        raise ValueError("the address is not ip:port")
     # How long the server stays cold from now on.
     cold_ms = wire.get_number(body, "cold_left_ms")
     return topology.Server(
         id=server_id,
         service=wire.get_field(body, "service", str),
-        address=f"{host}:{port}",
+        address=address,
         data_centre=wire.get_field(body, "zone", str),
         slots=wire.get_count(body, "slots"),
         draining=_DRAINING_BY_STATE[state],
--- a/standins/platform_fixtures.py
+++ b/standins/platform_fixtures.py
@@ -91,6 +91,8 @@
             '"127.0.0.1:65536"',
             '"127.0.0.1:-1"',
             f'"127.0.0.1:{digits}"',
+            '"a b/c?:80"',
+            '"\\ud800:80"',
         ),
         "models": (
             '{"name": 1}',
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -197,6 +197,14 @@
                 change = records.decode_record(f"servers/{server_id}", entry)
                 self.assertIsInstance(change, changes.RecordRejected)
 
+    def test_server_id_that_no_header_can_hold_is_rejected(self) -> None:
+        """Guards against an id with which no request can be sent."""
+        entry = json.dumps(SERVER_RECORD).encode()
+        for server_id in ("", "i 1", "i\n1", "\u00e9", "\ud800", "i\x00"):
+            with self.subTest(server_id=server_id):
+                change = records.decode_record(f"servers/{server_id}", entry)
+                self.assertIsInstance(change, changes.RecordRejected)
+
     def test_server_address_without_valid_port_is_rejected(self) -> None:
         for port in ("\u00b2", "0", "65536", "-1", "", "1.5"):
             body = json.dumps(
