Check records of entry hosts before they count as members

A record under the hosts' own prefix that another writer left could end two tasks: nested deeply, or with a port or bandwidth too large to convert, the one that follows the store (requests with a key were refused 6.5 s later, as the configuration was no longer confirmed); with a port out of range the one that shares loads (sendto raises OverflowError).

Cause: the decoder of member records expected ValueError and TypeError only and checked no value. It now rejects all records that cannot be decoded, and asks for a printable name, a region as text, ip:port and a finite bandwidth.

test_odd_record_is_of_no_member failed before with RecursionError or OverflowError, and test_odd_entries_do_not_end_the_process_or_its_watch, which now writes such records too, did not see the changes that follow them.

--- a/src/sesamefold/entry/members.py
+++ b/src/sesamefold/entry/members.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import json
+import math
 import random
+import re
 import typing as t
 
 import attrs
 
+from sesamefold import addresses
 from sesamefold.entry import changes
 from sesamefold.entry import clock
 from sesamefold.entry import datagrams
@@ -195,8 +198,14 @@
         return None
     try:
         region, address, port, link_mbps = json.loads(value)
-        return Member(
-            name, region, (str(address), int(port)), float(link_mbps)
-        )
-    except (ValueError, TypeError):
+        member = Member(name, region, (address, port), float(link_mbps))
+    except (ValueError, TypeError, OverflowError, RecursionError):
         return None
+    sound = (
+        re.fullmatch(r"[!-~]+", name)
+        and isinstance(region, str)
+        and isinstance(port, int)
+        and addresses.is_address(f"{address}:{port}")
+        and 0 <= member.link_mbps < math.inf
+    )
+    return member if sound else None
--- a/standins/platform_fixtures.py
+++ b/standins/platform_fixtures.py
@@ -134,6 +134,29 @@
     return {f"odd-{number}": entry for number, entry in enumerate(entries)}
 
 
+def make_odd_member_records() -> t.Dict[str, bytes]:
+    """Return malformed records of entry hosts, by host name."""
+    digits = "9" * 400
+    rows = [
+        *(
+            f'["region-1", "127.0.0.1", {port}, 1.0]'
+            for port in ("0", "65536", "-1", "1e400", "NaN", digits, '"x"')
+        ),
+        *(
+            f'["region-1", "127.0.0.1", 1, {link}]'
+            for link in ("NaN", "1e400", digits, "-1", "null")
+        ),
+        '["region-1", "a b", 1, 1.0]',
+        '["region-1", null, 1, 1.0]',
+        '[7, "127.0.0.1", 1, 1.0]',
+        "{}",
+        "7",
+        "",
+    ]
+    records = [*map(str.encode, rows), b"\xff\xfe", b"[" * 100_000]
+    return {f"odd-{number}": row for number, row in enumerate(records)}
+
+
 def make_configuration(version: int = 1, **fields: t.Any) -> t.Any:
     """Return the operator's configuration in the platform's format."""
 
--- a/tests/test_entry_members.py
+++ b/tests/test_entry_members.py
@@ -9,6 +9,7 @@
 from sesamefold.entry import members
 from sesamefold.entry import store
 from sesamefold.entry import throttle
+from standins import platform_fixtures
 from tests import entry_fakes
 
 # Interval between watches of the store.
@@ -66,6 +67,28 @@
         await asyncio.sleep(members.SETTLING_SECONDS + 0.3)
         self.assertEqual({"entry-1"}, set(host.list_hosts()))
 
+    def test_odd_record_is_of_no_member(self) -> None:
+        """Guards against a record that ends the watch or the datagrams."""
+        own = members.Member("entry-1", "region-1", ("127.0.0.1", 1), 50.0)
+        host = members.Membership(own, self.client, entry_fakes.make_log())
+        sound = b'["region-1", "127.0.0.1", 1, 1.0]'
+        host._started_at = float("-inf")
+        host.apply_changes(
+            [
+                changes.HostRecordChanged(f"{store.MEMBERS_PREFIX}{name}", row)
+                for name, row in (
+                    *platform_fixtures.make_odd_member_records().items(),
+                    ("", sound),
+                    ("entry\ud800", sound),
+                    ("entry-2", sound),
+                )
+            ]
+        )
+        self.assertEqual({"entry-1", "entry-2"}, set(host.list_hosts()))
+        peers = host.list_peers(same_region=True)
+        self.assertEqual({"entry-2": ("127.0.0.1", 1)}, peers)
+        self.assertEqual({}, host.list_peers(same_region=False))
+
     async def test_removed_host_is_listed_until_grace_time_ends(self) -> None:
         """Guards against shares that grow while a host may still serve."""
         clock = entry_fakes.FakeClock()
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -205,10 +205,16 @@
         self.assertEqual(200, await self.call("/unsafe/", self.engine.id))
 
     def put_odd_entries(self) -> int:
-        """Write entries of another writer; return how many there are."""
+        """Write records of another writer; return how many name servers."""
         odd = platform_fixtures.make_odd_server_entries(self.engine_address)
-        for server_id, entry in odd.items():
-            self.store.put(f"servers/{server_id}", entry)
+        members = platform_fixtures.make_odd_member_records()
+        for prefix, records in (
+            ("servers", odd),
+            ("sesamefold/members", members),
+        ):
+            for name, record in records.items():
+                self.store.put(f"{prefix}/{name}", record)
+        self.store.put("sesamefold/orders/last-holder", b"\xff" * 9)
         return len(odd)
 
     async def test_odd_entries_do_not_end_the_process_or_its_watch(
