--- a/src/sesamefold/platform/wire.py
+++ b/src/sesamefold/platform/wire.py
@@ -4,6 +4,8 @@
 import math
 import typing as t
 
+from sesamefold import jsonvalues
+
 # Headers of callers' requests.
 
 REQUEST_ID = "Sesamefold-Request-Id"
@@ -67,10 +69,7 @@
 
 def decode(data: bytes) -> t.Any:
     """Return the decoded JSON body; raises `ValueError`."""
-    try:
-        return json.loads(data)
-    except RecursionError as error:
-        raise ValueError("the JSON body is nested too deeply") from error
+    return jsonvalues.decode(data)
 
 
 def get_field(
