Refuse odd values of the configuration's head and of its chunks

A value of config/head of another form was not only logged, as an unreadable one is. Nested deeply, with sections that are no object or with a revision that is text, its error left the task that watches the head (RecursionError, AttributeError, TypeError). With the revision 1e400 it was applied, and no later revision was ever newer than it.

Head.decode now checks the fields that lead to the configuration, and raises only the errors that its callers expect; records of a chunk must be objects. Replies of the key-value service that are nested deeply are errors of the call.

--- a/src/sesamefold/configuration.py
+++ b/src/sesamefold/configuration.py
@@ -6,6 +6,7 @@
 import attrs
 
 from sesamefold import defaults
+from sesamefold import jsonvalues
 
 
 @attrs.frozen
@@ -152,10 +153,14 @@
     """Return the records of a section from the JSON of a chunk.
 
     Fields that this version does not know are ignored, so that hosts of two
-    versions can run beside each other during a rolling replacement.
+    versions can run beside each other during a rolling replacement. Raises
+    `TypeError` or `ValueError` for other data.
     """
     cls = SECTIONS[section]
     known = {field.name for field in attrs.fields(cls)}
+    records = jsonvalues.decode(data)
+    if not all(isinstance(record, dict) for record in records):
+        raise TypeError("a record is no object")
     return [
         cls(
             **{
@@ -164,5 +169,5 @@
                 if key in known
             }
         )
-        for record in json.loads(data)
+        for record in records
     ]
--- a/src/sesamefold/keyvalue.py
+++ b/src/sesamefold/keyvalue.py
@@ -1,7 +1,6 @@
 """Client of the key-value service of the platform."""
 
 import base64
-import json
 import typing as t
 import urllib.parse
 
@@ -10,6 +9,7 @@
 
 from sesamefold import deadline as deadlines
 from sesamefold import exceptions
+from sesamefold import jsonvalues
 from sesamefold import transport
 
 # The service ends a watch at its deadline; the response may arrive this much
@@ -233,7 +233,9 @@
                 if response.status in (204, 404):
                     return None
                 response.raise_for_status()
-                return decode(json.loads(await transport.read_body(response)))
+                return decode(
+                    jsonvalues.decode(await transport.read_body(response))
+                )
         except transport.CALL_ERRORS as error:
             raise exceptions.PlatformUnavailable(
                 f"key-value service: {transport.describe_error(error)}"
@@ -265,7 +267,7 @@
                 timeout=transport.make_timeout(deadline),
             ) as response:
                 status = response.status
-                reply = json.loads(await transport.read_body(response))
+                reply = jsonvalues.decode(await transport.read_body(response))
                 if status in (200, 409):
                     return status, decode(reply)
         except transport.CALL_ERRORS as error:
--- a/src/sesamefold/revisions.py
+++ b/src/sesamefold/revisions.py
@@ -19,11 +19,14 @@
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import exceptions
+from sesamefold import jsonvalues
 from sesamefold import keyvalue
 
 HEAD_KEY = "config/head"
 CHUNK_PREFIX = "config/chunk/"
 
+# Largest revision, which messages between hosts can hold.
+MAX_REVISION = 2**63 - 1
 # Values read or written concurrently. The key-value service handles several
 # hundred writes a second for all its users.
 MAX_PARALLEL_CALLS = 4
@@ -66,19 +69,19 @@
         Unknown fields are ignored. Raises KeyError, TypeError or ValueError
         when the data is not a head.
         """
-        raw = json.loads(data)
-        raw["sections"] = {
+        raw = jsonvalues.decode(data)
+        _check_head(raw)
+        known = {field.name for field in attrs.fields(cls)}
+        values = {
+            key: tuple(value) if isinstance(value, list) else value
+            for key, value in raw.items()
+            if key in known
+        }
+        values["sections"] = {
             section: tuple(digests)
             for section, digests in raw["sections"].items()
         }
-        known = {field.name for field in attrs.fields(cls)}
-        return cls(
-            **{
-                key: tuple(value) if isinstance(value, list) else value
-                for key, value in raw.items()
-                if key in known
-            }
-        )
+        return cls(**values)
 
     def list_digests(self, include_customers: bool) -> t.List[str]:
         """Return the digests of all sections, optionally with customers."""
@@ -91,6 +94,31 @@
         )
 
 
+def _check_head(raw: t.Any) -> None:
+    """Check the types of the fields that lead to the configuration.
+
+    Raises `KeyError`, `TypeError` or `ValueError`.
+    """
+    fields = {"policy": {}, **raw}
+    for name, expected_type in (
+        ("revision", int),
+        ("edit_id", str),
+        ("author", str),
+        ("sections", dict),
+        ("policy", dict),
+    ):
+        value = fields[name]
+        if not isinstance(value, expected_type) or isinstance(value, bool):
+            raise TypeError(f"{name} has the wrong type")
+    if not 0 < raw["revision"] <= MAX_REVISION:
+        raise ValueError("the revision is out of range")
+    if not all(
+        isinstance(digests, list) and all(isinstance(d, str) for d in digests)
+        for digests in raw["sections"].values()
+    ):
+        raise TypeError("a section holds no list of digests")
+
+
 def build_configuration(
     head: Head,
     chunks: t.Mapping[str, bytes],
@@ -148,7 +176,7 @@
     @classmethod
     def decode(cls, data: bytes) -> "Manifest":
         """Return the manifest from the result of `encode`."""
-        raw = json.loads(data)
+        raw = jsonvalues.decode(data)
         return cls(
             raw["revision"], *map(tuple, (raw["text"], raw["replaced"]))
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,7 +1,9 @@
 """Tests of the configuration relay with several controls in one process."""
 
 import hashlib
+import json
 import unittest
+import zlib
 
 import attrs
 import logbook
@@ -147,19 +149,50 @@
         (daemon,) = await self.start("h1")
         control_fakes.store_revision(self.key_value, 1)
         await self.wait_for_revision([daemon], 1)
-        data = b"not compressed"
-        digest = hashlib.sha256(data).hexdigest()
         head, _ = control_fakes.make_revision(2)
-        self.key_value.set(revisions.CHUNK_PREFIX + digest, data)
+        digests = []
+        for data in (
+            b"not compressed",
+            zlib.compress(b"[" * 5000),
+            zlib.compress(b"[7]"),
+            zlib.compress(b"7"),
+        ):
+            digests.append(hashlib.sha256(data).hexdigest())
+            self.key_value.set(revisions.CHUNK_PREFIX + digests[-1], data)
+        fields = json.loads(head.encode())
         for value in (
             b"not JSON",
             b"{}",
-            attrs.evolve(head, sections={"models": (digest,)}).encode(),
+            b"[]",
+            b"7",
+            b"\xff",
+            b"[" * 5000,
+            *(
+                json.dumps({**fields, name: "@"}).replace('"@"', odd).encode()
+                for name, odd in (
+                    ("revision", '"2"'),
+                    ("revision", "1e400"),
+                    ("revision", "9" * 400),
+                    ("revision", "true"),
+                    ("edit_id", "[]"),
+                    ("sections", "[]"),
+                    ("sections", '{"models": 7}'),
+                    ("sections", '{"models": [7]}'),
+                    ("sections", '{"models": [[]]}'),
+                    ("policy", "[]"),
+                    ("author", "{}"),
+                )
+            ),
+            *(
+                attrs.evolve(head, sections={"models": (digest,)}).encode()
+                for digest in digests
+            ),
         ):
-            self.key_value.set(revisions.HEAD_KEY, value)
-            entry = self.key_value.entries[revisions.HEAD_KEY]
-            await daemon.relay._apply_entry(entry)
-            self.assertEqual(1, daemon.relay.revision)
+            with self.subTest(value=value[:80]):
+                self.key_value.set(revisions.HEAD_KEY, value)
+                entry = self.key_value.entries[revisions.HEAD_KEY]
+                await daemon.relay._apply_entry(entry)
+                self.assertEqual(1, daemon.relay.revision)
         control_fakes.store_revision(self.key_value, 3)
         await self.wait_for_revision([daemon], 3)
 
