Let only a stream of events continue a stream that broke off

When a resumable stream had broken off and the next server replied with status 200 and its seal, but with something else than events, callers got that body in the middle of their stream as far as it held blank lines; an empty body, and status 204, ended the stream as complete after its first events. An answer of another kind on such a route was continued with the events of the next server within its own length.

Cause: the delivery of a reply looked at the status class only and split any body at blank lines. A reply to a continued request must now have the status of the first and be a stream of events, which may be empty, since a stream may break off behind its last event; otherwise the attempt counts as broken. An answer that is no stream of events is not continued. The check of the content type no longer depends on its case.

--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -65,11 +65,21 @@
 class CallerResponse:
     """The response to a caller, over all attempts of its request.
 
-    A stream that continues at another server keeps the head of the first.
+    A stream that continues at another server keeps the head of the first,
+    which is None until the response has started.
     """
 
     writer: ResponseWriter
-    started: bool = False
+    head: t.Optional[requests.ReplyHead] = None
+
+    @property
+    def started(self) -> bool:
+        """Return whether the caller got the head of the response."""
+        return self.head is not None
+
+    def may_continue(self) -> bool:
+        """Return whether the reply of another server may follow."""
+        return self.head is None or self.head.is_event_stream()
 
     async def forward_reply(
         self, call: requests.Call, reply: upstream.Reply, attempt: Attempt
@@ -81,11 +91,25 @@
         """
         if not 200 <= reply.head.status < 300:
             raise RunFailed(reply.head, await reply.read_body())
+        self._check_continuation(reply.head)
         if call.route.streamed:
             await self._forward_stream(call, reply, attempt)
             return
         await self._send_complete(reply.head, await reply.read_body())
 
+    def _check_continuation(self, head: requests.ReplyHead) -> None:
+        """Check that a reply continues a response that has started.
+
+        Any body could hold bytes that look like events, and an empty one
+        would end the stream as complete. Raises `exceptions.ReplyBroken`.
+        """
+        if self.head is not None and (
+            head.status != self.head.status or not head.is_event_stream()
+        ):
+            raise exceptions.ReplyBroken(
+                "the reply does not continue a stream"
+            )
+
     async def forward_failure(self, failure: RunFailed) -> None:
         """Forward a server's own failure to the caller.
 
@@ -103,9 +127,9 @@
         await self.writer.finish()
 
     async def _ensure_started(self, head: requests.ReplyHead) -> None:
-        if not self.started:
+        if self.head is None:
             await self.writer.start(head)
-            self.started = True
+            self.head = head
 
     async def _forward_stream(
         self, call: requests.Call, reply: upstream.Reply, attempt: Attempt
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -165,7 +165,9 @@
 
         A retry is charged to the retry budget.
         """
-        if response.started and not call.route.resumable:
+        if response.started and not (
+            call.route.resumable and response.may_continue()
+        ):
             return False
         return (
             call.route.may_repeat()
--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -43,7 +43,7 @@
         response = web.StreamResponse(
             status=head.status, headers=head.forwarded
         )
-        if head.content_length is None or self._is_stream(head):
+        if head.content_length is None or head.is_event_stream():
             if self.request.version >= (1, 1):
                 response.enable_chunked_encoding()
         else:
@@ -53,10 +53,6 @@
         self.response = response
         await response.prepare(self.request)
 
-    def _is_stream(self, head: requests.ReplyHead) -> bool:
-        content_type = head.forwarded.get("Content-Type", "")
-        return content_type.startswith("text/event-stream")
-
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
         if data and self.response is not None:
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -206,6 +206,11 @@
     load: t.Optional[ReportedLoad] = None
     mismatched: bool = False
 
+    def is_event_stream(self) -> bool:
+        """Return whether the body is a series of events."""
+        media_type = self.forwarded.get("Content-Type", "").partition(";")[0]
+        return media_type.strip().lower() == "text/event-stream"
+
 
 class Codec(t.Protocol):
     """Conversion of HTTP headers from and to the types of this module."""
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -13,6 +13,7 @@
 from sesamefold.entry import topology
 from sesamefold import exceptions
 from standins import platform_fixtures
+from standins import scripted_server
 from tests import entry_fakes
 
 PROMPT = {
@@ -145,6 +146,187 @@
         self.assertEqual(503, status)
 
 
+def make_reply(
+    status: str, body: str, *lines: str, request_id: str = "{id}"
+) -> str:
+    """Return a reply of a server, which names the request."""
+    size = len(body.replace("{id}", "r-1"))
+    head = (
+        f"HTTP/1.1 {status}",
+        f"Sesamefold-Request-Id: {request_id}",
+        f"Content-Length: {size}",
+        *lines,
+    )
+    return "\r\n".join((*head, "", body))
+
+
+SEAL = "Sesamefold-Response-Seal: seal"
+EVENT_STREAM = "Content-Type: text/event-stream"
+FIRST_EVENT = "id: 1\ndata: x\n\n"
+LATER_EVENTS = "id: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+STREAM_HEAD = (
+    f"HTTP/1.1 200 OK\r\nSesamefold-Request-Id: {{id}}\r\n{SEAL}\r\n"
+    f"{EVENT_STREAM}\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+def make_chunk(text: str) -> str:
+    """Return a text as one chunk of a body."""
+    return f"{len(text):x}\r\n{text}\r\n"
+
+
+class ScriptedServersTest(entry_fakes.EntryHostCase):
+    """Bytes that callers get from servers that play the same scripts."""
+
+    async def asyncSetUp(self) -> None:
+        """Replace the servers by two that take their scripts from one list."""
+        await super().asyncSetUp()
+        self.scripts: list[scripted_server.Script] = []
+        for number in range(2):
+            server = await self.stack.enter_async_context(
+                scripted_server.ScriptedServer("Sesamefold-Request-Id")
+            )
+            server.scripts = self.scripts
+            self.put_server_entry(f"i-{number}", server.address, seq=2)
+        await self.wait_until(
+            lambda: all(
+                server.sequence == 2
+                for server in self.host.catalog.servers.values()
+            )
+        )
+
+    async def exchange(
+        self, path: str, number: int, *replies: str
+    ) -> tuple[bytes, bytes]:
+        """Return the head and the body that a caller gets, as sent.
+
+        Each server closes its connection after its reply.
+        """
+        self.host.placement.states.clear()
+        self.scripts[:] = [
+            scripted_server.Script((scripted_server.Step(reply),), closes=True)
+            for reply in replies
+        ]
+        reader, writer = await asyncio.open_connection(
+            *self.settings.listen_address
+        )
+        request_id = f"r-{number}"
+        headers = {
+            "Host": platform_fixtures.ROUTE_HOST,
+            "Sesamefold-Request-Id": request_id,
+            "Sesamefold-Deadline-Ms": "2000",
+            "Api-Key": platform_fixtures.API_KEY,
+            "Connection": "close",
+            "Content-Length": "0",
+            **PROMPT,
+        }
+        lines = [f"POST {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        writer.write("\r\n".join((*lines, "", "")).encode())
+        async with asyncio.timeout(5.0):
+            received = await reader.read()
+        writer.close()
+        head, _, body = received.partition(b"\r\n\r\n")
+        return head, body
+
+    async def test_reply_of_the_next_server_does_not_enter_a_broken_stream(
+        self,
+    ) -> None:
+        """Guards against an error of the next server within a stream.
+
+        A stream breaks off after an event, and the next server replies with
+        something that does not continue it. The caller gets the event, and
+        its stream does not end as a complete one.
+        """
+        error = '{"error": "id: 7"}\n\nid: 8\ndata: error\n\n'
+        broken = STREAM_HEAD + make_chunk(FIRST_EVENT) + "5\r\nid: 2"
+        not_executed = "Sesamefold-Not-Executed: 1"
+        number = 0
+        for name, reply in (
+            ("failed", make_reply("500 Failed", error, SEAL)),
+            ("failed stream", make_reply("500 No", error, SEAL, EVENT_STREAM)),
+            ("refused", make_reply("503 Refused", error, not_executed)),
+            ("busy", make_reply("503 Busy", error)),
+            ("misdirected", make_reply("421 Not here", error)),
+            ("not found", make_reply("404 Not Found", error, SEAL)),
+            ("bad request", make_reply("400 Bad", error, SEAL, EVENT_STREAM)),
+            ("moved", make_reply("302 Found", error, "Location: /stream/")),
+            ("no content", make_reply("204 No Content", "", SEAL)),
+            ("no body", make_reply("200 OK", "", SEAL)),
+            ("text", make_reply("200 OK", error, SEAL)),
+            (
+                "JSON",
+                make_reply(
+                    "200 OK", error, SEAL, "Content-Type: application/json"
+                ),
+            ),
+            ("accepted", make_reply("202 OK", error, SEAL, EVENT_STREAM)),
+            ("no seal", make_reply("200 OK", error, EVENT_STREAM)),
+            (
+                "foreign",
+                make_reply(
+                    "200 OK", error, SEAL, EVENT_STREAM, request_id="other"
+                ),
+            ),
+            ("no HTTP", error),
+            ("nothing", ""),
+            ("event cut", STREAM_HEAD + make_chunk("id: 2\ndata: x")),
+        ):
+            for path in ("/resumable/", "/stream/"):
+                number += 1
+                with self.subTest(name, path=path):
+                    head, body = await self.exchange(
+                        path, number, broken, reply, ""
+                    )
+                    self.assertIn(b"HTTP/1.1 200 OK", head)
+                    self.assertIn(b"Transfer-Encoding: chunked", head)
+                    self.assertEqual(make_chunk(FIRST_EVENT).encode(), body)
+
+    async def test_stream_of_the_next_server_continues_a_broken_one(
+        self,
+    ) -> None:
+        """Guards against a check that ends streams which can continue.
+
+        A stream may also break off after its last event, so that the next
+        server has none left.
+        """
+        broken = STREAM_HEAD + make_chunk(FIRST_EVENT) + "5\r\nid: 2"
+        for number, (reply, events) in enumerate(
+            (
+                (make_reply("200 OK", LATER_EVENTS, SEAL, EVENT_STREAM), 3),
+                (make_reply("200 OK", "", SEAL, EVENT_STREAM), 1),
+                (
+                    make_reply(
+                        "200 OK",
+                        LATER_EVENTS,
+                        SEAL,
+                        "content-type: Text/Event-Stream; charset=utf-8",
+                    ),
+                    3,
+                ),
+            )
+        ):
+            with self.subTest(reply=reply):
+                _, body = await self.exchange(
+                    "/resumable/", number, broken, reply
+                )
+                self.assertEqual(events, body.count(b"data: x"))
+                self.assertTrue(body.endswith(b"0\r\n\r\n"))
+
+    async def test_answer_that_is_no_stream_is_not_continued(self) -> None:
+        """Guards against events behind the head of another kind of answer."""
+        reply = make_reply(
+            "200 OK", FIRST_EVENT + LATER_EVENTS, SEAL, "Content-Type: a/b"
+        )
+        broken = reply.removesuffix(LATER_EVENTS)
+        head, body = await self.exchange(
+            "/resumable/", 1, broken, STREAM_HEAD + make_chunk(LATER_EVENTS)
+        )
+        self.assertIn(b"Content-Length: 45", head)
+        self.assertEqual(FIRST_EVENT.encode(), body)
+        self.assertEqual(1, len(self.scripts))
+
+
 class StreamTest(entry_fakes.EntryHostCase):
     """Streams and the context of their prompts."""
 
