Test that answers cut at any byte never count as whole

Report of operators of similar systems: an engine stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. It could not happen here, as the HTTP client drops a head without its blank line and knows the body's end by its framing.

test_answer_cut_at_any_byte_is_broken cuts answers with a length (last or first in the head), in chunks, without a body or a length, and a refusal, at each byte, on new and kept connections; test_cut_head_is_no_answer_to_a_caller does so behind an entry host, for calls and streams, and looks at the bytes of the caller. A body without a length is not cut: its end is the close.

--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -154,8 +154,8 @@
     head = (
         f"HTTP/1.1 {status}",
         f"Sesamefold-Request-Id: {request_id}",
-        f"Content-Length: {size}",
         *lines,
+        f"Content-Length: {size}",
     )
     return "\r\n".join((*head, "", body))
 
@@ -313,6 +313,20 @@
                 self.assertEqual(events, body.count(b"data: x"))
                 self.assertTrue(body.endswith(b"0\r\n\r\n"))
 
+    async def test_cut_head_is_no_answer_to_a_caller(self) -> None:
+        """Guards against a short body that is framed as a whole one.
+
+        The head of a reply is cut at each of its bytes, on the connections
+        of calls and of streams. No caller gets a success.
+        """
+        reply = make_reply("200 OK", FIRST_EVENT, SEAL, EVENT_STREAM)
+        for size in range(reply.index("id: 1")):
+            for path in ("/unsafe/", "/stream/"):
+                head, body = await self.exchange(path, size, reply[:size])
+                with self.subTest(path=path, size=size):
+                    self.assertIn(b"HTTP/1.1 502 ", head)
+                    self.assertNotIn(b"data", body)
+
     async def test_answer_that_is_no_stream_is_not_continued(self) -> None:
         """Guards against events behind the head of another kind of answer."""
         reply = make_reply(
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -53,10 +53,27 @@
 )
 
 
-def script(*texts: str, executes: bool = True, **step: t.Any) -> t.Any:
+NO_CONTENT = (
+    "HTTP/1.1 204 No Content\r\nSesamefold-Response-Seal: seal\r\n"
+    f"{ID_HEADER}: {{id}}\r\n"
+)
+
+
+def make_length_first() -> str:
+    """Return an answer whose head begins with its length."""
+    return ANSWER.replace("Content-Length: 13\r\n", "").replace(
+        "\r\n", "\r\nContent-Length: 13\r\n", 1
+    )
+
+
+def script(
+    *texts: str, executes: bool = True, closes: bool = False, **step: t.Any
+) -> t.Any:
     """Return a script with a step for each text."""
     return scripted_server.Script(
-        tuple(scripted_server.Step(text, **step) for text in texts), executes
+        tuple(scripted_server.Step(text, **step) for text in texts),
+        executes,
+        closes,
     )
 
 
@@ -359,6 +376,39 @@
                 await asyncio.sleep(0.01)
 
 
+class CutAnswerTest(UpstreamCase):
+    """Servers that stop within an answer and close the connection."""
+
+    async def test_answer_cut_at_any_byte_is_broken(self) -> None:
+        """Guards against an empty or short answer that counts as whole.
+
+        Each answer is cut at each of its bytes, as the first one of its
+        connection and as a later one. Of an answer whose end is the close of
+        its connection, only the head is cut.
+        """
+        unframed = ANSWER.replace("Content-Length: 13\r\n", "")
+        chunked = f"{STREAM_HEAD}\r\n5\r\nabcde\r\n0\r\n\r\n"
+        for name, answer, end in (
+            ("length", ANSWER, ""),
+            ("length first", make_length_first(), ""),
+            ("chunks", chunked, "\r\n\r\n"),
+            ("close", unframed, "answer to {id}"),
+            ("no body", f"{NO_CONTENT}\r\n", ""),
+            ("refusal", OWN_REFUSAL, ""),
+        ):
+            stop = len(answer.removesuffix(end).replace("{id}", "r-1"))
+            for size in range(stop):
+                cut = script(answer, stop=size, closes=True)
+                with self.subTest(name, size=size):
+                    for scripts in ([cut], [script(ANSWER), cut]):
+                        outcome = (await self.play(*scripts, pause=0.0))[-1]
+                        self.assertTrue(
+                            isinstance(outcome, type)
+                            and issubclass(outcome, exceptions.ReplyBroken),
+                            outcome,
+                        )
+
+
 class OwnEnginesTest(unittest.IsolatedAsyncioTestCase):
     """The same reports before engines of the product's own interface."""
 
