Fail bodies whose connection was reset in both interfaces

Cause: the HTTP client takes any loss of the connection as the regular end of such a body. The client of the users' engines checked for a reset, that of services did not. The check moves to the exchange of a connection, which sees how it was lost, so that all clients get an error; the former check is gone.

test_answer_cut_at_any_byte_is_no_success cuts four kinds of answers at each byte, which was never a success, and resets two, which was 200 before. A close without a reset still ends a body without a length, as HTTP has it.

--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -38,13 +38,6 @@
     ) -> None:
         self.head = head
         self._response = response
-        self._protocol = (
-            response.connection.protocol if response.connection else None
-        )
-        self._ends_at_close = (
-            "Content-Length" not in response.headers
-            and "Transfer-Encoding" not in response.headers
-        )
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, b"" at its end.
@@ -53,14 +46,11 @@
         `exceptions.ReplyBroken`.
         """
         try:
-            chunk = await self._response.content.readany()
+            return await self._response.content.readany()
         except transport.CALL_ERRORS as error:
             raise exceptions.ReplyBroken(
                 transport.describe_error(error)
             ) from error
-        if not chunk and self._ends_at_close and self._was_reset():
-            raise exceptions.ReplyBroken("the connection was reset")
-        return chunk
 
     async def read_body(self) -> bytes:
         """Return the whole body.
@@ -76,19 +66,6 @@
             chunks.append(chunk)
         return b"".join(chunks)
 
-    def _was_reset(self) -> bool:
-        """Return whether a connection reset ended the body.
-
-        aiohttp reports any loss of the connection as the regular end of a
-        body without a length.
-        """
-        if self._protocol is None:
-            return False
-        error = self._protocol.exception()
-        return error is not None and not isinstance(
-            error, aiohttp.ServerDisconnectedError
-        )
-
 
 class UpstreamClient:
     """Sends requests to backend servers over persistent connections."""
--- a/src/sesamefold/exchanges.py
+++ b/src/sesamefold/exchanges.py
@@ -76,7 +76,8 @@
     No caller of the client gets an answer that is not shown to be that of its
     request. Without an identity, all answers that arrive while the request
     waits are accepted. `is_first` says whether the connection has carried no
-    other request.
+    other request, and `was_reset` whether it was lost with an error before
+    the answer was complete.
     """
 
     connector: "ExchangeConnector"
@@ -84,6 +85,7 @@
     response: t.Optional[aiohttp.ClientResponse] = None
     carrier: t.Optional["_Carrier"] = None
     is_first: bool = False
+    was_reset: bool = False
 
     async def __call__(
         self, request: aiohttp.ClientRequest, handler: t.Any
@@ -100,8 +102,30 @@
             response.close()
             raise
         self.response = response
+        if self.was_reset:
+            self._break_body(response)
         return response
 
+    def record_reset(self) -> None:
+        """Record that the connection was lost with an error."""
+        self.was_reset = True
+        if self.response is not None:
+            self._break_body(self.response)
+
+    def _break_body(self, response: aiohttp.ClientResponse) -> None:
+        """Let reads of a body that its connection ends fail.
+
+        The HTTP client takes any loss of the connection as the regular end
+        of a body without a length.
+        """
+        if not any(
+            name in response.headers
+            for name in ("Content-Length", "Transfer-Encoding")
+        ):
+            response.content.set_exception(
+                aiohttp.ClientPayloadError("the connection was reset")
+            )
+
     def _check_answer(self, response: aiohttp.ClientResponse) -> None:
         assert self.carrier is not None
         if response.status < 200:
@@ -261,6 +285,8 @@
 
     def connection_lost(self, exc: t.Optional[Exception]) -> None:
         """Tell the HTTP client that the connection is closed."""
+        if exc is not None and self._exchange is not None:
+            self._exchange.record_reset()
         self._handler.connection_lost(exc)
 
     def pause_writing(self) -> None:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 import time
 import unittest
 import uuid
@@ -23,11 +25,20 @@
     return str(uuid.UUID(int=value))
 
 
+def reset_connection(writer):
+    """Reset a connection; a linger time of 0 makes its close a reset."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
 class FakeService:
     """A server that sends raw responses and may close the connection.
 
     A reply of None is sent as a complete response once `released` is set. The
-    connection is closed after each reply that does not end in "done".
+    connection is closed, or reset with `resets`, after each reply that does
+    not end in "done".
     """
 
     def __init__(self) -> None:
@@ -35,6 +46,7 @@
         self.received = []
         self.used_connections = set()
         self.close_before_read = False
+        self.resets = False
         self.released = asyncio.Event()
 
     async def start(self) -> None:
@@ -54,6 +66,9 @@
                 writer.write(reply)
                 await writer.drain()
                 if not reply.endswith(b"done"):
+                    if self.resets:
+                        await asyncio.sleep(0.05)
+                        reset_connection(writer)
                     break
         except (OSError, asyncio.IncompleteReadError):
             pass
@@ -151,6 +166,36 @@
                         ],
                     )
 
+    async def test_answer_cut_at_any_byte_is_no_success(self):
+        """Guards against an empty or short body that is framed as whole.
+
+        Without a length, a body ends with its connection, so that only the
+        head is cut; a reset is no end of it.
+        """
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"
+        ok = b"HTTP/1.1 200 OK\r\n"
+        answers = (
+            _OK_HEAD + b"\r\ndone",
+            ok + chunked.removesuffix(b"\r\n\r\n"),
+            ok + b"Content-Type: text/plain\r\n\r\n",
+            b"HTTP/1.1 204 No Content\r\nX: y\r\n\r\n",
+        )
+        cuts = [
+            (answer[:size], False)
+            for answer in answers
+            for size in range(len(answer))
+            if not answer[:size].endswith(b"done")
+        ]
+        resets = [(ok + b"X: y\r\n\r\n" + body, True) for body in (b"", b"d")]
+        for reply, self.service.resets in cuts + resets:
+            with self.subTest(reply=reply, resets=self.service.resets):
+                self.bench.state.failures.clear()
+                self.service.replies = [reply]
+                status, body, executed = await self.call("GET", "/list")
+                self.assertEqual(502, status)
+                self.assertEqual(1212, body["code"])
+                self.assertNotEqual("no", executed)
+
     async def test_refused_connection_is_recorded_as_not_run(self):
         """Guards against an unknown outcome of a call that was not sent."""
         self.service.server.close()
