--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -1,6 +1,7 @@
 """Tests of answers that belong to no request, at both interfaces."""
 
 import asyncio
+import json
 import time
 import typing as t
 import unittest
@@ -467,6 +468,37 @@
                 ),
             )
 
+    async def test_stream_cut_at_any_byte_is_broken(self) -> None:
+        """Guards against a short answer that counts as whole."""
+        event = {"request_id": "r-1", "weight_version": "v1"}
+        chunks = [
+            f"{len(line):x}\r\n{line}\r\n"
+            for line in (
+                f"data: {json.dumps({**event, **fields})}\n\n"
+                for fields in (
+                    {"kind": "started", "offset": 0},
+                    {"kind": "token", "offset": 1, "text": "a"},
+                    {"kind": "finished", "offset": 1},
+                )
+            )
+        ]
+        head = (
+            f"HTTP/1.1 200 OK\r\n{transport.EXCHANGE_HEADER}: {{id}}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        answer = head + "".join(chunks)
+        outcome = await self.run_prompt(script(f"{answer}0\r\n\r\n"))
+        self.assertEqual(3, len(outcome))
+        # The id is longer than its place, and the last line of the stream is
+        # blank.
+        size = len(answer.replace("{id}", "0" * 32)) - len("}\n\n\r\n")
+        for stop in range(size):
+            with self.subTest(stop=stop):
+                outcome = await self.run_prompt(
+                    script(answer, stop=stop, closes=True)
+                )
+                self.assertEqual(exceptions.BackendFailed, outcome)
+
     async def test_trickled_bytes_are_no_line(self) -> None:
         """Guards against a stalled stream that single bytes keep open."""
         head = (
