--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -218,6 +218,11 @@
         """Return whether the head is not a success without the seal."""
         return self.sealed or not 200 <= self.status < 300
 
+    def is_event_stream(self) -> bool:
+        """Return whether the body is a series of events."""
+        media_type = self.forwarded.get("Content-Type", "").partition(";")[0]
+        return media_type.strip().lower() == "text/event-stream"
+
 
 class Codec(t.Protocol):
     """Conversion of HTTP headers from and to the types of this module."""
--- a/src/sesamefold/platform/records.py
+++ b/src/sesamefold/platform/records.py
@@ -1,14 +1,15 @@
 """Decoders of the records that the operator and the servers write."""
 
+import re
 import typing as t
 
+from sesamefold import addresses
 from sesamefold.entry import changes
 from sesamefold.entry import clock
 from sesamefold.entry import topology
 from sesamefold.platform import wire
 
 _MS_PER_SECOND = 1000.0
-_MAX_PORT = 65535
 # `kind` of routes whose replies are streams of events.
 _STREAMING_KIND = "streaming"
 # `kind` of routes whose requests may run more than once.
@@ -16,6 +17,18 @@
 # Whether a server with this `state` is draining.
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
+# Errors of decoding a record of another form. A number that is too large to
+# convert raises OverflowError.
+_DECODING_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
+# Records have up to a megabyte, which an error may quote.
+_MAX_REASON_LENGTH = 200
+
 JsonObject = t.Mapping[str, t.Any]
 
 
@@ -39,10 +52,11 @@
         if key.startswith(wire.WEIGHTS_PREFIX):
             return changes.TargetWeightsChanged(
                 wire.get_field(body, "model", str),
-                wire.get_field(body, "version", int),
+                wire.get_count(body, "version"),
             )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return changes.RecordRejected(key, f"{type(error).__name__}: {error}")
+    except _DECODING_ERRORS as error:
+        reason = f"{type(error).__name__}: {error}"
+        return changes.RecordRejected(key, reason[:_MAX_REASON_LENGTH])
     return changes.RecordRejected(key, "unknown key")
 
 
@@ -58,35 +72,36 @@
 
 
 def _decode_server(server_id: str, body: JsonObject) -> topology.Server:
+    # Requests name the server in a header.
+    if not re.fullmatch(r"[!-~]+", server_id):
+        raise ValueError("the id is not printable ASCII")
     state = wire.get_field(body, "state", str)
     if state not in _DRAINING_BY_STATE:
         raise ValueError(f"unknown state {state}")
-    host, _, port = wire.get_field(body, "address", str).rpartition(":")
-    if not host or not port.isascii() or not port.isdigit():
-        raise ValueError("the address has no port")
-    if not 0 < int(port) <= _MAX_PORT:
-        raise ValueError("the port of the address is out of range")
+    address = wire.get_field(body, "address", str)
+    if not addresses.is_address(address):
+        raise ValueError("the address is not ip:port")
     # How long the server stays cold from now on.
-    cold_ms = wire.get_field(body, "cold_left_ms", (int, float))
+    cold_ms = wire.get_number(body, "cold_left_ms")
     return topology.Server(
         id=server_id,
         service=wire.get_field(body, "service", str),
-        address=f"{host}:{port}",
+        address=address,
         data_centre=wire.get_field(body, "zone", str),
-        slots=wire.get_field(body, "slots", int),
+        slots=wire.get_count(body, "slots"),
         draining=_DRAINING_BY_STATE[state],
         # Unix time of the start, milliseconds. A server may restart under the
         # same id.
-        started_at=wire.get_field(body, "born", int) if "born" in body else 0,
-        sequence=wire.get_field(body, "seq", int),
+        started_at=wire.get_count(body, "born") if "born" in body else 0,
+        sequence=wire.get_count(body, "seq"),
         cold_until=(
             clock.read_time() + cold_ms / _MS_PER_SECOND
             if cold_ms > 0
             else 0.0
         ),
         weights={
-            wire.get_field(model, "name", str): wire.get_field(
-                model, "version", int
+            wire.get_field(model, "name", str): wire.get_count(
+                model, "version"
             )
             for model in body.get("models", ())
         },
--- a/src/sesamefold/platform/wire.py
+++ b/src/sesamefold/platform/wire.py
@@ -1,8 +1,11 @@
 """Header names, record keys and body encoding of the platform's protocols."""
 
 import json
+import math
 import typing as t
 
+from sesamefold import jsonvalues
+
 # Headers of callers' requests.
 
 REQUEST_ID = "Sesamefold-Request-Id"
@@ -58,6 +61,10 @@
 
 JSON_CONTENT_TYPE = "application/json"
 
+# Largest number of a record. Larger ones overflow when they are converted or
+# multiplied.
+MAX_NUMBER = 2**63 - 1
+
 
 def encode(body: t.Any) -> bytes:
     """Return a body as compact JSON, the platform's encoding."""
@@ -66,10 +73,7 @@
 
 def decode(data: bytes) -> t.Any:
     """Return the decoded JSON body; raises `ValueError`."""
-    try:
-        return json.loads(data)
-    except RecursionError as error:
-        raise ValueError("the JSON body is nested too deeply") from error
+    return jsonvalues.decode(data)
 
 
 def get_field(
@@ -92,7 +96,7 @@
 
 
 def get_count(body: t.Mapping[str, t.Any], name: str) -> int:
-    """Return a field that is a whole number of 0 or more.
+    """Return a field that is a whole number from 0 to `MAX_NUMBER`.
 
     Raises `KeyError`, `TypeError` or `ValueError`.
     """
@@ -100,11 +104,22 @@
 
 
 def check_count(value: t.Any, name: str) -> int:
-    """Return a value that is a whole number of 0 or more.
+    """Return a value that is a whole number from 0 to `MAX_NUMBER`.
 
     Raises `TypeError` or `ValueError`.
     """
     count: int = check_type(value, name, int)
-    if count < 0:
-        raise ValueError(f"{name} is negative")
+    if not 0 <= count <= MAX_NUMBER:
+        raise ValueError(f"{name} is out of range")
     return count
+
+
+def get_number(body: t.Mapping[str, t.Any], name: str) -> float:
+    """Return a field that is a finite number, at most `MAX_NUMBER` in size.
+
+    Raises `KeyError`, `TypeError` or `ValueError`.
+    """
+    number = get_field(body, name, (int, float))
+    if not -MAX_NUMBER <= number <= MAX_NUMBER or not math.isfinite(number):
+        raise ValueError(f"{name} is out of range")
+    return float(number)
