Refresh states only for the incarnation that sent them

Cause: a state was refreshed by each heartbeat of a control with its owner's name. After a restart of the owner that includes heartbeats of a process that has never polled the server, and that has no state to send as long as the server does not answer. A delayed heartbeat of the earlier incarnation was not recorded by the membership, but its states were applied.

Callers could see requests go to a server as warm, without permits and without an end, although nobody knew its state. Found by reading, while looking for what orders the states of one control; not seen in a run.

States of an earlier incarnation are ignored. The reply to such a heartbeat is empty: the membership judges by send times, and a sender that was misjudged because of clock skew must not take its states as acknowledged. Suspicions are merged as before, since they hold beyond a restart.

test_restarted_owner_does_not_refresh_earlier_states failed before ('unknown' != 'warm'), and so did test_delayed_state_of_an_earlier_incarnation_is_ignored ('down' != 'warm').

--- a/src/sesamefold/backends.py
+++ b/src/sesamefold/backends.py
@@ -118,16 +118,17 @@
     """State of one backend server as known to this control.
 
     `report` is the latest state from the server's owner, `source` the name of
-    the control that sent it, and `refreshed_at` the Unix time at which that
-    control last confirmed it. `failed_at` is the Unix time of the last
-    failure that a gateway reported. `effective_state` is the state that is
-    sent to the gateway. `change_number` is the number of the latest change of
-    `report` that is sent to peers.
+    the control that sent it, `incarnation` that control's incarnation, and
+    `refreshed_at` the Unix time at which that incarnation last confirmed it.
+    `failed_at` is the Unix time of the last failure that a gateway reported.
+    `effective_state` is the state that is sent to the gateway. `change_number`
+    is the number of the latest change of `report` that is sent to peers.
     """
 
     host: hostlist.Host
     report: t.Optional[control_pb2.BackendState] = None
     source: str = ""
+    incarnation: str = ""
     refreshed_at: float = 0.0
     failed_at: float = 0.0
     effective_state: t.Optional[control_pb2.BackendState] = None
@@ -182,7 +183,7 @@
         self._owners: t.Dict[str, t.Optional[str]] = {}
         # State, sender and Unix time of servers that are not listed here yet.
         self._unlisted_states: t.Dict[
-            str, t.Tuple[str, control_pb2.BackendState, float]
+            str, t.Tuple[control_pb2.Member, control_pb2.BackendState, float]
         ] = {}
         # Incarnation of each peer and the last change that it acknowledged.
         self._acknowledged: t.Dict[str, t.Tuple[str, int]] = {}
@@ -377,14 +378,15 @@
     ) -> None:
         """Apply the states that a peer sent with a heartbeat or reply.
 
-        The heartbeat also refreshes the unchanged states that the same owner
-        sent before. `sent_at` is the Unix time of the heartbeat in seconds.
+        The heartbeat also refreshes the unchanged states that the same
+        incarnation of the owner sent before. `sent_at` is the Unix time of
+        the heartbeat in seconds.
         """
         for state in states:
             record = self._records.get(state.name)
             if record is None:
                 self._unlisted_states[state.name] = (
-                    sender.name,
+                    sender,
                     state,
                     sent_at,
                 )
@@ -392,6 +394,7 @@
             if self._supersedes(record, sender.name, sent_at):
                 record.report = state
                 record.source = sender.name
+                record.incarnation = sender.incarnation
                 record.refreshed_at = sent_at
                 self._update_effective_state(record)
         for name, record in self._records.items():
@@ -400,7 +403,11 @@
             if sender.leaving or self.get_owner(name) != sender.name:
                 # A former owner no longer polls the server.
                 record.source = ""
-            elif sent_at > record.refreshed_at:
+            elif (
+                # A control that has restarted may not have polled the server.
+                record.incarnation == sender.incarnation
+                and sent_at > record.refreshed_at
+            ):
                 record.refreshed_at = sent_at
                 self._update_effective_state(record)
 
@@ -500,6 +507,7 @@
         ):
             record.report = state
             record.source = self._membership.name
+            record.incarnation = self._membership.member.incarnation
             self._assign_change_number(record)
         elif state.measured_at > old.measured_at:
             # A small change of the load is not sent to peers.
@@ -557,10 +565,12 @@
         self._update_metrics()
 
     def _make_record(self, host: hostlist.Host) -> BackendRecord:
-        source, state, sent_at = self._unlisted_states.pop(
-            host.name, ("", None, 0.0)
+        if host.name not in self._unlisted_states:
+            return BackendRecord(host)
+        sender, state, sent_at = self._unlisted_states.pop(host.name)
+        return BackendRecord(
+            host, state, sender.name, sender.incarnation, sent_at
         )
-        return BackendRecord(host, state, source, sent_at)
 
     def _publish_service(self, record: BackendRecord) -> None:
         """Publish the state of an owned service, which reports no load."""
--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -386,7 +386,8 @@
 
         Its sender becomes a member until the deadline in the heartbeat. A
         heartbeat from another data centre, or with this host's own name, is
-        answered but not recorded.
+        answered but not recorded. One of an earlier incarnation of the sender
+        gets an empty reply, which acknowledges nothing.
         """
         now = self._clock()
         sender = request.sender
@@ -397,19 +398,23 @@
             max_deadline = (
                 now + defaults.HEARTBEAT_TIMEOUT + defaults.CLOCK_SKEW
             )
-            self._record_heartbeat(
+            is_current = self._record_heartbeat(
                 sender,
                 min(request.deadline, max_deadline),
                 request.revision,
                 request.platform_down,
             )
+            if self.reports is not None:
+                # Suspicions hold beyond the restart of their sender.
+                self.reports.receive_suspicions(request.suspicions)
+            if not is_current:
+                return control_pb2.HeartbeatReply()
             if self.reports is not None:
                 self.reports.receive_states(
                     sender,
                     request.states,
                     min(request.deadline - defaults.HEARTBEAT_TIMEOUT, now),
                 )
-                self.reports.receive_suspicions(request.suspicions)
                 if request.received_from == self.member.incarnation:
                     self.reports.acknowledge(
                         sender.name, sender.incarnation, request.received_mark
@@ -448,18 +453,22 @@
         deadline: float,
         revision: int,
         platform_down: bool,
-    ) -> None:
-        """Update a peer from a heartbeat that it sent or answered."""
+    ) -> bool:
+        """Update a peer from a heartbeat that it sent or answered.
+
+        Returns False for a heartbeat of an earlier incarnation, which changes
+        nothing.
+        """
         peer = self._peers.get(member.name)
         if peer is None:
             if not member.control_address:
-                return
+                return True
             peer = self._peers[member.name] = Peer(member, deadline)
             self._update_heartbeat_tasks()
         elif peer.member.incarnation != member.incarnation:
             if peer.heartbeat_seen and deadline < peer.deadline:
                 # A delayed heartbeat of an earlier incarnation.
-                return
+                return False
             peer.deadline = deadline
         if member.control_address:
             peer.member = member
@@ -474,6 +483,7 @@
         self._notify_member_changes()
         if peer.deadline > self._clock():
             self.on_peer_revision(revision, member.name)
+        return True
 
     def _update_heartbeat_tasks(self) -> None:
         """Start and cancel tasks so that each peer has a heartbeat task."""
@@ -553,7 +563,7 @@
         if receiver.name != name:
             # Another host now has the address.
             return
-        self._record_heartbeat(
+        is_current = self._record_heartbeat(
             receiver,
             # The reply proves that the peer was alive at or after `sent_at`.
             sent_at + defaults.HEARTBEAT_TIMEOUT,
@@ -561,9 +571,10 @@
             reply.platform_down,
         )
         if self.reports is not None:
+            self.reports.receive_suspicions(reply.suspicions)
+        if is_current and self.reports is not None:
             self.reports.acknowledge(name, receiver.incarnation, mark)
             self.reports.receive_states(receiver, reply.states, sent_at)
-            self.reports.receive_suspicions(reply.suspicions)
             peer.last_reply = (receiver.incarnation, reply.mark)
 
     def send_heartbeats_now(self) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -83,7 +83,7 @@
 
     def receive_heartbeat(self, sender, *states, sent_at=None, **kwargs):
         at = self.now if sent_at is None else sent_at
-        self.membership.handle_heartbeat(
+        return self.membership.handle_heartbeat(
             control_pb2.HeartbeatRequest(
                 sender=control_pb2.Member(
                     name=sender,
@@ -324,6 +324,37 @@
                             fixture.reconcile()
                 self.assertEqual(expected, fixture.get_state(name))
 
+    async def test_restarted_owner_does_not_refresh_earlier_states(self):
+        """Guards against a state kept by an owner that does not poll it.
+
+        The new incarnation of the owner gets no answer from the engine, so it
+        has no state of the engine to send.
+        """
+        fixture, name = self.make_fixture("x")
+        state = control_pb2.BackendState(name=name, state=backends.WARM)
+        fixture.receive_heartbeat("x", state, incarnation="i1")
+        for _ in range(10):
+            fixture.now += 0.5
+            fixture.receive_heartbeat("x", incarnation="i2")
+            fixture.reconcile()
+        self.assertEqual(backends.UNKNOWN, fixture.get_state(name))
+
+    async def test_delayed_state_of_an_earlier_incarnation_is_ignored(self):
+        """Guards against a state from before the restart of its owner."""
+        fixture, name = self.make_fixture("x")
+        warm, down = (
+            control_pb2.BackendState(name=name, state=state, epoch="e1")
+            for state in (backends.WARM, backends.DOWN)
+        )
+        sent_at = fixture.now
+        fixture.now += 1.0
+        fixture.receive_heartbeat("x", down, incarnation="i2")
+        reply = fixture.receive_heartbeat(
+            "x", warm, sent_at=sent_at, incarnation="i1"
+        )
+        self.assertEqual(backends.DOWN, fixture.get_state(name))
+        self.assertEqual("", reply.receiver.name, "acknowledged")
+
     async def test_state_received_before_listing_is_applied(self):
         """Guards against a state lost because the host list lags here."""
         fixture, name = self.make_fixture("x")
