Order the states that a control sends by change number

Cause: each state that the owner of a server sent replaced the one before, in the order of arrival. A heartbeat that was overtaken by a newer one, or by the reply to the peer's own call, brought the older state back. The peer had acknowledged the newer one, so it was not sent again, and later heartbeats of the owner refreshed the older one.

Callers could see their requests go to a server that is cold, leaving or down as to a warm one, without permits, until its next change.

The owner numbers its changes already, to know which ones a peer lacks. The number is now sent with the state, in an optional field, and a state with a lower number than the current one of the same incarnation is ignored. Small changes of the load have the number of the change before; the measurement time orders them. Send times cannot order a request and a reply: a reply may have been composed long after the call. They are used only for states without a number, which hosts of earlier builds send, and only beyond the clock skew, so no newer state of such a host is lost. Within it, an older one may still replace a newer one, as before. Earlier builds ignore the field.

States of servers that are not listed yet follow the same rules. An owner that reports a failure before its first poll now sends it to its peers as its own state; before, it kept the state under the name of the earlier owner and sent nothing.

test_delayed_heartbeat_does_not_replace_a_newer_state failed before ('down' != 'warm'). test_change_numbers_order_the_states_of_a_control fails in three ways: with send times alone (late request, late load), without the clock skew (earlier build), and without any order. test_new_owner_sends_a_failure_before_its_first_poll failed before too (['unknown'] != []).

--- a/src/sesamefold/backends.py
+++ b/src/sesamefold/backends.py
@@ -121,8 +121,7 @@
     the control that sent it, `incarnation` that control's incarnation, and
     `refreshed_at` the Unix time at which that incarnation last confirmed it.
     `failed_at` is the Unix time of the last failure that a gateway reported.
-    `effective_state` is the state that is sent to the gateway. `change_number`
-    is the number of the latest change of `report` that is sent to peers.
+    `effective_state` is the state that is sent to the gateway.
     """
 
     host: hostlist.Host
@@ -132,7 +131,6 @@
     refreshed_at: float = 0.0
     failed_at: float = 0.0
     effective_state: t.Optional[control_pb2.BackendState] = None
-    change_number: int = 0
 
 
 class Backends(mode.Service):
@@ -181,10 +179,8 @@
         # Cache of the owner of each server, valid for `_members`.
         self._members: t.Tuple[str, ...] = ()
         self._owners: t.Dict[str, t.Optional[str]] = {}
-        # State, sender and Unix time of servers that are not listed here yet.
-        self._unlisted_states: t.Dict[
-            str, t.Tuple[control_pb2.Member, control_pb2.BackendState, float]
-        ] = {}
+        # Records of servers that are not listed here yet.
+        self._unlisted_records: t.Dict[str, BackendRecord] = {}
         # Incarnation of each peer and the last change that it acknowledged.
         self._acknowledged: t.Dict[str, t.Tuple[str, int]] = {}
 
@@ -333,7 +329,7 @@
             for record in self._records.values()
             if record.source == self._membership.name
             and record.report is not None
-            and record.change_number > after
+            and record.report.change_number > after
         ], self._last_change_number
 
     def collect_suspicions(
@@ -375,27 +371,36 @@
         sender: control_pb2.Member,
         states: t.Iterable[control_pb2.BackendState],
         sent_at: float,
+        sent_until: float,
     ) -> None:
         """Apply the states that a peer sent with a heartbeat or reply.
 
         The heartbeat also refreshes the unchanged states that the same
-        incarnation of the owner sent before. `sent_at` is the Unix time of
-        the heartbeat in seconds.
+        incarnation of the owner sent before. `sent_at` and `sent_until` are
+        the earliest and the latest time at which the peer sent it, in Unix
+        seconds.
         """
         for state in states:
             record = self._records.get(state.name)
             if record is None:
-                self._unlisted_states[state.name] = (
-                    sender,
-                    state,
-                    sent_at,
+                record = self._unlisted_records.setdefault(
+                    state.name,
+                    BackendRecord(
+                        hostlist.Host(
+                            state.name,
+                            "backend",
+                            self._membership.data_centre,
+                            "",
+                        )
+                    ),
                 )
+            if not self._supersedes(record, sender, state, sent_until):
                 continue
-            if self._supersedes(record, sender.name, sent_at):
-                record.report = state
-                record.source = sender.name
-                record.incarnation = sender.incarnation
-                record.refreshed_at = sent_at
+            record.report = state
+            record.source = sender.name
+            record.incarnation = sender.incarnation
+            record.refreshed_at = sent_at
+            if state.name in self._records:
                 self._update_effective_state(record)
         for name, record in self._records.items():
             if record.source != sender.name:
@@ -412,20 +417,26 @@
                 self._update_effective_state(record)
 
     def _supersedes(
-        self, record: BackendRecord, sender: str, sent_at: float
+        self,
+        record: BackendRecord,
+        sender: control_pb2.Member,
+        state: control_pb2.BackendState,
+        sent_until: float,
     ) -> bool:
-        """Return whether a sender's report replaces the current one.
+        """Return whether a sender's state replaces the current report.
 
-        While the owner changes, both controls may report. The report of the
-        owner takes precedence; that of the former owner is kept until the new
-        owner has reported.
+        An older state of the same sender does not. While the owner changes,
+        both controls may report. The report of the owner takes precedence;
+        that of the former owner is kept until the new owner has reported.
         """
-        if record.source in ("", sender):
+        if is_outdated(record, sender.incarnation, state, sent_until):
+            return False
+        if record.source in ("", sender.name):
             return True
         owner = self.get_owner(record.host.name)
-        if sender == owner:
+        if sender.name == owner:
             return True
-        stale = sent_at - record.refreshed_at > defaults.STATE_TIMEOUT
+        stale = sent_until - record.refreshed_at > defaults.STATE_TIMEOUT
         return record.source != owner and stale
 
     # Effective states.
@@ -463,6 +474,7 @@
         state.group = record.host.group
         state.data_centre = record.host.data_centre
         state.state = self.evaluate_state(record, self._clock())
+        state.ClearField("change_number")
         previous_epoch = (
             ""
             if record.effective_state is None
@@ -485,8 +497,14 @@
             record.effective_state = state
             self.changed.notify()
 
-    def _assign_change_number(self, record: BackendRecord) -> None:
-        record.change_number = self._allocate_change_number()
+    def _set_own_report(
+        self, record: BackendRecord, state: control_pb2.BackendState
+    ) -> None:
+        """Store a state under a new change number, to be sent to all peers."""
+        state.change_number = self._allocate_change_number()
+        record.report = state
+        record.source = self._membership.name
+        record.incarnation = self._membership.member.incarnation
 
     def _allocate_change_number(self) -> int:
         self._last_change_number += 1
@@ -505,12 +523,10 @@
             # Peers need a report that is newer than the failure.
             or old.measured_at < record.failed_at
         ):
-            record.report = state
-            record.source = self._membership.name
-            record.incarnation = self._membership.member.incarnation
-            self._assign_change_number(record)
+            self._set_own_report(record, state)
         elif state.measured_at > old.measured_at:
             # A small change of the load is not sent to peers.
+            state.change_number = old.change_number
             record.report = state
         self._update_effective_state(record)
 
@@ -565,12 +581,9 @@
         self._update_metrics()
 
     def _make_record(self, host: hostlist.Host) -> BackendRecord:
-        if host.name not in self._unlisted_states:
-            return BackendRecord(host)
-        sender, state, sent_at = self._unlisted_states.pop(host.name)
-        return BackendRecord(
-            host, state, sender.name, sender.incarnation, sent_at
-        )
+        record = self._unlisted_records.pop(host.name, BackendRecord(host))
+        record.host = host
+        return record
 
     def _publish_service(self, record: BackendRecord) -> None:
         """Publish the state of an owned service, which reports no load."""
@@ -597,8 +610,7 @@
             state = control_pb2.BackendState()
             state.CopyFrom(record.report)
             state.state = UNKNOWN
-            record.report = state
-            self._assign_change_number(record)
+            self._set_own_report(record, state)
         self._membership.send_heartbeats_now()
 
     def _update_metrics(self) -> None:
@@ -752,8 +764,7 @@
             state = control_pb2.BackendState()
             state.CopyFrom(record.report)
             state.state = UNKNOWN
-            record.report = state
-            self._assign_change_number(record)
+            self._set_own_report(record, state)
             self._update_effective_state(record)
 
     async def _poll_events(
@@ -833,6 +844,31 @@
     return stored, freed
 
 
+def is_outdated(
+    record: BackendRecord,
+    incarnation: str,
+    state: control_pb2.BackendState,
+    sent_until: float,
+) -> bool:
+    """Return whether a record has a newer state of the same incarnation.
+
+    Heartbeats may overtake each other, and a request may overtake the reply
+    to a call in the other direction, so the change number decides. Controls
+    of earlier builds send none; their states are compared by send time, as
+    far as the clock skew allows. `sent_until` is the latest time at which
+    `state` was sent, in Unix seconds.
+    """
+    if record.report is None or record.incarnation != incarnation:
+        return False
+    if state.change_number and record.report.change_number:
+        # Small changes of the load share a number.
+        return (state.change_number, state.measured_at) < (
+            record.report.change_number,
+            record.report.measured_at,
+        )
+    return sent_until + defaults.CLOCK_SKEW <= record.refreshed_at
+
+
 def _is_significant_change(
     old: control_pb2.BackendState, new: control_pb2.BackendState
 ) -> bool:
--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -111,8 +111,13 @@
         sender: control_pb2.Member,
         states: t.Iterable[control_pb2.BackendState],
         sent_at: float,
+        sent_until: float,
     ) -> None:
-        """Store the states that a peer sent at `sent_at`, Unix seconds."""
+        """Store the states that a peer sent.
+
+        `sent_at` and `sent_until` are the earliest and the latest time at
+        which it sent them, in Unix seconds.
+        """
 
     def receive_suspicions(
         self, suspicions: t.Iterable[control_pb2.Suspicion]
@@ -410,10 +415,11 @@
             if not is_current:
                 return control_pb2.HeartbeatReply()
             if self.reports is not None:
+                sent_at = min(
+                    request.deadline - defaults.HEARTBEAT_TIMEOUT, now
+                )
                 self.reports.receive_states(
-                    sender,
-                    request.states,
-                    min(request.deadline - defaults.HEARTBEAT_TIMEOUT, now),
+                    sender, request.states, sent_at, sent_at
                 )
                 if request.received_from == self.member.incarnation:
                     self.reports.acknowledge(
@@ -574,7 +580,9 @@
             self.reports.receive_suspicions(reply.suspicions)
         if is_current and self.reports is not None:
             self.reports.acknowledge(name, receiver.incarnation, mark)
-            self.reports.receive_states(receiver, reply.states, sent_at)
+            self.reports.receive_states(
+                receiver, reply.states, sent_at, self._clock()
+            )
             peer.last_reply = (receiver.incarnation, reply.mark)
 
     def send_heartbeats_now(self) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -355,6 +355,95 @@
         self.assertEqual(backends.DOWN, fixture.get_state(name))
         self.assertEqual("", reply.receiver.name, "acknowledged")
 
+    async def test_delayed_heartbeat_does_not_replace_a_newer_state(self):
+        """Guards against a state that a delayed heartbeat sets for good.
+
+        The owner considers the newer state as received and does not send it
+        again, while its later heartbeats confirm the older one.
+        """
+        fixture, name = self.make_fixture("x")
+        warm, down = (
+            control_pb2.BackendState(name=name, state=state, epoch="e1")
+            for state in (backends.WARM, backends.DOWN)
+        )
+        sent_at = fixture.now
+        fixture.now += 0.5
+        fixture.receive_heartbeat("x", down)
+        fixture.receive_heartbeat("x", warm, sent_at=sent_at)
+        for _ in range(10):
+            fixture.now += 0.5
+            fixture.receive_heartbeat("x")
+            fixture.reconcile()
+        self.assertEqual(backends.DOWN, fixture.get_state(name))
+
+    async def test_change_numbers_order_the_states_of_a_control(self):
+        """Guards against an order of requests and replies by time alone.
+
+        A reply may have been sent long after the call that it answers.
+        """
+        state = control_pb2.BackendState
+        warm, down, busy = (
+            state(state="warm", change_number=1, measured_at=4999.0),
+            state(state="down", change_number=2),
+            state(state="warm", change_number=1, measured_at=4999.5),
+        )
+        old_warm, old_down = state(state="warm"), state(state="down")
+        for case, expected, steps in (
+            ("late reply", down, ((warm, 0.6, 0.6), (down, 0.0, 0.7))),
+            ("late request", down, ((down, 0.0, 0.7), (warm, 0.2, 0.2))),
+            ("late load", busy, ((busy, 0.0, 0.7), (warm, 0.2, 0.2))),
+            (
+                "late reply of an earlier build",
+                old_down,
+                ((old_warm, 0.6, 0.6), (old_down, 0.0, 0.7)),
+            ),
+            (
+                "request within the clock skew, of an earlier build",
+                old_down,
+                ((old_warm, 0.6, 0.7), (old_down, 0.2, 0.2)),
+            ),
+        ):
+            for listed in (True, False):
+                with self.subTest(case, listed=listed):
+                    fixture, name = self.make_fixture("x")
+                    hosts = fixture.membership.list_backends()
+                    if not listed:
+                        fixture.list_hosts()
+                    for sent, sent_at, sent_until in steps:
+                        sent.name = name
+                        fixture.backends.receive_states(
+                            control_pb2.Member(name="x", incarnation="i1"),
+                            [sent],
+                            fixture.now + sent_at,
+                            fixture.now + sent_until,
+                        )
+                    fixture.now += 0.7
+                    fixture.list_hosts(*hosts)
+                    found = fixture.backends.get_state(name)
+                    self.assertEqual(
+                        (expected.state, expected.measured_at),
+                        (found.state, found.measured_at),
+                    )
+                    self.assertEqual(0, found.change_number)
+
+    async def test_each_change_that_is_sent_has_a_higher_number(self):
+        """Guards against changes that peers cannot order."""
+        fixture, name = self.make_fixture("a")
+        numbers = []
+        for step in (
+            {"load": WARM},
+            {"load": make_load(5000.5, running=1)},  # not a change for peers
+            {"load": make_load(5001.0, cold=True)},
+            {"error": REFUSED},
+            {"error": REFUSED},
+            {"load": make_load(5002.5)},
+            {"error": TIMEOUT, "elapsed": 3.5},
+        ):
+            await fixture.poll(name=name, **step)
+            states, _ = fixture.backends.collect_states("x", "i1")
+            numbers.append(states[0].change_number)
+        self.assertEqual([1, 1, 2, 2, 3, 4, 5], numbers)
+
     async def test_state_received_before_listing_is_applied(self):
         """Guards against a state lost because the host list lags here."""
         fixture, name = self.make_fixture("x")
@@ -389,6 +478,19 @@
         )
         self.assertEqual("cold", fixture.get_state(name))
 
+    async def test_new_owner_sends_a_failure_before_its_first_poll(self):
+        """Guards against peers that do not get the failure of a server."""
+        fixture, name = self.make_fixture("x")
+        fixture.receive_heartbeat(
+            "x", control_pb2.BackendState(name=name, state="warm", epoch="e1")
+        )
+        fixture.receive_heartbeat("x", leaving=True)
+        await fixture.backends.report_failure(
+            control_pb2.ReportFailureRequest(backend=name), forwarded=False
+        )
+        states, _ = fixture.backends.collect_states("y", "i1")
+        self.assertEqual(["unknown"], [state.state for state in states])
+
     async def test_peer_gets_unacknowledged_changes(self):
         """Guards against a change that a peer lacks after a lost heartbeat."""
         fixture, name = self.make_fixture("a")
