Count no loads of engines that are down

Cause: an engine counted as loading until it reported the versions of its order, or for 60 s after the order. One that crashed during the load and stayed listed held a slot of concurrent_loads for that time; nobody could say that its load had ended.

A down engine refuses connections, or failed at a request, so it does not load. When it answers again, its state decides: one that has kept its order and not loaded it counts again, so a wrong verdict (two refused connections because of a full accept queue) costs at most slower loads. An engine without reports still counts, because it may be loading: test_engines_without_reports_count_as_loading, which fails if it does not (2 != 4).

test_engines_that_are_down_do_not_count_as_loading failed before (2 != 0).

--- a/src/sesamefold/orders.py
+++ b/src/sesamefold/orders.py
@@ -433,6 +433,9 @@
         """
         if target.current_order is None:
             return False
+        if self._get_state(target).state == backend_states.DOWN:
+            # It crashed; when it answers again, its order is read back.
+            return False
         if self._has_loaded(target, target.current_order.versions):
             return False
         return self._clock() - target.ordered_at < _LOAD_TIMEOUT_SECONDS
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -161,6 +161,36 @@
             {f"e{index}": ["m@v2"] for index in range(5)}, self.list_orders()
         )
 
+    async def test_engines_that_are_down_do_not_count_as_loading(self):
+        """Guards against a rollout that waits for engines that crashed.
+
+        They crashed while they loaded, and stay listed.
+        """
+        self.add_engines()
+        self.configure("v2", revision=2)
+        await self.become_orderer()
+        await self.orderer.reconcile()
+        crashed = {*self.list_orders()}
+        for name in crashed:
+            self.states.set(name, "down", ())
+        for _ in range(4):
+            self.now += 1.0
+            await self.orderer.reconcile()
+        self.assertEqual(2, len({*self.list_orders()} - crashed))
+
+    async def test_engines_without_reports_count_as_loading(self):
+        """Guards against too many loads because of lost reports."""
+        self.add_engines()
+        self.configure("v2", revision=2)
+        await self.become_orderer()
+        await self.orderer.reconcile()
+        for name in self.list_orders():
+            self.states.set(name, "unknown")
+        for _ in range(4):
+            self.now += 1.0
+            await self.orderer.reconcile()
+        self.assertEqual(2, len(self.list_orders()))
+
     async def test_new_orderer_counts_loads_in_progress(self):
         """Guards against a new orderer that ignores loads in progress."""
         self.add_engines()
