Allow for clock skew in the age of measurements

Cause: control compared the time of a measurement, by the engine's clock, directly with the time by its own clock at which it had suspected a restart or heard of a failure. With an engine clock that is ahead by up to the clock skew of 0.5 s, a measurement from before the restart counted as newer. A gateway allowed for the skew already where it compares with its own failures.

Callers could see crashes of a server that had just restarted: its state was warm, so the gateways acquired no permits, until the first report of the new epoch (at most the load interval and the lag of the reports). After a reported failure, a server that was down got requests again.

A measurement is newer if it is by at least the clock skew. The same comparison decides whether peers need another report after a failure, otherwise they would wait for one that the owner does not send. A server is cold or down for up to 0.5 s longer if the clocks agree, and 1 s if the engine's is behind.

test_measurements_are_compared_within_the_clock_skew failed before ('cold' != 'warm' and 'down' != 'warm'). test_peers_get_a_measurement_that_is_newer_than_a_failure failed before and without the change for peers (5001.0 not less than or equal to 5000.8).

--- a/src/sesamefold/backends.py
+++ b/src/sesamefold/backends.py
@@ -103,7 +103,9 @@
                 self.has_missed_events = True
                 self.listed_at = time.monotonic()
             self.epoch = load.epoch
-        if not load.cold and load.measured_at >= self.epoch_changed_at:
+        if not load.cold and _is_later(
+            load.measured_at, self.epoch_changed_at
+        ):
             self.warm_reported = True
         if load.leaving:
             return LEAVING
@@ -129,7 +131,7 @@
     source: str = ""
     incarnation: str = ""
     refreshed_at: float = 0.0
-    failed_at: float = 0.0
+    failed_at: float = float("-inf")
     effective_state: t.Optional[control_pb2.BackendState] = None
 
 
@@ -456,8 +458,8 @@
             return DOWN if failed or down else WARM
         if report is None or not fresh:
             return UNKNOWN
-        if failed and report.measured_at < record.failed_at:
-            # The latest measurement is older than the failure.
+        if failed and not _is_later(report.measured_at, record.failed_at):
+            # The latest measurement may be older than the failure.
             return DOWN
         return report.state
 
@@ -521,7 +523,7 @@
             or record.source != self._membership.name
             or _is_significant_change(old, state)
             # Peers need a report that is newer than the failure.
-            or old.measured_at < record.failed_at
+            or not _is_later(old.measured_at, record.failed_at)
         ):
             self._set_own_report(record, state)
         elif state.measured_at > old.measured_at:
@@ -869,6 +871,15 @@
     return sent_until + defaults.CLOCK_SKEW <= record.refreshed_at
 
 
+def _is_later(measured_at: float, instant: float) -> bool:
+    """Return whether an engine's measurement is newer than an instant.
+
+    The instant is in Unix seconds by the clock of a host, from which the
+    engine's clock may differ by the clock skew.
+    """
+    return measured_at >= instant + defaults.CLOCK_SKEW
+
+
 def _is_significant_change(
     old: control_pb2.BackendState, new: control_pb2.BackendState
 ) -> bool:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -208,6 +208,55 @@
                     await fixture.poll(**step)
                 self.assertEqual(expected, fixture.get_state())
 
+    async def test_measurements_are_compared_within_the_clock_skew(self):
+        """Guards against reports from before a restart or failure.
+
+        The clock of the engine is ahead, so they seem to be newer.
+        """
+
+        async def restart(fixture):
+            fixture.backends._suspect_restart("b")
+
+        async def fail(fixture):
+            await fixture.backends.report_failure(
+                control_pb2.ReportFailureRequest(backend="b", epoch="e1"),
+                forwarded=False,
+            )
+
+        for case, expected, interrupt in (
+            ("connection lost", "cold", restart),
+            ("failure reported", "down", fail),
+        ):
+            with self.subTest(case):
+                fixture = Fixture(control_fakes.make_backend("b"))
+                await fixture.poll(WARM)
+                measured_at = fixture.now - 0.1 + defaults.CLOCK_SKEW
+                await interrupt(fixture)
+                await fixture.poll(make_load(measured_at))
+                self.assertEqual(expected, fixture.get_state())
+                await fixture.poll(make_load(measured_at + 0.5))
+                self.assertEqual("warm", fixture.get_state())
+
+    async def test_peers_get_a_measurement_that_is_newer_than_a_failure(self):
+        """Guards against peers that avoid a server that has recovered.
+
+        They compare the measurement with the failure, too.
+        """
+        fixture = Fixture(control_fakes.make_backend("b"))
+        await fixture.poll(WARM)
+        await fixture.backends.report_failure(
+            control_pb2.ReportFailureRequest(backend="b"), forwarded=False
+        )
+        newest_at = fixture.now + defaults.CLOCK_SKEW
+        received = []
+        for measured_at in (5000.8, 5001.3, 5001.8, 5002.3):
+            await fixture.poll(make_load(measured_at))
+            states, mark = fixture.backends.collect_states("x", "i1")
+            fixture.backends.acknowledge("x", "i1", mark)
+            received.extend(state.measured_at for state in states)
+        self.assertLessEqual(newest_at, received[-1])
+        self.assertLess(received[-1], 5002.3, "sent without a change")
+
     async def test_server_listed_as_leaving_is_leaving(self):
         """Guards against requests to a server that the platform removes."""
         fixture = Fixture(control_fakes.make_backend("b", state="leaving"))
