Keep a leaving host from becoming a member again

Cause: each heartbeat replaced what a peer's last one had said. One that was sent before its sender began to leave, and that arrived late (or the reply to a call that was in progress), cleared leaving. The last heartbeat of a host says that it leaves, so no later one corrected that.

Peers then took the host for a member until its deadline, up to 4 s after the delayed heartbeat was sent: backend servers that it owned were not polled, and permits for them were refused. Callers could see requests wait for cold servers.

A process that leaves does not return, so leaving lasts as long as its incarnation, in whatever order the heartbeats arrive.

The new case of test_members_follow_host_list_and_heartbeats failed before (['a'] != ['a', 'b']).

--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -471,16 +471,22 @@
                 return True
             peer = self._peers[member.name] = Peer(member, deadline)
             self._update_heartbeat_tasks()
-        elif peer.member.incarnation != member.incarnation:
+        # A process that leaves does not return, so an earlier heartbeat that
+        # was delayed does not clear this.
+        leaving = member.leaving or (
+            peer.member.leaving
+            and peer.member.incarnation == member.incarnation
+        )
+        if peer.member.incarnation != member.incarnation:
             if peer.heartbeat_seen and deadline < peer.deadline:
                 # A delayed heartbeat of an earlier incarnation.
                 return False
             peer.deadline = deadline
         if member.control_address:
-            peer.member = member
-        else:
-            peer.member.incarnation = member.incarnation
-            peer.member.leaving = member.leaving
+            peer.member = control_pb2.Member()
+            peer.member.CopyFrom(member)
+        peer.member.incarnation = member.incarnation
+        peer.member.leaving = leaving
         peer.deadline = max(peer.deadline, deadline)
         peer.heartbeat_seen = True
         peer.last_heartbeat_at = self._clock()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -103,6 +103,14 @@
                 "a",
                 [("list", "a", "b"), ("heartbeat", "b", ("leaving", True))],
             ),
+            (
+                "leaving, earlier heartbeat delayed",
+                "a",
+                [
+                    ("heartbeat", "b", ("leaving", True)),
+                    ("heartbeat", "b", ("sent_at", 999.5)),
+                ],
+            ),
             (
                 "restarted after leaving",
                 "ab",
