--- a/src/sesamefold/backends.py
+++ b/src/sesamefold/backends.py
@@ -103,7 +103,9 @@
                 self.has_missed_events = True
                 self.listed_at = time.monotonic()
             self.epoch = load.epoch
-        if not load.cold and load.measured_at >= self.epoch_changed_at:
+        if not load.cold and _is_later(
+            load.measured_at, self.epoch_changed_at
+        ):
             self.warm_reported = True
         if load.leaving:
             return LEAVING
@@ -118,20 +120,19 @@
     """State of one backend server as known to this control.
 
     `report` is the latest state from the server's owner, `source` the name of
-    the control that sent it, and `refreshed_at` the Unix time at which that
-    control last confirmed it. `failed_at` is the Unix time of the last
-    failure that a gateway reported. `effective_state` is the state that is
-    sent to the gateway. `change_number` is the number of the latest change of
-    `report` that is sent to peers.
+    the control that sent it, `incarnation` that control's incarnation, and
+    `refreshed_at` the Unix time at which that incarnation last confirmed it.
+    `failed_at` is the Unix time of the last failure that a gateway reported.
+    `effective_state` is the state that is sent to the gateway.
     """
 
     host: hostlist.Host
     report: t.Optional[control_pb2.BackendState] = None
     source: str = ""
+    incarnation: str = ""
     refreshed_at: float = 0.0
-    failed_at: float = 0.0
+    failed_at: float = float("-inf")
     effective_state: t.Optional[control_pb2.BackendState] = None
-    change_number: int = 0
 
 
 class Backends(mode.Service):
@@ -180,10 +181,8 @@
         # Cache of the owner of each server, valid for `_members`.
         self._members: t.Tuple[str, ...] = ()
         self._owners: t.Dict[str, t.Optional[str]] = {}
-        # State, sender and Unix time of servers that are not listed here yet.
-        self._unlisted_states: t.Dict[
-            str, t.Tuple[str, control_pb2.BackendState, float]
-        ] = {}
+        # Records of servers that are not listed here yet.
+        self._unlisted_records: t.Dict[str, BackendRecord] = {}
         # Incarnation of each peer and the last change that it acknowledged.
         self._acknowledged: t.Dict[str, t.Tuple[str, int]] = {}
 
@@ -332,7 +331,7 @@
             for record in self._records.values()
             if record.source == self._membership.name
             and record.report is not None
-            and record.change_number > after
+            and record.report.change_number > after
         ], self._last_change_number
 
     def collect_suspicions(
@@ -374,25 +373,36 @@
         sender: control_pb2.Member,
         states: t.Iterable[control_pb2.BackendState],
         sent_at: float,
+        sent_until: float,
     ) -> None:
         """Apply the states that a peer sent with a heartbeat or reply.
 
-        The heartbeat also refreshes the unchanged states that the same owner
-        sent before. `sent_at` is the Unix time of the heartbeat in seconds.
+        The heartbeat also refreshes the unchanged states that the same
+        incarnation of the owner sent before. `sent_at` and `sent_until` are
+        the earliest and the latest time at which the peer sent it, in Unix
+        seconds.
         """
         for state in states:
             record = self._records.get(state.name)
             if record is None:
-                self._unlisted_states[state.name] = (
-                    sender.name,
-                    state,
-                    sent_at,
+                record = self._unlisted_records.setdefault(
+                    state.name,
+                    BackendRecord(
+                        hostlist.Host(
+                            state.name,
+                            "backend",
+                            self._membership.data_centre,
+                            "",
+                        )
+                    ),
                 )
+            if not self._supersedes(record, sender, state, sent_until):
                 continue
-            if self._supersedes(record, sender.name, sent_at):
-                record.report = state
-                record.source = sender.name
-                record.refreshed_at = sent_at
+            record.report = state
+            record.source = sender.name
+            record.incarnation = sender.incarnation
+            record.refreshed_at = sent_at
+            if state.name in self._records:
                 self._update_effective_state(record)
         for name, record in self._records.items():
             if record.source != sender.name:
@@ -400,25 +410,35 @@
             if sender.leaving or self.get_owner(name) != sender.name:
                 # A former owner no longer polls the server.
                 record.source = ""
-            elif sent_at > record.refreshed_at:
+            elif (
+                # A control that has restarted may not have polled the server.
+                record.incarnation == sender.incarnation
+                and sent_at > record.refreshed_at
+            ):
                 record.refreshed_at = sent_at
                 self._update_effective_state(record)
 
     def _supersedes(
-        self, record: BackendRecord, sender: str, sent_at: float
+        self,
+        record: BackendRecord,
+        sender: control_pb2.Member,
+        state: control_pb2.BackendState,
+        sent_until: float,
     ) -> bool:
-        """Return whether a sender's report replaces the current one.
+        """Return whether a sender's state replaces the current report.
 
-        While the owner changes, both controls may report. The report of the
-        owner takes precedence; that of the former owner is kept until the new
-        owner has reported.
+        An older state of the same sender does not. While the owner changes,
+        both controls may report. The report of the owner takes precedence;
+        that of the former owner is kept until the new owner has reported.
         """
-        if record.source in ("", sender):
+        if is_outdated(record, sender.incarnation, state, sent_until):
+            return False
+        if record.source in ("", sender.name):
             return True
         owner = self.get_owner(record.host.name)
-        if sender == owner:
+        if sender.name == owner:
             return True
-        stale = sent_at - record.refreshed_at > defaults.STATE_TIMEOUT
+        stale = sent_until - record.refreshed_at > defaults.STATE_TIMEOUT
         return record.source != owner and stale
 
     # Effective states.
@@ -438,8 +458,8 @@
             return DOWN if failed or down else WARM
         if report is None or not fresh:
             return UNKNOWN
-        if failed and report.measured_at < record.failed_at:
-            # The latest measurement is older than the failure.
+        if failed and not _is_later(report.measured_at, record.failed_at):
+            # The latest measurement may be older than the failure.
             return DOWN
         return report.state
 
@@ -456,6 +476,7 @@
         state.group = record.host.group
         state.data_centre = record.host.data_centre
         state.state = self.evaluate_state(record, self._clock())
+        state.ClearField("change_number")
         previous_epoch = (
             ""
             if record.effective_state is None
@@ -478,8 +499,14 @@
             record.effective_state = state
             self.changed.notify()
 
-    def _assign_change_number(self, record: BackendRecord) -> None:
-        record.change_number = self._allocate_change_number()
+    def _set_own_report(
+        self, record: BackendRecord, state: control_pb2.BackendState
+    ) -> None:
+        """Store a state under a new change number, to be sent to all peers."""
+        state.change_number = self._allocate_change_number()
+        record.report = state
+        record.source = self._membership.name
+        record.incarnation = self._membership.member.incarnation
 
     def _allocate_change_number(self) -> int:
         self._last_change_number += 1
@@ -496,13 +523,12 @@
             or record.source != self._membership.name
             or _is_significant_change(old, state)
             # Peers need a report that is newer than the failure.
-            or old.measured_at < record.failed_at
+            or not _is_later(old.measured_at, record.failed_at)
         ):
-            record.report = state
-            record.source = self._membership.name
-            self._assign_change_number(record)
+            self._set_own_report(record, state)
         elif state.measured_at > old.measured_at:
             # A small change of the load is not sent to peers.
+            state.change_number = old.change_number
             record.report = state
         self._update_effective_state(record)
 
@@ -557,10 +583,9 @@
         self._update_metrics()
 
     def _make_record(self, host: hostlist.Host) -> BackendRecord:
-        source, state, sent_at = self._unlisted_states.pop(
-            host.name, ("", None, 0.0)
-        )
-        return BackendRecord(host, state, source, sent_at)
+        record = self._unlisted_records.pop(host.name, BackendRecord(host))
+        record.host = host
+        return record
 
     def _publish_service(self, record: BackendRecord) -> None:
         """Publish the state of an owned service, which reports no load."""
@@ -587,8 +612,7 @@
             state = control_pb2.BackendState()
             state.CopyFrom(record.report)
             state.state = UNKNOWN
-            record.report = state
-            self._assign_change_number(record)
+            self._set_own_report(record, state)
         self._membership.send_heartbeats_now()
 
     def _update_metrics(self) -> None:
@@ -742,8 +766,7 @@
             state = control_pb2.BackendState()
             state.CopyFrom(record.report)
             state.state = UNKNOWN
-            record.report = state
-            self._assign_change_number(record)
+            self._set_own_report(record, state)
             self._update_effective_state(record)
 
     async def _poll_events(
@@ -823,6 +846,40 @@
     return stored, freed
 
 
+def is_outdated(
+    record: BackendRecord,
+    incarnation: str,
+    state: control_pb2.BackendState,
+    sent_until: float,
+) -> bool:
+    """Return whether a record has a newer state of the same incarnation.
+
+    Heartbeats may overtake each other, and a request may overtake the reply
+    to a call in the other direction, so the change number decides. Controls
+    of earlier builds send none; their states are compared by send time, as
+    far as the clock skew allows. `sent_until` is the latest time at which
+    `state` was sent, in Unix seconds.
+    """
+    if record.report is None or record.incarnation != incarnation:
+        return False
+    if state.change_number and record.report.change_number:
+        # Small changes of the load share a number.
+        return (state.change_number, state.measured_at) < (
+            record.report.change_number,
+            record.report.measured_at,
+        )
+    return sent_until + defaults.CLOCK_SKEW <= record.refreshed_at
+
+
+def _is_later(measured_at: float, instant: float) -> bool:
+    """Return whether an engine's measurement is newer than an instant.
+
+    The instant is in Unix seconds by the clock of a host, from which the
+    engine's clock may differ by the clock skew.
+    """
+    return measured_at >= instant + defaults.CLOCK_SKEW
+
+
 def _is_significant_change(
     old: control_pb2.BackendState, new: control_pb2.BackendState
 ) -> bool:
--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -111,8 +111,13 @@
         sender: control_pb2.Member,
         states: t.Iterable[control_pb2.BackendState],
         sent_at: float,
+        sent_until: float,
     ) -> None:
-        """Store the states that a peer sent at `sent_at`, Unix seconds."""
+        """Store the states that a peer sent.
+
+        `sent_at` and `sent_until` are the earliest and the latest time at
+        which it sent them, in Unix seconds.
+        """
 
     def receive_suspicions(
         self, suspicions: t.Iterable[control_pb2.Suspicion]
@@ -386,7 +391,8 @@
 
         Its sender becomes a member until the deadline in the heartbeat. A
         heartbeat from another data centre, or with this host's own name, is
-        answered but not recorded.
+        answered but not recorded. One of an earlier incarnation of the sender
+        gets an empty reply, which acknowledges nothing.
         """
         now = self._clock()
         sender = request.sender
@@ -397,19 +403,24 @@
             max_deadline = (
                 now + defaults.HEARTBEAT_TIMEOUT + defaults.CLOCK_SKEW
             )
-            self._record_heartbeat(
+            is_current = self._record_heartbeat(
                 sender,
                 min(request.deadline, max_deadline),
                 request.revision,
                 request.platform_down,
             )
             if self.reports is not None:
+                # Suspicions hold beyond the restart of their sender.
+                self.reports.receive_suspicions(request.suspicions)
+            if not is_current:
+                return control_pb2.HeartbeatReply()
+            if self.reports is not None:
+                sent_at = min(
+                    request.deadline - defaults.HEARTBEAT_TIMEOUT, now
+                )
                 self.reports.receive_states(
-                    sender,
-                    request.states,
-                    min(request.deadline - defaults.HEARTBEAT_TIMEOUT, now),
+                    sender, request.states, sent_at, sent_at
                 )
-                self.reports.receive_suspicions(request.suspicions)
                 if request.received_from == self.member.incarnation:
                     self.reports.acknowledge(
                         sender.name, sender.incarnation, request.received_mark
@@ -448,24 +459,34 @@
         deadline: float,
         revision: int,
         platform_down: bool,
-    ) -> None:
-        """Update a peer from a heartbeat that it sent or answered."""
+    ) -> bool:
+        """Update a peer from a heartbeat that it sent or answered.
+
+        Returns False for a heartbeat of an earlier incarnation, which changes
+        nothing.
+        """
         peer = self._peers.get(member.name)
         if peer is None:
             if not member.control_address:
-                return
+                return True
             peer = self._peers[member.name] = Peer(member, deadline)
             self._update_heartbeat_tasks()
-        elif peer.member.incarnation != member.incarnation:
+        # A process that leaves does not return, so an earlier heartbeat that
+        # was delayed does not clear this.
+        leaving = member.leaving or (
+            peer.member.leaving
+            and peer.member.incarnation == member.incarnation
+        )
+        if peer.member.incarnation != member.incarnation:
             if peer.heartbeat_seen and deadline < peer.deadline:
                 # A delayed heartbeat of an earlier incarnation.
-                return
+                return False
             peer.deadline = deadline
         if member.control_address:
-            peer.member = member
-        else:
-            peer.member.incarnation = member.incarnation
-            peer.member.leaving = member.leaving
+            peer.member = control_pb2.Member()
+            peer.member.CopyFrom(member)
+        peer.member.incarnation = member.incarnation
+        peer.member.leaving = leaving
         peer.deadline = max(peer.deadline, deadline)
         peer.heartbeat_seen = True
         peer.last_heartbeat_at = self._clock()
@@ -474,6 +495,7 @@
         self._notify_member_changes()
         if peer.deadline > self._clock():
             self.on_peer_revision(revision, member.name)
+        return True
 
     def _update_heartbeat_tasks(self) -> None:
         """Start and cancel tasks so that each peer has a heartbeat task."""
@@ -556,7 +578,7 @@
         if receiver.name != name:
             # Another host now has the address.
             return
-        self._record_heartbeat(
+        is_current = self._record_heartbeat(
             receiver,
             # The reply proves that the peer was alive at or after `sent_at`.
             sent_at + defaults.HEARTBEAT_TIMEOUT,
@@ -564,9 +586,12 @@
             reply.platform_down,
         )
         if self.reports is not None:
-            self.reports.acknowledge(name, receiver.incarnation, mark)
-            self.reports.receive_states(receiver, reply.states, sent_at)
             self.reports.receive_suspicions(reply.suspicions)
+        if is_current and self.reports is not None:
+            self.reports.acknowledge(name, receiver.incarnation, mark)
+            self.reports.receive_states(
+                receiver, reply.states, sent_at, self._clock()
+            )
             peer.last_reply = (receiver.incarnation, reply.mark)
 
     def send_heartbeats_now(self) -> None:
