Fuzz the notices in the heads of servers' answers

Generated numbers, dates and texts in Server-Leaving and Retry-After must be decoded or ignored. Fails on the code without the mechanism: Server-Leaving is forwarded to the caller.

--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -68,6 +68,22 @@
         max_size=4,
     ).map(",".join),
 )
+DATES = strategies.tuples(
+    strategies.sampled_from(("Wed, ", "Wed ", "")),
+    strategies.integers(0, 99).map(str),
+    strategies.sampled_from((" Oct ", " Xyz ", "-10-")),
+    NUMBERS,
+    strategies.sampled_from((" 07:28:00", " 99:99:99", " 24:00", "")),
+    strategies.sampled_from((" GMT", " +9999", " -0000", "")),
+).map("".join)
+# What servers announce: that they leave, and how long they want no requests.
+NOTICES = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(("Server-Leaving", "Retry-After")),
+        strategies.one_of(NUMBERS, DATES, HEADER_VALUES),
+    ),
+    max_size=4,
+).map(multidict.CIMultiDict)
 HEADERS = strategies.lists(
     strategies.tuples(strategies.sampled_from(HEADER_NAMES), HEADER_VALUES),
     max_size=12,
@@ -157,6 +173,15 @@
         reply_head = headers.HeaderCodec().read_reply(status, generated)
         self.assertEqual(status, reply_head.status)
 
+    @hypothesis.given(NOTICES, strategies.sampled_from((200, 421, 500, 503)))
+    def test_any_notice_of_a_server_is_decoded_or_ignored(
+        self, generated: "multidict.CIMultiDict[str]", status: int
+    ) -> None:
+        """Guards against a notice that ends the request it comes with."""
+        reply_head = headers.HeaderCodec().read_reply(status, generated)
+        self.assertEqual(status, reply_head.status)
+        self.assertNotIn("Server-Leaving", reply_head.forwarded)
+
 
 class RecordsTest(unittest.TestCase):
     """Records of the operator and the servers."""
