Let servers of the soak leave and rest, and check what hosts make of it

Servers announce in their answers that they leave and are replaced 4 s later, or ask for a rest of 0.7 to 4 s. Two invariants: no request that is sent later than 2.5 s after a caller had the announcement reaches the server through the same host, and at most two requests arrive between half a second after the start of a rest and its end. Pauses and restarts of the host and disruptions of the connections to the server since then excuse it.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -15,6 +15,8 @@
 
 RESPONSE_SEAL = "3e1b.07.5a2"
 HEALTH_PATH = "/healthz"
+# Value of the header `Server-Leaving` of a server that leaves.
+LEAVING_VALUE = "1"
 
 
 @attrs.frozen
@@ -32,11 +34,16 @@
 class Arrival:
     """A request that reached the server, executed or not.
 
-    `at` is in monotonic seconds.
+    `at` is in monotonic seconds. `server_id` is the instance that it reached,
+    `leaving` whether this instance announced at that time that it leaves, and
+    `retry_after` the time for which it then asked for a rest, if it did.
     """
 
     request_id: str
     at: float
+    server_id: str = ""
+    leaving: bool = False
+    retry_after: t.Optional[str] = None
 
 
 @attrs.define
@@ -61,7 +68,7 @@
     and the connection is reset instead of a response.
 
     Unless `leaving` is None, all responses carry it as the header
-    `Server-Leaving`; "1" announces that the server leaves.
+    `Server-Leaving`; `LEAVING_VALUE` announces that the server leaves.
 
     With a `simulator`, streams take its time and memory, and cached context
     is fetched from and saved to `context_stores`, by address. The context of
@@ -118,16 +125,21 @@
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "misdirect" or not self._has_expected_target(request):
             return _make_refusal(request, 421)
+        retry_after = self.retry_after if fault == "rest" else None
         if self.keep_runs:
             self.arrivals.append(
                 Arrival(
-                    request.headers["Sesamefold-Request-Id"], time.monotonic()
+                    request.headers["Sesamefold-Request-Id"],
+                    time.monotonic(),
+                    self.id,
+                    self.leaving == LEAVING_VALUE,
+                    retry_after,
                 )
             )
         if fault in ("refuse", "rest"):
             refusal = _make_refusal(request, 503)
-            if fault == "rest":
-                refusal.headers["Retry-After"] = self.retry_after
+            if retry_after is not None:
+                refusal.headers["Retry-After"] = retry_after
             return refusal
         return await self._execute(request, fault)
 
@@ -335,7 +347,7 @@
 
     def _answer_health_check(self) -> web.Response:
         return web.Response(
-            status=503 if self.leaving == "1" else 200,
+            status=503 if self.leaving == LEAVING_VALUE else 200,
             headers={"Sesamefold-Instance-Id": self.id},
         )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,11 +3,14 @@
 import asyncio
 import pathlib
 import types
+import typing as t
 import unittest
 import unittest.mock
 
+from standins import platform_engine
 from standins import proxy
 from tools import soak
+from tools import soak_invariants
 
 SEED = 1
 SECONDS = 6.0
@@ -53,3 +56,77 @@
         result = await soak.Soak(SEED, SECONDS, HOSTS).run()
         self.assertEqual([], result["broken"])
         self.assertGreater(result["statuses"]["200"], 50)
+
+
+class NoticeInvariantsTest(unittest.TestCase):
+    """The invariants on what servers announce, on made-up arrivals."""
+
+    def setUp(self) -> None:
+        """Start without requests."""
+        self.requests: t.Dict[str, soak_invariants.SentRequest] = {}
+        self.arrivals: t.List[platform_engine.Arrival] = []
+        self.disruptions: t.Dict[str, t.List[soak_invariants.Disruption]] = {}
+
+    def add(self, at: float, host: str = "a", **fields: t.Any) -> None:
+        """Add a request that a server answers 0.1 seconds after it is sent.
+
+        `fields` are those of its arrival.
+        """
+        request_id = f"r-{len(self.requests)}"
+        self.requests[request_id] = soak_invariants.SentRequest(
+            "/safe/", "key", at, host, at + 0.1, 200, True
+        )
+        self.arrivals.append(
+            platform_engine.Arrival(request_id, at, "i-1", **fields)
+        )
+
+    def find_violations(self) -> t.List[str]:
+        """Return the violations of all requests that were added."""
+        return list(
+            soak_invariants.find_notice_violations(
+                self.arrivals, self.requests, self.disruptions
+            )
+        )
+
+    def test_late_request_to_a_leaving_server_is_found(self) -> None:
+        """Guards against a soak that passes although DRAIN is broken."""
+        self.add(0.0, leaving=True)
+        self.add(2.5, leaving=True)
+        self.assertEqual([], self.find_violations())
+        self.add(2.7, leaving=True)
+        self.add(2.7, host="b", leaving=True)
+        (violation,) = self.find_violations()
+        self.assertEqual(
+            "a and i-1: r-2 was sent to a server that leaves", violation
+        )
+
+    def test_disruption_excuses_until_the_next_notice(self) -> None:
+        self.add(0.0, leaving=True)
+        self.disruptions["a"] = [soak_invariants.Disruption(1.0, 2.0)]
+        self.add(3.0, leaving=True)
+        self.assertEqual([], self.find_violations())
+        self.add(6.0, leaving=True)
+        self.assertEqual(1, len(self.find_violations()))
+        self.disruptions["i-1"] = [soak_invariants.Disruption(4.0, 7.0)]
+        self.assertEqual([], self.find_violations())
+
+    def test_notice_that_the_caller_did_not_get_does_not_count(self) -> None:
+        self.add(0.0, leaving=True)
+        self.arrivals.append(
+            platform_engine.Arrival("r-0", 0.05, "i-2"),
+        )
+        self.add(3.0, leaving=True)
+        self.assertEqual([], self.find_violations())
+
+    def test_more_than_two_requests_in_a_rest_are_found(self) -> None:
+        """Guards against a soak that passes although BUDGET is broken."""
+        self.add(0.0, retry_after="2")
+        for at in (0.1, 0.2, 0.3, 0.6, 0.7, 2.1, 2.2):
+            self.add(at)
+        self.add(0.8, host="b")
+        self.assertEqual([], self.find_violations())
+        self.add(1.9)
+        (violation,) = self.find_violations()
+        self.assertIn("arrived in the rest after r-0", violation)
+        self.disruptions["a"] = [soak_invariants.Disruption(0.5, 1.0)]
+        self.assertEqual([], self.find_violations())
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,7 +5,8 @@
 a seed: connections that are delayed, reset, or cut in one or both
 directions; processes that are paused, killed, or stopped and restarted; a
 store that refuses calls, loses answers or drops its history; servers that
-refuse requests, break off responses or restart; revoked API keys; new target
+refuse requests, break off responses, restart, announce that they leave or ask
+for a rest; revoked API keys; new target
 versions of the weights; a store of context that restarts or whose
 connections are disrupted.
 Prints one JSON line for each seed, and exits with status 1 if an invariant
@@ -48,6 +49,10 @@
 MAX_SECONDS = 120
 # Time after the last fault within which the hosts must recover.
 RECOVERY_SECONDS = 12.0
+# Time from a server's announcement that it leaves to its end.
+LEAVING_SECONDS = soak_invariants.LEAVING_SECONDS + 1.5
+# Rests that servers ask for.
+RETRY_AFTERS = ("0.7", "1.5", "3", "4")
 # Least share of requests that must succeed after the recovery.
 MIN_RECOVERED_SHARE = 0.9
 SECOND_API_KEY = "another-key"
@@ -99,6 +104,11 @@
         self._target_version = 1
         self._second_key_revoked_at = float("inf")
         self._started_instances = 0
+        self._disruptions: t.Dict[str, t.List[soak_invariants.Disruption]] = (
+            collections.defaultdict(list)
+        )
+        # Addresses of the links to the instances of servers.
+        self._instance_links: t.Dict[str, str] = {}
         self.injected_faults: t.List[str] = []
         self.violations: t.List[str] = []
 
@@ -253,6 +263,8 @@
         if engine.id:
             self.store.remove(f"servers/{engine.id}")
         engine.id = f"i-{self._started_instances}"
+        engine.leaving = None
+        self._instance_links[engine.id] = link.address
         engine.weights = {platform_fixtures.MODEL: self._target_version}
         engine.orders.clear()
         engine.simulator.crash()
@@ -288,7 +300,7 @@
         key = self._random.choice((platform_fixtures.API_KEY, SECOND_API_KEY))
         host = self._random.choice(self.hosts)
         request = self._sent_requests[request_id] = (
-            soak_invariants.SentRequest(kind, key, time.monotonic())
+            soak_invariants.SentRequest(kind, key, time.monotonic(), host.name)
         )
         headers = {
             "Host": platform_fixtures.ROUTE_HOST,
@@ -325,6 +337,7 @@
                 async for chunk in response.content.iter_any():
                     request.body += chunk
                 request.complete = True
+                request.ended_at = time.monotonic()
         except (aiohttp.ClientError, TimeoutError, OSError):
             # The invariants are checked on what was received.
             pass
@@ -339,6 +352,8 @@
                 self._disrupt_engine_link,
                 self._queue_engine_faults,
                 self._restart_engine,
+                self._end_engine,
+                self._rest_engine,
                 self._pause_host,
                 self._terminate_host,
                 self._change_keys,
@@ -372,7 +387,19 @@
 
     async def _disrupt_engine_link(self, seconds: float) -> None:
         _, link = self._random.choice(self.engines)
-        await self._disrupt_link(link, seconds)
+        with self._record_disruption(link.address):
+            await self._disrupt_link(link, seconds)
+
+    @contextlib.contextmanager
+    def _record_disruption(self, name: str) -> t.Iterator[None]:
+        """Record the time in the context as one of a host or of a link."""
+        began_at = time.monotonic()
+        try:
+            yield
+        finally:
+            self._disruptions[name].append(
+                soak_invariants.Disruption(began_at, time.monotonic())
+            )
 
     async def _disrupt_link(self, link: proxy.Proxy, seconds: float) -> None:
         kind = self._random.choice(
@@ -397,14 +424,32 @@
         link.reset()
         self._start_instance(engine, link)
 
+    async def _end_engine(self, seconds: float) -> None:
+        """Let a server announce that it leaves, and later replace it."""
+        engine, link = self._random.choice(self.engines)
+        if engine.leaving is not None:
+            return
+        engine.leaving = platform_engine.LEAVING_VALUE
+        instance = engine.id
+        await asyncio.sleep(LEAVING_SECONDS)
+        if engine.id == instance:
+            self._start_instance(engine, link)
+
+    async def _rest_engine(self, seconds: float) -> None:
+        engine, _ = self._random.choice(self.engines)
+        engine.retry_after = self._random.choice(RETRY_AFTERS)
+        engine.faults.insert(0, "rest")
+
     async def _pause_host(self, seconds: float) -> None:
-        process = self._random.choice(self.hosts).process
+        host = self._random.choice(self.hosts)
+        process = host.process
         if process is None or process.returncode is not None:
             return
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGCONT)
+        with self._record_disruption(host.name):
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
 
     async def _terminate_host(self, seconds: float) -> None:
         host = self._random.choice(self.hosts)
@@ -417,12 +462,13 @@
             )
             return
         host.terminated_by_soak = True
-        process.send_signal(
-            self._random.choice((signal.SIGKILL, signal.SIGTERM))
-        )
-        await process.wait()
-        await asyncio.sleep(self._random.uniform(0.0, 1.0))
-        await self._start_process(host)
+        with self._record_disruption(host.name):
+            process.send_signal(
+                self._random.choice((signal.SIGKILL, signal.SIGTERM))
+            )
+            await process.wait()
+            await asyncio.sleep(self._random.uniform(0.0, 1.0))
+            await self._start_process(host)
 
     async def _change_keys(self, seconds: float) -> None:
         """Revoke the second key for good, or just publish a new version."""
@@ -479,6 +525,17 @@
                 )
             for run in engine.runs:
                 runs.setdefault(run.request_id, []).append(run)
+        self.violations += soak_invariants.find_notice_violations(
+            [a for engine, _ in self.engines for a in engine.arrivals],
+            self._sent_requests,
+            {
+                **self._disruptions,
+                **{
+                    server_id: self._disruptions[address]
+                    for server_id, address in self._instance_links.items()
+                },
+            },
+        )
         for request_id in runs.keys() - self._sent_requests.keys():
             self.violations.append(f"{request_id} was executed but never sent")
         for request_id, request in self._sent_requests.items():
--- a/tools/soak_invariants.py
+++ b/tools/soak_invariants.py
@@ -1,5 +1,7 @@
-"""Invariants of single requests through entry hosts, for the soak test."""
+"""Invariants of requests through entry hosts, for the soak test."""
 
+import collections
+import itertools
 import typing as t
 
 import attrs
@@ -14,6 +16,15 @@
 KEY_REVOCATION_SECONDS = 5.0
 # Largest excess of the remaining time passed to a server over the timeout.
 DEADLINE_SLACK_SECONDS = 0.5
+# Time after a host has passed on a server's announcement that it leaves from
+# which no request may be sent to the server.
+LEAVING_SECONDS = 2.5
+# Time after a server has asked a host for a rest within which requests that
+# are on their way may arrive, and the most that may arrive later in the rest.
+IN_FLIGHT_SECONDS = 0.5
+MAX_RESTING_ARRIVALS = 2
+# Statuses of responses that only a server can have made.
+SERVER_STATUSES = (200, 500)
 # Statuses that guarantee that a request was not and will not be executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Kinds of requests that may be executed once at most.
@@ -31,17 +42,35 @@
     """A request that a caller sent, and the response so far.
 
     `status` is None until a response begins; `complete` says whether the
-    response ended without an error. `sent_at` is in monotonic seconds.
+    response ended without an error, which was at `ended_at`. Instants are in
+    monotonic seconds.
     """
 
     kind: str
     key: str
     sent_at: float
+    host: str = ""
+    ended_at: float = float("inf")
     status: t.Optional[int] = None
     complete: bool = False
     response_id: t.Optional[str] = None
     body: bytes = b""
 
+    def is_from_server(self) -> bool:
+        """Return whether the response is a complete one of a server."""
+        return self.complete and self.status in SERVER_STATUSES
+
+
+@attrs.frozen
+class Disruption:
+    """A pause or restart of a host, or a cut of its connections.
+
+    Both instants are in monotonic seconds.
+    """
+
+    began_at: float
+    ended_at: float
+
 
 def find_violations(
     request: SentRequest,
@@ -81,3 +110,90 @@
         if request.complete
         else expected_body.startswith(request.body)
     )
+
+
+def find_notice_violations(
+    arrivals: t.Sequence[platform_engine.Arrival],
+    requests: t.Mapping[str, SentRequest],
+    disruptions: t.Mapping[str, t.Sequence[Disruption]],
+) -> t.Iterator[str]:
+    """Yield a description of each notice of a server that a host ignored.
+
+    `arrivals` are those at all servers, whose ids are unique. `disruptions`
+    maps the names of hosts to their disruptions, and the ids of servers to
+    those of the connections to them. Unknown requests are skipped.
+    """
+    attempts = collections.Counter(a.request_id for a in arrivals)
+    by_pair: t.Dict[t.Tuple[str, str], t.List[platform_engine.Arrival]] = (
+        collections.defaultdict(list)
+    )
+    for arrival in arrivals:
+        if arrival.request_id in requests:
+            host = requests[arrival.request_id].host
+            by_pair[host, arrival.server_id].append(arrival)
+    for (host, server_id), pair_arrivals in by_pair.items():
+        pair_disruptions = [
+            *disruptions.get(host, ()),
+            *disruptions.get(server_id, ()),
+        ]
+        # After several attempts, the response may be that of another server.
+        notices = [
+            requests[arrival.request_id].ended_at
+            for arrival in pair_arrivals
+            if arrival.leaving
+            and attempts[arrival.request_id] == 1
+            and requests[arrival.request_id].is_from_server()
+        ]
+        for violation in itertools.chain(
+            _find_late_arrivals(
+                pair_arrivals, requests, notices, pair_disruptions
+            ),
+            _find_excess_arrivals(pair_arrivals, pair_disruptions),
+        ):
+            yield f"{host} and {server_id}: {violation}"
+
+
+def _find_late_arrivals(
+    arrivals: t.Sequence[platform_engine.Arrival],
+    requests: t.Mapping[str, SentRequest],
+    notices: t.Sequence[float],
+    disruptions: t.Sequence[Disruption],
+) -> t.Iterator[str]:
+    """Yield the requests that were sent too late to a server that leaves.
+
+    `notices` are the times at which callers had the announcements.
+    """
+    for arrival in arrivals:
+        sent_at = requests[arrival.request_id].sent_at
+        if any(
+            sent_at > noticed_at + LEAVING_SECONDS
+            and not _is_disrupted(disruptions, noticed_at, arrival.at)
+            for noticed_at in notices
+        ):
+            yield f"{arrival.request_id} was sent to a server that leaves"
+
+
+def _find_excess_arrivals(
+    arrivals: t.Sequence[platform_engine.Arrival],
+    disruptions: t.Sequence[Disruption],
+) -> t.Iterator[str]:
+    """Yield the rests in which too many requests arrived."""
+    for refused in arrivals:
+        if refused.retry_after is None:
+            continue
+        end = refused.at + float(refused.retry_after)
+        late = [
+            arrival.request_id
+            for arrival in arrivals
+            if refused.at + IN_FLIGHT_SECONDS < arrival.at < end
+            and not _is_disrupted(disruptions, refused.at, arrival.at)
+        ]
+        if len(late) > MAX_RESTING_ARRIVALS:
+            yield f"{late} arrived in the rest after {refused.request_id}"
+
+
+def _is_disrupted(
+    disruptions: t.Sequence[Disruption], start: float, end: float
+) -> bool:
+    """Return whether a disruption overlaps the time between two instants."""
+    return any(d.began_at <= end and d.ended_at >= start for d in disruptions)
