Check the expiry of weights in the soak test

Servers of the soak may keep their weights at a restart and ignore orders. Each run is checked: none may begin on weights that were replaced longer ago than the bound and the time after which a host that cannot read the store refuses keys.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -21,13 +21,19 @@
 
 @attrs.frozen
 class Run:
-    """A request whose execution began on the server."""
+    """A request whose execution began on the server.
+
+    `weight_version` is that of the request's model, None without a model, and
+    `began_at` is in monotonic seconds.
+    """
 
     request_id: str
     method: str
     target: str
     headers: t.Mapping[str, str]
     body: bytes
+    weight_version: t.Optional[int]
+    began_at: float
 
 
 @attrs.frozen
@@ -170,6 +176,8 @@
             request.raw_path,
             multidict.CIMultiDict(request.headers),
             await request.read(),
+            self.weights.get(request.headers.get("Sesamefold-Model", "")),
+            time.monotonic(),
         )
         if self.keep_runs:
             self.runs.append(run)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -58,6 +58,26 @@
         self.assertGreater(result["statuses"]["200"], 50)
 
 
+class WeightsInvariantTest(unittest.TestCase):
+    """The invariant on the expiry of weights, on made-up runs."""
+
+    def test_run_on_expired_weights_is_found(self) -> None:
+        """Guards against a soak that passes although VERSION is broken."""
+        runs = [
+            platform_engine.Run(
+                f"r-{number}", "POST", "/stream/x", {}, b"body", version, at
+            )
+            for number, (version, at) in enumerate(
+                ((1, 10.0), (1, 106.0), (1, 107.0), (2, 107.0), (None, 107.0))
+            )
+        ]
+        violations = soak_invariants.find_expired_weights(runs, {1: 100.0})
+        self.assertEqual(
+            ["r-2 began on version 1, 7.0 s after the next one was named"],
+            list(violations),
+        )
+
+
 class NoticeInvariantsTest(unittest.TestCase):
     """The invariants on what servers announce, on made-up arrivals."""
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,9 +5,9 @@
 a seed: connections that are delayed, reset, or cut in one or both
 directions; processes that are paused, killed, or stopped and restarted; a
 store that refuses calls, loses answers or drops its history; servers that
-refuse requests, break off responses, restart, announce that they leave or ask
-for a rest; revoked API keys; new target
-versions of the weights; a store of context that restarts or whose
+refuse requests, break off responses, restart, announce that they leave, ask
+for a rest or ignore orders; revoked API keys; new target versions of the
+weights; a store of context that restarts or whose
 connections are disrupted.
 Prints one JSON line for each seed, and exits with status 1 if an invariant
 was violated.
@@ -51,6 +51,9 @@
 RECOVERY_SECONDS = 12.0
 # Time from a server's announcement that it leaves to its end.
 LEAVING_SECONDS = soak_invariants.LEAVING_SECONDS + 1.5
+# Time in which a server ignores orders, and the most that it ignores.
+IGNORED_ORDERS_SECONDS = soak_invariants.WEIGHTS_EXPIRY_SECONDS + 2.0
+MAX_IGNORED_ORDERS = 1000
 # Rests that servers ask for.
 RETRY_AFTERS = ("0.7", "1.5", "3", "4")
 # Least share of requests that must succeed after the recovery.
@@ -102,6 +105,7 @@
         self._sent_requests: t.Dict[str, soak_invariants.SentRequest] = {}
         self._config_version = 1
         self._target_version = 1
+        self._superseded_at: t.Dict[int, float] = {}
         self._second_key_revoked_at = float("inf")
         self._started_instances = 0
         self._disruptions: t.Dict[str, t.List[soak_invariants.Disruption]] = (
@@ -181,7 +185,14 @@
             ports = await platform_fixtures.find_free_ports(3)
             name = f"entry-{number}"
             path = pathlib.Path(folder) / f"{name}.toml"
-            text = platform_fixtures.format_settings(ports, link.address)
+            text = platform_fixtures.format_settings(
+                ports,
+                link.address,
+                contact_ms=500,
+                version_ms=int(
+                    1000 * soak_invariants.WEIGHTS_LIFETIME_SECONDS
+                ),
+            )
             path.write_text(text.replace("entry-1", name))
             self.hosts.append(
                 HostProcess(name, "127.0.0.1", path, ports, link)
@@ -265,7 +276,9 @@
         engine.id = f"i-{self._started_instances}"
         engine.leaving = None
         self._instance_links[engine.id] = link.address
-        engine.weights = {platform_fixtures.MODEL: self._target_version}
+        # A restarted server keeps its weights, a new one has the newest.
+        if not engine.weights or self._random.random() < 0.5:
+            engine.weights = {platform_fixtures.MODEL: self._target_version}
         engine.orders.clear()
         engine.simulator.crash()
         self._publish_server_entry(engine, link)
@@ -353,6 +366,7 @@
                 self._queue_engine_faults,
                 self._restart_engine,
                 self._end_engine,
+                self._ignore_orders,
                 self._rest_engine,
                 self._pause_host,
                 self._terminate_host,
@@ -435,6 +449,13 @@
         if engine.id == instance:
             self._start_instance(engine, link)
 
+    async def _ignore_orders(self, seconds: float) -> None:
+        """Let a server keep its weights, beyond their expiry if replaced."""
+        engine, _ = self._random.choice(self.engines)
+        engine.orders_to_ignore = MAX_IGNORED_ORDERS
+        await asyncio.sleep(IGNORED_ORDERS_SECONDS)
+        engine.orders_to_ignore = 0
+
     async def _rest_engine(self, seconds: float) -> None:
         engine, _ = self._random.choice(self.engines)
         engine.retry_after = self._random.choice(RETRY_AFTERS)
@@ -481,6 +502,7 @@
         self._put_configuration()
 
     async def _change_target_version(self, seconds: float) -> None:
+        self._superseded_at[self._target_version] = time.monotonic()
         self._target_version += 1
         self._put_target_version()
 
@@ -523,6 +545,9 @@
                 self.violations.append(
                     f"{engine.id} has weights {engine.weights}"
                 )
+            self.violations += soak_invariants.find_expired_weights(
+                engine.runs, self._superseded_at
+            )
             for run in engine.runs:
                 runs.setdefault(run.request_id, []).append(run)
         self.violations += soak_invariants.find_notice_violations(
--- a/tools/soak_invariants.py
+++ b/tools/soak_invariants.py
@@ -14,6 +14,12 @@
 TIMEOUT_SECONDS = 2.0
 # Time after which no request with a revoked key may be executed.
 KEY_REVOCATION_SECONDS = 5.0
+# Bound on the use of replaced weights in the settings of the hosts.
+WEIGHTS_LIFETIME_SECONDS = 1.5
+# Time after the naming of newer weights from which no request may begin on
+# older ones. A host that cannot read the newer version refuses all requests
+# with a key once it could not confirm the key.
+WEIGHTS_EXPIRY_SECONDS = WEIGHTS_LIFETIME_SECONDS + KEY_REVOCATION_SECONDS
 # Largest excess of the remaining time passed to a server over the timeout.
 DEADLINE_SLACK_SECONDS = 0.5
 # Time after a host has passed on a server's announcement that it leaves from
@@ -197,3 +203,25 @@
 ) -> bool:
     """Return whether a disruption overlaps the time between two instants."""
     return any(d.began_at <= end and d.ended_at >= start for d in disruptions)
+
+
+def find_expired_weights(
+    runs: t.Iterable[platform_engine.Run],
+    superseded_at: t.Mapping[int, float],
+) -> t.Iterator[str]:
+    """Yield a description of each run that began on expired weights.
+
+    `superseded_at` maps each version that was replaced to the time at which
+    the next one was named, in monotonic seconds.
+    """
+    for run in runs:
+        if run.weight_version is None:
+            continue
+        age = run.began_at - superseded_at.get(
+            run.weight_version, float("inf")
+        )
+        if age > WEIGHTS_EXPIRY_SECONDS:
+            yield (
+                f"{run.request_id} began on version {run.weight_version}, "
+                f"{age:.1f} s after the next one was named"
+            )
