Send no error response within a stream of the own interface

After an unexpected error in the middle of a stream, callers found the whole head and body of a 500 between the events. An engine's event of another form is enough, for instance an offset that is text, also of the engine that continues a broken stream.

Cause: the middleware that turns errors into responses did not look whether the response had begun. It now records the response that was started, and after an error closes the connection without the end of the body unless the response has ended, as it has after an error event.

--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -38,6 +38,7 @@
 _BODY_TIMEOUT_SECONDS = 30.0
 _REQUEST_KIND = web.RequestKey("handled", str)
 _REQUEST_ID = web.RequestKey("request_id", str)
+_STARTED_RESPONSE = web.RequestKey("started_response", web.StreamResponse)
 
 
 class Api:
@@ -55,6 +56,7 @@
             client_max_size=defaults.MAX_BODY_BYTES,
             middlewares=[self._handle_errors],
         )
+        application.on_response_prepare.append(_record_start)
         application.add_routes(
             [
                 web.post("/v1/completions", self.complete),
@@ -72,7 +74,13 @@
     async def _handle_errors(
         self, request: web.Request, handler: t.Any
     ) -> web.StreamResponse:
-        """Call the handler, turn its errors into responses and count them."""
+        """Call the handler, turn its errors into responses and count them.
+
+        After an error within a response, the connection is closed without
+        the end of the body, so that the caller does not take a partial
+        response for a complete one. A response that has ended, also with an
+        error event, is left as it is.
+        """
         request[_REQUEST_ID] = secrets.token_hex(16)
         request[_REQUEST_KIND] = ""
         code = 0
@@ -83,7 +91,15 @@
         except Exception as error:
             converted = _convert_error(error)
             code = converted.code
-            response = _build_error_response(converted, request[_REQUEST_ID])
+            response = request.get(_STARTED_RESPONSE) or _build_error_response(
+                converted, request[_REQUEST_ID]
+            )
+            if (
+                response.prepared
+                and not response.get(responses.ENDED)
+                and request.transport is not None
+            ):
+                request.transport.close()
         finally:
             self._state.metrics.in_progress.dec()
         if request[_REQUEST_KIND]:
@@ -354,6 +370,13 @@
         )
 
 
+async def _record_start(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    """Record a response whose head is about to be sent."""
+    request[_STARTED_RESPONSE] = response
+
+
 def _convert_error(error: Exception) -> exceptions.SesamefoldError:
     """Return the error with a code for any exception of a handler."""
     if isinstance(error, exceptions.SesamefoldError):
--- a/src/sesamefold/responses.py
+++ b/src/sesamefold/responses.py
@@ -20,6 +20,8 @@
 # Below this size of its buffer, aiohttp's writer does not wait for the
 # socket: its limit of 64 KB less the framing of one event.
 _WRITER_BUFFER_BYTES = 65_000
+# Set on a response to which nothing can be added.
+ENDED = web.ResponseKey("ended", bool)
 
 
 class ResponseWriter:
@@ -247,6 +249,7 @@
     """End a response; raise TimeoutError if the caller reads too slowly."""
     async with asyncio.timeout(defaults.SLOW_READER_SECONDS):
         await response.write_eof(data)
+    response[ENDED] = True
 
 
 def build_error_body(
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -36,7 +36,8 @@
     """A fault of one stream of a fake engine, at the token with index `at`.
 
     `kind` is "refuse", "unreachable", "crash", "disconnect", "wrong request",
-    "wrong version", "duplicate", "skip", "hang" or "late finish".
+    "wrong version", "duplicate", "skip", "hang", "late finish" or "odd
+    offset", which no verifier can compare.
     """
 
     kind: str
@@ -110,6 +111,7 @@
                 attrs.evolve(event, weight_version="v0", text="secret ")
             ],
             "duplicate": [event, event],
+            "odd offset": [attrs.evolve(event, offset="x")],
             "skip": [],
         }.get(fault.kind, [event])
 
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -1,6 +1,7 @@
 """Tests of streams that are interrupted, resumed or lost."""
 
 import asyncio
+import json
 import time
 import unittest.mock
 
@@ -9,6 +10,9 @@
 from sesamefold import completions
 from sesamefold import configuration
 from sesamefold import defaults
+from sesamefold import engines
+from sesamefold import transport
+from standins import scripted_server
 from tests import gateway_fakes
 
 
@@ -231,3 +235,129 @@
             text = await response.text()
         self.assertIn('"code": 1205', text)
         self.assertEqual(1, len(self.bench.engine_requests))
+
+
+class CallerBytesTest(unittest.IsolatedAsyncioTestCase):
+    """Bytes that callers get whose stream began and broke off."""
+
+    async def read_stream(self, bench, seconds=3.0):
+        """Return the head and the body of a stream, as sent."""
+        host, port = bench.gateway.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        data = json.dumps(
+            {
+                "model": "draft",
+                "prompt": "a prompt",
+                "max_tokens": 6,
+                "stream": True,
+            }
+        )
+        writer.write(
+            (
+                "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                "Authorization: Bearer token-acme\r\nConnection: close\r\n"
+                f"Sesamefold-Deadline: {time.time() + seconds}\r\n"
+                f"Content-Length: {len(data)}\r\n\r\n{data}"
+            ).encode()
+        )
+        async with asyncio.timeout(seconds + 5.0):
+            received = await reader.read()
+        head, _, body = received.partition(b"\r\n\r\n")
+        self.assertIn(b" 200 OK", head)
+        self.assertIn(b"w1", body)
+        return body
+
+    def assert_error_at_end(self, body, text):
+        """Check that a stream ends with an error event and nothing else."""
+        self.assertNotIn(b"HTTP/1.1", body)
+        self.assertNotIn(b"[DONE]", body)
+        self.assertEqual(1, body.count(b'"error"'), body)
+        self.assertNotIn(text, body)
+        self.assertTrue(body.endswith(b"\n\n\r\n0\r\n\r\n"), body[-200:])
+
+    async def start(self, make_engine=None):
+        """Start a gateway and return its bench."""
+        bench = gateway_fakes.Bench()
+        await bench.start(make_engine)
+        self.addAsyncCleanup(bench.stop)
+        return bench
+
+    async def test_deadline_within_a_stream_sends_one_error(self):
+        """Guards against a second head behind the end of a stream."""
+        bench = await self.start()
+        for engine in bench.engines.values():
+            engine.faults = [gateway_fakes.Fault("hang", 3)]
+        body = await self.read_stream(bench, 0.4)
+        self.assert_error_at_end(body, b"w3")
+
+    async def test_unexpected_error_within_a_stream_sends_no_head(self):
+        """Guards against an error response in the middle of a stream."""
+        bench = await self.start()
+        for engine in bench.engines.values():
+            engine.faults = [gateway_fakes.Fault("odd offset", 3)]
+        body = await self.read_stream(bench)
+        self.assertNotIn(b"HTTP/1.1", body)
+        self.assertNotIn(b"[DONE]", body)
+        self.assertFalse(body.endswith(b"0\r\n\r\n"))
+
+    async def test_reply_of_the_next_engine_does_not_enter_a_stream(self):
+        """Guards against an error's text or head within a stream.
+
+        An engine begins a stream and closes its connection. All engines then
+        give a reply that does not continue it.
+        """
+        exchange = f"{transport.EXCHANGE_HEADER}: {{id}}\r\n"
+        text = 'spoiled: {"error": "spoiled"}\n\ndata: spoiled\n\n'
+        for status, headers, reply in (
+            ("500 Failed", "", text),
+            ("503 Busy", "", text),
+            ("503 Busy", "Sesamefold-Executed: no\r\n", text),
+            ("421 Not here", "", text),
+            ("404 Not Found", "", text),
+            ("302 Found", "Location: /other\r\n", text),
+            ("204 No Content", "", ""),
+            ("200 OK", "", ""),
+            ("200 OK", "", text),
+            ("200 OK", "Content-Type: application/json\r\n", "{}"),
+            ("200 OK", "", "data: 7\n\n"),
+            ("200 OK", "", "data: {}\n\n"),
+            ("200 OK", "", "data: []\n\n"),
+        ):
+            with self.subTest(status=status, reply=reply[:20]):
+                await self.check_reply(
+                    f"HTTP/1.1 {status}\r\n{exchange}{headers}"
+                    f"Content-Length: {len(reply)}\r\n\r\n{reply}"
+                )
+
+    async def check_reply(self, reply):
+        """Check the bytes of a caller for one reply of all later calls."""
+        server = await self.enterAsyncContext(
+            scripted_server.ScriptedServer(transport.EXCHANGE_HEADER)
+        )
+        server.scripts = [
+            scripted_server.Script((scripted_server.Step(reply),), closes=True)
+        ] * 50
+        first = gateway_fakes.FakeEngine("a:1")
+        first.faults = [gateway_fakes.Fault("disconnect", 3)]
+        bench = await self.start(
+            lambda session, address: InterruptedEngine(
+                session, server.address, first
+            )
+        )
+        body = await self.read_stream(bench)
+        self.assert_error_at_end(body, b"spoiled")
+
+
+class InterruptedEngine(engines.HttpEngine):
+    """An engine whose first run of a prompt is that of a fake engine."""
+
+    def __init__(self, session, address, first):
+        super().__init__(session, address, 1.0)
+        self.first = first
+
+    def complete(self, request):
+        """Run a prompt and return its events."""
+        if self.first.requests:
+            return super().complete(request)
+        return self.first.complete(request)
