Refuse odd values in reports and events of the own interface's engines

A load report that is no object or nested deeply raised AttributeError or RecursionError, which the task that polls the engine does not expect; a field of another type, a number out of range or text that is no valid Unicode was accepted and failed where it was used. The event of a stream that was nested deeply closed the caller's stream, and one with an offset that is text left the verifier with TypeError, instead of going on at another engine.

Values are now checked against the types of their fields when they are decoded, so that all of these are failures of the engine that sent them.

--- a/src/sesamefold/engines.py
+++ b/src/sesamefold/engines.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import json
 import typing as t
 
 import aiohttp
@@ -10,10 +9,14 @@
 
 from sesamefold import deadline as deadlines
 from sesamefold import exceptions
+from sesamefold import jsonvalues
 from sesamefold import transport
 
 # Deadline of the call that cancels a run when its stream is closed, seconds.
 _CANCEL_TIMEOUT_SECONDS = 1.0
+# Largest whole number of an engine, and largest count of its load reports.
+_MAX_INTEGER = 2**63 - 1
+_MAX_REPORTED_COUNT = 2**32 - 1
 
 
 @attrs.frozen
@@ -259,7 +262,7 @@
             "GET",
             "load",
             deadline,
-            decode=lambda body: _build_from_json(Load, body),
+            decode=_decode_load,
         )
 
     async def fetch_events(
@@ -354,7 +357,7 @@
                     if not line.startswith(b"data:"):
                         continue
                     event = self._decode_event(
-                        json.loads(line[len(b"data:") :])
+                        jsonvalues.decode(line[len(b"data:") :])
                     )
                     yield event
                     if event.kind == "finished":
@@ -418,7 +421,9 @@
                 if missing_ok and response.status == 404:
                     return None
                 await self._check_status(response)
-                return decode(json.loads(await transport.read_body(response)))
+                return decode(
+                    jsonvalues.decode(await transport.read_body(response))
+                )
         except transport.CALL_ERRORS as error:
             raise self._convert_error(error) from error
 
@@ -449,15 +454,54 @@
         return exceptions.BackendFailed(message)
 
 
-def _build_from_json(cls: type, body: t.Mapping[str, t.Any]) -> t.Any:
+def _decode_load(body: t.Any) -> Load:
+    """Return a load report that messages between hosts can hold.
+
+    Raises `TypeError` or `ValueError` for any other.
+    """
+    load: Load = _build_from_json(Load, body)
+    if max(load.running, load.queued, load.limit) > _MAX_REPORTED_COUNT:
+        raise ValueError("a count is out of range")
+    # Raises ValueError for text that is no valid Unicode.
+    "".join((load.epoch, load.role, *load.versions)).encode()
+    return load
+
+
+def _build_from_json(cls: type, body: t.Any) -> t.Any:
     """Return an attrs object from a JSON object.
 
-    Unknown fields are ignored; lists become tuples.
+    Unknown fields are ignored; lists become tuples. Raises `TypeError` or
+    `ValueError` for a body of another form.
     """
-    known = {field.name for field in attrs.fields(cls)} & body.keys()
+    if not isinstance(body, dict):
+        raise TypeError("it is no object")
     return cls(
         **{
-            key: tuple(body[key]) if isinstance(body[key], list) else body[key]
-            for key in known
+            field.name: _check_value(field, body[field.name])
+            for field in attrs.fields(cls)
+            if field.name in body
         }
     )
+
+
+def _check_value(field: "attrs.Attribute[t.Any]", value: t.Any) -> t.Any:
+    """Return the value of a field of the type `field` has.
+
+    Raises `TypeError`, or `ValueError` for a number out of range.
+    """
+    if field.type not in (bool, int, float, str):
+        if not isinstance(value, list) or not all(
+            isinstance(entry, str) for entry in value
+        ):
+            raise TypeError(f"{field.name} is no list of text")
+        return tuple(value)
+    accepted = (int, float) if field.type is float else (field.type,)
+    if not isinstance(value, accepted) or (
+        isinstance(value, bool) and field.type is not bool
+    ):
+        raise TypeError(f"{field.name} has the wrong type")
+    if field.type is int and not 0 <= value <= _MAX_INTEGER:
+        raise ValueError(f"{field.name} is out of range")
+    if field.type is float and not -_MAX_INTEGER <= value <= _MAX_INTEGER:
+        raise ValueError(f"{field.name} is out of range")
+    return value
--- a/src/sesamefold/transport.py
+++ b/src/sesamefold/transport.py
@@ -1,7 +1,6 @@
 """HTTP sessions, timeouts and errors that all HTTP clients share."""
 
 import asyncio
-import json
 import typing as t
 import uuid
 
@@ -10,6 +9,7 @@
 
 from sesamefold import deadline as deadlines
 from sesamefold import exchanges
+from sesamefold import jsonvalues
 
 # Largest fraction of the remaining time that connecting may take. A timeout
 # while connecting shows that a host which drops packets has not received the
@@ -184,7 +184,7 @@
 ) -> t.Dict[str, t.Any]:
     """Return the JSON object of an error response, {} without one."""
     try:
-        body = json.loads(await read_body(response))
+        body = jsonvalues.decode(await read_body(response))
     except CALL_ERRORS:
         return {}
     return body if isinstance(body, dict) else {}
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -499,6 +499,64 @@
                 )
                 self.assertEqual(exceptions.BackendFailed, outcome)
 
+    async def test_malformed_reports_are_errors_of_the_engine(self) -> None:
+        """Guards against an engine's report that ends the polling of all."""
+        sound = {
+            "epoch": "e",
+            "cold": False,
+            "leaving": False,
+            "running": 1,
+            "queued": 0,
+            "limit": 8,
+            "versions": ["m@v1"],
+            "role": "serve",
+            "measured_at": 1.5,
+        }
+        head = f"HTTP/1.1 200 OK\r\n{transport.EXCHANGE_HEADER}: {{id}}\r\n"
+
+        async def fetch(text: str) -> engines.Load:
+            self.server.scripts = [
+                script(f"{head}Content-Length: {len(text)}\r\n\r\n{text}")
+            ]
+            return await self.engine.fetch_load(
+                deadlines.Deadline.after(GIVE_UP_SECONDS)
+            )
+
+        load = await fetch(json.dumps(sound))
+        self.assertEqual(("m@v1",), load.versions)
+        await fetch(json.dumps({**sound, "measured_at": 1, "later": {}}))
+        values = (
+            "null",
+            '"x"',
+            "-1",
+            "1e400",
+            "NaN",
+            "9" * 400,
+            str(2**32),
+            "true",
+            "[]",
+            "[7]",
+            '["\\ud800"]',
+            "{}",
+        )
+        texts = [
+            json.dumps({**sound, name: "@"}).replace('"@"', value)
+            for name in sound
+            for value in values
+            if (name, value)
+            not in {
+                *((name, "true") for name in ("cold", "leaving")),
+                *((name, '"x"') for name in ("epoch", "role")),
+                ("versions", "[]"),
+                ("measured_at", "-1"),
+                ("measured_at", str(2**32)),
+            }
+        ]
+        for text in (*texts, "[]", "7", "null", "{}", "[" * 5000):
+            with self.subTest(text=text[-300:]):
+                with self.assertRaises(exceptions.BackendFailed):
+                    await fetch(text)
+
     async def test_trickled_bytes_are_no_line(self) -> None:
         """Guards against a stalled stream that single bytes keep open."""
         head = (
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -323,6 +323,8 @@
             ("200 OK", "", "data: 7\n\n"),
             ("200 OK", "", "data: {}\n\n"),
             ("200 OK", "", "data: []\n\n"),
+            ("200 OK", "", 'data: {"kind": "token", "offset": "x"}\n\n'),
+            ("200 OK", "", "data: " + "[" * 5000 + "\n\n"),
         ):
             with self.subTest(status=status, reply=reply[:20]):
                 await self.check_reply(
