Log records of entry hosts that are rejected

They were ignored without a line, so that a host with such a record was missing from the members for no visible reason. The line is that of other rejected records; the test of odd entries with the process counts them.

--- a/src/sesamefold/entry/members.py
+++ b/src/sesamefold/entry/members.py
@@ -150,6 +150,12 @@
             member = _decode_member(name, record.value)
             if member is None:
                 self._listed_members.pop(name, None)
+                if record.value is not None:
+                    self.log.write(
+                        "record_rejected",
+                        key=record.key,
+                        reason="it describes no entry host",
+                    )
             else:
                 self._listed_members[name] = member
         self._members.update(self._listed_members)
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -205,7 +205,7 @@
         self.assertEqual(200, await self.call("/unsafe/", self.engine.id))
 
     def put_odd_entries(self) -> int:
-        """Write records of another writer; return how many name servers."""
+        """Write records of another writer; return how many are rejected."""
         odd = platform_fixtures.make_odd_server_entries(self.engine_address)
         members = platform_fixtures.make_odd_member_records()
         for prefix, records in (
@@ -215,7 +215,7 @@
             for name, record in records.items():
                 self.store.put(f"{prefix}/{name}", record)
         self.store.put("sesamefold/orders/last-holder", b"\xff" * 9)
-        return len(odd)
+        return len(odd) + len(members)
 
     async def test_odd_entries_do_not_end_the_process_or_its_watch(
         self,
