Reset broken responses to callers that speak HTTP/1.0

A stream that broke off ended for a caller of HTTP/1.0 as a complete one: its body has no other end than the close of the connection, and the entry host closed it. It now resets the connection to such callers; those of HTTP/1.1 see the missing last chunk as before.

test_broken_stream_to_an_old_caller_is_reset failed before, as no reset came.

--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -1,6 +1,8 @@
 """HTTP server of the entry host for callers."""
 
 import asyncio
+import socket
+import struct
 import typing as t
 
 from aiohttp import web
@@ -187,10 +189,7 @@
             confirmed=round(clock.read_time() - self.catalog.confirmed_at, 2),
         )
         if writer.response is not None:
-            # The connection is closed without the end of the body, so that
-            # the caller does not take a partial response for a complete one.
-            if request.transport is not None:
-                request.transport.close()
+            _break_connection(request)
             raise asyncio.CancelledError()
         retry_after = error.retry_after
         if retry_after is None and error.status in (429, 503):
@@ -204,3 +203,23 @@
         if self.draining:
             response.force_close()
         return response
+
+
+def _break_connection(request: web.BaseRequest) -> None:
+    """Close a caller's connection without the end of the body.
+
+    The caller then does not take a partial response for a complete one. To
+    HTTP/1.0, the close is the end of the body, so that the connection is
+    reset instead.
+    """
+    transport = t.cast(t.Optional[asyncio.Transport], request.transport)
+    if transport is None:
+        return
+    if request.version >= (1, 1):
+        transport.close()
+        return
+    # With a linger time of 0, closing the socket sends a reset.
+    transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    transport.abort()
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -198,11 +198,12 @@
         )
 
     async def exchange(
-        self, path: str, number: int, *replies: str
+        self, path: str, number: int, *replies: str, version: str = "1.1"
     ) -> tuple[bytes, bytes]:
         """Return the head and the body that a caller gets, as sent.
 
-        Each server closes its connection after its reply.
+        Each server closes its connection after its reply. `version` is that
+        of HTTP in the caller's request.
         """
         self.host.placement.states.clear()
         self.scripts[:] = [
@@ -222,7 +223,7 @@
             "Content-Length": "0",
             **PROMPT,
         }
-        lines = [f"POST {path} HTTP/1.1"]
+        lines = [f"POST {path} HTTP/{version}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         writer.write("\r\n".join((*lines, "", "")).encode())
         async with asyncio.timeout(5.0):
@@ -315,6 +316,19 @@
                 self.assertEqual(events, body.count(b"data: x"))
                 self.assertTrue(body.endswith(b"0\r\n\r\n"))
 
+    async def test_broken_stream_to_an_old_caller_is_reset(self) -> None:
+        """Guards against a broken stream that ends as a complete one.
+
+        The body of an answer to HTTP/1.0 ends with its connection, so that
+        only a reset shows that it is not complete.
+        """
+        broken = STREAM_HEAD + make_chunk(FIRST_EVENT) + "5\r\nid: 2"
+        with self.assertRaises(ConnectionResetError):
+            await self.exchange("/stream/", 1, broken, version="1.0")
+        whole = STREAM_HEAD + make_chunk(FIRST_EVENT) + "0\r\n\r\n"
+        _, body = await self.exchange("/stream/", 2, whole, version="1.0")
+        self.assertEqual(FIRST_EVENT.encode(), body)
+
     async def test_cut_head_is_no_answer_to_a_caller(self) -> None:
         """Guards against a short body that is framed as a whole one.
 
