Reject datagrams whose sequence is infinite

A message between hosts with a sequence of 1e400 raised OverflowError in the callback of the socket, past the place that logs rejected messages. The loop goes on, so callers saw nothing; the message left no line.

test_infinite_sequence_is_rejected failed before with OverflowError.

--- a/src/sesamefold/entry/datagrams.py
+++ b/src/sesamefold/entry/datagrams.py
@@ -107,6 +107,7 @@
             TypeError,
             KeyError,
             AttributeError,
+            OverflowError,
             RecursionError,
         ) as error:
             self._log.write(
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -389,6 +389,17 @@
             server_status.ServerStatuses(self.log),
         )
 
+    def test_infinite_sequence_is_rejected(self) -> None:
+        """Guards against an error of the socket's callback."""
+        for topic, rest in (
+            (loads.TOPIC, "{}"),
+            (loads.SUMS_TOPIC, '"region-1", {}, {}'),
+        ):
+            self.channel.datagram_received(
+                f'["{topic}", "b", [1e400, {rest}]]'.encode(), ("b", 1)
+            )
+        self.assertEqual(["peer_message_rejected"] * 2, self.log.events)
+
     @hypothesis.given(
         strategies.one_of(
             strategies.binary(max_size=60),
