Revert "Wait until a starting host is listed before its gateway gets servers"

Callers saw 1201 (no usable server) for calls of plain services right after a host reported itself ready: the wait for the host list delayed the first list of servers past readiness, and such calls do not wait for one.

What the commit mended comes back: in rare starts two gateways run suspects on the same servers. A wait needs to count for readiness as well.

--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -162,7 +162,6 @@
         self.changed = notification.Notification()
         self._urgent = notification.Notification()
         self.has_host_list = False  # True once the host list has answered
-        self._has_been_listed = False
         self.reports: t.Optional[Reports] = None
         self.get_revision: t.Callable[[], int] = lambda: 0
         self.on_peer_revision: t.Callable[[int, str], None] = lambda *_: None
@@ -272,11 +271,10 @@
     def has_heartbeats_of_all_members(self) -> bool:
         """Return whether all members have sent or answered a heartbeat.
 
-        It is false until the host list names this host, because hosts that
-        start together can't know each other before; leaving peers are not
+        It is false until the host list has answered; leaving peers are not
         waited for.
         """
-        return self._has_been_listed and all(
+        return self.has_host_list and all(
             peer.heartbeat_seen or peer.member.leaving
             for peer in self._peers.values()
             if self.is_alive(peer)
@@ -323,13 +321,10 @@
     def apply_listing(self, listing: hostlist.Listing) -> None:
         """Replace the listed hosts by a new revision of the host list."""
         now = self._clock()
-        is_starting = not self._has_been_listed
+        is_first_listing = not self.has_host_list
         self.has_host_list = True
         self._listing = listing
         self._hosts = {host.name: host for host in listing.hosts}
-        self._has_been_listed = (
-            self._has_been_listed or self.name in self._hosts
-        )
         for host in self.list_hosts(self.data_centre):
             if host.name == self.name:
                 # The settings may leave the gateway's port to the kernel, so
@@ -345,10 +340,12 @@
                     gateway_address=host.address,
                     leaving=host.state == "leaving",
                 ),
-                # Only the listings up to the first one that names this host
-                # make hosts members before they send or answer a heartbeat.
+                # Only the first listing makes hosts members before they send
+                # or answer a heartbeat.
                 deadline=(
-                    now + defaults.HEARTBEAT_TIMEOUT if is_starting else 0.0
+                    now + defaults.HEARTBEAT_TIMEOUT
+                    if is_first_listing
+                    else 0.0
                 ),
             )
         for name, peer in list(self._peers.items()):
