Log how the store's replies arrive and what decoding costs

A host that learns a large configuration late could not be told from one whose store was slow, or whose processor was busy decoding. A read of the store that is large, slow or incomplete is logged as store_transfer with its bytes, the seconds until its head and its end, and the attempt; the line of a configuration gets the bytes of its record and the seconds of decoding.

--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -152,7 +152,7 @@
         elif isinstance(change, changes.ServerRemoved):
             self._apply_removal(change.id, now)
         elif isinstance(change, changes.ConfigurationAccepted):
-            self._accept_configuration(change.configuration)
+            self._accept_configuration(change)
         elif isinstance(change, changes.EvacuationRequested):
             self.evacuated_data_centres.add(change.data_centre)
             self.log.write("evacuation", data_centre=change.data_centre)
@@ -223,8 +223,9 @@
         )
 
     def _accept_configuration(
-        self, configuration: topology.Configuration
+        self, change: changes.ConfigurationAccepted
     ) -> None:
+        configuration = change.configuration
         known = self.configuration.version if self.configuration else 0
         if configuration.version < known:
             self.log.write(
@@ -240,6 +241,8 @@
                 previous=known,
                 routes=len(configuration.routes),
                 keys=len(configuration.customers),
+                bytes=change.bytes,
+                decode_seconds=change.decode_seconds,
             )
 
     def _apply_report(self, server: topology.Server, now: float) -> None:
--- a/src/sesamefold/entry/changes.py
+++ b/src/sesamefold/entry/changes.py
@@ -9,9 +9,15 @@
 
 @attrs.frozen
 class ConfigurationAccepted:
-    """A configuration written by the operator."""
+    """A configuration written by the operator.
+
+    `bytes` is the size of its record and `decode_seconds` the time that
+    decoding it took. They do not count in comparisons.
+    """
 
     configuration: topology.Configuration
+    bytes: t.Optional[int] = attrs.field(default=None, eq=False)
+    decode_seconds: t.Optional[float] = attrs.field(default=None, eq=False)
 
 
 @attrs.frozen
--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -1,6 +1,8 @@
 """Client of the platform's key-value store."""
 
+import asyncio
 import base64
+import collections
 import itertools
 import typing as t
 
@@ -32,18 +34,81 @@
 # Statuses with which the store rejects a call without executing it.
 _REJECTION_STATUSES = (429, 503)
 
+# Replies that are reported: those of this size, and those that take this much
+# longer than the store was asked to wait.
+REPORTED_REPLY_BYTES = 64 * 1024
+REPORTED_REPLY_SECONDS = 0.5
+
 JsonObject = t.Mapping[str, t.Any]
 
 
+@attrs.frozen
+class Transfer:
+    """A reply of the store that was large or slow, or that did not arrive.
+
+    `bytes` counts those of the body that arrived. `head_seconds` is the time
+    from the call to the head of the reply, None if there was none, `seconds`
+    that to the end of the call. `attempt` counts the calls of this path since
+    the last one that succeeded. `reason` is None for a complete reply.
+    """
+
+    path: str
+    attempt: int
+    bytes: int
+    head_seconds: t.Optional[float]
+    seconds: float
+    reason: t.Optional[str] = None
+
+
+Reporter = t.Callable[[Transfer], None]
+
+
+def _ignore_transfer(transfer: Transfer) -> None:
+    """Report nothing; for clients without a log."""
+
+
+@attrs.define
+class _Progress:
+    """How much of a reply has arrived, on the clock of the event loop."""
+
+    began_at: float = attrs.field(
+        factory=lambda: asyncio.get_running_loop().time()
+    )
+    head_at: t.Optional[float] = None
+    bytes: int = 0
+
+    def describe(
+        self, path: str, attempt: int, reason: t.Optional[str]
+    ) -> Transfer:
+        """Return the transfer, which ends now."""
+        now = asyncio.get_running_loop().time()
+        return Transfer(
+            path,
+            attempt,
+            self.bytes,
+            (
+                None
+                if self.head_at is None
+                else round(self.head_at - self.began_at, 3)
+            ),
+            round(now - self.began_at, 3),
+            reason,
+        )
+
+
 @attrs.define
 class StoreClient:
     """Client of the store.
 
-    Implements `store.RecordSource` and `store.HostRecordStore`.
+    Implements `store.RecordSource` and `store.HostRecordStore`. `report` is
+    called with each reply that was large or slow, and with those to calls of
+    `GET` that did not arrive.
     """
 
     session: aiohttp.ClientSession
     address: str
+    report: Reporter = _ignore_transfer
+    _failures: t.Counter[str] = attrs.field(factory=collections.Counter)
 
     async def read_all(self) -> changes.Batch:
         """Return the records of the operator, the servers and the hosts.
@@ -192,6 +257,8 @@
         an effect, and `exceptions.OutcomeUnknown` for a write that may have
         taken effect.
         """
+        progress = _Progress()
+        reason: t.Optional[str] = None
         try:
             async with self.session.request(
                 method,
@@ -205,7 +272,8 @@
                     total=seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
                 ),
             ) as response:
-                data = await transport.read_body(response, MAX_REPLY_BYTES)
+                progress.head_at = asyncio.get_running_loop().time()
+                data = await _read_body(response, progress)
                 if response.status in _REJECTION_STATUSES:
                     raise exceptions.PlatformUnavailable(
                         f"the store answered {response.status}"
@@ -213,10 +281,51 @@
                 decoded = wire.decode(data) if data else None
                 return response.status, decoded
         except transport.CALL_ERRORS as error:
-            message = f"store: {transport.describe_error(error)}"
+            reason = transport.describe_error(error)
+            message = f"store: {reason}"
             if method == "GET" or transport.is_unsent(error):
                 raise exceptions.PlatformUnavailable(message) from error
             raise exceptions.OutcomeUnknown(message) from error
+        finally:
+            if method == "GET":
+                self._report_read(path, params, progress, reason)
+
+    def _report_read(
+        self,
+        path: str,
+        params: t.Mapping[str, str],
+        progress: _Progress,
+        reason: t.Optional[str],
+    ) -> None:
+        """Report a reply if it was large or slow or did not arrive."""
+        transfer = progress.describe(path, self._failures[path] + 1, reason)
+        waited = int(params.get("wait_ms", 0)) / _MS_PER_SECOND
+        if (
+            reason is not None
+            or transfer.bytes >= REPORTED_REPLY_BYTES
+            or transfer.seconds >= waited + REPORTED_REPLY_SECONDS
+        ):
+            self.report(transfer)
+        if reason is None:
+            del self._failures[path]
+        else:
+            self._failures[path] += 1
+
+
+async def _read_body(
+    response: aiohttp.ClientResponse, progress: _Progress
+) -> bytes:
+    """Return the whole body; raises `transport.BodyTooLarge`."""
+    chunks = []
+    while chunk := await response.content.readany():
+        progress.bytes += len(chunk)
+        if progress.bytes > MAX_REPLY_BYTES:
+            response.close()
+            raise transport.BodyTooLarge(
+                f"the body exceeds {MAX_REPLY_BYTES} bytes"
+            )
+        chunks.append(chunk)
+    return b"".join(chunks)
 
 
 def _check_status(succeeded: bool, status: int) -> None:
--- a/src/sesamefold/platform/daemon.py
+++ b/src/sesamefold/platform/daemon.py
@@ -6,6 +6,8 @@
 import pathlib
 import sys
 
+import attrs
+
 from sesamefold.entry import decisions
 from sesamefold.entry import host as entry_host
 from sesamefold.entry import settings as entry_settings
@@ -41,7 +43,14 @@
     )
     settings = await _wait_for_settings(file)
     async with transport.make_session() as session:
-        store_client = client.StoreClient(session, settings.store_address)
+        log = decisions.DecisionLog(sys.stdout.fileno(), settings.host)
+
+        def report_transfer(transfer: client.Transfer) -> None:
+            log.write("store_transfer", **attrs.asdict(transfer))
+
+        store_client = client.StoreClient(
+            session, settings.store_address, report_transfer
+        )
         platform = entry_host.PlatformAdapters(
             store_client,
             store_client,
@@ -49,7 +58,6 @@
             engines.EngineClient(session),
             stores.ContextStoreClient(session),
         )
-        log = decisions.DecisionLog(sys.stdout.fileno(), settings.host)
         host = entry_host.EntryHost(settings, platform, log)
         await entry_host.run(host, file)
 
--- a/src/sesamefold/platform/records.py
+++ b/src/sesamefold/platform/records.py
@@ -1,6 +1,7 @@
 """Decoders of the records that the operator and the servers write."""
 
 import re
+import time
 import typing as t
 
 from sesamefold import addresses
@@ -38,13 +39,19 @@
     A record that cannot be decoded, or has an unknown key, becomes
     `changes.RecordRejected`.
     """
+    started_at = time.perf_counter()
     try:
         body = wire.decode(value)
         if key.startswith(wire.SERVERS_PREFIX):
             server_id = key.removeprefix(wire.SERVERS_PREFIX)
             return changes.ServerReported(_decode_server(server_id, body))
         if key == wire.CONFIGURATION_KEY:
-            return changes.ConfigurationAccepted(_decode_configuration(body))
+            configuration = _decode_configuration(body)
+            return changes.ConfigurationAccepted(
+                configuration,
+                len(value),
+                round(time.perf_counter() - started_at, 4),
+            )
         if key.startswith(wire.EVACUATION_PREFIX):
             return changes.EvacuationRequested(
                 key.removeprefix(wire.EVACUATION_PREFIX)
