List a test of store replies that are given up while they arrive

A watch that takes longer than a second beyond its wait is given up and begun again, whether or not its answer is arriving.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import itertools
 import json
 import time
@@ -10,6 +11,9 @@
 from aiohttp import web
 import attrs
 
+# Time between two pieces of a body that is sent slowly.
+PIECE_SECONDS = 0.1
+
 
 @attrs.define
 class _Item:
@@ -26,14 +30,20 @@
     `error_status`, unless 0, is the status of every response. `silent` holds
     every call for a minute. `lose_answers` executes the calls whose path
     begins with `lossy_path_prefix`, but holds their responses for a minute.
-    `calls` are the methods and paths of all calls.
+    `calls` are the methods and paths of all calls. `bytes_per_second`, unless
+    0, is the rate at which the body of each reply is sent, and `stall_after`,
+    unless 0, the number of its bytes after which it stops for a minute.
+    `sent_keys` counts how often the value of each key was sent to readers.
     """
 
     error_status: int = 0
     silent: bool = False
     lose_answers: bool = False
     lossy_path_prefix: str = "/"
+    bytes_per_second: float = 0.0
+    stall_after: int = 0
     calls: t.List[str] = attrs.field(factory=list)
+    sent_keys: t.Counter[str] = attrs.field(factory=collections.Counter)
     revision: int = 1
     _items: t.Dict[str, _Item] = attrs.field(factory=dict)
     _history: t.List[t.Dict[str, t.Any]] = attrs.field(factory=list)
@@ -100,8 +110,29 @@
         )
         if loses_answer:
             await asyncio.sleep(60.0)
+        if self.bytes_per_second or self.stall_after:
+            return await self._send_slowly(request, response)
         return response
 
+    async def _send_slowly(
+        self, request: web.Request, response: web.Response
+    ) -> web.StreamResponse:
+        """Send a reply's body in pieces."""
+        body = response.body
+        assert isinstance(body, bytes)
+        slow = web.StreamResponse(status=response.status)
+        slow.content_type = "application/json"
+        slow.content_length = len(body)
+        await slow.prepare(request)
+        size = int(self.bytes_per_second * PIECE_SECONDS) or self.stall_after
+        for start in range(0, len(body), size):
+            await slow.write(body[start : start + size])
+            if self.stall_after and start + size >= self.stall_after:
+                await asyncio.sleep(60.0)
+            if start + size < len(body):
+                await asyncio.sleep(PIECE_SECONDS)
+        return slow
+
     def _write(self, key: str, value: str, lease: int) -> int:
         self.revision += 1
         known = self._items.get(key)
@@ -145,6 +176,7 @@
             if k.startswith(prefix) and (after is None or k > after)
         )
         page = keys[:500]
+        self.sent_keys.update(page)
         return web.json_response(
             {
                 "items": [self._encode(k, self._items[k]) for k in page],
@@ -167,6 +199,7 @@
             ]
             remaining = deadline - time.monotonic()
             if events or remaining <= 0:
+                self.sent_keys.update(e["key"] for e in events)
                 return web.json_response(
                     {"events": events, "as_of": self.revision}
                 )
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -1,5 +1,6 @@
 """Tests of the platform's settings, records, headers and store client."""
 
+import asyncio
 import pathlib
 import tempfile
 import typing as t
@@ -11,6 +12,7 @@
 from sesamefold.entry import requests
 from sesamefold.entry import store
 from sesamefold import exceptions
+from sesamefold.platform import client
 from sesamefold.platform import headers
 from sesamefold.platform import records
 from sesamefold.platform import settings
@@ -304,6 +306,64 @@
         batch = await self.client.read_all()
         self.assertEqual(1100, len(batch.changes))
 
+    def put_large_configuration(self, routes: int = 900) -> int:
+        """Write a configuration of many routes; return its size in bytes."""
+        body = platform_fixtures.make_configuration(2)
+        route = body["routes"][0]
+        body["routes"] = [
+            {**route, "name": f"r-{number}", "path_prefix": f"/r-{number}/"}
+            for number in range(routes)
+        ]
+        self.store.put("op/config", body)
+        return len(self.store.get("op/config") or b"")
+
+    # Guards against asking anew for a large record that is on its way, which
+    # keeps a slow link busy with what has been sent already.
+    async def test_reply_that_arrives_slowly_but_steadily_is_read(
+        self,
+    ) -> None:
+        batch = await self.client.read_all()
+        size = self.put_large_configuration()
+        self.store.bytes_per_second = size * 4 / 3 / 3.0
+        watched = await self.client.watch(batch.revision, 0.2)
+        (change,) = watched.changes
+        self.assertIsInstance(change, changes.ConfigurationAccepted)
+        batch = await self.client.read_all()
+        self.assertEqual(1, len(batch.changes))
+        self.assertEqual(2, self.store.sent_keys["op/config"])
+
+    async def test_reply_that_stalls_is_given_up(self) -> None:
+        batch = await self.client.read_all()
+        self.put_large_configuration()
+        self.store.stall_after = 50_000
+        for call in (
+            self.client.watch(batch.revision, 0.2),
+            self.client.read_all(),
+        ):
+            async with asyncio.timeout(3.0):
+                with self.assertRaises(exceptions.PlatformUnavailable):
+                    await call
+
+    async def test_large_and_broken_replies_are_reported(self) -> None:
+        transfers: t.List[client.Transfer] = []
+        self.client.report = transfers.append
+        batch = await self.client.read_all()
+        await self.client.watch(batch.revision, 0.1)
+        self.assertEqual([], transfers)
+        size = self.put_large_configuration()
+        await self.client.read_all()
+        self.store.stall_after = 50_000
+        for _ in range(2):
+            with self.assertRaises(exceptions.PlatformUnavailable):
+                await self.client.read_all()
+        complete, first, second = transfers
+        self.assertGreater(complete.bytes, size)
+        self.assertIsNone(complete.reason)
+        self.assertEqual((1, 2), (first.attempt, second.attempt))
+        self.assertGreaterEqual(first.bytes, 50_000)
+        self.assertIsNotNone(first.head_seconds)
+        self.assertIsNotNone(first.reason)
+
     async def test_calls_raise_errors_by_their_possible_effect(self) -> None:
         self.store.error_status = 429
         with self.assertRaises(exceptions.PlatformUnavailable):
