Read a reply of the store for as long as it keeps arriving

Hosts in the region without the store used an old configuration for up to 7 s after a large one was written, refused keyed requests meanwhile and cut streams: 97 hosts gave a watch up 2.5 s after it began, while its answer was arriving over the shared link, and asked for all of it again.

A call fails if the head of the reply is late, if no byte of the body arrives for a second, or 20 s after the head. The test of a reply that takes 2 s and keeps arriving failed before and holds; a reply that stalls, and one that never ends, are given up as before.

--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -22,6 +22,12 @@
 # How much longer than its wait a watch may take to answer.
 WATCH_MARGIN_SECONDS = 1.0
 CONNECT_TIMEOUT_SECONDS = 0.5
+# Time without any byte of a reply's body after which the call fails. A large
+# reply over a busy link takes seconds, and asking for it again would send the
+# same bytes once more.
+SILENCE_TIMEOUT_SECONDS = 1.0
+# Longest time of a call from the head of its reply to the end of the body.
+MAX_TRANSFER_SECONDS = 20.0
 _MS_PER_SECOND = 1000.0
 
 # Records that the operator and the backend servers write. One watch covers
@@ -69,7 +75,13 @@
 
 @attrs.define
 class _Progress:
-    """How much of a reply has arrived, on the clock of the event loop."""
+    """How much of a reply has arrived, on the clock of the event loop.
+
+    `timeout` ends the call. It starts with the time until the head and moves
+    on with each part of the body, up to `MAX_TRANSFER_SECONDS` after the head.
+    """
+
+    timeout: asyncio.Timeout
 
     began_at: float = attrs.field(
         factory=lambda: asyncio.get_running_loop().time()
@@ -77,6 +89,25 @@
     head_at: t.Optional[float] = None
     bytes: int = 0
 
+    def record_head(self) -> None:
+        """Record that the head of the reply has arrived."""
+        self.head_at = asyncio.get_running_loop().time()
+        self._extend_timeout(self.head_at)
+
+    def record_bytes(self, count: int) -> None:
+        """Record that a part of the body has arrived."""
+        self.bytes += count
+        self._extend_timeout(asyncio.get_running_loop().time())
+
+    def _extend_timeout(self, now: float) -> None:
+        assert self.head_at is not None
+        self.timeout.reschedule(
+            min(
+                now + SILENCE_TIMEOUT_SECONDS,
+                self.head_at + MAX_TRANSFER_SECONDS,
+            )
+        )
+
     def describe(
         self, path: str, attempt: int, reason: t.Optional[str]
     ) -> Transfer:
@@ -253,26 +284,35 @@
     ) -> t.Tuple[int, t.Any]:
         """Return the status and the decoded body of the reply to a call.
 
+        The head of the reply must arrive within `seconds`, and the body must
+        keep arriving from then on.
+
         Raises `exceptions.PlatformUnavailable` when the call failed without
         an effect, and `exceptions.OutcomeUnknown` for a write that may have
         taken effect.
         """
-        progress = _Progress()
+        timeout = asyncio.timeout(seconds)
+        progress = _Progress(timeout)
         reason: t.Optional[str] = None
         try:
-            async with self.session.request(
-                method,
-                f"http://{self.address}{path}",
-                params=params,
-                data=None if body is None else wire.encode(body),
-                headers=(
-                    {"Content-Type": wire.JSON_CONTENT_TYPE} if body else None
-                ),
-                timeout=aiohttp.ClientTimeout(
-                    total=seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
-                ),
-            ) as response:
-                progress.head_at = asyncio.get_running_loop().time()
+            async with (
+                timeout,
+                self.session.request(
+                    method,
+                    f"http://{self.address}{path}",
+                    params=params,
+                    data=None if body is None else wire.encode(body),
+                    headers=(
+                        {"Content-Type": wire.JSON_CONTENT_TYPE}
+                        if body
+                        else None
+                    ),
+                    timeout=aiohttp.ClientTimeout(
+                        total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
+                    ),
+                ) as response,
+            ):
+                progress.record_head()
                 data = await _read_body(response, progress)
                 if response.status in _REJECTION_STATUSES:
                     raise exceptions.PlatformUnavailable(
@@ -318,7 +358,7 @@
     """Return the whole body; raises `transport.BodyTooLarge`."""
     chunks = []
     while chunk := await response.content.readany():
-        progress.bytes += len(chunk)
+        progress.record_bytes(len(chunk))
         if progress.bytes > MAX_REPLY_BYTES:
             response.close()
             raise transport.BodyTooLarge(
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections
+import contextlib
 import itertools
 import json
 import time
@@ -125,12 +126,14 @@
         slow.content_length = len(body)
         await slow.prepare(request)
         size = int(self.bytes_per_second * PIECE_SECONDS) or self.stall_after
-        for start in range(0, len(body), size):
-            await slow.write(body[start : start + size])
-            if self.stall_after and start + size >= self.stall_after:
-                await asyncio.sleep(60.0)
-            if start + size < len(body):
-                await asyncio.sleep(PIECE_SECONDS)
+        # The reader may have given up.
+        with contextlib.suppress(ConnectionResetError):
+            for start in range(0, len(body), size):
+                await slow.write(body[start : start + size])
+                if self.stall_after and start + size >= self.stall_after:
+                    await asyncio.sleep(60.0)
+                if start + size < len(body):
+                    await asyncio.sleep(PIECE_SECONDS)
         return slow
 
     def _write(self, key: str, value: str, lease: int) -> int:
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -5,6 +5,7 @@
 import tempfile
 import typing as t
 import unittest
+from unittest import mock
 
 import multidict
 
@@ -324,7 +325,7 @@
     ) -> None:
         batch = await self.client.read_all()
         size = self.put_large_configuration()
-        self.store.bytes_per_second = size * 4 / 3 / 3.0
+        self.store.bytes_per_second = size * 4 / 3 / 2.0
         watched = await self.client.watch(batch.revision, 0.2)
         (change,) = watched.changes
         self.assertIsInstance(change, changes.ConfigurationAccepted)
@@ -344,6 +345,14 @@
                 with self.assertRaises(exceptions.PlatformUnavailable):
                     await call
 
+    async def test_reply_that_never_ends_is_given_up(self) -> None:
+        self.put_large_configuration()
+        self.store.bytes_per_second = 50_000
+        with mock.patch.object(client, "MAX_TRANSFER_SECONDS", 1.5):
+            async with asyncio.timeout(3.0):
+                with self.assertRaises(exceptions.PlatformUnavailable):
+                    await self.client.read_all()
+
     async def test_large_and_broken_replies_are_reported(self) -> None:
         transfers: t.List[client.Transfer] = []
         self.client.report = transfers.append
