Read the records of the operator and those of the fleet separately

A read of the store names its scope: all records, those of the operator, or those of the servers and the entry hosts. A batch also holds the operator's records undecoded, so that a host can pass them on. No caller uses the narrower scopes yet.

--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -7,6 +7,7 @@
 from sesamefold.entry import changes
 from sesamefold.entry import clock
 from sesamefold.entry import decisions
+from sesamefold.entry import store
 from sesamefold.entry import topology
 from sesamefold import exceptions
 
@@ -109,14 +110,26 @@
         """Record that the catalog was up to date at the time `at`."""
         self.confirmed_at = max(self.confirmed_at, at)
 
-    def apply_snapshot(self, batch: changes.Batch) -> None:
-        """Replace servers and evacuations with those of a complete read."""
+    def apply_snapshot(
+        self, batch: changes.Batch, scope: store.Scope = store.Scope.ALL
+    ) -> None:
+        """Replace servers and evacuations with those of a complete read.
+
+        Those that the scope of the read does not cover remain.
+        """
+        if scope is not store.Scope.FLEET:
+            self.evacuated_data_centres = {
+                change.data_centre
+                for change in batch.changes
+                if isinstance(change, changes.EvacuationRequested)
+            }
+        if scope is not store.Scope.OPERATOR:
+            self._remove_unlisted_servers(batch)
+            self.has_snapshot = True
+        self.apply_changes(batch)
+
+    def _remove_unlisted_servers(self, batch: changes.Batch) -> None:
         now = self.read_time()
-        self.evacuated_data_centres = {
-            change.data_centre
-            for change in batch.changes
-            if isinstance(change, changes.EvacuationRequested)
-        }
         listed = {
             change.server.id
             for change in batch.changes
@@ -124,8 +137,6 @@
         }
         for server_id in self.servers.keys() - listed:
             self._apply_removal(server_id, now)
-        self.apply_changes(batch)
-        self.has_snapshot = True
 
     def record_store_contact(self, after_failure: bool) -> None:
         """Record an answer of the store and detect the end of an outage.
--- a/src/sesamefold/entry/changes.py
+++ b/src/sesamefold/entry/changes.py
@@ -72,6 +72,18 @@
     value: t.Optional[bytes]
 
 
+@attrs.frozen
+class OperatorRecord:
+    """A record of the operator as it is in the store.
+
+    A `value` of None means that the record was removed at `revision`.
+    """
+
+    key: str
+    value: t.Optional[bytes]
+    revision: int
+
+
 Change = t.Union[
     ConfigurationAccepted,
     EvacuationRequested,
@@ -88,9 +100,11 @@
     """Changes up to a revision of the platform store.
 
     `host_record_changes` holds the changes of records that the entry hosts
-    write themselves.
+    write themselves, and `operator_records` the records of the operator from
+    which the changes in `changes` were decoded.
     """
 
     changes: t.Tuple[Change, ...]
     revision: int
     host_record_changes: t.Tuple[HostRecordChanged, ...] = ()
+    operator_records: t.Tuple[OperatorRecord, ...] = ()
--- a/src/sesamefold/entry/store.py
+++ b/src/sesamefold/entry/store.py
@@ -1,5 +1,6 @@
 """Interfaces of the platform store, as used by the entry host."""
 
+import enum
 import typing as t
 
 import attrs
@@ -12,6 +13,19 @@
 MEMBERS_PREFIX = f"{HOSTS_PREFIX}members/"
 
 
+class Scope(enum.Enum):
+    """The records that a read of the store covers.
+
+    `FLEET` stands for those of the backend servers and the entry hosts, which
+    are small and change continuously, `OPERATOR` for those of the operator,
+    which may be large and change seldom.
+    """
+
+    ALL = "all"
+    FLEET = "fleet"
+    OPERATOR = "operator"
+
+
 class RecordSource(t.Protocol):
     """Read access to all records of the platform store.
 
@@ -20,15 +34,22 @@
     answer in time.
     """
 
-    async def read_all(self) -> changes.Batch:
-        """Return all records, as of the latest revision of the store."""
+    async def read_all(self, scope: Scope = Scope.ALL) -> changes.Batch:
+        """Return all records of a scope, as of the store's last revision."""
 
-    async def watch(self, after: int, seconds: float) -> changes.Batch:
+    async def watch(
+        self, after: int, seconds: float, scope: Scope = Scope.ALL
+    ) -> changes.Batch:
         """Return the changes after a revision, waiting up to `seconds`.
 
         Raises `exceptions.HistoryLost` if the store no longer has them all.
         """
 
+    def decode(
+        self, records: t.Iterable[changes.OperatorRecord]
+    ) -> t.Tuple[changes.Change, ...]:
+        """Return the changes that records of the operator stand for."""
+
 
 @attrs.frozen
 class HostRecord:
--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -4,6 +4,7 @@
 import base64
 import collections
 import itertools
+import os
 import typing as t
 
 import aiohttp
@@ -30,10 +31,23 @@
 MAX_TRANSFER_SECONDS = 20.0
 _MS_PER_SECOND = 1000.0
 
-# Records that the operator and the backend servers write. One watch covers
-# both: the platform charges for each call, and servers report continuously.
+# Records that the operator and the backend servers write.
 _PLATFORM_PREFIXES = (wire.OPERATIONS_PREFIX, wire.SERVERS_PREFIX)
-_ALL_KEYS = ""
+# Ranges that a read of a scope covers.
+_RANGES = {
+    store.Scope.ALL: (*_PLATFORM_PREFIXES, store.HOSTS_PREFIX),
+    store.Scope.FLEET: (wire.SERVERS_PREFIX, store.HOSTS_PREFIX),
+    store.Scope.OPERATOR: (wire.OPERATIONS_PREFIX,),
+}
+# Prefix that a watch of a scope covers: one watch covers several ranges,
+# because the platform charges for each call and servers report continuously.
+_WATCHED_PREFIXES = {
+    store.Scope.ALL: "",
+    store.Scope.FLEET: os.path.commonprefix(
+        [wire.SERVERS_PREFIX, store.HOSTS_PREFIX]
+    ),
+    store.Scope.OPERATOR: wire.OPERATIONS_PREFIX,
+}
 # Largest reply of the store: a watch may return many values of up to a
 # megabyte.
 MAX_REPLY_BYTES = 32 * 1024 * 1024
@@ -141,14 +155,16 @@
     report: Reporter = _ignore_transfer
     _failures: t.Counter[str] = attrs.field(factory=collections.Counter)
 
-    async def read_all(self) -> changes.Batch:
-        """Return the records of the operator, the servers and the hosts.
+    async def read_all(
+        self, scope: store.Scope = store.Scope.ALL
+    ) -> changes.Batch:
+        """Return all records of a scope.
 
         The batch has the revision of the first page that was read.
         """
         items: t.List[JsonObject] = []
         revisions = []
-        for prefix in (*_PLATFORM_PREFIXES, store.HOSTS_PREFIX):
+        for prefix in _RANGES[scope]:
             found, revision = await self._read_range(prefix)
             items += found
             revisions.append(revision)
@@ -156,13 +172,18 @@
         # first one returns what changed meanwhile.
         return _make_batch(items, revisions[0])
 
-    async def watch(self, after: int, seconds: float) -> changes.Batch:
+    async def watch(
+        self,
+        after: int,
+        seconds: float,
+        scope: store.Scope = store.Scope.ALL,
+    ) -> changes.Batch:
         """Return the changes after a revision, waiting up to `seconds`.
 
         Raises `exceptions.HistoryLost`.
         """
         params = {
-            "path_prefix": _ALL_KEYS,
+            "path_prefix": _WATCHED_PREFIXES[scope],
             "after": str(after),
             "wait_ms": str(int(seconds * _MS_PER_SECOND)),
         }
@@ -174,6 +195,16 @@
         _check_status(status == 200, status)
         return _make_batch(body["events"], max(after, int(body["as_of"])))
 
+    def decode(
+        self, operator_records: t.Iterable[changes.OperatorRecord]
+    ) -> t.Tuple[changes.Change, ...]:
+        """Return the changes that records of the operator stand for."""
+        decoded = (
+            _decode_change(record.key, record.value)
+            for record in operator_records
+        )
+        return tuple(filter(None, decoded))
+
     async def list_records(self, prefix: str) -> t.List[store.HostRecord]:
         """Return the records whose keys begin with `prefix`."""
         items, _ = await self._read_range(prefix)
@@ -391,26 +422,37 @@
     Records under any key that belongs neither to the operator nor to the
     servers are the entry hosts' own.
     """
-    decoded = (
-        _decode_event(event)
+    values = [
+        None if event.get("removed") else _decode_value(event)
         for event in events
+    ]
+    decoded = (
+        _decode_change(event["key"], value)
+        for event, value in zip(events, values)
         if event["key"].startswith(_PLATFORM_PREFIXES)
     )
     host_records = (
-        changes.HostRecordChanged(
-            event["key"],
-            None if event.get("removed") else _decode_value(event),
-        )
-        for event in events
+        changes.HostRecordChanged(event["key"], value)
+        for event, value in zip(events, values)
         if not event["key"].startswith(_PLATFORM_PREFIXES)
     )
+    operator_records = (
+        changes.OperatorRecord(event["key"], value, event["revision"])
+        for event, value in zip(events, values)
+        if event["key"].startswith(wire.OPERATIONS_PREFIX)
+    )
     return changes.Batch(
-        tuple(filter(None, decoded)), revision, tuple(host_records)
+        tuple(filter(None, decoded)),
+        revision,
+        tuple(host_records),
+        tuple(operator_records),
     )
 
 
-def _decode_event(event: JsonObject) -> t.Optional[changes.Change]:
-    """Return the change that an item or event of the store stands for."""
-    if event.get("removed"):
-        return records.decode_removal(event["key"])
-    return records.decode_record(event["key"], _decode_value(event))
+def _decode_change(
+    key: str, value: t.Optional[bytes]
+) -> t.Optional[changes.Change]:
+    """Return the change that a record, or its removal, stands for."""
+    if value is None:
+        return records.decode_removal(key)
+    return records.decode_record(key, value)
