Let two hosts of a large region read the operator's records for all

Callers of the region without the store got refusals, cut streams and answers by an old configuration when the operator wrote a large one: each of about 100 hosts read it over the link that all traffic between the regions shares.

In a region of more than 11 hosts, two readers (by link, then by rendezvous hash) watch the operator's records in the store. The other hosts watch the records of the servers and the hosts only. They ask a reader each 0.8 s how recent its records are, adopt the age of its confirmation from the sending of their question, and fetch what changed from it, compressed. Without answers, two backups read the store first, then the others one after another. Smaller regions read as before.

--- a/src/sesamefold/entry/follower.py
+++ b/src/sesamefold/entry/follower.py
@@ -9,6 +9,7 @@
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import changes
 from sesamefold.entry import decisions
+from sesamefold.entry import operator_relay
 from sesamefold.entry import store
 from sesamefold import exceptions
 
@@ -50,7 +51,8 @@
 
     `watch_interval_seconds` is the time between two watches. The catalog
     receives the records of the operator and the servers, the listeners those
-    that the entry hosts write themselves.
+    that the entry hosts write themselves. While the relay is active, the
+    operator's records come from it; without a relay, always from the store.
     """
 
     source: store.RecordSource
@@ -58,6 +60,8 @@
     catalog: catalogs.Catalog
     listeners: t.Sequence[RecordListener]
     log: decisions.DecisionLog
+    relay: t.Optional[operator_relay.OperatorRelay] = None
+    _scope: store.Scope = store.Scope.ALL
     _unreachable: bool = False
     _started_at: float = float("-inf")
 
@@ -79,24 +83,58 @@
                 self._record_failure(error)
                 await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
+    def _choose_scope(self) -> store.Scope:
+        if self.relay is not None and self.relay.update_activity():
+            return store.Scope.FLEET
+        return store.Scope.ALL
+
     async def _read_all(self) -> int:
-        started = self.catalog.read_time()
-        batch = await self.source.read_all()
+        """Read all records; return a revision that a watch may begin at."""
+        fleet = await self.source.read_all(store.Scope.FLEET)
         self._record_success()
-        self.catalog.apply_snapshot(batch)
+        self.catalog.apply_snapshot(fleet, store.Scope.FLEET)
         for listener in self.listeners:
-            listener.apply_snapshot(batch.host_record_changes)
+            listener.apply_snapshot(fleet.host_record_changes)
+        # The members, which decide on the scope, are known from here on.
+        self._scope = self._choose_scope()
+        if self._scope is store.Scope.ALL:
+            await self._read_operator_records()
+        return fleet.revision
+
+    async def _read_operator_records(self) -> None:
+        started = self.catalog.read_time()
+        batch = await self.source.read_all(store.Scope.OPERATOR)
+        self._record_success()
+        self.catalog.apply_snapshot(batch, store.Scope.OPERATOR)
+        if self.relay is not None:
+            self.relay.records.apply_snapshot(
+                batch.operator_records, batch.revision
+            )
         self.catalog.confirm(started)
-        return batch.revision
 
-    async def _watch(self, revision: int) -> int:
+    async def _watch(self, revision: int) -> t.Optional[int]:
+        """Apply the next changes; return their revision, None to read all."""
+        previous_scope, self._scope = self._scope, self._choose_scope()
+        if (previous_scope, self._scope) == (
+            store.Scope.FLEET,
+            store.Scope.ALL,
+        ):
+            # The operator's records may be of another revision.
+            return None
         started = self.catalog.read_time()
-        batch = await self.source.watch(revision, WATCH_TIMEOUT_SECONDS)
+        batch = await self.source.watch(
+            revision, WATCH_TIMEOUT_SECONDS, self._scope
+        )
         self._record_success()
         self.catalog.apply_changes(batch)
         for listener in self.listeners:
             listener.apply_changes(batch.host_record_changes)
-        self.catalog.confirm(started)
+        if self._scope is store.Scope.ALL:
+            if self.relay is not None:
+                self.relay.records.apply_changes(
+                    batch.operator_records, batch.revision
+                )
+            self.catalog.confirm(started)
         starting = started < self._started_at + STARTUP_SECONDS
         await asyncio.sleep(
             START_WATCH_INTERVAL_SECONDS
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -23,6 +23,8 @@
 from sesamefold.entry import loads
 from sesamefold.entry import members as member_lists
 from sesamefold.entry import metrics as entry_metrics
+from sesamefold.entry import operator_relay
+from sesamefold.entry import operator_transfers
 from sesamefold.entry import orders
 from sesamefold.entry import placement
 from sesamefold.entry import requests
@@ -34,6 +36,7 @@
 from sesamefold.entry import weight_status
 from sesamefold import exceptions
 from sesamefold import exchanges
+from sesamefold import transport
 
 # Time after the signal to stop in which new requests are still accepted. The
 # load balancer checks a host once a second and removes it after two failures.
@@ -158,6 +161,7 @@
             metrics=":".join(map(str, self.settings.metrics_address or ())),
         )
         await self.channel.open()
+        await self._open_relay()
         self.session = upstream.make_session(self._log_stray_answer)
         self.dispatcher = dispatch.Dispatcher(
             self.catalog,
@@ -181,6 +185,32 @@
         await self._serve_metrics()
         await self._listen(self.settings.listen_address, self.frontend.handle)
 
+    async def _open_relay(self) -> None:
+        """Prepare the relay of the operator's records.
+
+        Without its listener, the host serves, but other hosts cannot fetch
+        records from it.
+        """
+        self.peer_session = transport.make_session()
+        self.relay = operator_relay.OperatorRelay(
+            self.settings.host,
+            self.channel,
+            self.members,
+            self.platform.record_source,
+            operator_transfers.TransferClient(self.peer_session),
+            self.catalog,
+            self.decisions,
+        )
+        try:
+            await self._listen(
+                self.channel.get_address(),
+                operator_transfers.TransferServer(
+                    self.relay.records, self.catalog
+                ).handle,
+            )
+        except OSError as error:
+            self.decisions.write("relay_unavailable", reason=str(error))
+
     async def _serve_metrics(self) -> None:
         """Serve metrics. A failure to listen does not stop the entry host."""
         if self.settings.metrics_address is None:
@@ -240,8 +270,13 @@
             self.catalog,
             (self.members, self.election),
             self.decisions,
+            self.relay,
         ).run()
 
+    @mode.Service.task
+    async def _relay_operator_records(self) -> None:
+        await self.relay.run()
+
     @mode.Service.task
     async def _maintain_membership(self) -> None:
         await self.members.run()
@@ -337,6 +372,7 @@
     async def on_stop(self) -> None:
         """Close the sockets and flush the decision log."""
         await self.session.close()
+        await self.peer_session.close()
         self.channel.close()
         self.decisions.flush()
 
