--- a/src/sesamefold/entry/operator_relay.py
+++ b/src/sesamefold/entry/operator_relay.py
@@ -40,33 +40,36 @@
 # Hosts that read them next when no reader answers.
 BACKUPS_PER_REGION = 2
 # Longest wait of a reader's watch. Its age adds to that of its answers.
-READER_WATCH_SECONDS = 0.6
+READER_WATCH_SECONDS = 0.9
+# Time between two watches, which bounds the calls while records change often.
+READ_INTERVAL_SECONDS = 0.1
 # Wait of a watch in place of the readers' answers.
 FALLBACK_WATCH_SECONDS = 0.05
 # Interval between questions while the records are confirmed.
 QUESTION_INTERVAL_SECONDS = 0.8
 # Age of the last confirmation from which a host asks all readers and backups,
 # and the interval between its questions then.
-STALE_SECONDS = 1.8
+STALE_SECONDS = 2.0
 STALE_QUESTION_INTERVAL_SECONDS = 0.3
 # Age of the last confirmation at which a host reads the store itself: a
 # backup, and the other hosts one after another. API keys must be confirmed
 # every 4.5 s.
-BACKUP_FALLBACK_SECONDS = 2.2
+BACKUP_FALLBACK_SECONDS = 2.4
 FALLBACK_SECONDS = 3.2
 FALLBACK_SPREAD_SECONDS = 0.9
 # The same for a host that has just started and has no records yet.
 BACKUP_START_FALLBACK_SECONDS = 0.25
 START_FALLBACK_SECONDS = 0.5
 START_FALLBACK_SPREAD_SECONDS = 0.5
-# Delay after a failed read or fetch. Fetches are refused while many hosts
-# fetch at once.
-RETRY_INTERVAL_SECONDS = 0.25
-FETCH_RETRY_INTERVALS_SECONDS = (0.05, 0.25)
+# Shortest and longest delay after a failed read or fetch. Fetches are refused
+# while many hosts fetch at once.
+RETRY_INTERVALS_SECONDS = (0.1, 0.25)
 # Interval at which an idle relay checks whether it is used.
 IDLE_INTERVAL_SECONDS = 0.1
 # Questions whose answers are accepted.
 REMEMBERED_QUESTIONS = 20
+# Keys in a log line about fetched records.
+MAX_LOGGED_KEYS = 10
 
 
 @attrs.frozen
@@ -137,6 +140,8 @@
         self._history_lost = False
         # Set after a fetch of changes that do not fit this host's records.
         self._needs_all = False
+        # The store is read before the next fetch if this host is due to.
+        self._fetch_failed = False
         self._mode = ""
         self._offers: t.Dict[datagrams.Address, _Offer] = {}
         self._questions: t.Dict[float, None] = {}
@@ -210,34 +215,34 @@
     async def run(self) -> None:
         """Learn records until cancelled, while the relay is active."""
         while True:
-            try:
-                await self._step()
-            except exceptions.HistoryLost:
-                self._history_lost = True
-            except exceptions.PlatformError as error:
-                self._log.write("operator_unread", reason=error.message)
-                self.ask()
-                await self._wait(RETRY_INTERVAL_SECONDS)
-
-    async def _step(self) -> None:
+            await self._wait(await self.step())
+
+    async def step(self) -> float:
+        """Fetch records, read them or ask; return the seconds to wait then."""
         if not self.active:
-            await self._wait(IDLE_INTERVAL_SECONDS)
-            return
-        address = self._choose_offer()
-        if address is not None:
-            await self.fetch(address)
-        elif self.is_due_to_read():
-            await self.read_store()
-        else:
+            return IDLE_INTERVAL_SECONDS
+        try:
+            due = self.is_due_to_read()
+            address = self._choose_offer()
+            if address is not None and not (due and self._fetch_failed):
+                await self._fetch(address)
+                return 0.0
+            if due:
+                await self._read_store()
+                return READ_INTERVAL_SECONDS
+        except exceptions.HistoryLost:
+            self._history_lost = True
+            return 0.0
+        except exceptions.PlatformError as error:
+            self._log.write("operator_unread", reason=error.message)
             self.ask()
-            await self._wait(
-                random.uniform(0.9, 1.0)
-                * (
-                    STALE_QUESTION_INTERVAL_SECONDS
-                    if self._is_stale()
-                    else QUESTION_INTERVAL_SECONDS
-                )
-            )
+            return random.uniform(*RETRY_INTERVALS_SECONDS)
+        self.ask()
+        return random.uniform(0.9, 1.0) * (
+            STALE_QUESTION_INTERVAL_SECONDS
+            if self._is_stale()
+            else QUESTION_INTERVAL_SECONDS
+        )
 
     async def _wait(self, seconds: float) -> None:
         """Wait for a time or until another host has newer records."""
@@ -246,7 +251,7 @@
                 await self._wake.wait()
         self._wake.clear()
 
-    async def read_store(self) -> None:
+    async def _read_store(self) -> None:
         """Read the changes of the records from the store and apply them."""
         reader = self.is_reader()
         self._set_mode("reader" if reader else "fallback")
@@ -261,6 +266,7 @@
                 READER_WATCH_SECONDS if reader else FALLBACK_WATCH_SECONDS,
                 store.Scope.OPERATOR,
             )
+        self._fetch_failed = False
         if self._activated_at != activated_at:
             # The store follower has read the records meanwhile.
             return
@@ -366,7 +372,7 @@
         del self._offers[address]
         return address
 
-    async def fetch(self, address: datagrams.Address) -> None:
+    async def _fetch(self, address: datagrams.Address) -> None:
         """Fetch the records of another host and apply what changed."""
         started_at = self._read_time()
         activated_at = self._activated_at
@@ -376,22 +382,21 @@
             if self._activated_at != activated_at:
                 return
             changed = self.records.merge(received.records)
-        except (exceptions.PlatformUnavailable, ValueError) as error:
-            self._needs_all = isinstance(error, ValueError)
-            self._log.write(
-                "operator_fetch_failed",
-                address=":".join(map(str, address)),
-                reason=str(error),
-            )
-            await asyncio.sleep(random.uniform(*FETCH_RETRY_INTERVALS_SECONDS))
-            self.ask()
-            return
+        except ValueError as error:
+            self._fetch_failed = self._needs_all = True
+            raise exceptions.PlatformUnavailable(
+                f"{address[0]}: {error}"
+            ) from error
+        except exceptions.PlatformUnavailable:
+            self._fetch_failed = True
+            raise
+        self._fetch_failed = False
         self._needs_all = False
         self._log.write(
             "operator_fetched",
             address=":".join(map(str, address)),
             as_of=self.records.as_of,
-            keys=[record.key for record in changed],
+            keys=[record.key for record in changed[:MAX_LOGGED_KEYS]],
             seconds=round(self._read_time() - started_at, 3),
             age=round(received.age, 3),
         )
--- a/src/sesamefold/entry/operator_transfers.py
+++ b/src/sesamefold/entry/operator_transfers.py
@@ -105,13 +105,13 @@
             ) as response:
                 if response.status != 200:
                     raise exceptions.PlatformUnavailable(
-                        f"the host answered {response.status}"
+                        f"{host} answered {response.status}"
                     )
                 data = await transport.read_body(response)
                 return _decode_answer(response.headers, data)
         except transport.CALL_ERRORS as error:
             raise exceptions.PlatformUnavailable(
-                transport.describe_error(error)
+                f"{host}: {transport.describe_error(error)}"
             ) from error
 
 
