Describe the relay of the operator's records and bound its retries

Failures are logged when their reason changes, and a failed read of the store is repeated after 0.2 to 0.5 s.

--- a/src/sesamefold/entry/operator_relay.py
+++ b/src/sesamefold/entry/operator_relay.py
@@ -39,8 +39,9 @@
 READERS_PER_REGION = 2
 # Hosts that read them next when no reader answers.
 BACKUPS_PER_REGION = 2
-# Longest wait of a reader's watch. Its age adds to that of its answers.
-READER_WATCH_SECONDS = 0.9
+# Longest wait of a reader's watch. Its answers confirm an age of up to twice
+# this time.
+READER_WATCH_SECONDS = 0.5
 # Time between two watches, which bounds the calls while records change often.
 READ_INTERVAL_SECONDS = 0.1
 # Wait of a watch in place of the readers' answers.
@@ -61,9 +62,11 @@
 BACKUP_START_FALLBACK_SECONDS = 0.25
 START_FALLBACK_SECONDS = 0.5
 START_FALLBACK_SPREAD_SECONDS = 0.5
-# Shortest and longest delay after a failed read or fetch. Fetches are refused
-# while many hosts fetch at once.
-RETRY_INTERVALS_SECONDS = (0.1, 0.25)
+# Shortest and longest delay after a failed fetch. Fetches are refused while
+# many hosts fetch at once.
+FETCH_RETRY_SECONDS = (0.1, 0.25)
+# Shortest and longest delay after a failed read of the store.
+READ_RETRY_SECONDS = (0.2, 0.5)
 # Interval at which an idle relay checks whether it is used.
 IDLE_INTERVAL_SECONDS = 0.1
 # Questions whose answers are accepted.
@@ -142,6 +145,7 @@
         self._needs_all = False
         # The store is read before the next fetch if this host is due to.
         self._fetch_failed = False
+        self._last_failure = ""
         self._mode = ""
         self._offers: t.Dict[datagrams.Address, _Offer] = {}
         self._questions: t.Dict[float, None] = {}
@@ -234,9 +238,15 @@
             self._history_lost = True
             return 0.0
         except exceptions.PlatformError as error:
-            self._log.write("operator_unread", reason=error.message)
+            self._record_failure(error)
             self.ask()
-            return random.uniform(*RETRY_INTERVALS_SECONDS)
+            return random.uniform(
+                *(
+                    FETCH_RETRY_SECONDS
+                    if self._fetch_failed
+                    else READ_RETRY_SECONDS
+                )
+            )
         self.ask()
         return random.uniform(0.9, 1.0) * (
             STALE_QUESTION_INTERVAL_SECONDS
@@ -267,6 +277,7 @@
                 store.Scope.OPERATOR,
             )
         self._fetch_failed = False
+        self._last_failure = ""
         if self._activated_at != activated_at:
             # The store follower has read the records meanwhile.
             return
@@ -390,8 +401,8 @@
         except exceptions.PlatformUnavailable:
             self._fetch_failed = True
             raise
-        self._fetch_failed = False
-        self._needs_all = False
+        self._fetch_failed = self._needs_all = False
+        self._last_failure = ""
         self._log.write(
             "operator_fetched",
             address=":".join(map(str, address)),
@@ -407,6 +418,12 @@
             self._set_mode("relay")
             self._catalog.confirm(started_at - received.age)
 
+    def _record_failure(self, error: exceptions.PlatformError) -> None:
+        """Log a failure unless the one before had the same reason."""
+        if error.message != self._last_failure:
+            self._last_failure = error.message
+            self._log.write("operator_unread", reason=error.message)
+
     def _set_mode(self, mode: str) -> None:
         """Log a change of where the operator's records come from."""
         if mode and mode != self._mode:
