--- a/tests/test_entry_operator_fleet.py
+++ b/tests/test_entry_operator_fleet.py
@@ -110,3 +110,35 @@
             4.0,
         )
         self.assertTrue(all(host.is_ready() for host in self.hosts))
+
+    # Guards against a restart of many hosts that reads the configuration over
+    # the link between the regions for each of them.
+    async def test_starting_host_learns_the_configuration_from_a_reader(
+        self,
+    ) -> None:
+        await asyncio.sleep(2.0)
+        sent = self.store.sent_keys["op/config"]
+        ports = await platform_fixtures.find_free_ports(4)
+        await self.start_host("entry-late", ports)
+        await self.wait_until(self.hosts[-1].is_ready, 2.0)
+        self.assertEqual(sent, self.store.sent_keys["op/config"])
+
+    # Guards against keys that are refused, or configurations that are late,
+    # after the hosts that read them for the others have ended.
+    async def test_hosts_stay_ready_when_both_readers_end(self) -> None:
+        await asyncio.sleep(2.0)
+        readers = [h for h in self.hosts if h.relay.is_reader()]
+        self.assertEqual(MAX_READERS, len(readers))
+        for host in readers:
+            await host.stop()
+            self.hosts.remove(host)
+        ends_at = asyncio.get_running_loop().time() + 5.0
+        while asyncio.get_running_loop().time() < ends_at:
+            self.assertTrue(all(host.is_ready() for host in self.hosts))
+            await asyncio.sleep(0.05)
+        sent = self.store.sent_keys["op/config"]
+        self.store.put("op/config", platform_fixtures.make_configuration(2))
+        await self.wait_until(lambda: self.list_versions() == {2}, 4.0)
+        self.assertLessEqual(
+            self.store.sent_keys["op/config"] - sent, MAX_READERS
+        )
