--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -1,7 +1,10 @@
 """Client of the platform's key-value store."""
 
+import asyncio
 import base64
+import collections
 import itertools
+import os
 import typing as t
 
 import aiohttp
@@ -20,53 +23,167 @@
 # How much longer than its wait a watch may take to answer.
 WATCH_MARGIN_SECONDS = 1.0
 CONNECT_TIMEOUT_SECONDS = 0.5
+# Time without any byte of a reply's body after which the call fails. A large
+# reply over a busy link takes seconds, and asking for it again would send the
+# same bytes once more.
+SILENCE_TIMEOUT_SECONDS = 1.0
+# Longest time of a call from the head of its reply to the end of the body.
+MAX_TRANSFER_SECONDS = 20.0
 _MS_PER_SECOND = 1000.0
 
-# Records that the operator and the backend servers write. One watch covers
-# both: the platform charges for each call, and servers report continuously.
+# Records that the operator and the backend servers write.
 _PLATFORM_PREFIXES = (wire.OPERATIONS_PREFIX, wire.SERVERS_PREFIX)
-_ALL_KEYS = ""
+# Ranges that a read of a scope covers.
+_RANGES = {
+    store.Scope.ALL: (*_PLATFORM_PREFIXES, store.HOSTS_PREFIX),
+    store.Scope.FLEET: (wire.SERVERS_PREFIX, store.HOSTS_PREFIX),
+    store.Scope.OPERATOR: (wire.OPERATIONS_PREFIX,),
+}
+# Prefix that a watch of a scope covers: one watch covers several ranges,
+# because the platform charges for each call and servers report continuously.
+_WATCHED_PREFIXES = {
+    store.Scope.ALL: "",
+    store.Scope.FLEET: os.path.commonprefix(
+        [wire.SERVERS_PREFIX, store.HOSTS_PREFIX]
+    ),
+    store.Scope.OPERATOR: wire.OPERATIONS_PREFIX,
+}
 # Largest reply of the store: a watch may return many values of up to a
 # megabyte.
 MAX_REPLY_BYTES = 32 * 1024 * 1024
 # Statuses with which the store rejects a call without executing it.
 _REJECTION_STATUSES = (429, 503)
 
+# Replies that are reported: those of this size, and those that take this much
+# longer than the store was asked to wait.
+REPORTED_REPLY_BYTES = 64 * 1024
+REPORTED_REPLY_SECONDS = 0.5
+
 JsonObject = t.Mapping[str, t.Any]
 
 
+@attrs.frozen
+class Transfer:
+    """A reply of the store that was large or slow, or that did not arrive.
+
+    `bytes` counts those of the body that arrived. `head_seconds` is the time
+    from the call to the head of the reply, None if there was none, `seconds`
+    that to the end of the call. `attempt` counts the calls of this path since
+    the last one that succeeded. `reason` is None for a complete reply.
+    """
+
+    path: str
+    attempt: int
+    bytes: int
+    head_seconds: t.Optional[float]
+    seconds: float
+    reason: t.Optional[str] = None
+
+
+Reporter = t.Callable[[Transfer], None]
+
+
+def _ignore_transfer(transfer: Transfer) -> None:
+    """Report nothing; for clients without a log."""
+
+
+@attrs.define
+class _Progress:
+    """How much of a reply has arrived, on the clock of the event loop.
+
+    `timeout` ends the call. It starts with the time until the head and moves
+    on with each part of the body, up to `MAX_TRANSFER_SECONDS` after the head.
+    """
+
+    timeout: asyncio.Timeout
+
+    began_at: float = attrs.field(
+        factory=lambda: asyncio.get_running_loop().time()
+    )
+    head_at: t.Optional[float] = None
+    bytes: int = 0
+
+    def record_head(self) -> None:
+        """Record that the head of the reply has arrived."""
+        self.head_at = asyncio.get_running_loop().time()
+        self._extend_timeout(self.head_at)
+
+    def record_bytes(self, count: int) -> None:
+        """Record that a part of the body has arrived."""
+        self.bytes += count
+        self._extend_timeout(asyncio.get_running_loop().time())
+
+    def _extend_timeout(self, now: float) -> None:
+        assert self.head_at is not None
+        self.timeout.reschedule(
+            min(
+                now + SILENCE_TIMEOUT_SECONDS,
+                self.head_at + MAX_TRANSFER_SECONDS,
+            )
+        )
+
+    def describe(
+        self, path: str, attempt: int, reason: t.Optional[str]
+    ) -> Transfer:
+        """Return the transfer, which ends now."""
+        now = asyncio.get_running_loop().time()
+        return Transfer(
+            path,
+            attempt,
+            self.bytes,
+            (
+                None
+                if self.head_at is None
+                else round(self.head_at - self.began_at, 3)
+            ),
+            round(now - self.began_at, 3),
+            reason,
+        )
+
+
 @attrs.define
 class StoreClient:
     """Client of the store.
 
-    Implements `store.RecordSource` and `store.HostRecordStore`.
+    Implements `store.RecordSource` and `store.HostRecordStore`. `report` is
+    called with each reply that was large or slow, and with those to calls of
+    `GET` that did not arrive.
     """
 
     session: aiohttp.ClientSession
     address: str
+    report: Reporter = _ignore_transfer
+    _failures: t.Counter[str] = attrs.field(factory=collections.Counter)
 
-    async def read_all(self) -> changes.Batch:
-        """Return the records of the operator, the servers and the hosts.
+    async def read_all(
+        self, scope: store.Scope = store.Scope.ALL
+    ) -> changes.Batch:
+        """Return all records of a scope.
 
         The batch has the revision of the first page that was read.
         """
         items: t.List[JsonObject] = []
         revisions = []
-        for prefix in (*_PLATFORM_PREFIXES, store.HOSTS_PREFIX):
+        for prefix in _RANGES[scope]:
             found, revision = await self._read_range(prefix)
             items += found
             revisions.append(revision)
         # Ranges are read one after another. A watch from the revision of the
         # first one returns what changed meanwhile.
-        return _make_batch(items, revisions[0])
+        return await _make_batch(items, revisions[0])
 
-    async def watch(self, after: int, seconds: float) -> changes.Batch:
+    async def watch(
+        self,
+        after: int,
+        seconds: float,
+        scope: store.Scope = store.Scope.ALL,
+    ) -> changes.Batch:
         """Return the changes after a revision, waiting up to `seconds`.
 
         Raises `exceptions.HistoryLost`.
         """
         params = {
-            "path_prefix": _ALL_KEYS,
+            "path_prefix": _WATCHED_PREFIXES[scope],
             "after": str(after),
             "wait_ms": str(int(seconds * _MS_PER_SECOND)),
         }
@@ -76,7 +193,19 @@
         if status == 410:
             raise exceptions.HistoryLost("the store no longer has the history")
         _check_status(status == 200, status)
-        return _make_batch(body["events"], max(after, int(body["as_of"])))
+        return await _make_batch(
+            body["events"], max(after, int(body["as_of"]))
+        )
+
+    async def decode(
+        self, operator_records: t.Iterable[changes.OperatorRecord]
+    ) -> t.Tuple[changes.Change, ...]:
+        """Return the changes that records of the operator stand for."""
+        decoded = [
+            await _decode_change(record.key, record.value)
+            for record in operator_records
+        ]
+        return tuple(filter(None, decoded))
 
     async def list_records(self, prefix: str) -> t.List[store.HostRecord]:
         """Return the records whose keys begin with `prefix`."""
@@ -188,24 +317,36 @@
     ) -> t.Tuple[int, t.Any]:
         """Return the status and the decoded body of the reply to a call.
 
+        The head of the reply must arrive within `seconds`, and the body must
+        keep arriving from then on.
+
         Raises `exceptions.PlatformUnavailable` when the call failed without
         an effect, and `exceptions.OutcomeUnknown` for a write that may have
         taken effect.
         """
+        timeout = asyncio.timeout(seconds)
+        progress = _Progress(timeout)
+        reason: t.Optional[str] = None
         try:
-            async with self.session.request(
-                method,
-                f"http://{self.address}{path}",
-                params=params,
-                data=None if body is None else wire.encode(body),
-                headers=(
-                    {"Content-Type": wire.JSON_CONTENT_TYPE} if body else None
-                ),
-                timeout=aiohttp.ClientTimeout(
-                    total=seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
-                ),
-            ) as response:
-                data = await transport.read_body(response, MAX_REPLY_BYTES)
+            async with (
+                timeout,
+                self.session.request(
+                    method,
+                    f"http://{self.address}{path}",
+                    params=params,
+                    data=None if body is None else wire.encode(body),
+                    headers=(
+                        {"Content-Type": wire.JSON_CONTENT_TYPE}
+                        if body
+                        else None
+                    ),
+                    timeout=aiohttp.ClientTimeout(
+                        total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
+                    ),
+                ) as response,
+            ):
+                progress.record_head()
+                data = await _read_body(response, progress)
                 if response.status in _REJECTION_STATUSES:
                     raise exceptions.PlatformUnavailable(
                         f"the store answered {response.status}"
@@ -213,10 +354,51 @@
                 decoded = wire.decode(data) if data else None
                 return response.status, decoded
         except transport.CALL_ERRORS as error:
-            message = f"store: {transport.describe_error(error)}"
+            reason = transport.describe_error(error)
+            message = f"store: {reason}"
             if method == "GET" or transport.is_unsent(error):
                 raise exceptions.PlatformUnavailable(message) from error
             raise exceptions.OutcomeUnknown(message) from error
+        finally:
+            if method == "GET":
+                self._report_read(path, params, progress, reason)
+
+    def _report_read(
+        self,
+        path: str,
+        params: t.Mapping[str, str],
+        progress: _Progress,
+        reason: t.Optional[str],
+    ) -> None:
+        """Report a reply if it was large or slow or did not arrive."""
+        transfer = progress.describe(path, self._failures[path] + 1, reason)
+        waited = int(params.get("wait_ms", 0)) / _MS_PER_SECOND
+        if (
+            reason is not None
+            or transfer.bytes >= REPORTED_REPLY_BYTES
+            or transfer.seconds >= waited + REPORTED_REPLY_SECONDS
+        ):
+            self.report(transfer)
+        if reason is None:
+            del self._failures[path]
+        else:
+            self._failures[path] += 1
+
+
+async def _read_body(
+    response: aiohttp.ClientResponse, progress: _Progress
+) -> bytes:
+    """Return the whole body; raises `transport.BodyTooLarge`."""
+    chunks = []
+    while chunk := await response.content.readany():
+        progress.record_bytes(len(chunk))
+        if progress.bytes > MAX_REPLY_BYTES:
+            response.close()
+            raise transport.BodyTooLarge(
+                f"the body exceeds {MAX_REPLY_BYTES} bytes"
+            )
+        chunks.append(chunk)
+    return b"".join(chunks)
 
 
 def _check_status(succeeded: bool, status: int) -> None:
@@ -234,7 +416,7 @@
         return str(text).encode()
 
 
-def _make_batch(
+async def _make_batch(
     events: t.Sequence[JsonObject], revision: int
 ) -> changes.Batch:
     """Return the changes that items or events of the store stand for.
@@ -242,26 +424,37 @@
     Records under any key that belongs neither to the operator nor to the
     servers are the entry hosts' own.
     """
-    decoded = (
-        _decode_event(event)
+    values = [
+        None if event.get("removed") else _decode_value(event)
         for event in events
+    ]
+    decoded = [
+        await _decode_change(event["key"], value)
+        for event, value in zip(events, values)
         if event["key"].startswith(_PLATFORM_PREFIXES)
-    )
+    ]
     host_records = (
-        changes.HostRecordChanged(
-            event["key"],
-            None if event.get("removed") else _decode_value(event),
-        )
-        for event in events
+        changes.HostRecordChanged(event["key"], value)
+        for event, value in zip(events, values)
         if not event["key"].startswith(_PLATFORM_PREFIXES)
     )
+    operator_records = (
+        changes.OperatorRecord(event["key"], value, event["revision"])
+        for event, value in zip(events, values)
+        if event["key"].startswith(wire.OPERATIONS_PREFIX)
+    )
     return changes.Batch(
-        tuple(filter(None, decoded)), revision, tuple(host_records)
+        tuple(filter(None, decoded)),
+        revision,
+        tuple(host_records),
+        tuple(operator_records),
     )
 
 
-def _decode_event(event: JsonObject) -> t.Optional[changes.Change]:
-    """Return the change that an item or event of the store stands for."""
-    if event.get("removed"):
-        return records.decode_removal(event["key"])
-    return records.decode_record(event["key"], _decode_value(event))
+async def _decode_change(
+    key: str, value: t.Optional[bytes]
+) -> t.Optional[changes.Change]:
+    """Return the change that a record, or its removal, stands for."""
+    if value is None:
+        return records.decode_removal(key)
+    return await records.decode_record_in_pieces(key, value)
