Log the requests that a planned stop ends or refuses

What callers saw: in a planned stop of an entry host, requests that came late in the time to stop ended without an answer. The log said how many were unfinished, not which ones or what they waited for.

The count of requests is now a set of what is being served. A response closes its connection if the signal came before its head, not only if it came before the request.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -81,12 +81,14 @@
     ) -> None:
         maybe_executed = False
         while True:
+            call.record_wait("capacity")
             server, cold = await self._wait_for_capacity(
                 call, response, maybe_executed
             )
             if not maybe_executed:
                 self.retries.record_request(call.service)
             call.tried_servers.append(server.id)
+            call.record_wait("reply")
             try:
                 await self._send_to_server(call, response, server, cold)
                 return
--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -14,6 +14,7 @@
 from sesamefold.entry import dispatch
 from sesamefold.entry import metrics as entry_metrics
 from sesamefold.entry import requests
+from sesamefold.entry import shutdown as shutdowns
 from sesamefold import exceptions
 
 # Timeout of a request whose headers name none.
@@ -33,12 +34,14 @@
 class _HttpResponseWriter:
     """Writes a response to a caller's connection.
 
-    With `closing`, the response closes the connection.
+    The response closes the connection if the host shuts down. `writing` says
+    whether the caller has not taken the last part of it yet.
     """
 
     request: web.BaseRequest
-    closing: bool
+    shutdown: shutdowns.Shutdown
     response: t.Optional[web.StreamResponse] = None
+    writing: bool = False
 
     async def start(self, head: requests.ReplyHead) -> None:
         """Send the head of the response."""
@@ -50,7 +53,7 @@
                 response.enable_chunked_encoding()
         else:
             response.content_length = head.content_length
-        if self.closing:
+        if self.shutdown.requested:
             response.force_close()
         self.response = response
         await response.prepare(self.request)
@@ -58,21 +61,61 @@
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
         if data and self.response is not None:
+            self.writing = True
             await self.response.write(data)
+            self.writing = False
 
     async def finish(self) -> None:
         """End the response as complete."""
         if self.response is not None:
+            self.writing = True
             await self.response.write_eof()
+            self.writing = False
+
+
+@attrs.define(eq=False)
+class _ActiveRequest:
+    """A request that is being served.
+
+    `request_id` is None until the headers have been read, and `call` until
+    the body has.
+    """
+
+    arrived_at: float
+    writer: _HttpResponseWriter
+    request_id: t.Optional[str] = None
+    call: t.Optional[requests.Call] = None
+
+    def describe(self) -> t.Dict[str, t.Any]:
+        """Return what the log states about a request that the host ends."""
+        fields: t.Dict[str, t.Any] = {
+            "request": self.request_id,
+            "seconds": round(clock.read_time() - self.arrived_at, 3),
+            "after_signal": round(
+                self.arrived_at - self.writer.shutdown.requested_at, 3
+            ),
+            "waiting_for": "body",
+        }
+        if self.call is not None:
+            fields.update(
+                waiting_for=(
+                    "caller" if self.writer.writing else self.call.waiting_for
+                ),
+                waited=round(clock.read_time() - self.call.waiting_since, 3),
+                server=(self.call.tried_servers or [None])[-1],
+                attempts=len(self.call.tried_servers),
+                kind=self.call.route.get_kind(),
+                left=round(self.call.remaining(), 3),
+                begun=self.writer.response is not None,
+            )
+        return fields
 
 
 @attrs.define
 class Frontend:
     """Handler of the requests of callers.
 
-    While `draining`, each response closes its connection; while `refusing`,
-    new requests are refused. `in_progress` is the number of requests that are
-    being served.
+    Once `shutdown` is requested, each response closes its connection.
     """
 
     catalog: catalogs.Catalog
@@ -80,27 +123,32 @@
     codec: requests.Codec
     log: decisions.DecisionLog
     metrics: entry_metrics.EntryMetrics
-    draining: bool = False
-    refusing: bool = False
-    in_progress: int = 0
+    shutdown: shutdowns.Shutdown
+    _active: t.Set[_ActiveRequest] = attrs.field(factory=set)
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of requests that are being served."""
+        return len(self._active)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and return its response."""
         arrived_at = clock.read_time()
-        self.in_progress += 1
-        request_id: t.Optional[str] = None
-        writer = _HttpResponseWriter(request, self.draining)
+        writer = _HttpResponseWriter(request, self.shutdown)
+        active = _ActiveRequest(arrived_at, writer)
+        self._active.add(active)
         code = 0
         try:
             head = self.codec.read_request(request.headers)
-            request_id = head.request_id
+            active.request_id = head.request_id
             call = await self._make_call(request, head, arrived_at)
+            active.call = call
             await self.dispatcher.serve(call, writer)
             assert writer.response is not None
             return writer.response
         except exceptions.SesamefoldError as error:
             code = error.code
-            return self._respond_with_error(request, request_id, writer, error)
+            return self._respond_with_error(active, error)
         except asyncio.CancelledError:
             code = exceptions.CallerLeft.code
             raise
@@ -114,16 +162,16 @@
                 f"{type(error).__name__}: {error}"
             )
             code = unexpected.code
-            return self._respond_with_error(
-                request, request_id, writer, unexpected
-            )
+            return self._respond_with_error(active, unexpected)
         finally:
-            self.in_progress -= 1
+            self._active.remove(active)
+            if code and self.shutdown.has_given_up():
+                self.log.write("ended_by_stop", code=code, **active.describe())
             seconds = clock.read_time() - arrived_at
             self.metrics.count_request(code, seconds)
             self.log.write(
                 "answered" if code == 0 else "failed",
-                request=request_id,
+                request=active.request_id,
                 code=code,
                 seconds=round(seconds, 3),
             )
@@ -134,7 +182,7 @@
         head: requests.RequestHead,
         arrived_at: float,
     ) -> requests.Call:
-        if self.refusing:
+        if self.shutdown.is_refusing():
             raise exceptions.ShuttingDown("the entry host is shutting down")
         configuration = self.catalog.require_configuration()
         path = request.raw_path.partition("?")[0]
@@ -175,32 +223,34 @@
 
     def _respond_with_error(
         self,
-        request: web.BaseRequest,
-        request_id: t.Optional[str],
-        writer: _HttpResponseWriter,
+        active: _ActiveRequest,
         error: exceptions.SesamefoldError,
     ) -> web.StreamResponse:
+        if isinstance(error, exceptions.ShuttingDown):
+            self.log.write(
+                "refused_by_stop", reason=error.message, **active.describe()
+            )
         self.log.write(
             "error",
-            request=request_id,
+            request=active.request_id,
             code=error.code,
             executed=error.executed,
             reason=error.message[:200],
             confirmed=round(clock.read_time() - self.catalog.confirmed_at, 2),
         )
-        if writer.response is not None:
-            _break_connection(request)
+        if active.writer.response is not None:
+            _break_connection(active.writer.request)
             raise asyncio.CancelledError()
         retry_after = error.retry_after
         if retry_after is None and error.status in (429, 503):
             retry_after = RETRY_AFTER_SECONDS
         response = web.Response(
             status=error.status,
-            headers=self.codec.write_error(request_id, retry_after),
+            headers=self.codec.write_error(active.request_id, retry_after),
             text=f'{{"code":{error.code}}}',
             content_type="application/json",
         )
-        if self.draining:
+        if self.shutdown.requested:
             response.force_close()
         return response
 
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -28,6 +28,7 @@
 from sesamefold.entry import requests
 from sesamefold.entry import server_status
 from sesamefold.entry import settings as entry_settings
+from sesamefold.entry import shutdown as shutdowns
 from sesamefold.entry import store
 from sesamefold.entry import throttle
 from sesamefold.entry import upstream
@@ -35,14 +36,6 @@
 from sesamefold import exceptions
 from sesamefold import exchanges
 
-# Time after the signal to stop in which new requests are still accepted. The
-# load balancer checks a host once a second and removes it after two failures.
-DEREGISTRATION_DELAY_SECONDS = 2.8
-# Time after that in which new requests are refused before the process ends, so
-# that callers learn from a response that the connection closes.
-REFUSAL_SECONDS = 0.6
-# Part of the shutdown time that is reserved for closing the sockets.
-CLOSE_RESERVE_SECONDS = 0.7
 SETTINGS_POLL_INTERVAL_SECONDS = 2.0
 # Settings that a reload applies. The others need a restart.
 RELOADABLE_SETTINGS = frozenset(
@@ -147,6 +140,7 @@
             settings.order_pause_seconds,
             self.decisions,
         )
+        self.shutdown = shutdowns.Shutdown()
         self._runners: t.List[web.ServerRunner] = []
 
     async def on_start(self) -> None:
@@ -176,6 +170,7 @@
             self.platform.codec,
             self.decisions,
             self.metrics,
+            self.shutdown,
         )
         await self._listen(self.settings.ready_address, self._handle_ready)
         await self._serve_metrics()
@@ -211,7 +206,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send connections here."""
-        if self.frontend.draining or not self.catalog.has_snapshot:
+        if self.shutdown.requested or not self.catalog.has_snapshot:
             return False
         if self.catalog.configuration is None:
             return False
@@ -315,19 +310,11 @@
         Also ends this host's lease on sending orders. Returns when the
         requests are finished or the shutdown time is over.
         """
-        stop_requested_at = clock.read_time()
-        self.frontend.draining = True
+        self.shutdown.begin(self.settings.shutdown_seconds)
         self.decisions.write("stop", in_progress=self.frontend.in_progress)
-        give_up_at = (
-            stop_requested_at
-            + self.settings.shutdown_seconds
-            - CLOSE_RESERVE_SECONDS
-        )
         await self.election.stop()
-        await asyncio.sleep(DEREGISTRATION_DELAY_SECONDS)
-        self.frontend.refusing = True
-        await asyncio.sleep(REFUSAL_SECONDS)
-        while self.frontend.in_progress and clock.read_time() < give_up_at:
+        await _sleep_until(self.shutdown.refused_until)
+        while self.frontend.in_progress and not self.shutdown.has_given_up():
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         self.decisions.write("stopped", unfinished=self.frontend.in_progress)
 
@@ -372,6 +359,12 @@
     await host.stop()
 
 
+async def _sleep_until(time: float) -> None:
+    """Sleep until a time of `clock.read_time`."""
+    while (remaining := time - clock.read_time()) > 0:
+        await asyncio.sleep(remaining)
+
+
 async def _watch_settings(host: EntryHost, file: SettingsFile) -> None:
     while True:
         await asyncio.sleep(SETTINGS_POLL_INTERVAL_SECONDS)
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -81,6 +81,8 @@
     `deadline` are times of `clock.read_time`, in seconds. `last_event_id` is
     the id of the last event of a stream that the caller has received, and
     `tried_servers` has the id of the server of each attempt so far.
+    `waiting_for` says whether the call waits for the "capacity" or for the
+    "reply" of a server, since `waiting_since`.
     """
 
     head: RequestHead
@@ -94,6 +96,8 @@
     deadline: float
     last_event_id: t.Optional[str] = None
     tried_servers: t.List[str] = attrs.field(factory=list)
+    waiting_for: str = "capacity"
+    waiting_since: float = attrs.field(factory=clock.read_time)
 
     @property
     def request_id(self) -> str:
@@ -104,6 +108,10 @@
         """Return the seconds until the deadline, 0.0 once it has passed."""
         return max(0.0, self.deadline - clock.read_time())
 
+    def record_wait(self, waiting_for: str) -> None:
+        """Record what the call waits for from now on."""
+        self.waiting_for, self.waiting_since = waiting_for, clock.read_time()
+
     def list_permitted_regions(self) -> t.Optional[t.FrozenSet[str]]:
         """Return the regions that may serve the call, None for all."""
         limits = [self.route.regions]
--- a/src/sesamefold/entry/topology.py
+++ b/src/sesamefold/entry/topology.py
@@ -47,6 +47,12 @@
         """Return whether a request may be sent again after it has run."""
         return self.idempotent or self.resumable
 
+    def get_kind(self) -> str:
+        """Return how requests are answered and repeated, for logs."""
+        if self.streamed:
+            return "resumable stream" if self.resumable else "stream"
+        return "repeatable" if self.idempotent else "unrepeatable"
+
     def choose_service(self, request_id: str) -> str:
         """Return the name of the service that serves a request.
 
