--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -65,6 +65,9 @@
     first event), "cut-unframed" (a body without a length, reset before its
     end), "late" (responds after a second), or "" for none.
 
+    A plain request takes `work_seconds` and is answered with `answer`. It ends
+    with status 504 at the deadline that it names, if that is earlier.
+
     `born` is the Unix time of the server's start in milliseconds. A stream
     sends `stream_events` events, one each `event_seconds`. `runs` are the
     requests that were executed and `arrivals` those that named this instance
@@ -97,6 +100,8 @@
     lose_order_answers: bool = False
     orders_to_ignore: int = 0
     event_seconds: float = 0.0
+    work_seconds: float = 0.0
+    answer: bytes = b"answer"
     keep_runs: bool = True
     simulator: t.Optional[engine_simulator.EngineSimulator] = None
     context_stores: t.Dict[str, platform_context_store.ContextStore] = (
@@ -211,7 +216,11 @@
             return await self._stream_fixed_events(request, headers, fault)
         if fault == "cut-unframed":
             return await self._send_truncated_body(request, headers)
-        return web.Response(headers=headers, body=b"answer")
+        left = float(request.headers["Sesamefold-Deadline-Ms"]) / 1000.0
+        await self._sleep_unless_cancelled(min(self.work_seconds, left))
+        if left < self.work_seconds:
+            return web.Response(status=504, headers=headers, body=b"late")
+        return web.Response(headers=headers, body=self.answer)
 
     async def _sleep_unless_cancelled(self, seconds: float) -> None:
         try:
--- a/standins/platform_fixtures.py
+++ b/standins/platform_fixtures.py
@@ -28,7 +28,7 @@
 budget_window_s = 10
 revoke_ms = {revoke_ms}
 revoke_fail_closed = true
-grace_s = 6
+grace_s = {grace_s}
 lease_ms = 3000
 drain_ms = 2500
 contact_ms = {contact_ms}
@@ -45,14 +45,15 @@
 
     `ports` are those for callers, for readiness checks and for other entry
     hosts; `store` is the address of the platform's store. `changes` may set
-    `ratio`, the retry budget ratio, and the bounds `revoke_ms`, `contact_ms`
-    and `version_ms`.
+    `ratio`, the retry budget ratio, and the bounds `revoke_ms`, `contact_ms`,
+    `version_ms` and `grace_s`.
     """
     values = {
         "ratio": 0.2,
         "revoke_ms": 5000,
         "contact_ms": 4000,
         "version_ms": 10000,
+        "grace_s": 6,
         **changes,
     }
     return SETTINGS_TEMPLATE.format(ports=ports, store=store, **values)
