Send a request during a stop only if it may end before the host

What callers saw: in a planned stop of an entry host, requests that came late in the time to stop were passed on and cut at its end, with 502, 500 or no answer, among them requests that may run only once.

Cause: the host decided by the time alone whether it takes a request, and only when its headers had come. Nothing compared the time that a request needs with the time that was left, and its server was told the caller's deadline, which was later than the end of the host. At the end, the client session was closed under requests that were still served: an attempt ended as broken, a retry raised an unexpected error, and handlers were cancelled with the event loop.

Change: a shutdown has deadlines, fixed by the first signal, and one place (entry/shutdown.py) decides immediately before each sending whether a request that has not run may end in time: by its own deadline, or by the longest recent run of the same service, kind and size, one and a half times as long for requests that cannot be repeated (entry/durations.py). The others are refused at once (1206) with a Retry-After of 0.1 s. That holds as well for requests that wait for capacity, are retried, or whose body is still read. Servers get no deadline after the end of the runs, so that what they answer at their deadline reaches the caller; shortly after, each call ends with its final answer, over an open session, and answers that callers take slowly are awaited. The reserve for this is at most an eighth of the time to stop. The lease holder's resignation no longer delays the stop, and a change of the settings file that was not noticed before the signal still counts.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -19,6 +19,7 @@
 from sesamefold.entry import deliveries
 from sesamefold.entry import placement
 from sesamefold.entry import requests
+from sesamefold.entry import shutdown as shutdowns
 from sesamefold.entry import throttle
 from sesamefold.entry import topology
 from sesamefold.entry import upstream
@@ -56,25 +57,28 @@
     upstream: upstream.UpstreamClient
     log: decisions.DecisionLog
     key_withdrawal_seconds: t.Optional[float]
+    shutdown: shutdowns.Shutdown = attrs.field(factory=shutdowns.Shutdown)
 
     async def serve(
         self, call: requests.Call, writer: deliveries.ResponseWriter
     ) -> None:
         """Serve a call until its response is complete.
 
-        Raises `exceptions.NoRoom` if no server executed the request,
+        Raises `exceptions.NoRoom` or `exceptions.ShuttingDown` if no server
+        executed the request,
         `exceptions.RunTimeout` or `exceptions.ReplyBroken` if a server may
         have executed it, and `exceptions.AnswerCut` if a part of the response
         was already sent.
         """
         response = deliveries.CallerResponse(writer)
         try:
-            async with asyncio.timeout(call.remaining()):
+            async with self.shutdown.limit_answer(call):
                 await self._serve(call, response)
         except TimeoutError:
-            self._raise_final(
-                response, call, exceptions.RunTimeout("the deadline passed")
-            )
+            reason = "the deadline passed"
+            if self.shutdown.has_given_up() and call.remaining() > 0:
+                reason = "the entry host shut down before the run ended"
+            self._raise_final(response, call, exceptions.RunTimeout(reason))
 
     async def _serve(
         self, call: requests.Call, response: deliveries.CallerResponse
@@ -86,11 +90,13 @@
                 call, response, maybe_executed
             )
             if not maybe_executed:
+                self.shutdown.check(call)
                 self.retries.record_request(call.service)
             call.tried_servers.append(server.id)
             call.record_wait("reply")
             try:
-                await self._send_to_server(call, response, server, cold)
+                with self.shutdown.measure_run(call):
+                    await self._send_to_server(call, response, server, cold)
                 return
             except exceptions.NotExecuted as error:
                 self._record_failure(call, server, error)
@@ -190,7 +196,7 @@
         return (
             call.route.may_repeat()
             and len(call.tried_servers) < call.route.max_servers
-            and call.remaining() > 0
+            and self.shutdown.get_run_seconds(call) > 0
             and self.retries.try_acquire_retry(call.service)
         )
 
@@ -341,7 +347,7 @@
         customer = call.customer
         return requests.AddedHeaders(
             server_id=server.id,
-            seconds_left=call.remaining(),
+            seconds_left=self.shutdown.get_run_seconds(call),
             customer=customer.name if customer else None,
             priority=call.get_priority(),
             context=self.context_stores.plan_context(call, server),
--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -182,28 +182,30 @@
         head: requests.RequestHead,
         arrived_at: float,
     ) -> requests.Call:
-        if self.shutdown.is_refusing():
-            raise exceptions.ShuttingDown("the entry host is shutting down")
+        self.shutdown.refuse_new()
         configuration = self.catalog.require_configuration()
         path = request.raw_path.partition("?")[0]
         route = configuration.find_route(request.headers.get("Host", ""), path)
         customer = configuration.find_customer(route, head.api_key)
-        body = await self._read_body(
-            request, configuration.limits.max_body_bytes
-        )
         timeout = head.timeout_seconds or DEFAULT_TIMEOUT_SECONDS
-        return requests.Call(
+        call = requests.Call(
             head=head,
             route=route,
             service=route.choose_service(head.request_id),
             customer=customer,
             method=request.method,
             target=request.raw_path,
-            body=body,
+            body=b"",
             arrived_at=arrived_at,
             deadline=arrived_at + min(timeout, route.timeout),
             last_event_id=head.last_event_id,
         )
+        self.shutdown.check(call)
+        async with self.shutdown.limit_body(call):
+            call.body = await self._read_body(
+                request, configuration.limits.max_body_bytes
+            )
+        return call
 
     async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes:
         if not request.body_exists:
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -48,6 +48,8 @@
     }
 )
 DRAIN_POLL_INTERVAL_SECONDS = 0.05
+# Time in which a handler can end after its connection is closed.
+HANDLER_END_SECONDS = 0.1
 
 
 @attrs.frozen
@@ -163,6 +165,7 @@
             upstream.UpstreamClient(self.session, self.platform.codec),
             self.decisions,
             self.settings.key_withdrawal_seconds,
+            self.shutdown,
         )
         self.frontend = frontend.Frontend(
             self.catalog,
@@ -199,7 +202,7 @@
             max_field_size=defaults.MAX_HEADER_BYTES,
             auto_decompress=False,
         )
-        runner = web.ServerRunner(server)
+        runner = web.ServerRunner(server, shutdown_timeout=HANDLER_END_SECONDS)
         await runner.setup()
         self._runners.append(runner)
         await web.TCPSite(runner, *address, backlog=1024).start()
@@ -307,22 +310,37 @@
     async def drain(self) -> None:
         """Report that the host is not ready and finish requests in progress.
 
-        Also ends this host's lease on sending orders. Returns when the
-        requests are finished or the shutdown time is over.
+        Also ends this host's lease on sending orders. Returns when all answers
+        are complete and taken by their callers, or the time to stop is over.
         """
         self.shutdown.begin(self.settings.shutdown_seconds)
         self.decisions.write("stop", in_progress=self.frontend.in_progress)
-        await self.election.stop()
+        # The platform's store may not answer, which must not delay the rest.
+        resigning = asyncio.create_task(self.election.stop())
         await _sleep_until(self.shutdown.refused_until)
-        while self.frontend.in_progress and not self.shutdown.has_given_up():
+        while self._is_answering() and (
+            clock.read_time() < self.shutdown.flushed_at
+        ):
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         self.decisions.write("stopped", unfinished=self.frontend.in_progress)
+        resigning.cancel()
+
+    def _is_answering(self) -> bool:
+        """Return whether an answer is not complete or not taken yet."""
+        return self.frontend.in_progress > 0 or any(
+            connection.transport is not None
+            and connection.transport.get_write_buffer_size() > 0
+            for runner in self._runners
+            if runner.server is not None
+            for connection in runner.server.connections
+        )
 
     def _log_stray_answer(self, stray: exchanges.StrayAnswer) -> None:
         self.decisions.write("stray_answer", **attrs.asdict(stray))
 
     async def on_stop(self) -> None:
         """Close the sockets and flush the decision log."""
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         await self.session.close()
         self.channel.close()
         self.decisions.flush()
@@ -344,7 +362,8 @@
 async def run(host: EntryHost, file: SettingsFile) -> None:
     """Run an entry host until SIGTERM or SIGINT.
 
-    SIGHUP or a change of the settings file reloads the settings.
+    SIGHUP or a change of the settings file reloads the settings. A change
+    that has not been noticed yet still applies to the shutdown.
     """
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -355,6 +374,8 @@
     settings_task = asyncio.create_task(_watch_settings(host, file))
     await stop_requested.wait()
     settings_task.cancel()
+    if file.has_changed():
+        host.reload(file, "stop")
     await host.drain()
     await host.stop()
 
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -156,6 +156,12 @@
     code = 1206
     executed = NO
 
+    def __init__(
+        self, message: str, retry_after: t.Optional[float] = None
+    ) -> None:
+        super().__init__(message)
+        self.retry_after = retry_after
+
 
 class DependencyDown(RoutingError):
     """A dependency of the service is out or down."""
--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import re
 import signal
 import socket
@@ -103,7 +104,7 @@
         self.engine.stream_events = EVENTS
         self.requests: t.List[Request] = []
         self.tasks: t.List["asyncio.Task[None]"] = []
-        self.signalled_at = float("inf")
+        self.signalled_at = math.inf
         self.write_settings(grace_s=GRACE_SECONDS)
         await self.start()
         await self.wait_ready()
@@ -172,7 +173,7 @@
             if self.process.returncode is not None:
                 break
             if (
-                self.signalled_at == float("inf")
+                self.signalled_at == math.inf
                 and time.monotonic() >= began + seconds_before
             ):
                 self.stop_host()
@@ -194,6 +195,10 @@
             self.assertEqual(0, await self.process.wait())
             await asyncio.gather(*self.tasks)
         self.assertLess(time.monotonic() - self.signalled_at, GRACE_SECONDS)
+        self.check_requests()
+
+    def check_requests(self) -> None:
+        """Check that each request was answered, or refused or not read."""
         executed = {run.request_id for run in self.engine.runs}
         wrong = [
             request
@@ -327,7 +332,7 @@
     async def test_signals_during_the_stop_change_nothing(self) -> None:
         """Guards against a second signal or a reload that moves the end."""
         loading = asyncio.create_task(self.send_load(0.5))
-        await self.wait_until(lambda: self.signalled_at != float("inf"))
+        await self.wait_until(lambda: self.signalled_at != math.inf)
         for seconds, number, grace in (
             (0.2, signal.SIGTERM, 60),
             (0.5, signal.SIGHUP, 60),
