Keep an entry host that starts alive at a reload signal

What operators saw: SIGHUP that came while the process imported its modules or waited for a settings file ended the process, as is the default for the signal. During the start of the components, the reload failed with an unexpected error.

The start script ignores the signal, and the reload is set up once the components are there; a change of the file is noticed by its polling anyway.

Evidence: test_signals_during_the_start failed before the signal was ignored in the start script (the process was gone), and passes now.

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -2,8 +2,13 @@
 
 import os
 import pathlib
+import signal
 import sys
 
+# Until the host can reload its settings; by default the signal would end the
+# process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # No connection uses TLS. Importing aiohttp would otherwise load all of the
 # system's certificates, which takes a fifth of the start-up time.
 os.environ["SSL_CERT_FILE"] = os.devnull
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -369,8 +369,8 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, host.reload, file, "signal")
     await host.start()
+    loop.add_signal_handler(signal.SIGHUP, host.reload, file, "signal")
     settings_task = asyncio.create_task(_watch_settings(host, file))
     await stop_requested.wait()
     settings_task.cancel()
--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -354,6 +354,48 @@
         await self.send_load(0.0)
         await self.check_nothing_is_cut()
 
+    async def test_signals_during_the_start(self) -> None:
+        """Guards against a reload that ends a process that is starting.
+
+        A signal to stop may come before the process handles it.
+        """
+        for delay in (0.3, 0.6, 0.9):
+            await self.kill()
+            self.signalled_at, self.requests, self.tasks = math.inf, [], []
+            self.engine.runs.clear()
+            await self.start()
+            await asyncio.sleep(delay)
+            self.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+            await self.send_load_without_kept_connections()
+            self.assertIn(await self.process.wait(), (0, -int(signal.SIGTERM)))
+            self.check_requests()
+
+    async def send_load_without_kept_connections(self) -> None:
+        """Stop the host and send requests until it is gone."""
+        self.stop_host()
+        number = 0
+        while self.process.returncode is None:
+            number += 1
+            self.send(
+                f"n-{number}", "safe", (0.0, make_whole(f"n-{number}", "safe"))
+            )
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*self.tasks)
+
+    async def test_reload_before_the_settings_are_there(self) -> None:
+        """Guards against SIGHUP ending a process that awaits its settings."""
+        await self.kill()
+        self.lines.clear()
+        self.path.write_text("broken = ")
+        await self.start()
+        await self.wait_until(lambda: self.find_lines("settings_rejected"))
+        self.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        self.write_settings()
+        await self.wait_ready()
+        self.assertIsNone(self.process.returncode)
+
     async def test_reload_cuts_nothing(self) -> None:
         """Guards against requests that end with a reload of the settings."""
         for number in range(10):
