End requests that outlast a gateway's drain with a final answer

What callers saw: requests that last longer than the drain of a gateway ended with a closed connection and no answer, also those that came late in the drain delay.

Cause: the end of the drain was the time at which the HTTP server cancels its handlers. Requests that came after the signal kept their own deadline, two minutes by default, and so did the engines and services that ran them.

Change: the drain has a deadline for answers, up to half a second before the close.

--- a/src/sesamefold/api.py
+++ b/src/sesamefold/api.py
@@ -87,7 +87,8 @@
         self._state.metrics.in_progress.inc()
         try:
             _check_headers(request)
-            response = await handler(request)
+            async with self._state.drain.limit_answer():
+                response = await handler(request)
         except Exception as error:
             converted = _convert_error(error)
             code = converted.code
@@ -175,7 +176,7 @@
         prompt = prompts.parse_prompt(
             body, chat=request.path.startswith("/v1/chat/")
         )
-        deadline = parse_deadline(request)
+        deadline = self._state.drain.cap(parse_deadline(request))
         resume_handle, offset = _parse_resume(request)
         if not self._state.is_in_service() and not resume_handle:
             return await forwarding.forward(
@@ -259,7 +260,7 @@
             headers=tuple(request.headers.items()),
             body=body,
             request_id=request[_REQUEST_ID],
-            deadline=parse_deadline(request),
+            deadline=self._state.drain.cap(parse_deadline(request)),
             key=request.headers.get("Idempotency-Key", ""),
         )
         try:
--- a/src/sesamefold/gateway.py
+++ b/src/sesamefold/gateway.py
@@ -167,9 +167,13 @@
         The gateway reports that it is not ready, and still accepts requests
         for `drain_delay` seconds, so that callers can notice. It then refuses
         new connections and stops once all responses have finished, after
-        `drain_time` seconds at the latest.
+        `drain_time` seconds at the latest. Requests without a complete
+        response get a final one shortly before.
         """
         self.gateway_state.leaving = True
+        self.gateway_state.drain.begin(
+            self._settings.drain_delay, self._settings.drain_time
+        )
         await asyncio.sleep(self._settings.drain_delay)
         drain_deadline = deadlines.Deadline.after(self._settings.drain_time)
         # Updates from the control daemon are still applied, so that runs can
--- a/src/sesamefold/state.py
+++ b/src/sesamefold/state.py
@@ -16,6 +16,7 @@
 from sesamefold import configuration as configurations
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
+from sesamefold import drains
 from sesamefold import engines
 from sesamefold import exceptions
 from sesamefold import failover
@@ -83,6 +84,7 @@
     remote_status: t.Optional[control_pb2.Status] = None
     member_count: int = 1
     leaving: bool = False
+    drain: drains.Drain = attrs.field(factory=drains.Drain)
     retries: limits.RetryBudget = attrs.field(factory=limits.RetryBudget)
     quarantine: quarantines.Quarantine = attrs.field(
         factory=quarantines.Quarantine
