--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -30,6 +30,7 @@
 from sesamefold.entry import requests
 from sesamefold.entry import server_status
 from sesamefold.entry import settings as entry_settings
+from sesamefold.entry import shutdown as shutdowns
 from sesamefold.entry import store
 from sesamefold.entry import throttle
 from sesamefold.entry import upstream
@@ -38,14 +39,6 @@
 from sesamefold import exchanges
 from sesamefold import transport
 
-# Time after the signal to stop in which new requests are still accepted. The
-# load balancer checks a host once a second and removes it after two failures.
-DEREGISTRATION_DELAY_SECONDS = 2.8
-# Time after that in which new requests are refused before the process ends, so
-# that callers learn from a response that the connection closes.
-REFUSAL_SECONDS = 0.6
-# Part of the shutdown time that is reserved for closing the sockets.
-CLOSE_RESERVE_SECONDS = 0.7
 SETTINGS_POLL_INTERVAL_SECONDS = 2.0
 # Settings that a reload applies. The others need a restart.
 RELOADABLE_SETTINGS = frozenset(
@@ -58,6 +51,8 @@
     }
 )
 DRAIN_POLL_INTERVAL_SECONDS = 0.05
+# Time in which a handler can end after its connection is closed.
+HANDLER_END_SECONDS = 0.1
 
 
 @attrs.frozen
@@ -150,6 +145,7 @@
             settings.order_pause_seconds,
             self.decisions,
         )
+        self.shutdown = shutdowns.Shutdown()
         self._runners: t.List[web.ServerRunner] = []
 
     async def on_start(self) -> None:
@@ -173,6 +169,7 @@
             upstream.UpstreamClient(self.session, self.platform.codec),
             self.decisions,
             self.settings.key_withdrawal_seconds,
+            self.shutdown,
         )
         self.frontend = frontend.Frontend(
             self.catalog,
@@ -180,6 +177,7 @@
             self.platform.codec,
             self.decisions,
             self.metrics,
+            self.shutdown,
         )
         await self._listen(self.settings.ready_address, self._handle_ready)
         await self._serve_metrics()
@@ -234,14 +232,14 @@
             max_field_size=defaults.MAX_HEADER_BYTES,
             auto_decompress=False,
         )
-        runner = web.ServerRunner(server)
+        runner = web.ServerRunner(server, shutdown_timeout=HANDLER_END_SECONDS)
         await runner.setup()
         self._runners.append(runner)
         await web.TCPSite(runner, *address, backlog=1024).start()
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send connections here."""
-        if self.frontend.draining or not self.catalog.has_snapshot:
+        if self.shutdown.requested or not self.catalog.has_snapshot:
             return False
         if self.catalog.configuration is None:
             return False
@@ -347,30 +345,37 @@
     async def drain(self) -> None:
         """Report that the host is not ready and finish requests in progress.
 
-        Also ends this host's lease on sending orders. Returns when the
-        requests are finished or the shutdown time is over.
+        Also ends this host's lease on sending orders. Returns when all answers
+        are complete and taken by their callers, or the time to stop is over.
         """
-        stop_requested_at = clock.read_time()
-        self.frontend.draining = True
+        self.shutdown.begin(self.settings.shutdown_seconds)
         self.decisions.write("stop", in_progress=self.frontend.in_progress)
-        give_up_at = (
-            stop_requested_at
-            + self.settings.shutdown_seconds
-            - CLOSE_RESERVE_SECONDS
-        )
-        await self.election.stop()
-        await asyncio.sleep(DEREGISTRATION_DELAY_SECONDS)
-        self.frontend.refusing = True
-        await asyncio.sleep(REFUSAL_SECONDS)
-        while self.frontend.in_progress and clock.read_time() < give_up_at:
+        # The platform's store may not answer, which must not delay the rest.
+        resigning = asyncio.create_task(self.election.stop())
+        await _sleep_until(self.shutdown.refused_until)
+        while self._is_answering() and (
+            clock.read_time() < self.shutdown.flushed_at
+        ):
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         self.decisions.write("stopped", unfinished=self.frontend.in_progress)
+        resigning.cancel()
+
+    def _is_answering(self) -> bool:
+        """Return whether an answer is not complete or not taken yet."""
+        return self.frontend.in_progress > 0 or any(
+            connection.transport is not None
+            and connection.transport.get_write_buffer_size() > 0
+            for runner in self._runners
+            if runner.server is not None
+            for connection in runner.server.connections
+        )
 
     def _log_stray_answer(self, stray: exchanges.StrayAnswer) -> None:
         self.decisions.write("stray_answer", **attrs.asdict(stray))
 
     async def on_stop(self) -> None:
         """Close the sockets and flush the decision log."""
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         await self.session.close()
         await self.peer_session.close()
         self.channel.close()
@@ -393,21 +398,30 @@
 async def run(host: EntryHost, file: SettingsFile) -> None:
     """Run an entry host until SIGTERM or SIGINT.
 
-    SIGHUP or a change of the settings file reloads the settings.
+    SIGHUP or a change of the settings file reloads the settings. A change
+    that has not been noticed yet still applies to the shutdown.
     """
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, host.reload, file, "signal")
     await host.start()
+    loop.add_signal_handler(signal.SIGHUP, host.reload, file, "signal")
     settings_task = asyncio.create_task(_watch_settings(host, file))
     await stop_requested.wait()
     settings_task.cancel()
+    if file.has_changed():
+        host.reload(file, "stop")
     await host.drain()
     await host.stop()
 
 
+async def _sleep_until(time: float) -> None:
+    """Sleep until a time of `clock.read_time`."""
+    while (remaining := time - clock.read_time()) > 0:
+        await asyncio.sleep(remaining)
+
+
 async def _watch_settings(host: EntryHost, file: SettingsFile) -> None:
     while True:
         await asyncio.sleep(SETTINGS_POLL_INTERVAL_SECONDS)
