Log silent streams, cut responses and pauses of the event loop

stream_silent says how long a stream and its server sent nothing and what was decided, answer_cut which servers were tried and what was missing, loop_paused how long the event loop stood still. The decisions are unchanged; the former test of SilentStreamTest gets the renamed callbacks.

--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -1,12 +1,15 @@
 """Delivery of the replies of backend servers to a caller."""
 
 import asyncio
+import math
 import typing as t
 
 import attrs
 
 from sesamefold.entry import clock
+from sesamefold.entry import decisions
 from sesamefold.entry import events
+from sesamefold.entry import pauses
 from sesamefold.entry import placement as placements
 from sesamefold.entry import requests
 from sesamefold.entry import topology
@@ -49,15 +52,18 @@
 class Attempt:
     """One attempt to serve a request at a server.
 
-    `may_fail_over` returns whether a stream without events can continue at
-    another server; while it returns False, silence does not end the attempt.
-    `on_first_event` is called at the first event of the stream.
+    `find_obstacle` returns why a stream without events cannot continue at
+    another server, None if it can; while it returns a reason, silence does not
+    end the attempt. `on_first_event` is called at the first event of the
+    stream.
     """
 
     server: topology.Server
     placement: placements.Placement
+    pauses: pauses.PauseMonitor
+    log: decisions.DecisionLog
     resumable: bool
-    may_fail_over: t.Callable[[], bool]
+    find_obstacle: t.Callable[[], t.Optional[str]]
     on_first_event: t.Callable[[], None]
 
 
@@ -66,11 +72,13 @@
     """The response to a caller, over all attempts of its request.
 
     A stream that continues at another server keeps the head of the first,
-    which is None until the response has started.
+    which is None until the response has started. `last_event_at` is when the
+    last part of a stream arrived, in seconds of `clock.read_time`.
     """
 
     writer: ResponseWriter
     head: t.Optional[requests.ReplyHead] = None
+    last_event_at: t.Optional[float] = None
 
     @property
     def started(self) -> bool:
@@ -134,12 +142,13 @@
     async def _forward_stream(
         self, call: requests.Call, reply: upstream.Reply, attempt: Attempt
     ) -> None:
-        stream = _EventStream(self, attempt, reply)
+        stream = _EventStream(self, call, attempt, reply)
         first = True
         while whole_events := await stream.read_events():
             if first:
                 first = False
                 attempt.on_first_event()
+            self.last_event_at = clock.read_time()
             await self._ensure_started(reply.head)
             await self.writer.write(whole_events)
             call.last_event_id = (
@@ -161,6 +170,7 @@
     """
 
     response: CallerResponse
+    call: requests.Call
     attempt: Attempt
     reply: upstream.Reply
     buffer: events.EventBuffer = attrs.field(factory=events.EventBuffer)
@@ -175,12 +185,17 @@
         """
         while True:
             waiting_since = clock.read_time()
+            paused_before = self.attempt.pauses.measure_paused_seconds()
             try:
                 async with asyncio.timeout(self._get_wait_seconds()):
                     chunk = await self.reply.read_chunk()
             except TimeoutError as error:
+                paused = (
+                    self.attempt.pauses.measure_paused_seconds()
+                    - paused_before
+                )
                 self.silence_seconds += clock.read_time() - waiting_since
-                if self._should_fail_over():
+                if self._should_fail_over(paused):
                     raise exceptions.ReplyBroken(
                         f"no event for {self.silence_seconds:.1f} s"
                     ) from error
@@ -208,11 +223,38 @@
             return None
         return max(0.0, self.next_check_seconds - self.silence_seconds)
 
-    def _should_fail_over(self) -> bool:
-        if not self.attempt.may_fail_over():
-            return False
+    def _should_fail_over(self, paused_seconds: float) -> bool:
+        obstacle = self.attempt.find_obstacle()
+        if obstacle is None and not self._is_silent():
+            obstacle = "the server sends data to others"
+        self._log_silence(paused_seconds, obstacle)
+        return obstacle is None
+
+    def _is_silent(self) -> bool:
         if self.silence_seconds >= STREAM_SILENCE_SECONDS:
             return True
-        return self.response.started and self.attempt.placement.is_silent(
-            self.attempt.server, SERVER_SILENCE_SECONDS
+        silence = self.attempt.placement.measure_silence(self.attempt.server)
+        return self.response.started and silence >= SERVER_SILENCE_SECONDS
+
+    def _log_silence(
+        self, paused_seconds: float, obstacle: t.Optional[str]
+    ) -> None:
+        """Log a wait that timed out, and why the attempt goes on."""
+        silence = self.attempt.placement.measure_silence(self.attempt.server)
+        self.attempt.log.write(
+            "stream_silent",
+            request=self.call.request_id,
+            server=self.attempt.server.id,
+            seconds=round(self.silence_seconds, 3),
+            server_seconds=round_finite(silence),
+            started=self.response.started,
+            unread=self.reply.has_unread_data() or None,
+            paused=round(paused_seconds, 3) or None,
+            decision="move" if obstacle is None else "wait",
+            reason=obstacle,
         )
+
+
+def round_finite(seconds: float) -> t.Optional[float]:
+    """Return the seconds rounded for the log, None if they are infinite."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -17,6 +17,7 @@
 from sesamefold.entry import context_stores
 from sesamefold.entry import decisions
 from sesamefold.entry import deliveries
+from sesamefold.entry import pauses
 from sesamefold.entry import placement
 from sesamefold.entry import requests
 from sesamefold.entry import throttle
@@ -56,6 +57,7 @@
     upstream: upstream.UpstreamClient
     log: decisions.DecisionLog
     key_withdrawal_seconds: t.Optional[float]
+    pauses: pauses.PauseMonitor
 
     async def serve(
         self, call: requests.Call, writer: deliveries.ResponseWriter
@@ -75,6 +77,9 @@
             self._raise_final(
                 response, call, exceptions.RunTimeout("the deadline passed")
             )
+        except exceptions.AnswerCut as error:
+            self._log_cut(call, response, error)
+            raise
 
     async def _serve(
         self, call: requests.Call, response: deliveries.CallerResponse
@@ -192,6 +197,14 @@
             and self.retries.try_acquire_retry(call.service)
         )
 
+    def _find_failover_obstacle(self, call: requests.Call) -> t.Optional[str]:
+        """Return why a silent stream must stay at its server, None if not."""
+        if len(call.tried_servers) >= call.route.max_servers:
+            return "limit of servers"
+        if not self.retries.allows_retry(call.service):
+            return "retry budget"
+        return None
+
     def _acquire_retry_or_raise(
         self,
         call: requests.Call,
@@ -232,6 +245,33 @@
             )
         raise error
 
+    def _log_cut(
+        self,
+        call: requests.Call,
+        response: deliveries.CallerResponse,
+        error: exceptions.AnswerCut,
+    ) -> None:
+        """Log a response that ends without its end, and what was missing."""
+        now = clock.read_time()
+        last_event_at = response.last_event_at or call.arrived_at
+        last = self.catalog.servers.get(call.tried_servers[-1])
+        self.log.write(
+            "answer_cut",
+            request=call.request_id,
+            reason=error.message[:200],
+            servers=call.tried_servers,
+            max_servers=call.route.max_servers,
+            retry_allowed=self.retries.allows_retry(call.service),
+            silent=round(now - last_event_at, 3),
+            server_listed=last is not None,
+            server_silent=last
+            and deliveries.round_finite(self.placement.measure_silence(last)),
+            paused=round(self.pauses.measure_paused_seconds(), 3),
+            version_before=call.configuration_version,
+            version=self.catalog.require_configuration().version,
+            left=round(call.remaining(), 3),
+        )
+
     def _record_failure(
         self, call: requests.Call, server: topology.Server, error: Exception
     ) -> None:
@@ -283,7 +323,7 @@
             fetched=context.count_fetched_tokens() if context else None,
             saved=context.count_saved_parts() if context else None,
             left=round(added.seconds_left, 3),
-            weights_left=_round_finite(expiry - clock.read_time()),
+            weights_left=deliveries.round_finite(expiry - clock.read_time()),
             version=self.catalog.require_configuration().version,
         )
         sent_at = clock.read_time()
@@ -300,11 +340,10 @@
         attempt = deliveries.Attempt(
             server,
             self.placement,
+            self.pauses,
+            self.log,
             call.route.resumable,
-            lambda: (
-                len(call.tried_servers) < call.route.max_servers
-                and self.retries.allows_retry(call.service)
-            ),
+            functools.partial(self._find_failover_obstacle, call),
             record_first_event,
         )
         start_timeout = asyncio.timeout(
@@ -361,11 +400,6 @@
     return max(0.0, rest_end - clock.read_time()) + spread
 
 
-def _round_finite(seconds: float) -> t.Optional[float]:
-    """Return the seconds rounded for the log, None if they are infinite."""
-    return round(seconds, 3) if math.isfinite(seconds) else None
-
-
 def _convert_error(
     error: exceptions.RoutingError, maybe_executed: bool
 ) -> exceptions.RoutingError:
--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -155,6 +155,7 @@
             arrived_at=arrived_at,
             deadline=arrived_at + min(timeout, route.timeout),
             last_event_id=head.last_event_id,
+            configuration_version=configuration.version,
         )
 
     async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes:
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -24,6 +24,7 @@
 from sesamefold.entry import members as member_lists
 from sesamefold.entry import metrics as entry_metrics
 from sesamefold.entry import orders
+from sesamefold.entry import pauses
 from sesamefold.entry import placement
 from sesamefold.entry import requests
 from sesamefold.entry import server_status
@@ -115,6 +116,7 @@
         self.context_relay = context_relay.ContextRelay(
             self.channel, self.members, self.context_stores, self.decisions
         )
+        self.pauses = pauses.PauseMonitor(self.decisions)
         self.server_statuses = server_status.ServerStatuses(
             self.decisions, leaving_seconds=settings.leaving_seconds
         )
@@ -169,6 +171,7 @@
             upstream.UpstreamClient(self.session, self.platform.codec),
             self.decisions,
             self.settings.key_withdrawal_seconds,
+            self.pauses,
         )
         self.frontend = frontend.Frontend(
             self.catalog,
@@ -232,6 +235,10 @@
     async def _flush_decisions(self) -> None:
         await self.decisions.run()
 
+    @mode.Service.task
+    async def _watch_pauses(self) -> None:
+        await self.pauses.run()
+
     @mode.Service.task
     async def _watch_platform_store(self) -> None:
         await follower.StoreFollower(
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -543,12 +543,12 @@
         """Record that a server has just sent data."""
         self.states.record_activity(server)
 
-    def is_silent(self, server: topology.Server, seconds: float) -> bool:
-        """Return whether a server sent no data in the last `seconds`.
+    def measure_silence(self, server: topology.Server) -> float:
+        """Return the seconds since a server last sent data, `inf` if never.
 
         Data of every request that this host has at the server counts.
         """
-        return self.states.is_silent(server, seconds)
+        return self.states.measure_silence(server)
 
     def _forget_server(self, server_id: str) -> None:
         self.states.forget_server(server_id)
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -79,8 +79,9 @@
 
     `target` is the path and query as the caller sent them. `arrived_at` and
     `deadline` are times of `clock.read_time`, in seconds. `last_event_id` is
-    the id of the last event of a stream that the caller has received, and
-    `tried_servers` has the id of the server of each attempt so far.
+    the id of the last event of a stream that the caller has received,
+    `tried_servers` has the id of the server of each attempt so far, and
+    `configuration_version` is that by which the request was routed.
     """
 
     head: RequestHead
@@ -94,6 +95,7 @@
     deadline: float
     last_event_id: t.Optional[str] = None
     tried_servers: t.List[str] = attrs.field(factory=list)
+    configuration_version: int = 0
 
     @property
     def request_id(self) -> str:
--- a/src/sesamefold/entry/server_status.py
+++ b/src/sesamefold/entry/server_status.py
@@ -354,10 +354,12 @@
         """Record that a server has just sent data."""
         self.get(server).last_activity_at = self.read_time()
 
-    def is_silent(self, server: topology.Server, seconds: float) -> bool:
-        """Return whether a server sent no data in the last `seconds`."""
-        last_activity_at = self.get(server).last_activity_at
-        return self.read_time() - last_activity_at >= seconds
+    def measure_silence(self, server: topology.Server) -> float:
+        """Return the seconds since a server last sent data, `inf` if never.
+
+        Data of every request that this host has at the server counts.
+        """
+        return self.read_time() - self.get(server).last_activity_at
 
     def suspect(self, server: topology.Server, reason: str) -> None:
         """Pause requests to a server until it reports itself again.
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -38,6 +38,7 @@
     ) -> None:
         self.head = head
         self._response = response
+        self._read_bytes = 0
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, b"" at its end.
@@ -46,11 +47,25 @@
         `exceptions.ReplyBroken`.
         """
         try:
-            return await self._response.content.readany()
+            chunk = await self._response.content.readany()
         except transport.CALL_ERRORS as error:
             raise exceptions.ReplyBroken(
                 transport.describe_error(error)
             ) from error
+        self._read_bytes += len(chunk)
+        return chunk
+
+    def has_unread_data(self) -> bool:
+        """Return whether more of the body, or its end, has arrived.
+
+        A timeout may cancel a read whose data arrived at the same time.
+        """
+        content = self._response.content
+        return (
+            content.is_eof()
+            or content.exception() is not None
+            or content.total_bytes > self._read_bytes
+        )
 
     async def read_body(self) -> bytes:
         """Return the whole body.
--- a/tests/test_entry_deliveries.py
+++ b/tests/test_entry_deliveries.py
@@ -1,6 +1,7 @@
 """Tests of the delivery of streams that fall silent."""
 
 import asyncio
+import math
 import types
 import typing as t
 import unittest
@@ -9,6 +10,7 @@
 
 from sesamefold.entry import deliveries
 from sesamefold.entry import events
+from sesamefold.entry import pauses
 from sesamefold.entry import requests
 from sesamefold import exceptions
 from tests import entry_fakes
@@ -31,6 +33,10 @@
         self._resumes_at = asyncio.get_running_loop().time() + seconds
         self._first = True
 
+    def has_unread_data(self) -> bool:
+        """Return that nothing has arrived."""
+        return False
+
     async def read_chunk(self) -> bytes:
         """Return the next event; a call after a cancelled one waits again."""
         if not self._first:
@@ -73,17 +79,23 @@
         """Forward a stream that pauses longer than the limit on silence."""
         placement: t.Any = types.SimpleNamespace(
             record_activity=lambda server: None,
-            is_silent=lambda server, seconds: self.placement_is_silent,
+            measure_silence=lambda server: (
+                math.inf if self.placement_is_silent else 0.0
+            ),
         )
         attempt = deliveries.Attempt(
             entry_fakes.make_server("i-1"),
             placement,
+            pauses.PauseMonitor(entry_fakes.make_log()),
+            entry_fakes.make_log(),
             True,
-            lambda: may_fail_over,
+            lambda: None if may_fail_over else "retry budget",
             lambda: None,
         )
         call: t.Any = types.SimpleNamespace(
-            route=types.SimpleNamespace(streamed=True), last_event_id=None
+            route=types.SimpleNamespace(streamed=True),
+            last_event_id=None,
+            request_id="r-1",
         )
         writer = RecordingWriter()
         reply: t.Any = SilentReply(
