Do not count the pauses of a host as the silence of its servers

A timeout now counts only the seconds in which the event loop ran, and only if no data of the stream is unread.

Evidence: the test that stops the process failed before and holds, once.

--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -166,7 +166,8 @@
 
     Only an event with an id of its own ends the silence of a stream; neither
     comments nor bytes that complete no event do. Time in which the caller
-    does not take data is no silence of the server.
+    does not take data, or in which the event loop stands still, is no silence
+    of the server.
     """
 
     response: CallerResponse
@@ -194,7 +195,15 @@
                     self.attempt.pauses.measure_paused_seconds()
                     - paused_before
                 )
-                self.silence_seconds += clock.read_time() - waiting_since
+                self.silence_seconds += max(
+                    0.0, clock.read_time() - waiting_since - paused
+                )
+                if (
+                    self.reply.has_unread_data()
+                    or self.silence_seconds < self.next_check_seconds
+                ):
+                    self._log_silence(paused, "no silence")
+                    continue
                 if self._should_fail_over(paused):
                     raise exceptions.ReplyBroken(
                         f"no event for {self.silence_seconds:.1f} s"
