End no stream because its server is silent

Cause: the host closed the connection of a stream without events for 0.8 s and only then looked for another server. There was none, it refused or failed, or the check of the configuration's confirmation refused the attempt.

A silent stream now gets a successor, a second attempt, only if one is allowed and a server can be had at that moment, and the first attempt stays open. The attempt that sends the next event goes on, a failed successor leaves the stream to the first, and a first one that breaks waits for its successor. The first is closed at the successor's first event, and 0.3 s after the successor's request was sent at the latest, so that no run goes on at two servers. The times of silence after which another server is asked are as before. A leaving server is no successor.

Servers that refused a started stream no longer count against the limit of its route, which bounds runs, and one whose attempt was cancelled may be used again.

--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -12,18 +12,22 @@
 from sesamefold.entry import pauses
 from sesamefold.entry import placement as placements
 from sesamefold.entry import requests
+from sesamefold.entry import successors
 from sesamefold.entry import topology
 from sesamefold.entry import upstream
 from sesamefold import exceptions
 
-# Time without an event of a resumable stream after which it fails over to
-# another server if its server has sent no event to other callers for as long
-# either.
+# Time without an event of a resumable stream after which another server is
+# asked to go on with it, if its own has sent no event to other callers for as
+# long either.
 SERVER_SILENCE_SECONDS = 0.8
-# Time without an event of a resumable stream after which it fails over in any
-# case. The server may only have preempted the run, but callers leave after
-# 2 s.
+# Time without an event of a resumable stream after which another server is
+# asked in any case. The server may only have preempted the run, but callers
+# leave after 2 s.
 STREAM_SILENCE_SECONDS = 1.8
+# Time after which another server is looked for again if there was none,
+# seconds.
+SUCCESSOR_RETRY_SECONDS = 0.2
 
 
 class ResponseWriter(t.Protocol):
@@ -52,10 +56,9 @@
 class Attempt:
     """One attempt to serve a request at a server.
 
-    `find_obstacle` returns why a stream without events cannot continue at
-    another server, None if it can; while it returns a reason, silence does not
-    end the attempt. `on_first_event` is called at the first event of the
-    stream.
+    `succession` has the attempts that may take a silent stream over from this
+    one; `claim` is that of this attempt to the stream of another one, None if
+    there is none. `on_first_event` is called at the first event of the stream.
     """
 
     server: topology.Server
@@ -63,8 +66,14 @@
     pauses: pauses.PauseMonitor
     log: decisions.DecisionLog
     resumable: bool
-    find_obstacle: t.Callable[[], t.Optional[str]]
+    succession: successors.Succession
     on_first_event: t.Callable[[], None]
+    claim: t.Optional[successors.Claim] = None
+
+    async def acquire_stream(self) -> None:
+        """Wait until no other attempt serves the stream."""
+        if self.claim is not None:
+            await self.claim.acquire()
 
 
 @attrs.define
@@ -94,8 +103,9 @@
     ) -> None:
         """Forward a reply to the caller.
 
-        Raises `RunFailed` for a reply without a success status and
-        `exceptions.ReplyBroken` for an incomplete reply.
+        Raises `RunFailed` for a reply without a success status,
+        `exceptions.ReplyBroken` for an incomplete reply, and
+        `successors.TakenOver` if another attempt serves the rest.
         """
         if not 200 <= reply.head.status < 300:
             raise RunFailed(reply.head, await reply.read_body())
@@ -148,14 +158,14 @@
             if first:
                 first = False
                 attempt.on_first_event()
+                await attempt.acquire_stream()
             self.last_event_at = clock.read_time()
             await self._ensure_started(reply.head)
             await self.writer.write(whole_events)
             call.last_event_id = (
                 stream.buffer.last_event_id or call.last_event_id
             )
-        if stream.buffer.partial:
-            raise exceptions.ReplyBroken("the stream ends within an event")
+        await attempt.acquire_stream()
         await self._ensure_started(reply.head)
         await self.writer.finish()
 
@@ -177,46 +187,78 @@
     buffer: events.EventBuffer = attrs.field(factory=events.EventBuffer)
     silence_seconds: float = 0.0
     next_check_seconds: float = SERVER_SILENCE_SECONDS
+    last_obstacle: t.Optional[str] = None
 
     async def read_events(self) -> bytes:
         """Return the next whole events and comments, b"" at the end.
 
-        Raises `exceptions.ReplyBroken` when a resumable stream has had no
-        event for so long that it should fail over.
+        Raises `exceptions.ReplyBroken`, and `successors.TakenOver` if another
+        attempt serves the rest of the stream.
         """
         while True:
-            waiting_since = clock.read_time()
-            paused_before = self.attempt.pauses.measure_paused_seconds()
-            try:
-                async with asyncio.timeout(self._get_wait_seconds()):
-                    chunk = await self.reply.read_chunk()
-            except TimeoutError as error:
-                paused = (
-                    self.attempt.pauses.measure_paused_seconds()
-                    - paused_before
-                )
-                self.silence_seconds += max(
-                    0.0, clock.read_time() - waiting_since - paused
-                )
-                if (
-                    self.reply.has_unread_data()
-                    or self.silence_seconds < self.next_check_seconds
-                ):
-                    self._log_silence(paused, "no silence")
-                    continue
-                if self._should_fail_over(paused):
-                    raise exceptions.ReplyBroken(
-                        f"no event for {self.silence_seconds:.1f} s"
-                    ) from error
-                self.next_check_seconds = (
-                    self.silence_seconds + SERVER_SILENCE_SECONDS
-                )
-                continue
-            self.silence_seconds += clock.read_time() - waiting_since
+            chunk = await self._read_chunk()
+            previous_id = self.buffer.last_event_id
             whole_events = self._feed(chunk)
+            if not chunk and self.buffer.partial:
+                raise exceptions.ReplyBroken("the stream ends within an event")
+            if not chunk or self.buffer.last_event_id != previous_id:
+                await self._cancel_successor()
             if whole_events or not chunk:
                 return whole_events
 
+    async def _cancel_successor(self) -> None:
+        if self.attempt.succession.is_under_way():
+            self.attempt.log.write(
+                "stream_kept",
+                request=self.call.request_id,
+                server=self.attempt.server.id,
+            )
+            await self.attempt.succession.cancel()
+
+    async def _read_chunk(self) -> bytes:
+        """Return the next bytes; look for a successor while none come."""
+        while True:
+            waiting_since = clock.read_time()
+            paused_before = self.attempt.pauses.measure_paused_seconds()
+            if self.attempt.succession.is_under_way():
+                chunk = await self._read_beside_successor()
+            else:
+                chunk = await self._read_until_silent()
+            paused = (
+                self.attempt.pauses.measure_paused_seconds() - paused_before
+            )
+            self.silence_seconds += max(
+                0.0, clock.read_time() - waiting_since - paused
+            )
+            if chunk is not None:
+                return chunk
+            if (
+                self.silence_seconds >= self.next_check_seconds
+                and not self.reply.has_unread_data()
+            ):
+                self._start_successor(paused)
+
+    async def _read_until_silent(self) -> t.Optional[bytes]:
+        """Return the next bytes, None if none come until the next check."""
+        try:
+            async with asyncio.timeout(self._get_wait_seconds()):
+                return await self.reply.read_chunk()
+        except TimeoutError:
+            return None
+
+    async def _read_beside_successor(self) -> t.Optional[bytes]:
+        """Return the next bytes, None if the successor fails before."""
+        reading = asyncio.create_task(self.reply.read_chunk())
+        try:
+            await self.attempt.succession.wait_beside(
+                reading, self.reply.has_unread_data
+            )
+        finally:
+            if not reading.done():
+                reading.cancel()
+                await asyncio.wait({reading})
+        return None if reading.cancelled() else reading.result()
+
     def _feed(self, chunk: bytes) -> bytes:
         """Return the events that a chunk completes."""
         previous_id = self.buffer.last_event_id
@@ -232,12 +274,18 @@
             return None
         return max(0.0, self.next_check_seconds - self.silence_seconds)
 
-    def _should_fail_over(self, paused_seconds: float) -> bool:
-        obstacle = self.attempt.find_obstacle()
-        if obstacle is None and not self._is_silent():
+    def _start_successor(self, paused_seconds: float) -> None:
+        """Start a successor if the stream is silent and there is one."""
+        if self._is_silent():
+            obstacle = self.attempt.succession.start()
+            next_wait = SUCCESSOR_RETRY_SECONDS if obstacle else 0.0
+        else:
             obstacle = "the server sends data to others"
-        self._log_silence(paused_seconds, obstacle)
-        return obstacle is None
+            next_wait = SERVER_SILENCE_SECONDS
+        self.next_check_seconds = self.silence_seconds + next_wait
+        if obstacle is None or obstacle != self.last_obstacle:
+            self._log_silence(paused_seconds, obstacle)
+        self.last_obstacle = obstacle
 
     def _is_silent(self) -> bool:
         if self.silence_seconds >= STREAM_SILENCE_SECONDS:
@@ -248,7 +296,7 @@
     def _log_silence(
         self, paused_seconds: float, obstacle: t.Optional[str]
     ) -> None:
-        """Log a wait that timed out, and why the attempt goes on."""
+        """Log that a stream is silent, and why it has no successor."""
         silence = self.attempt.placement.measure_silence(self.attempt.server)
         self.attempt.log.write(
             "stream_silent",
@@ -259,7 +307,7 @@
             started=self.response.started,
             unread=self.reply.has_unread_data() or None,
             paused=round(paused_seconds, 3) or None,
-            decision="move" if obstacle is None else "wait",
+            decision="successor" if obstacle is None else "wait",
             reason=obstacle,
         )
 
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -17,9 +17,11 @@
 from sesamefold.entry import context_stores
 from sesamefold.entry import decisions
 from sesamefold.entry import deliveries
+from sesamefold.entry import loads
 from sesamefold.entry import pauses
 from sesamefold.entry import placement
 from sesamefold.entry import requests
+from sesamefold.entry import successors
 from sesamefold.entry import throttle
 from sesamefold.entry import topology
 from sesamefold.entry import upstream
@@ -40,6 +42,13 @@
 # refused because of it are told to come back, seconds.
 RETURN_SPREAD_SECONDS = 1.0
 
+# Errors of an attempt after which the request may go on at another server.
+_FAILURES = (
+    exceptions.NotExecuted,
+    exceptions.ReplyBroken,
+    deliveries.RunFailed,
+)
+
 
 @attrs.define
 class Dispatcher:
@@ -92,17 +101,18 @@
             if not maybe_executed:
                 self.retries.record_request(call.service)
             call.tried_servers.append(server.id)
+            reservation = self.placement.record_request(call, server, cold)
             try:
-                await self._send_to_server(call, response, server, cold)
+                await self._send_to_server(
+                    call, response, server, cold, reservation
+                )
                 return
             except exceptions.NotExecuted as error:
-                self._record_failure(call, server, error)
                 self._acquire_retry_or_raise(
                     call, response, error, maybe_executed
                 )
             except (exceptions.ReplyBroken, deliveries.RunFailed) as error:
                 maybe_executed = True
-                self._record_failure(call, server, error)
                 if isinstance(error, deliveries.RunFailed):
                     if not self._try_acquire_retry(call, response):
                         await response.forward_failure(error)
@@ -168,10 +178,8 @@
         maybe_executed: bool,
     ) -> None:
         """Refuse a request whose API key may have been withdrawn."""
-        if self.key_withdrawal_seconds is None or call.customer is None:
-            return
-        age = clock.read_time() - self.catalog.confirmed_at
-        if age > MAX_CONFIRMATION_AGE_SHARE * self.key_withdrawal_seconds:
+        if not self._is_confirmed(call):
+            age = clock.read_time() - self.catalog.confirmed_at
             error = exceptions.NoRoom(
                 f"the configuration was last confirmed {age:.1f} s ago"
             )
@@ -179,6 +187,13 @@
                 response, call, _convert_error(error, maybe_executed)
             )
 
+    def _is_confirmed(self, call: requests.Call) -> bool:
+        """Return whether the call's API key, if any, is known to be valid."""
+        if self.key_withdrawal_seconds is None or call.customer is None:
+            return True
+        age = clock.read_time() - self.catalog.confirmed_at
+        return age <= MAX_CONFIRMATION_AGE_SHARE * self.key_withdrawal_seconds
+
     def _try_acquire_retry(
         self, call: requests.Call, response: deliveries.CallerResponse
     ) -> bool:
@@ -192,18 +207,53 @@
             return False
         return (
             call.route.may_repeat()
-            and len(call.tried_servers) < call.route.max_servers
+            and call.may_run_elsewhere()
             and call.remaining() > 0
             and self.retries.try_acquire_retry(call.service)
         )
 
-    def _find_failover_obstacle(self, call: requests.Call) -> t.Optional[str]:
-        """Return why a silent stream must stay at its server, None if not."""
-        if len(call.tried_servers) >= call.route.max_servers:
+    def _choose_successor(
+        self,
+        call: requests.Call,
+        response: deliveries.CallerResponse,
+        claim: successors.Claim,
+    ) -> t.Union["asyncio.Task[None]", str]:
+        """Start an attempt at another server for a silent stream.
+
+        The attempt is charged to the retry budget. Returns the reason if no
+        server can take the stream now.
+        """
+        if not call.may_run_elsewhere():
             return "limit of servers"
-        if not self.retries.allows_retry(call.service):
+        if not self._is_confirmed(call):
+            return "the configuration is not confirmed"
+        chosen = self.placement.choose_server(call)
+        if chosen is None or not (
+            response.started or self.placement.has_capacity(call, chosen[0])
+        ):
+            return self.placement.describe_missing_capacity(call, chosen)
+        server, cold = chosen
+        if self.placement.states.is_leaving(server):
+            return "all other servers leave"
+        if not self.retries.try_acquire_retry(call.service):
             return "retry budget"
-        return None
+        call.tried_servers.append(server.id)
+        # Recorded before the task runs, so that streams that fall silent
+        # together do not all choose the same server.
+        reservation = self.placement.record_request(call, server, cold)
+        task = asyncio.create_task(
+            self._send_to_server(
+                call, response, server, cold, reservation, claim
+            )
+        )
+
+        def record_end(task: "asyncio.Task[None]") -> None:
+            reservation.release()
+            if task.cancelled():
+                call.record_cancelled(server.id)
+
+        task.add_done_callback(record_end)
+        return task
 
     def _acquire_retry_or_raise(
         self,
@@ -215,11 +265,16 @@
         """Charge the retry of a request that the last server did not execute.
 
         Raises the final error if no retry is allowed. Such a request may try
-        two servers even on a route that allows only one.
+        two servers even on a route that allows only one. For a response that
+        has started, servers that did not execute it do not count.
         """
-        if len(call.tried_servers) >= max(2, call.route.max_servers) or not (
-            self.retries.try_acquire_retry(call.service)
-        ):
+        if response.started:
+            may_retry = call.may_run_elsewhere()
+        else:
+            may_retry = len(call.tried_servers) < max(
+                2, call.route.max_servers
+            )
+        if not may_retry or not self.retries.try_acquire_retry(call.service):
             refusal = exceptions.NoRoom(
                 f"no server executed the request: {error.message}",
                 _compute_retry_after(
@@ -273,18 +328,23 @@
         )
 
     def _record_failure(
-        self, call: requests.Call, server: topology.Server, error: Exception
+        self,
+        call: requests.Call,
+        server: topology.Server,
+        attempt_number: int,
+        error: Exception,
     ) -> None:
         """Log a failed attempt and report it to the placement."""
         self.log.write(
             "attempt_failed",
             request=call.request_id,
             server=server.id,
-            attempt=len(call.tried_servers),
+            attempt=attempt_number,
             reason=str(error)[:200],
             error=type(error).__name__,
         )
         if isinstance(error, exceptions.NotExecuted):
+            call.refusals += 1
             if error.mismatched:
                 self.placement.record_mismatch(call, server)
             elif error.reachable:
@@ -302,8 +362,55 @@
         response: deliveries.CallerResponse,
         server: topology.Server,
         cold: bool,
+        reservation: loads.Reservation,
+        claim: t.Optional[successors.Claim] = None,
     ) -> None:
-        """Make one attempt at a server and relay its reply.
+        """Make one attempt at a server and complete the response.
+
+        A silent stream may be taken over by a successor of the attempt, whose
+        errors are then raised. `claim` is that of the attempt if it is a
+        successor itself. The reservation is released.
+        """
+        attempt_number = len(call.tried_servers)
+        async with successors.Succession(
+            functools.partial(self._choose_successor, call, response),
+            _FAILURES,
+        ) as succession:
+            try:
+                await self._relay_reply(
+                    call,
+                    response,
+                    server,
+                    cold,
+                    reservation,
+                    succession,
+                    claim,
+                )
+                self.placement.record_outcome(server, failed=False)
+                return
+            except _FAILURES as error:
+                self._record_failure(call, server, attempt_number, error)
+                if not succession.is_under_way():
+                    raise
+            finally:
+                reservation.release()
+            try:
+                await succession.finish()
+            except exceptions.NotExecuted as error:
+                # The first server may have executed the request.
+                raise exceptions.ReplyBroken(error.message) from error
+
+    async def _relay_reply(
+        self,
+        call: requests.Call,
+        response: deliveries.CallerResponse,
+        server: topology.Server,
+        cold: bool,
+        reservation: loads.Reservation,
+        succession: successors.Succession,
+        claim: t.Optional[successors.Claim],
+    ) -> None:
+        """Send a call to a server and relay its reply.
 
         Raises `exceptions.WeightsExpired` for a stream that has not begun
         when the server's weights expire.
@@ -327,7 +434,6 @@
             version=self.catalog.require_configuration().version,
         )
         sent_at = clock.read_time()
-        reservation = self.placement.record_request(call, server, cold)
 
         def record_first_event() -> None:
             reservation.record_prefill()
@@ -343,8 +449,9 @@
             self.pauses,
             self.log,
             call.route.resumable,
-            functools.partial(self._find_failover_obstacle, call),
+            succession,
             record_first_event,
+            claim,
         )
         start_timeout = asyncio.timeout(
             expiry - sent_at
@@ -360,6 +467,7 @@
                     functools.partial(
                         self.placement.record_reply, call, server
                     ),
+                    claim.record_sent if claim else lambda: None,
                 ) as reply:
                     await response.forward_reply(call, reply, attempt)
         except TimeoutError as error:
@@ -368,9 +476,6 @@
             raise exceptions.WeightsExpired(
                 "the server's weights expired before the stream began"
             ) from error
-        finally:
-            reservation.release()
-        self.placement.record_outcome(server, failed=False)
 
     def _make_added_headers(
         self, call: requests.Call, server: topology.Server
--- a/src/sesamefold/entry/loads.py
+++ b/src/sesamefold/entry/loads.py
@@ -93,6 +93,7 @@
         self._server_id = server_id
         self._memory_tokens = memory_tokens
         self._prefill_tokens = prefill_tokens
+        self._released = False
         loads.add(server_id, Load(1, memory_tokens, prefill_tokens))
 
     def record_prefill(self) -> None:
@@ -102,7 +103,13 @@
             self._loads.add(self._server_id, Load(0, 0, -prefilled))
 
     def release(self) -> None:
-        """Remove the request from the load, however the request ended."""
+        """Remove the request from the load, however the request ended.
+
+        Further calls have no effect.
+        """
+        if self._released:
+            return
+        self._released = True
         self.record_prefill()
         self._loads.add(self._server_id, Load(-1, -self._memory_tokens))
 
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -162,7 +162,7 @@
         return [
             (server, status)
             for server in self.catalog.list_usable_servers(call.service)
-            if server.id not in call.tried_servers
+            if call.may_try(server.id)
             and (status := self.states.get(server)).is_available(now)
             and self._is_permitted(server, allowed)
             and now < self._get_last_start(call, server)
@@ -208,7 +208,7 @@
         now = self.read_time()
         allowed = call.list_permitted_regions()
         return any(
-            server.id not in call.tried_servers
+            call.may_try(server.id)
             and self._is_permitted(server, allowed)
             and self.states.get(server).may_serve(now)
             for server in self.catalog.list_usable_servers(call.service)
@@ -229,7 +229,7 @@
         for server in self.catalog.list_usable_servers(call.service):
             status = self.states.get(server)
             if (
-                (untried_only and server.id in call.tried_servers)
+                (untried_only and not call.may_try(server.id))
                 or now < status.suspected_until
                 or not status.may_serve(now)
                 or not self._is_permitted(server, allowed)
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -80,7 +80,9 @@
     `target` is the path and query as the caller sent them. `arrived_at` and
     `deadline` are times of `clock.read_time`, in seconds. `last_event_id` is
     the id of the last event of a stream that the caller has received,
-    `tried_servers` has the id of the server of each attempt so far, and
+    `tried_servers` has the id of the server of each attempt so far, except
+    those that were cancelled, whose servers are in `cancelled_servers`.
+    `refusals` counts the attempts that did not execute the request, and
     `configuration_version` is that by which the request was routed.
     """
 
@@ -95,6 +97,8 @@
     deadline: float
     last_event_id: t.Optional[str] = None
     tried_servers: t.List[str] = attrs.field(factory=list)
+    cancelled_servers: t.Set[str] = attrs.field(factory=set)
+    refusals: int = 0
     configuration_version: int = 0
 
     @property
@@ -106,6 +110,32 @@
         """Return the seconds until the deadline, 0.0 once it has passed."""
         return max(0.0, self.deadline - clock.read_time())
 
+    def may_try(self, server_id: str) -> bool:
+        """Return whether a server may get the request.
+
+        One whose attempt was cancelled does not count against the limit of
+        the route again.
+        """
+        if server_id in self.tried_servers:
+            return False
+        return server_id in self.cancelled_servers or self._has_run_left()
+
+    def may_run_elsewhere(self) -> bool:
+        """Return whether the route allows the run at any other server."""
+        return self._has_run_left() or not self.cancelled_servers.issubset(
+            self.tried_servers
+        )
+
+    def _has_run_left(self) -> bool:
+        """Return whether the run may begin at a server that is new to it."""
+        servers = self.cancelled_servers.union(self.tried_servers)
+        return len(servers) - self.refusals < self.route.max_servers
+
+    def record_cancelled(self, server_id: str) -> None:
+        """Record that the latest attempt at a server was cancelled."""
+        self.tried_servers.remove(server_id)
+        self.cancelled_servers.add(server_id)
+
     def list_permitted_regions(self) -> t.Optional[t.FrozenSet[str]]:
         """Return the regions that may serve the call, None for all."""
         limits = [self.route.regions]
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -87,6 +87,35 @@
         assert chosen is not None
         return chosen[0]
 
+    def test_server_of_a_cancelled_attempt_may_be_used_again(self) -> None:
+        """Guards against a stream that no server may take over any more.
+
+        Its first server sent an event before the second, and breaks later.
+        The third would be one more than the route allows.
+        """
+        self.make(3)
+        first, second, _ = self.servers
+        call = self.make_call("a")
+        call.tried_servers += [first.id, second.id]
+        call.route = attrs.evolve(call.route, max_servers=2)
+        self.assertFalse(call.may_run_elsewhere())
+        call.record_cancelled(second.id)
+        self.assertTrue(call.may_run_elsewhere())
+        self.assertEqual(second, self.choose(call))
+        call.tried_servers.append(second.id)
+        self.assertFalse(call.may_run_elsewhere())
+
+    def test_refusals_do_not_count_as_runs(self) -> None:
+        """Guards against a stream that is cut because a server refused it."""
+        self.make(3)
+        call = self.make_call("a")
+        call.route = attrs.evolve(call.route, max_servers=2)
+        call.tried_servers += ["i-0", "i-1"]
+        call.refusals = 1
+        self.assertTrue(call.may_run_elsewhere())
+        call.tried_servers.append("i-2")
+        self.assertFalse(call.may_run_elsewhere())
+
     def test_engine_without_free_slot_has_no_capacity(self) -> None:
         self.make(1, slots=2)
         call = self.make_call("a")
--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -4,10 +4,12 @@
 import signal
 import time
 import typing as t
+import unittest.mock
 
 import aiohttp
 
 from sesamefold.entry import clock
+from sesamefold.entry import successors
 from standins import platform_engine
 from standins import platform_fixtures
 from tests import entry_fakes
@@ -209,6 +211,38 @@
             {str(number) for number in range(1, EVENTS)},
         )
 
+    async def test_two_servers_work_on_a_stream_only_shortly(self) -> None:
+        """Guards against a run that goes on at two servers (TWICE).
+
+        The other server sends its first event a second after it has begun.
+        """
+        self.first.event_seconds = 3 * EVENT_SECONDS
+        streams = await self.start_streams()
+        self.other.event_seconds = 1.0
+        await self.add_other()
+        silence(self.first, 60.0)
+        await self.wait_until(lambda: len(self.other.runs) == STREAMS)
+        last_began_at = self.other.runs[-1].began_at
+        await self.wait_until(
+            lambda: self.first.cancelled_requests == STREAMS, 1.0
+        )
+        self.assertLess(time.monotonic() - last_began_at, 0.4)
+        self.other.event_seconds = EVENT_SECONDS
+        await self.check_whole(streams)
+
+    async def test_first_server_speaks_before_its_successor(self) -> None:
+        """Guards against a successor whose run goes on beside the first."""
+        streams = await self.start_streams()
+        self.other.event_seconds = 2.0
+        await self.add_other()
+        silence(self.first, 1.3)
+        with unittest.mock.patch.object(
+            successors, "MAX_OVERLAP_SECONDS", 1.0
+        ):
+            await self.check_whole(streams)
+        self.assertGreater(len(self.other.runs), 0)
+        self.assertEqual(len(self.other.runs), self.other.cancelled_requests)
+
 
 class SilentProcessTest(entry_processes.EntryProcessCase):
     """An entry host process whose streams get no data for a while."""
