--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -191,6 +191,27 @@
         silence(self.first, 2.2)
         await self.check_only_first_runs(streams)
 
+    async def test_run_goes_on_without_a_confirmed_configuration(self) -> None:
+        """Guards against a cut of a run that began with a confirmed key.
+
+        Its server breaks off after the first event, when the configuration is
+        no longer confirmed. A request that has not begun is refused.
+        """
+        self.first.faults = self.other.faults = ["cut"]
+        self.first.event_seconds = self.other.event_seconds = 0.4
+        await self.add_other()
+        address = ":".join(map(str, self.settings.listen_address))
+        stream = asyncio.create_task(read_stream(self.caller, address, "s-0"))
+        await self.wait_until(self.list_runs)
+        self.host.dispatcher.key_withdrawal_seconds = 0.0
+        status, _, _ = await self.call("/resumable/", headers=HEADERS)
+        self.assertEqual(503, status)
+        self.first.event_seconds = self.other.event_seconds = EVENT_SECONDS
+        self.assertEqual(WHOLE_STREAM, await stream)
+        self.assertEqual(
+            ["s-0", "s-0"], [run.request_id for run in self.list_runs()]
+        )
+
     async def test_other_server_takes_over(self) -> None:
         """Guards against streams that wait at a dead server.
 
