Let a run go on that began with a confirmed configuration

Only a request that no server may have executed is refused now. The rule on withdrawn keys counts from when a caller sends its request, and that request was sent while its key was valid.

A response that the deadline cuts is logged as answer_cut as well.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -79,6 +79,15 @@
         was already sent.
         """
         response = deliveries.CallerResponse(writer)
+        try:
+            await self._serve_until_deadline(call, response)
+        except exceptions.AnswerCut as error:
+            self._log_cut(call, response, error)
+            raise
+
+    async def _serve_until_deadline(
+        self, call: requests.Call, response: deliveries.CallerResponse
+    ) -> None:
         try:
             async with asyncio.timeout(call.remaining()):
                 await self._serve(call, response)
@@ -86,9 +95,6 @@
             self._raise_final(
                 response, call, exceptions.RunTimeout("the deadline passed")
             )
-        except exceptions.AnswerCut as error:
-            self._log_cut(call, response, error)
-            raise
 
     async def _serve(
         self, call: requests.Call, response: deliveries.CallerResponse
@@ -138,7 +144,8 @@
             CAPACITY_WAIT_SHARE * call.route.first_byte_target,
         )
         while True:
-            self._check_confirmation(call, response, maybe_executed)
+            if not maybe_executed:
+                self._check_confirmation(call, response)
             if call.remaining() <= 0:
                 # The timers of the event loop, unlike this clock, do not
                 # advance while the host is suspended.
@@ -172,20 +179,19 @@
             await asyncio.sleep(CAPACITY_POLL_INTERVAL_SECONDS)
 
     def _check_confirmation(
-        self,
-        call: requests.Call,
-        response: deliveries.CallerResponse,
-        maybe_executed: bool,
+        self, call: requests.Call, response: deliveries.CallerResponse
     ) -> None:
-        """Refuse a request whose API key may have been withdrawn."""
+        """Refuse a request whose API key may have been withdrawn.
+
+        Not to be called for a request that may have been executed: its key
+        was valid when it arrived, and it may go on at another server.
+        """
         if not self._is_confirmed(call):
             age = clock.read_time() - self.catalog.confirmed_at
             error = exceptions.NoRoom(
                 f"the configuration was last confirmed {age:.1f} s ago"
             )
-            self._raise_final(
-                response, call, _convert_error(error, maybe_executed)
-            )
+            self._raise_final(response, call, error)
 
     def _is_confirmed(self, call: requests.Call) -> bool:
         """Return whether the call's API key, if any, is known to be valid."""
