--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -1,26 +1,33 @@
 """Delivery of the replies of backend servers to a caller."""
 
 import asyncio
+import math
 import typing as t
 
 import attrs
 
 from sesamefold.entry import clock
+from sesamefold.entry import decisions
 from sesamefold.entry import events
+from sesamefold.entry import pauses
 from sesamefold.entry import placement as placements
 from sesamefold.entry import requests
+from sesamefold.entry import successors
 from sesamefold.entry import topology
 from sesamefold.entry import upstream
 from sesamefold import exceptions
 
-# Time without an event of a resumable stream after which it fails over to
-# another server if its server has sent no event to other callers for as long
-# either.
+# Time without an event of a resumable stream after which another server is
+# asked to go on with it, if its own has sent no event to other callers for as
+# long either.
 SERVER_SILENCE_SECONDS = 0.8
-# Time without an event of a resumable stream after which it fails over in any
-# case. The server may only have preempted the run, but callers leave after
-# 2 s.
+# Time without an event of a resumable stream after which another server is
+# asked in any case. The server may only have preempted the run, but callers
+# leave after 2 s.
 STREAM_SILENCE_SECONDS = 1.8
+# Time after which another server is looked for again if there was none,
+# seconds.
+SUCCESSOR_RETRY_SECONDS = 0.2
 
 
 class ResponseWriter(t.Protocol):
@@ -49,16 +56,24 @@
 class Attempt:
     """One attempt to serve a request at a server.
 
-    `may_fail_over` returns whether a stream without events can continue at
-    another server; while it returns False, silence does not end the attempt.
-    `on_first_event` is called at the first event of the stream.
+    `succession` has the attempts that may take a silent stream over from this
+    one; `claim` is that of this attempt to the stream of another one, None if
+    there is none. `on_first_event` is called at the first event of the stream.
     """
 
     server: topology.Server
     placement: placements.Placement
+    pauses: pauses.PauseMonitor
+    log: decisions.DecisionLog
     resumable: bool
-    may_fail_over: t.Callable[[], bool]
+    succession: successors.Succession
     on_first_event: t.Callable[[], None]
+    claim: t.Optional[successors.Claim] = None
+
+    async def acquire_stream(self) -> None:
+        """Wait until no other attempt serves the stream."""
+        if self.claim is not None:
+            await self.claim.acquire()
 
 
 @attrs.define
@@ -66,11 +81,13 @@
     """The response to a caller, over all attempts of its request.
 
     A stream that continues at another server keeps the head of the first,
-    which is None until the response has started.
+    which is None until the response has started. `last_event_at` is when the
+    last part of a stream arrived, in seconds of `clock.read_time`.
     """
 
     writer: ResponseWriter
     head: t.Optional[requests.ReplyHead] = None
+    last_event_at: t.Optional[float] = None
 
     @property
     def started(self) -> bool:
@@ -86,8 +103,9 @@
     ) -> None:
         """Forward a reply to the caller.
 
-        Raises `RunFailed` for a reply without a success status and
-        `exceptions.ReplyBroken` for an incomplete reply.
+        Raises `RunFailed` for a reply without a success status,
+        `exceptions.ReplyBroken` for an incomplete reply, and
+        `successors.TakenOver` if another attempt serves the rest.
         """
         if not 200 <= reply.head.status < 300:
             raise RunFailed(reply.head, await reply.read_body())
@@ -134,19 +152,20 @@
     async def _forward_stream(
         self, call: requests.Call, reply: upstream.Reply, attempt: Attempt
     ) -> None:
-        stream = _EventStream(self, attempt, reply)
+        stream = _EventStream(self, call, attempt, reply)
         first = True
         while whole_events := await stream.read_events():
             if first:
                 first = False
                 attempt.on_first_event()
+                await attempt.acquire_stream()
+            self.last_event_at = clock.read_time()
             await self._ensure_started(reply.head)
             await self.writer.write(whole_events)
             call.last_event_id = (
                 stream.buffer.last_event_id or call.last_event_id
             )
-        if stream.buffer.partial:
-            raise exceptions.ReplyBroken("the stream ends within an event")
+        await attempt.acquire_stream()
         await self._ensure_started(reply.head)
         await self.writer.finish()
 
@@ -157,42 +176,89 @@
 
     Only an event with an id of its own ends the silence of a stream; neither
     comments nor bytes that complete no event do. Time in which the caller
-    does not take data is no silence of the server.
+    does not take data, or in which the event loop stands still, is no silence
+    of the server.
     """
 
     response: CallerResponse
+    call: requests.Call
     attempt: Attempt
     reply: upstream.Reply
     buffer: events.EventBuffer = attrs.field(factory=events.EventBuffer)
     silence_seconds: float = 0.0
     next_check_seconds: float = SERVER_SILENCE_SECONDS
+    last_obstacle: t.Optional[str] = None
 
     async def read_events(self) -> bytes:
         """Return the next whole events and comments, b"" at the end.
 
-        Raises `exceptions.ReplyBroken` when a resumable stream has had no
-        event for so long that it should fail over.
+        Raises `exceptions.ReplyBroken`, and `successors.TakenOver` if another
+        attempt serves the rest of the stream.
         """
         while True:
-            waiting_since = clock.read_time()
-            try:
-                async with asyncio.timeout(self._get_wait_seconds()):
-                    chunk = await self.reply.read_chunk()
-            except TimeoutError as error:
-                self.silence_seconds += clock.read_time() - waiting_since
-                if self._should_fail_over():
-                    raise exceptions.ReplyBroken(
-                        f"no event for {self.silence_seconds:.1f} s"
-                    ) from error
-                self.next_check_seconds = (
-                    self.silence_seconds + SERVER_SILENCE_SECONDS
-                )
-                continue
-            self.silence_seconds += clock.read_time() - waiting_since
+            chunk = await self._read_chunk()
+            previous_id = self.buffer.last_event_id
             whole_events = self._feed(chunk)
+            if not chunk and self.buffer.partial:
+                raise exceptions.ReplyBroken("the stream ends within an event")
+            if not chunk or self.buffer.last_event_id != previous_id:
+                await self._cancel_successor()
             if whole_events or not chunk:
                 return whole_events
 
+    async def _cancel_successor(self) -> None:
+        if self.attempt.succession.is_under_way():
+            self.attempt.log.write(
+                "stream_kept",
+                request=self.call.request_id,
+                server=self.attempt.server.id,
+            )
+            await self.attempt.succession.cancel()
+
+    async def _read_chunk(self) -> bytes:
+        """Return the next bytes; look for a successor while none come."""
+        while True:
+            waiting_since = clock.read_time()
+            paused_before = self.attempt.pauses.measure_paused_seconds()
+            if self.attempt.succession.is_under_way():
+                chunk = await self._read_beside_successor()
+            else:
+                chunk = await self._read_until_silent()
+            paused = (
+                self.attempt.pauses.measure_paused_seconds() - paused_before
+            )
+            self.silence_seconds += max(
+                0.0, clock.read_time() - waiting_since - paused
+            )
+            if chunk is not None:
+                return chunk
+            if (
+                self.silence_seconds >= self.next_check_seconds
+                and not self.reply.has_unread_data()
+            ):
+                self._start_successor(paused)
+
+    async def _read_until_silent(self) -> t.Optional[bytes]:
+        """Return the next bytes, None if none come until the next check."""
+        try:
+            async with asyncio.timeout(self._get_wait_seconds()):
+                return await self.reply.read_chunk()
+        except TimeoutError:
+            return None
+
+    async def _read_beside_successor(self) -> t.Optional[bytes]:
+        """Return the next bytes, None if the successor fails before."""
+        reading = asyncio.create_task(self.reply.read_chunk())
+        try:
+            await self.attempt.succession.wait_beside(
+                reading, self.reply.has_unread_data
+            )
+        finally:
+            if not reading.done():
+                reading.cancel()
+                await asyncio.wait({reading})
+        return None if reading.cancelled() else reading.result()
+
     def _feed(self, chunk: bytes) -> bytes:
         """Return the events that a chunk completes."""
         previous_id = self.buffer.last_event_id
@@ -208,11 +274,44 @@
             return None
         return max(0.0, self.next_check_seconds - self.silence_seconds)
 
-    def _should_fail_over(self) -> bool:
-        if not self.attempt.may_fail_over():
-            return False
+    def _start_successor(self, paused_seconds: float) -> None:
+        """Start a successor if the stream is silent and there is one."""
+        if self._is_silent():
+            obstacle = self.attempt.succession.start()
+            next_wait = SUCCESSOR_RETRY_SECONDS if obstacle else 0.0
+        else:
+            obstacle = "the server sends data to others"
+            next_wait = SERVER_SILENCE_SECONDS
+        self.next_check_seconds = self.silence_seconds + next_wait
+        if obstacle is None or obstacle != self.last_obstacle:
+            self._log_silence(paused_seconds, obstacle)
+        self.last_obstacle = obstacle
+
+    def _is_silent(self) -> bool:
         if self.silence_seconds >= STREAM_SILENCE_SECONDS:
             return True
-        return self.response.started and self.attempt.placement.is_silent(
-            self.attempt.server, SERVER_SILENCE_SECONDS
+        silence = self.attempt.placement.measure_silence(self.attempt.server)
+        return self.response.started and silence >= SERVER_SILENCE_SECONDS
+
+    def _log_silence(
+        self, paused_seconds: float, obstacle: t.Optional[str]
+    ) -> None:
+        """Log that a stream is silent, and why it has no successor."""
+        silence = self.attempt.placement.measure_silence(self.attempt.server)
+        self.attempt.log.write(
+            "stream_silent",
+            request=self.call.request_id,
+            server=self.attempt.server.id,
+            seconds=round(self.silence_seconds, 3),
+            server_seconds=round_finite(silence),
+            started=self.response.started,
+            unread=self.reply.has_unread_data() or None,
+            paused=round(paused_seconds, 3) or None,
+            decision="successor" if obstacle is None else "wait",
+            reason=obstacle,
         )
+
+
+def round_finite(seconds: float) -> t.Optional[float]:
+    """Return the seconds rounded for the log, None if they are infinite."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -17,9 +17,12 @@
 from sesamefold.entry import context_stores
 from sesamefold.entry import decisions
 from sesamefold.entry import deliveries
+from sesamefold.entry import loads
+from sesamefold.entry import pauses
 from sesamefold.entry import placement
 from sesamefold.entry import requests
 from sesamefold.entry import shutdown as shutdowns
+from sesamefold.entry import successors
 from sesamefold.entry import throttle
 from sesamefold.entry import topology
 from sesamefold.entry import upstream
@@ -40,6 +43,13 @@
 # refused because of it are told to come back, seconds.
 RETURN_SPREAD_SECONDS = 1.0
 
+# Errors of an attempt after which the request may go on at another server.
+_FAILURES = (
+    exceptions.NotExecuted,
+    exceptions.ReplyBroken,
+    deliveries.RunFailed,
+)
+
 
 @attrs.define
 class Dispatcher:
@@ -57,6 +67,7 @@
     upstream: upstream.UpstreamClient
     log: decisions.DecisionLog
     key_withdrawal_seconds: t.Optional[float]
+    pauses: pauses.PauseMonitor
     shutdown: shutdowns.Shutdown = attrs.field(factory=shutdowns.Shutdown)
 
     async def serve(
@@ -71,6 +82,15 @@
         was already sent.
         """
         response = deliveries.CallerResponse(writer)
+        try:
+            await self._serve_until_deadline(call, response)
+        except exceptions.AnswerCut as error:
+            self._log_cut(call, response, error)
+            raise
+
+    async def _serve_until_deadline(
+        self, call: requests.Call, response: deliveries.CallerResponse
+    ) -> None:
         try:
             async with self.shutdown.limit_answer(call):
                 await self._serve(call, response)
@@ -94,18 +114,19 @@
                 self.retries.record_request(call.service)
             call.tried_servers.append(server.id)
             call.record_wait("reply")
+            reservation = self.placement.record_request(call, server, cold)
             try:
                 with self.shutdown.measure_run(call):
-                    await self._send_to_server(call, response, server, cold)
+                    await self._send_to_server(
+                        call, response, server, cold, reservation
+                    )
                 return
             except exceptions.NotExecuted as error:
-                self._record_failure(call, server, error)
                 self._acquire_retry_or_raise(
                     call, response, error, maybe_executed
                 )
             except (exceptions.ReplyBroken, deliveries.RunFailed) as error:
                 maybe_executed = True
-                self._record_failure(call, server, error)
                 if isinstance(error, deliveries.RunFailed):
                     if not self._try_acquire_retry(call, response):
                         await response.forward_failure(error)
@@ -131,7 +152,8 @@
             CAPACITY_WAIT_SHARE * call.route.first_byte_target,
         )
         while True:
-            self._check_confirmation(call, response, maybe_executed)
+            if not maybe_executed:
+                self._check_confirmation(call, response)
             if call.remaining() <= 0:
                 # The timers of the event loop, unlike this clock, do not
                 # advance while the host is suspended.
@@ -165,22 +187,26 @@
             await asyncio.sleep(CAPACITY_POLL_INTERVAL_SECONDS)
 
     def _check_confirmation(
-        self,
-        call: requests.Call,
-        response: deliveries.CallerResponse,
-        maybe_executed: bool,
+        self, call: requests.Call, response: deliveries.CallerResponse
     ) -> None:
-        """Refuse a request whose API key may have been withdrawn."""
-        if self.key_withdrawal_seconds is None or call.customer is None:
-            return
-        age = clock.read_time() - self.catalog.confirmed_at
-        if age > MAX_CONFIRMATION_AGE_SHARE * self.key_withdrawal_seconds:
+        """Refuse a request whose API key may have been withdrawn.
+
+        Not to be called for a request that may have been executed: its key
+        was valid when it arrived, and it may go on at another server.
+        """
+        if not self._is_confirmed(call):
+            age = clock.read_time() - self.catalog.confirmed_at
             error = exceptions.NoRoom(
                 f"the configuration was last confirmed {age:.1f} s ago"
             )
-            self._raise_final(
-                response, call, _convert_error(error, maybe_executed)
-            )
+            self._raise_final(response, call, error)
+
+    def _is_confirmed(self, call: requests.Call) -> bool:
+        """Return whether the call's API key, if any, is known to be valid."""
+        if self.key_withdrawal_seconds is None or call.customer is None:
+            return True
+        age = clock.read_time() - self.catalog.confirmed_at
+        return age <= MAX_CONFIRMATION_AGE_SHARE * self.key_withdrawal_seconds
 
     def _try_acquire_retry(
         self, call: requests.Call, response: deliveries.CallerResponse
@@ -195,11 +221,54 @@
             return False
         return (
             call.route.may_repeat()
-            and len(call.tried_servers) < call.route.max_servers
+            and call.may_run_elsewhere()
             and self.shutdown.get_run_seconds(call) > 0
             and self.retries.try_acquire_retry(call.service)
         )
 
+    def _choose_successor(
+        self,
+        call: requests.Call,
+        response: deliveries.CallerResponse,
+        claim: successors.Claim,
+    ) -> t.Union["asyncio.Task[None]", str]:
+        """Start an attempt at another server for a silent stream.
+
+        The attempt is charged to the retry budget. Returns the reason if no
+        server can take the stream now.
+        """
+        if not call.may_run_elsewhere():
+            return "limit of servers"
+        if not self._is_confirmed(call):
+            return "the configuration is not confirmed"
+        chosen = self.placement.choose_server(call)
+        if chosen is None or not (
+            response.started or self.placement.has_capacity(call, chosen[0])
+        ):
+            return self.placement.describe_missing_capacity(call, chosen)
+        server, cold = chosen
+        if self.placement.states.is_leaving(server):
+            return "all other servers leave"
+        if not self.retries.try_acquire_retry(call.service):
+            return "retry budget"
+        call.tried_servers.append(server.id)
+        # Recorded before the task runs, so that streams that fall silent
+        # together do not all choose the same server.
+        reservation = self.placement.record_request(call, server, cold)
+        task = asyncio.create_task(
+            self._send_to_server(
+                call, response, server, cold, reservation, claim
+            )
+        )
+
+        def record_end(task: "asyncio.Task[None]") -> None:
+            reservation.release()
+            if task.cancelled():
+                call.record_cancelled(server.id)
+
+        task.add_done_callback(record_end)
+        return task
+
     def _acquire_retry_or_raise(
         self,
         call: requests.Call,
@@ -210,11 +279,16 @@
         """Charge the retry of a request that the last server did not execute.
 
         Raises the final error if no retry is allowed. Such a request may try
-        two servers even on a route that allows only one.
+        two servers even on a route that allows only one. For a response that
+        has started, servers that did not execute it do not count.
         """
-        if len(call.tried_servers) >= max(2, call.route.max_servers) or not (
-            self.retries.try_acquire_retry(call.service)
-        ):
+        if response.started:
+            may_retry = call.may_run_elsewhere()
+        else:
+            may_retry = len(call.tried_servers) < max(
+                2, call.route.max_servers
+            )
+        if not may_retry or not self.retries.try_acquire_retry(call.service):
             refusal = exceptions.NoRoom(
                 f"no server executed the request: {error.message}",
                 _compute_retry_after(
@@ -240,19 +314,51 @@
             )
         raise error
 
+    def _log_cut(
+        self,
+        call: requests.Call,
+        response: deliveries.CallerResponse,
+        error: exceptions.AnswerCut,
+    ) -> None:
+        """Log a response that ends without its end, and what was missing."""
+        now = clock.read_time()
+        last_event_at = response.last_event_at or call.arrived_at
+        last = self.catalog.servers.get(call.tried_servers[-1])
+        self.log.write(
+            "answer_cut",
+            request=call.request_id,
+            reason=error.message[:200],
+            servers=call.tried_servers,
+            max_servers=call.route.max_servers,
+            retry_allowed=self.retries.allows_retry(call.service),
+            silent=round(now - last_event_at, 3),
+            server_listed=last is not None,
+            server_silent=last
+            and deliveries.round_finite(self.placement.measure_silence(last)),
+            paused=round(self.pauses.measure_paused_seconds(), 3),
+            version_before=call.configuration_version,
+            version=self.catalog.require_configuration().version,
+            left=round(call.remaining(), 3),
+        )
+
     def _record_failure(
-        self, call: requests.Call, server: topology.Server, error: Exception
+        self,
+        call: requests.Call,
+        server: topology.Server,
+        attempt_number: int,
+        error: Exception,
     ) -> None:
         """Log a failed attempt and report it to the placement."""
         self.log.write(
             "attempt_failed",
             request=call.request_id,
             server=server.id,
-            attempt=len(call.tried_servers),
+            attempt=attempt_number,
             reason=str(error)[:200],
             error=type(error).__name__,
         )
         if isinstance(error, exceptions.NotExecuted):
+            call.refusals += 1
             if error.mismatched:
                 self.placement.record_mismatch(call, server)
             elif error.reachable:
@@ -270,8 +376,55 @@
         response: deliveries.CallerResponse,
         server: topology.Server,
         cold: bool,
+        reservation: loads.Reservation,
+        claim: t.Optional[successors.Claim] = None,
     ) -> None:
-        """Make one attempt at a server and relay its reply.
+        """Make one attempt at a server and complete the response.
+
+        A silent stream may be taken over by a successor of the attempt, whose
+        errors are then raised. `claim` is that of the attempt if it is a
+        successor itself. The reservation is released.
+        """
+        attempt_number = len(call.tried_servers)
+        async with successors.Succession(
+            functools.partial(self._choose_successor, call, response),
+            _FAILURES,
+        ) as succession:
+            try:
+                await self._relay_reply(
+                    call,
+                    response,
+                    server,
+                    cold,
+                    reservation,
+                    succession,
+                    claim,
+                )
+                self.placement.record_outcome(server, failed=False)
+                return
+            except _FAILURES as error:
+                self._record_failure(call, server, attempt_number, error)
+                if not succession.is_under_way():
+                    raise
+            finally:
+                reservation.release()
+            try:
+                await succession.finish()
+            except exceptions.NotExecuted as error:
+                # The first server may have executed the request.
+                raise exceptions.ReplyBroken(error.message) from error
+
+    async def _relay_reply(
+        self,
+        call: requests.Call,
+        response: deliveries.CallerResponse,
+        server: topology.Server,
+        cold: bool,
+        reservation: loads.Reservation,
+        succession: successors.Succession,
+        claim: t.Optional[successors.Claim],
+    ) -> None:
+        """Send a call to a server and relay its reply.
 
         Raises `exceptions.WeightsExpired` for a stream that has not begun
         when the server's weights expire.
@@ -291,11 +444,10 @@
             fetched=context.count_fetched_tokens() if context else None,
             saved=context.count_saved_parts() if context else None,
             left=round(added.seconds_left, 3),
-            weights_left=_round_finite(expiry - clock.read_time()),
+            weights_left=deliveries.round_finite(expiry - clock.read_time()),
             version=self.catalog.require_configuration().version,
         )
         sent_at = clock.read_time()
-        reservation = self.placement.record_request(call, server, cold)
 
         def record_first_event() -> None:
             reservation.record_prefill()
@@ -308,12 +460,12 @@
         attempt = deliveries.Attempt(
             server,
             self.placement,
+            self.pauses,
+            self.log,
             call.route.resumable,
-            lambda: (
-                len(call.tried_servers) < call.route.max_servers
-                and self.retries.allows_retry(call.service)
-            ),
+            succession,
             record_first_event,
+            claim,
         )
         start_timeout = asyncio.timeout(
             expiry - sent_at
@@ -329,6 +481,7 @@
                     functools.partial(
                         self.placement.record_reply, call, server
                     ),
+                    claim.record_sent if claim else lambda: None,
                 ) as reply:
                     await response.forward_reply(call, reply, attempt)
         except TimeoutError as error:
@@ -337,9 +490,6 @@
             raise exceptions.WeightsExpired(
                 "the server's weights expired before the stream began"
             ) from error
-        finally:
-            reservation.release()
-        self.placement.record_outcome(server, failed=False)
 
     def _make_added_headers(
         self, call: requests.Call, server: topology.Server
@@ -369,11 +519,6 @@
     return max(0.0, rest_end - clock.read_time()) + spread
 
 
-def _round_finite(seconds: float) -> t.Optional[float]:
-    """Return the seconds rounded for the log, None if they are infinite."""
-    return round(seconds, 3) if math.isfinite(seconds) else None
-
-
 def _convert_error(
     error: exceptions.RoutingError, maybe_executed: bool
 ) -> exceptions.RoutingError:
--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -199,6 +199,7 @@
             arrived_at=arrived_at,
             deadline=arrived_at + min(timeout, route.timeout),
             last_event_id=head.last_event_id,
+            configuration_version=configuration.version,
         )
         self.shutdown.check(call)
         async with self.shutdown.limit_body(call):
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -38,6 +38,7 @@
     ) -> None:
         self.head = head
         self._response = response
+        self._read_bytes = 0
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, b"" at its end.
@@ -46,11 +47,25 @@
         `exceptions.ReplyBroken`.
         """
         try:
-            return await self._response.content.readany()
+            chunk = await self._response.content.readany()
         except transport.CALL_ERRORS as error:
             raise exceptions.ReplyBroken(
                 transport.describe_error(error)
             ) from error
+        self._read_bytes += len(chunk)
+        return chunk
+
+    def has_unread_data(self) -> bool:
+        """Return whether more of the body, or its end, has arrived.
+
+        A timeout may cancel a read whose data arrived at the same time.
+        """
+        content = self._response.content
+        return (
+            content.is_eof()
+            or content.exception() is not None
+            or content.total_bytes > self._read_bytes
+        )
 
     async def read_body(self) -> bytes:
         """Return the whole body.
@@ -83,11 +98,13 @@
         call: requests.Call,
         added: requests.AddedHeaders,
         on_head: t.Callable[[requests.ReplyHead], None] = lambda head: None,
+        on_begin: t.Callable[[], None] = lambda: None,
     ) -> t.AsyncIterator[Reply]:
         """Send a request and yield the reply once its head has arrived.
 
-        `on_head` is called with the head of any reply to the request, also if
-        the reply is a refusal or not genuine.
+        `on_begin` is called when the request has a connection, `on_head` with
+        the head of any reply to it, also if the reply is a refusal or not
+        genuine.
         Leaving the context before the reply has been read to the end closes
         the connection, which cancels the request at the server. Raises
         `exceptions.NotExecuted` and `exceptions.ReplyBroken`.
@@ -106,6 +123,7 @@
                             encoded=True,
                         ),
                         identity,
+                        on_begin=on_begin,
                         headers=self._codec.write_request(call.head, added),
                         data=call.body or None,
                         skip_auto_headers=_AUTOMATIC_HEADERS,
