--- a/src/sesamefold/entry/successors.py
+++ b/src/sesamefold/entry/successors.py
@@ -18,7 +18,7 @@
 
 # Time for which two servers may work on a request, seconds. The first learns
 # of the end of its run a network latency later.
-MAX_OVERLAP_SECONDS = 0.3
+MAX_OVERLAP_SECONDS = 0.2
 
 
 class TakenOver(exceptions.ReplyBroken):
