Keep a granted successor in the list of tried servers

A call that ended while its successor served the stream recorded the server as one whose attempt was cancelled, so that answer_cut named the wrong one.

Also tests that streams of two silent servers are whole; it holds.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -255,7 +255,7 @@
 
         def record_end(task: "asyncio.Task[None]") -> None:
             reservation.release()
-            if task.cancelled():
+            if task.cancelled() and not claim.granted.is_set():
                 call.record_cancelled(server.id)
 
         task.add_done_callback(record_end)
--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -160,6 +160,14 @@
         await self.check_only_first_runs(streams)
         self.assertGreater(len(self.other.arrivals), 0)
 
+    async def test_other_server_is_silent_too(self) -> None:
+        """Guards against responses cut while no server sends anything."""
+        streams = await self.start_streams()
+        await self.add_other()
+        silence(self.first, 2.2)
+        silence(self.other, 2.2)
+        await self.check_whole(streams)
+
     async def test_other_server_fails(self) -> None:
         """Guards against streams that end because the next server fails."""
         streams = await self.start_streams()
