Test what the stop of an entry host waits for

A stop waits for answers that callers have not taken yet, and does not wait for the platform's store. Each test fails with its part of the drain taken out: the first with the wait for the connections' buffers, the second with the resignation awaited before the rest.

--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -8,9 +8,12 @@
 import socket
 import time
 import typing as t
+import unittest.mock
 
+from sesamefold.entry import election
 from standins import platform_engine
 from standins import platform_fixtures
+from tests import entry_fakes
 from tests import entry_processes
 
 GRACE_SECONDS = 6
@@ -437,3 +440,52 @@
             request.received += data
         self.assertTrue(request.has_whole_answer(), len(request.received))
         self.assertEqual(0, await self.process.wait())
+
+
+class DrainTest(entry_fakes.EntryHostCase):
+    """What a stop waits for, and what it does not wait for."""
+
+    async def test_the_stop_waits_for_answers_that_are_not_taken_yet(
+        self,
+    ) -> None:
+        """Guards against the end of an answer lost with the process.
+
+        The handler has ended, but the caller has not taken the answer.
+        """
+        for engine in self.engines:
+            engine.answer = b"x" * 6_000_000
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(caller, self.settings.listen_address)
+            server = self.host._runners[-1].server
+            assert server is not None
+            await self.wait_until(lambda: server.connections)
+            transport = server.connections[0].transport
+            assert transport is not None
+            transport.set_write_buffer_limits(high=10_000_000)
+            await loop.sock_sendall(caller, make_whole("slow", "unsafe"))
+            await self.wait_until(transport.get_write_buffer_size)
+            await self.wait_until(lambda: not self.host.frontend.in_progress)
+            draining = asyncio.create_task(self.host.drain())
+            await asyncio.sleep(4.0)
+            self.assertFalse(draining.done())
+            request = Request("slow", "unsafe", 0.0)
+            while not request.has_whole_answer():
+                data = await loop.sock_recv(caller, 65536)
+                self.assertNotEqual(b"", data)
+                request.received += data
+            await asyncio.wait_for(draining, 1.0)
+
+    async def test_a_store_that_does_not_answer_delays_nothing(self) -> None:
+        """Guards against requests taken for longer while the store is slow.
+
+        The host gives back its lease on sending orders when it stops.
+        """
+        with unittest.mock.patch.object(
+            election.Election, "stop", lambda self: asyncio.sleep(30.0)
+        ):
+            began = time.monotonic()
+            await self.host.drain()
+        self.assertLess(time.monotonic() - began, 5.0)
