Let the stand-ins fall silent and go on

A server may send nothing for a while and then go on. No stand-in could play this: a silent outage of the own stand-ins resets the connection afterwards, and the entry hosts' engine only stops between two events.

During a silence, all bytes of a stand-in are held back, on every connection, while runs go on; they leave together at its end.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -12,6 +12,7 @@
 
 from standins import engine_simulator
 from standins import platform_context_store
+from standins import silence
 
 RESPONSE_SEAL = "3e1b.07.5a2"
 HEALTH_PATH = "/healthz"
@@ -74,6 +75,9 @@
     they get no response and have no effect. With `lose_order_answers`, orders
     are applied and the connection is reset instead of a response.
 
+    Until `silent_until`, in monotonic seconds, no byte leaves the server, on
+    any connection; everything else goes on.
+
     Unless `leaving` is None, all responses carry it as the header
     `Server-Leaving`; `LEAVING_VALUE` announces that the server leaves.
 
@@ -97,6 +101,7 @@
     lose_order_answers: bool = False
     orders_to_ignore: int = 0
     event_seconds: float = 0.0
+    silent_until: float = 0.0
     keep_runs: bool = True
     simulator: t.Optional[engine_simulator.EngineSimulator] = None
     context_stores: t.Dict[str, platform_context_store.ContextStore] = (
@@ -107,6 +112,7 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
+        silence.silence_connection(request, lambda: self.silent_until)
         response = await self._answer(request)
         if not response.prepared:
             response.headers.update(self._make_notice())
--- a/standins/server.py
+++ b/standins/server.py
@@ -10,6 +10,8 @@
 from aiohttp import web
 import attrs
 
+from standins import silence
+
 # Interval of checks whether a silent outage or stall has ended.
 POLL_INTERVAL_SECONDS = 0.02
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -54,6 +56,8 @@
     - `delay`: seconds before each call takes effect.
     - `lose_answers`: the next N calls to routes named in `writes` take
       effect, and their connections are reset without a response.
+    - `silence`: seconds from now in which no byte leaves the stand-in, on any
+      connection; everything else goes on.
     - `clock_offset`: seconds that the stand-in's clock is ahead.
     """
 
@@ -67,6 +71,7 @@
         self.outage = ""
         self.delay = 0.0
         self.lost_answers = 0
+        self.silent_until = 0.0  # monotonic seconds
         self.clock_offset = 0.0
         self._runner: t.Optional[web.AppRunner] = None
         self._tasks: t.Set[asyncio.Task] = set()
@@ -159,6 +164,10 @@
         """Lose the responses to the next `value` writes."""
         self.lost_answers = value
 
+    def fault_silence(self, value: float) -> None:
+        """Start a silence of so many seconds."""
+        self.silent_until = time.monotonic() + value
+
     def fault_clock_offset(self, value: float) -> None:
         """Set how far the clock is ahead, seconds."""
         self.clock_offset = value
@@ -204,6 +213,7 @@
         kind = request.match_info.route.name
         if kind is None:
             return await handler(request)
+        silence.silence_connection(request, lambda: self.silent_until)
         self.counters[kind] += 1
         # Reads the body first, so that the call takes effect even if the
         # caller closes the connection during the delay.
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import sys
+import time
 import unittest
 
 import aiohttp
@@ -64,6 +65,25 @@
         )
 
 
+class SilenceTest(test_engines.EngineCase):
+    async def test_silent_engine_goes_on(self):
+        """Guards against a silence that stops runs or lets bytes leave."""
+        engine, client = await self.start_engine(token_seconds=0.02)
+        request = test_engines.make_request(max_tokens=20)
+        times = []
+        began_at = time.monotonic()
+        async for event in client.complete(request):
+            if event.kind == "started":
+                engine.inject(silence=0.6)
+                continue
+            times.append(time.monotonic() - began_at)
+            # All tokens were generated during the silence.
+            self.assertTrue(engine.runs[request.request_id].ended)
+        self.assertEqual(21, len(times))
+        self.assertGreater(times[0], 0.55)
+        self.assertLess(times[-1], 0.9)
+
+
 class RateLimitTest(unittest.TestCase):
     def test_units_share_a_rate(self):
         """Guards against concurrent transfers that exceed the rate."""
