Let servers fall silent in the soak and look for lost answers

The soak found no stream that is cut because its server sends nothing for a while: it had no such fault, and it excused every cut. Now servers fall silent beside other faults, configurations grow by 900 routes, faults come in series, and runs have two to four servers. A request that a host took must be answered or refused, and a stream must not be cut before its deadline while a server that runs it is sound; a host that is asked to stop is not excused. A silence delays a server's notices, so that it counts as a disruption for the invariants on these.

--- a/standins/engine_simulator.py
+++ b/standins/engine_simulator.py
@@ -158,12 +158,14 @@
 
     `counters` are the prompt tokens that were prefilled ("read") and found
     in the cache ("found"), "preemptions", "crashes", weight "loads", and
-    "foreign", the uses of cached parts of another origin.
+    "foreign", the uses of cached parts of another origin. `crash_times` are
+    in monotonic seconds.
     """
 
     def __init__(self, options: EngineOptions) -> None:
         self.options = options
         self.counters: t.Counter[str] = collections.Counter()
+        self.crash_times: t.List[float] = []
         self.weights: t.Dict[str, int] = {}
         self.loading = False
         self.reset()
@@ -237,6 +239,7 @@
     def crash(self) -> None:
         """End all requests, and reset everything but the weights."""
         self.counters["crashes"] += 1
+        self.crash_times.append(time.monotonic())
         for request in [*self.running, *self.waiting]:
             request.token_queue.put_nowait(-1)
         self.reset()
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -24,8 +24,9 @@
 class Run:
     """A request whose execution began on the server.
 
-    `weight_version` is that of the request's model, None without a model, and
-    `began_at` is in monotonic seconds.
+    `weight_version` is that of the request's model, None without a model,
+    `began_at` is in monotonic seconds, and `fault` is what the server does to
+    the response.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     body: bytes
     weight_version: t.Optional[int]
     began_at: float
+    fault: str = ""
 
 
 @attrs.frozen
@@ -184,6 +186,7 @@
             await request.read(),
             self.weights.get(request.headers.get("Sesamefold-Model", "")),
             time.monotonic(),
+            fault,
         )
         if self.keep_runs:
             self.runs.append(run)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,8 @@
 import unittest
 import unittest.mock
 
+import attrs
+
 from standins import platform_engine
 from standins import proxy
 from tools import soak
@@ -78,6 +80,77 @@
         )
 
 
+class LostResponseTest(unittest.TestCase):
+    """The invariant on requests without an answer, on made-up ones."""
+
+    def find_violations(
+        self, disruption: t.Tuple[float, float] = (0.0, 0.0), **fields: t.Any
+    ) -> t.List[str]:
+        """Return the violations of a stream, sent at 10.0, with one run.
+
+        The run began at 10.1. `disruption` is one of the link to its server.
+        `fields` are those of the request, and "fault", "crash_time" and
+        "host_disruption".
+        """
+        run = platform_engine.Run(
+            "r-1", "POST", "/stream/x", {}, b"body", 1, 10.1
+        )
+        attempt = soak_invariants.Attempt(
+            attrs.evolve(run, fault=fields.pop("fault", "")),
+            (fields.pop("crash_time", 0.0),),
+            (soak_invariants.Disruption(*disruption),),
+        )
+        host_disruption = fields.pop("host_disruption", (0.0, 0.0))
+        request = soak_invariants.SentRequest(
+            "/stream/", "key", 10.0, **{"ended_at": 10.8, **fields}
+        )
+        return list(
+            soak_invariants.find_lost_response(
+                request,
+                (attempt,),
+                (soak_invariants.Disruption(*host_disruption),),
+            )
+        )
+
+    def test_cut_at_a_sound_server_is_found(self) -> None:
+        """Guards against a soak that passes although answers are given up."""
+        self.assertEqual(
+            ["was cut after 0.80 s although its server was sound"],
+            self.find_violations(status=200),
+        )
+        self.assertEqual(
+            1, len(self.find_violations(status=200, fault="late"))
+        )
+        excuses: t.Tuple[t.Dict[str, t.Any], ...] = (
+            {"complete": True},
+            {"ended_at": 12.0},
+            {"fault": "cut"},
+            {"crash_time": 10.5},
+            {"disruption": (10.5, 11.0)},
+            {"host_disruption": (10.5, 11.0)},
+        )
+        for excuse in excuses:
+            with self.subTest(excuse):
+                self.assertEqual(
+                    [], self.find_violations(status=200, **excuse)
+                )
+
+    def test_request_without_answer_is_found(self) -> None:
+        """Guards against a soak that passes although LOST is broken."""
+        self.assertEqual(
+            ["got neither an answer nor a refusal within 0.80 s"],
+            self.find_violations(fault="cut"),
+        )
+        excuses: t.Tuple[t.Dict[str, t.Any], ...] = (
+            {"status": 503},
+            {"taken": False},
+            {"host_disruption": (10.5, 11.0)},
+        )
+        for excuse in excuses:
+            with self.subTest(excuse):
+                self.assertEqual([], self.find_violations(**excuse))
+
+
 class NoticeInvariantsTest(unittest.TestCase):
     """The invariants on what servers announce, on made-up arrivals."""
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -6,9 +6,9 @@
 directions; processes that are paused, killed, or stopped and restarted; a
 store that refuses calls, loses answers or drops its history; servers that
 refuse requests, break off responses, restart, announce that they leave, ask
-for a rest or ignore orders; revoked API keys; new target versions of the
-weights; a store of context that restarts or whose
-connections are disrupted.
+for a rest, ignore orders, or fall silent and go on; revoked API keys; grown
+configurations; new target versions of the weights; a store of context that
+restarts or whose connections are disrupted.
 Prints one JSON line for each seed, and exits with status 1 if an invariant
 was violated.
 
@@ -19,6 +19,7 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 import json
 import logging
 import os
@@ -41,7 +42,7 @@
 from standins import proxy
 from tools import soak_invariants
 
-ENGINE_COUNT = 4
+ENGINE_COUNTS = (2, 3, 4)
 REQUESTS_PER_SECOND = 60
 # Most entry hosts that a run starts.
 MAX_HOSTS = 100
@@ -65,6 +66,15 @@
 ENGINE_OPTIONS = engine_simulator.EngineOptions(
     slots=8, memory_tokens=4000, step_seconds=0.03, load_seconds=0.5
 )
+# Share of faults that come in a series, its length, and its interval.
+SERIES_SHARE = 0.2
+SERIES_FAULTS = 3
+SERIES_INTERVAL_SECONDS = 0.2
+# Share of faults beside which servers fall silent, and the times of silence.
+SILENCE_SHARE = 0.3
+SILENCE_SECONDS = (0.4, 2.5)
+# Routes by which a configuration may grow.
+ADDED_ROUTES = 900
 ENGINE_FAULTS = (
     "refuse",
     "misdirect",
@@ -104,6 +114,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._sent_requests: t.Dict[str, soak_invariants.SentRequest] = {}
         self._config_version = 1
+        self._added_routes = 0
         self._target_version = 1
         self._superseded_at: t.Dict[int, float] = {}
         self._second_key_revoked_at = float("inf")
@@ -111,6 +122,15 @@
         self._disruptions: t.Dict[str, t.List[soak_invariants.Disruption]] = (
             collections.defaultdict(list)
         )
+        # Pauses and kills of hosts; a host that is asked to stop is not
+        # excused from answering.
+        self._host_failures: t.Dict[
+            str, t.List[soak_invariants.Disruption]
+        ] = collections.defaultdict(list)
+        # Silences of servers, which delay their notices, by address.
+        self._silences: t.Dict[str, t.List[soak_invariants.Disruption]] = (
+            collections.defaultdict(list)
+        )
         # Addresses of the links to the instances of servers.
         self._instance_links: t.Dict[str, str] = {}
         self.injected_faults: t.List[str] = []
@@ -156,7 +176,7 @@
         self._put_configuration()
         self._put_target_version()
         self.engines = []
-        for number in range(ENGINE_COUNT):
+        for _ in range(self._random.choice(ENGINE_COUNTS)):
             engine = platform_engine.PlatformEngine(
                 "",
                 simulator=engine_simulator.EngineSimulator(ENGINE_OPTIONS),
@@ -236,6 +256,14 @@
         configuration = platform_fixtures.make_configuration(
             self._config_version
         )
+        configuration["routes"] += [
+            {
+                **configuration["routes"][0],
+                "name": f"added-{number}",
+                "path_prefix": f"/added-{number}/",
+            }
+            for number in range(self._added_routes)
+        ]
         isolated = {
             **configuration["tenants"][0],
             "name": ISOLATED_CUSTOMER,
@@ -350,14 +378,16 @@
                 async for chunk in response.content.iter_any():
                     request.body += chunk
                 request.complete = True
-                request.ended_at = time.monotonic()
+        except aiohttp.ClientConnectorError:
+            request.taken = False
         except (aiohttp.ClientError, TimeoutError, OSError):
             # The invariants are checked on what was received.
             pass
+        request.ended_at = time.monotonic()
         return request
 
     def _inject_fault(self) -> None:
-        """Start a random fault; several may overlap."""
+        """Start a random fault, or a series of them; several may overlap."""
         fault = self._random.choice(
             (
                 self._disrupt_store,
@@ -375,12 +405,34 @@
                 self._disrupt_context_store,
             )
         )
-        seconds = self._random.uniform(0.3, 3.0)
+        series = self._random.random() < SERIES_SHARE
+        for number in range(SERIES_FAULTS if series else 1):
+            self._start_fault(fault, number * SERIES_INTERVAL_SECONDS)
+        if self._random.random() < SILENCE_SHARE:
+            self._start_fault(self._silence_engines, 0.0)
+
+    def _start_fault(
+        self, fault: t.Callable[[float], t.Any], delay: float
+    ) -> None:
+        async def run() -> None:
+            await asyncio.sleep(delay)
+            await fault(self._random.uniform(0.3, 3.0))
+
         self.injected_faults.append(fault.__name__)
-        task = asyncio.create_task(fault(seconds))
+        task = asyncio.create_task(run())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _silence_engines(self, seconds: float) -> None:
+        count = self._random.randint(1, len(self.engines))
+        now = time.monotonic()
+        for engine, link in self._random.sample(self.engines, count):
+            silent_until = now + self._random.uniform(*SILENCE_SECONDS)
+            engine.silent_until = max(engine.silent_until, silent_until)
+            self._silences[link.address].append(
+                soak_invariants.Disruption(now, silent_until)
+            )
+
     async def _disrupt_store(self, seconds: float) -> None:
         kind = self._random.choice(("refuse", "silent", "lose", "forget"))
         if kind == "refuse":
@@ -405,15 +457,18 @@
             await self._disrupt_link(link, seconds)
 
     @contextlib.contextmanager
-    def _record_disruption(self, name: str) -> t.Iterator[None]:
+    def _record_disruption(
+        self, name: str, host_failed: bool = False
+    ) -> t.Iterator[None]:
         """Record the time in the context as one of a host or of a link."""
         began_at = time.monotonic()
         try:
             yield
         finally:
-            self._disruptions[name].append(
-                soak_invariants.Disruption(began_at, time.monotonic())
-            )
+            disruption = soak_invariants.Disruption(began_at, time.monotonic())
+            self._disruptions[name].append(disruption)
+            if host_failed:
+                self._host_failures[name].append(disruption)
 
     async def _disrupt_link(self, link: proxy.Proxy, seconds: float) -> None:
         kind = self._random.choice(
@@ -466,7 +521,7 @@
         process = host.process
         if process is None or process.returncode is not None:
             return
-        with self._record_disruption(host.name):
+        with self._record_disruption(host.name, host_failed=True):
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(seconds)
             with contextlib.suppress(ProcessLookupError):
@@ -483,10 +538,9 @@
             )
             return
         host.terminated_by_soak = True
-        with self._record_disruption(host.name):
-            process.send_signal(
-                self._random.choice((signal.SIGKILL, signal.SIGTERM))
-            )
+        killed = self._random.random() < 0.5
+        with self._record_disruption(host.name, host_failed=killed):
+            process.send_signal(signal.SIGKILL if killed else signal.SIGTERM)
             await process.wait()
             await asyncio.sleep(self._random.uniform(0.0, 1.0))
             await self._start_process(host)
@@ -494,6 +548,7 @@
     async def _change_keys(self, seconds: float) -> None:
         """Revoke the second key for good, or just publish a new version."""
         self._config_version += 1
+        self._added_routes = self._random.choice((0, ADDED_ROUTES))
         if (
             self._second_key_revoked_at == float("inf")
             and self._random.random() < 0.3
@@ -532,10 +587,10 @@
                 self.violations.append(f"{host.name} exited unexpectedly")
 
     def _check_invariants(self) -> None:
-        runs: t.Dict[str, t.List[platform_engine.Run]] = {}
+        attempts: t.Dict[str, t.List[soak_invariants.Attempt]] = {}
         if self.context_store.reads_of_freed_parts:
             self.violations.append("context was freed during a fetch")
-        for engine, _ in self.engines:
+        for engine, link in self.engines:
             foreign = engine.simulator.counters["foreign"]
             if foreign:
                 self.violations.append(
@@ -549,19 +604,28 @@
                 engine.runs, self._superseded_at
             )
             for run in engine.runs:
-                runs.setdefault(run.request_id, []).append(run)
+                attempts.setdefault(run.request_id, []).append(
+                    soak_invariants.Attempt(
+                        run,
+                        engine.simulator.crash_times,
+                        self._disruptions[link.address],
+                    )
+                )
         self.violations += soak_invariants.find_notice_violations(
             [a for engine, _ in self.engines for a in engine.arrivals],
             self._sent_requests,
             {
                 **self._disruptions,
                 **{
-                    server_id: self._disruptions[address]
+                    server_id: [
+                        *self._disruptions[address],
+                        *self._silences[address],
+                    ]
                     for server_id, address in self._instance_links.items()
                 },
             },
         )
-        for request_id in runs.keys() - self._sent_requests.keys():
+        for request_id in attempts.keys() - self._sent_requests.keys():
             self.violations.append(f"{request_id} was executed but never sent")
         for request_id, request in self._sent_requests.items():
             key_revoked = (
@@ -570,8 +634,14 @@
                 > self._second_key_revoked_at
                 + soak_invariants.KEY_REVOCATION_SECONDS
             )
-            for violation in soak_invariants.find_violations(
-                request, runs.get(request_id, []), key_revoked
+            own_attempts = attempts.get(request_id, [])
+            for violation in itertools.chain(
+                soak_invariants.find_violations(
+                    request, [a.run for a in own_attempts], key_revoked
+                ),
+                soak_invariants.find_lost_response(
+                    request, own_attempts, self._host_failures[request.host]
+                ),
             ):
                 self.violations.append(
                     f"{request_id} {request.kind} {violation}"
--- a/tools/soak_invariants.py
+++ b/tools/soak_invariants.py
@@ -9,7 +9,7 @@
 from standins import platform_engine
 
 # Events that a complete stream has.
-STREAM_EVENTS = 5
+STREAM_EVENTS = 10
 # Timeout that each request carries.
 TIMEOUT_SECONDS = 2.0
 # Time after which no request with a revoked key may be executed.
@@ -29,6 +29,10 @@
 # are on their way may arrive, and the most that may arrive later in the rest.
 IN_FLIGHT_SECONDS = 0.5
 MAX_RESTING_ARRIVALS = 2
+# Tolerance of the caller's measurement of a request's end.
+DEADLINE_TOLERANCE_SECONDS = 0.1
+# Faults that leave a server's response whole.
+SOUND_FAULTS = ("", "late")
 # Statuses of responses that only a server can have made.
 SERVER_STATUSES = (200, 500)
 # Statuses that guarantee that a request was not and will not be executed.
@@ -48,8 +52,9 @@
     """A request that a caller sent, and the response so far.
 
     `status` is None until a response begins; `complete` says whether the
-    response ended without an error, which was at `ended_at`. Instants are in
-    monotonic seconds.
+    response ended without an error. The caller had the response, or
+    gave up, at `ended_at`. `taken` is false if the host accepted no
+    connection. Instants are in monotonic seconds.
     """
 
     kind: str
@@ -61,6 +66,7 @@
     complete: bool = False
     response_id: t.Optional[str] = None
     body: bytes = b""
+    taken: bool = True
 
     def is_from_server(self) -> bool:
         """Return whether the response is a complete one of a server."""
@@ -78,6 +84,33 @@
     ended_at: float
 
 
+@attrs.frozen
+class Attempt:
+    """A run of a request, with the troubles of its server and the link.
+
+    `crash_times` are in monotonic seconds.
+    """
+
+    run: platform_engine.Run
+    crash_times: t.Sequence[float]
+    link_disruptions: t.Sequence[Disruption]
+
+    def is_sound(self, until: float) -> bool:
+        """Return whether the server and the link were sound until an instant.
+
+        A silent server is.
+        """
+        return (
+            self.run.fault in SOUND_FAULTS
+            and not any(
+                self.run.began_at <= at <= until for at in self.crash_times
+            )
+            and not _is_disrupted(
+                self.link_disruptions, self.run.began_at, until
+            )
+        )
+
+
 def find_violations(
     request: SentRequest,
     runs: t.Sequence[platform_engine.Run],
@@ -107,6 +140,33 @@
         yield f"got {request.body!r}, complete: {request.complete}"
 
 
+def find_lost_response(
+    request: SentRequest,
+    attempts: t.Sequence[Attempt],
+    host_disruptions: t.Sequence[Disruption],
+) -> t.Iterator[str]:
+    """Yield how the response to a request that was taken got lost.
+
+    A host that is neither paused nor killed, which are its disruptions,
+    answers or refuses each request. A stream is not cut before its deadline
+    while a server that runs it is sound.
+    """
+    if not request.taken or _is_disrupted(
+        host_disruptions, request.sent_at, request.ended_at
+    ):
+        return
+    seconds = request.ended_at - request.sent_at
+    if request.status is None:
+        yield f"got neither an answer nor a refusal within {seconds:.2f} s"
+    elif (
+        request.status == 200
+        and not request.complete
+        and seconds < TIMEOUT_SECONDS - DEADLINE_TOLERANCE_SECONDS
+        and any(a.is_sound(request.ended_at) for a in attempts)
+    ):
+        yield f"was cut after {seconds:.2f} s although its server was sound"
+
+
 def _matches_engine_response(request: SentRequest) -> bool:
     """Return whether a body is the server's, or a prefix if incomplete."""
     is_plain = request.kind in ("/safe/", "/unsafe/")
