Wait for a silent engine while no other server can continue its run

Callers got 1205 for an answer that the engine would have finished: each stream without a line for 5 s was resumed, and the third one in a row ended the run, although no other server could continue it. Now such a run waits for its engine until the deadline of the request. It still moves to another server if one is usable, and the retry budget and the limit of failed runs allow it. `BackendSilent` tells a silence from a failure.

test_silences failed with 1205 and holds now. test_engines expects the new class where it expected its base; nothing else in it changed.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -408,6 +408,18 @@
             self.deadline,
             self.state.metrics,
             has_lost_permit,
+            lambda: self._may_move(engine.address),
+        )
+
+    def _may_move(self, address: str) -> bool:
+        """Return whether a run may continue on a server at another address."""
+        return (
+            self.failures + 1 < MAX_FAILED_RUNS
+            and (bool(self.token_texts) or self.state.retries.allows_retry())
+            and any(
+                choice.backend.address != address
+                for choice in self._rank_backends()
+            )
         )
 
     async def _run_on_slot(
--- a/src/sesamefold/engines.py
+++ b/src/sesamefold/engines.py
@@ -184,8 +184,9 @@
     """HTTP client of an engine; docs/design.md section 5 lists the calls.
 
     Streams are server-sent events whose data is a JSON object. A stream on
-    which no line arrives for `idle_seconds` fails; engines send comment lines
-    while a run is queued or in prefill. 0 disables the limit. A timeout
+    which no line arrives for `idle_seconds` fails with
+    `exceptions.BackendSilent`; engines send comment lines while a run is
+    queued or in prefill. 0 disables the limit. A timeout
     around the iteration would close the iterator and so cancel the run; this
     limit leaves the run alive, so that it can be resumed.
     """
@@ -451,6 +452,8 @@
         message = f"engine {self.address}: {transport.describe_error(error)}"
         if transport.is_unsent(error):
             return exceptions.BackendUnreachable(message)
+        if isinstance(error, TimeoutError):
+            return exceptions.BackendSilent(message)
         return exceptions.BackendFailed(message)
 
 
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -200,6 +200,10 @@
     status = 502
 
 
+class BackendSilent(BackendFailed):
+    """A backend server sent nothing for some time; it may go on later."""
+
+
 class StoreUnavailable(RoutingError):
     """A store host is down or full."""
 
--- a/src/sesamefold/limits.py
+++ b/src/sesamefold/limits.py
@@ -404,10 +404,14 @@
             self._available_retries + self._retries_per_success,
         )
 
+    def allows_retry(self) -> bool:
+        """Return whether the budget allows a retry, without using it up."""
+        # Tolerates rounding: ten times 0.1 adds up to less than 1.0.
+        return self._available_retries >= 1.0 - 1e-9
+
     def try_acquire_retry(self) -> bool:
         """Use up one retry; return whether the budget allows it."""
-        # Tolerates rounding: ten times 0.1 adds up to less than 1.0.
-        if self._available_retries < 1.0 - 1e-9:
+        if not self.allows_retry():
             return False
         self._available_retries -= 1.0
         return True
--- a/src/sesamefold/runs.py
+++ b/src/sesamefold/runs.py
@@ -23,6 +23,8 @@
     `is_lost` is set when the engine refuses or can't be reached to resume the
     run, for example because a crash removed it. `has_lost_permit` returns
     whether the permit of the run expired; such a run isn't resumed.
+    `may_move` returns whether another server could continue the run. If none
+    could, a silent engine is waited for until the deadline.
     """
 
     engine: engines.Engine
@@ -31,6 +33,7 @@
     deadline: deadlines.Deadline
     metrics: metrics_module.GatewayMetrics
     has_lost_permit: t.Callable[[], bool] = lambda: False
+    may_move: t.Callable[[], bool] = lambda: True
     may_have_executed: bool = False
     is_lost: bool = False
     finished: bool = False
@@ -69,7 +72,9 @@
                 await source.aclose()
             if self.verifier.offset > last_offset:
                 resumes, last_offset = 0, self.verifier.offset
-            if resumes >= MAX_RESUMES or self.has_lost_permit():
+            if self.has_lost_permit() or (
+                resumes >= MAX_RESUMES and not self._should_wait(cause)
+            ):
                 raise cause
             resumes += 1
             self.metrics.retries.labels("gap").inc()
@@ -77,6 +82,14 @@
                 self.request_id, self.verifier.offset, self.deadline
             )
 
+    def _should_wait(self, cause: exceptions.BackendFailed) -> bool:
+        """Return whether to go on waiting for a silent engine."""
+        return (
+            isinstance(cause, exceptions.BackendSilent)
+            and not self.deadline.has_passed()
+            and not self.may_move()
+        )
+
     def _accept(self, event: engines.TokenEvent) -> bool:
         if not self.verifier.accept(event):
             return False
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -163,7 +163,11 @@
             ),  # expires in the queue
             ({"fail": 1}, {}, failed),
             ({"outage": "503"}, {}, failed),
-            ({"outage": "silent"}, {"deadline": 0.2}, failed),
+            (
+                {"outage": "silent"},
+                {"deadline": 0.2},
+                exceptions.BackendSilent,
+            ),
             ({}, {"deadline": -1}, exceptions.BackendUnreachable),
         )
         for index, (faults, fields, expected) in enumerate(cases):
@@ -189,7 +193,11 @@
         failed = exceptions.BackendFailed
         cases = (
             ({"kind": "break", "after": 2}, [1, 2], failed),
-            ({"kind": "stall", "after": 2}, [1, 2], failed),
+            (
+                {"kind": "stall", "after": 2},
+                [1, 2],
+                exceptions.BackendSilent,
+            ),
             ({"kind": "repeat", "after": 2}, [1, 2, 3, 3, 4, 5, 6], None),
             ({"kind": "skip", "after": 2}, [1, 2, 4, 5, 6], None),
             ({"kind": "other_id", "after": 2}, offsets, None),
