Do not run requests of lost connections in the engine stand-in

Cause: a request that had been received and not begun was begun after the crash. The crash of a process loses it. Change: requests on connections from before the crash are not begun. Before: the new test failed, the engine ran the request.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -243,6 +243,7 @@
         self._warm_up_task: t.Optional[asyncio.Task] = None
         self._load_task: t.Optional[asyncio.Task] = None
         self._session: t.Optional[aiohttp.ClientSession] = None
+        self._lost_connections: t.Set[web.RequestHandler] = set()
         self._reset()
 
     def _reset(self) -> None:
@@ -305,8 +306,14 @@
     async def check_outage(
         self, request: web.Request
     ) -> t.Optional[web.Response]:
-        """Reset connections while the engine restarts after a crash."""
-        if time.monotonic() < self._down_until:
+        """Reset connections while the engine restarts after a crash.
+
+        A request that was received before the crash is not executed after it.
+        """
+        if (
+            time.monotonic() < self._down_until
+            or request.protocol in self._lost_connections
+        ):
             return await self.reset_connection(request)
         return await super().check_outage(request)
 
@@ -390,6 +397,7 @@
         self._down_until = time.monotonic() + self.options.restart_seconds
         self._reset()
         self._start_warm_up()
+        self._lost_connections = set(self.list_connections())
         self.drop_connections()
 
     # Load
--- a/standins/server.py
+++ b/standins/server.py
@@ -126,12 +126,16 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def list_connections(self) -> t.List[web.RequestHandler]:
+        """Return the open connections."""
+        server = self._runner.server if self._runner else None
+        return list(server.connections) if server else []
+
     def drop_connections(
         self, keep: t.Optional[asyncio.Transport] = None
     ) -> None:
         """Reset all connections except `keep`."""
-        server = self._runner.server if self._runner else None
-        for connection in server.connections if server else ():
+        for connection in self.list_connections():
             transport = connection.transport
             if transport is not None and transport is not keep:
                 transport.abort()
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -307,6 +307,22 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def test_request_from_before_a_crash_does_not_run_after_it(self):
+        """Guards against a stand-in that runs requests of lost connections.
+
+        They would count towards the limit of the restarted cold engine.
+        """
+        self.server.inject(delay=0.2)
+        task = self.spawn("early")
+        await self.wait_until(lambda: self.server.counters["complete"] == 1)
+        self.server.crash()
+        self.assertIs(exceptions.BackendFailed, (await task)[1])
+        await asyncio.sleep(0.4)
+        self.assertEqual(0, self.server.counters["runs"])
+        self.server.inject(delay=0.0)
+        await self.reconnect()
+        await self.complete()
+
     async def test_queue_follows_priority_and_drops_expired_requests(self):
         """Guards against a queue that ignores priority or deadline."""
         self.server.inject(cold=False, token_seconds=3600.0)
