Test that runs without permits do not reach a restarted server

An engine restarted at once; 15 and 22 ms later two gateways sent it runs without permits, which arrived at 35 ms. Their news of the restart came 19 and 15 ms after they had sent, from the loss of the idle connections. The third request was begun by the stand-in on a connection that the crash had reset. No permit was in use. Ruled out for this run: permits used sooner, permits granted twice, and the beliefs of the controls.

--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -49,7 +49,8 @@
 
     It sends a token every `token_delay_seconds`, and appends `padding` to the
     text of each. A crashed engine refuses all connections, or resets them if
-    `resets_connections` is set.
+    `resets_connections` is set. `epoch` names its incarnation; a run that is
+    meant for another one is refused.
     """
 
     def __init__(self, address: str) -> None:
@@ -59,6 +60,7 @@
         self.resume_offsets: t.List[int] = []
         self.cancelled: t.List[str] = []
         self.exported: t.List[str] = []
+        self.epoch = "1"
         self.crashed = False
         self.resets_connections = False
         self.token_delay_seconds = 0.0
@@ -80,6 +82,8 @@
             raise exceptions.BackendUnreachable("connection refused")
         if fault.kind == "refuse":
             raise exceptions.BackendRefused("not admitted")
+        if getattr(request, "epoch", "") not in ("", self.epoch):
+            raise exceptions.BackendRefused("the engine has restarted")
         self.requests.append(request)
         async for event in self._stream(request, request.offset, fault):
             yield event
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -40,6 +40,28 @@
         )
 
 
+class RestartTest(gateway_fakes.GatewayTestCase):
+    """The server "a" restarts cold, which the gateway does not know yet."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.bench.control.backends["b"].queued = 100
+        self.bench.control.publish()
+        await self.wait_for_backends()
+        self.restarted = self.bench.engines["a:1"]
+        self.restarted.epoch = "2"
+
+    async def test_runs_without_permits_do_not_reach_a_restarted_server(self):
+        """Guards against gateways that together overload a cold server.
+
+        Each sends runs to it until the news of its restart arrives there.
+        """
+        async with self.bench.post({"stream": True}) as response:
+            self.assertIn("[DONE]", await response.text())
+        self.assertEqual([], self.restarted.requests)
+        self.assertEqual(1, len(self.bench.engines["b:1"].requests))
+
+
 class SuspectTest(gateway_fakes.GatewayTestCase):
     """The server "a" runs a suspect; the server "b" is down at first."""
 
