Keep runs without permits from servers that have restarted

Callers saw: streams that broke off, and suspects made of innocent requests, because an engine that had restarted cold crashed again. Cause: a gateway takes a server for warm until the news of its restart arrives, 15 to 20 ms later on a busy machine. Its runs until then have no permit, so several gateways together exceed what a cold engine bears. Change: a run without a permit names the boot epoch for which it was admitted, and an engine with another epoch refuses it with status 412 before execution. The gateway then needs permits for the server, which is not excluded. Permits used sooner had no part in the traced crash. The set-up of SuspectTest now gives the fake engines the epochs that it publishes. An engine that ignores the field runs such requests as before.

--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -420,7 +420,7 @@
         if not slot.is_valid():
             raise exceptions.BackendRefused("the permit expired before use")
         self.engine_address = slot.backend.address
-        request = self._build_request(slot.choice)
+        request = self._build_request(slot)
         previous_origin = attrs.evolve(self.origin)
         started_at = time.monotonic()
         first_event_seconds = 0.0
@@ -461,7 +461,7 @@
         )
 
     def _build_request(
-        self, choice: routing.Choice
+        self, slot: admission.Slot
     ) -> engines.CompletionRequest:
         # After a resume by handle, earlier tokens are not known.
         known_texts = () if self.resume_offset else tuple(self.token_texts)
@@ -477,7 +477,8 @@
             priority=CONTINUED_PRIORITY if self.may_have_executed else 0,
             offset=self.verifier.offset,
             output=known_texts,
-            imports=choice.imports,
+            imports=slot.choice.imports,
+            epoch="" if slot.permit else slot.backend.epoch,
         )
 
     async def _stream_run(
@@ -531,16 +532,21 @@
     def _record_refusal(
         self, slot: admission.Slot, error: exceptions.RoutingError
     ) -> None:
-        """Exclude a server that refused the request.
+        """Exclude a server that refused the request or was unreachable.
 
+        One that restarted before the run arrived is not excluded.
         Raises the error if the request must not be retried. An exhausted
         retry budget does not end a response that has begun, because its
         caller would repeat the whole request.
         """
         self.refusals += 1
-        self._exclude_backend(slot.backend)
-        slot.refused = isinstance(error, exceptions.BackendRefused)
-        if not slot.refused:
+        if isinstance(error, exceptions.BackendRestarted):
+            # With a permit, the server may run the request.
+            self.state.record_restart(slot.backend)
+        else:
+            self._exclude_backend(slot.backend)
+            slot.refused = isinstance(error, exceptions.BackendRefused)
+        if isinstance(error, exceptions.BackendUnreachable):
             self.state.record_failure(
                 slot.backend, self.request_id, error.message
             )
--- a/src/sesamefold/engines.py
+++ b/src/sesamefold/engines.py
@@ -32,7 +32,13 @@
 
 @attrs.frozen
 class CompletionRequest:
-    """Request for one run of a prompt on an engine."""
+    """Request for one run of a prompt on an engine.
+
+    An engine whose boot epoch differs from `epoch` refuses the run with
+    status 412 before execution; an empty one allows any. A run without a
+    permit names the epoch for which it was admitted, because the engine may
+    restart cold before the run arrives.
+    """
 
     request_id: str
     model: str
@@ -46,6 +52,7 @@
     offset: int = 0  # output tokens that the caller already has
     output: t.Tuple[str, ...] = ()  # the text of these tokens, if known
     imports: t.Tuple[ImportBlock, ...] = ()
+    epoch: str = ""
 
 
 @attrs.frozen
@@ -438,11 +445,11 @@
             return
         reason = (await transport.read_error_body(response)).get("error")
         message = f"engine {self.address}: status {response.status}, {reason}"
-        if (
-            response.status in (429, 503)
-            and response.headers.get("Sesamefold-Executed") == "no"
-        ):
-            raise exceptions.BackendRefused(message)
+        if response.headers.get("Sesamefold-Executed") == "no":
+            if response.status in (429, 503):
+                raise exceptions.BackendRefused(message)
+            if response.status == 412:
+                raise exceptions.BackendRestarted(message)
         if response.status == 409 and reason == "fencing":
             raise exceptions.FencingRefused(message)
         raise exceptions.BackendFailed(message)
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -186,6 +186,12 @@
     executed = NO
 
 
+class BackendRestarted(BackendRefused):
+    """A backend server is not the incarnation that the run is meant for."""
+
+    code = 1222
+
+
 class BackendUnreachable(RoutingError):
     """The connection failed before any byte was sent."""
 
--- a/src/sesamefold/state.py
+++ b/src/sesamefold/state.py
@@ -193,6 +193,19 @@
                 earlier.avoid_until if earlier else 0.0,
             )
 
+    def record_restart(self, backend: control_pb2.BackendState) -> None:
+        """Require permits for a server that refused a run of an older epoch.
+
+        Newer reports than the one by which the run was admitted stay in use.
+        """
+        current = self.backends.get(backend.name)
+        if current is not None and current.epoch == backend.epoch:
+            _log.info(
+                "backend server {} restarted before a run arrived",
+                backend.name,
+            )
+            self.record_connection_loss(backend.name)
+
     def record_failure(
         self, backend: control_pb2.BackendState, request_id: str, reason: str
     ) -> None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -531,6 +531,8 @@
         if self.failures > 0:
             self.failures -= 1
             return server.make_error_response(500, "failed")
+        if body.get("epoch") not in (None, "", self.epoch):
+            return self._refuse_request(412, "restarted")
         if self.role != "serve":
             return self._refuse_request(503, f"role is {self.role}")
         if f"{body['model']}@{body['weight_version']}" not in self.versions:
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -82,8 +82,8 @@
             raise exceptions.BackendUnreachable("connection refused")
         if fault.kind == "refuse":
             raise exceptions.BackendRefused("not admitted")
-        if getattr(request, "epoch", "") not in ("", self.epoch):
-            raise exceptions.BackendRefused("the engine has restarted")
+        if request.epoch not in ("", self.epoch):
+            raise exceptions.BackendRestarted("the engine has restarted")
         self.requests.append(request)
         async for event in self._stream(request, request.offset, fault):
             yield event
@@ -150,7 +150,9 @@
 
     async def fetch_load(self, deadline):
         self._check_connection()
-        return engines.Load("1", False, False, 0, 0, 8, (), "serve", 0.0)
+        return engines.Load(
+            self.epoch, False, False, 0, 0, 8, (), "serve", 0.0
+        )
 
     async def export_blocks(self, blocks, store, deadline):
         self.exported.extend(blocks)
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -323,6 +323,18 @@
         await self.reconnect()
         await self.complete()
 
+    async def test_run_for_an_earlier_epoch_is_refused_before_execution(self):
+        """Guards against runs that a restarted cold engine did not admit."""
+        epoch = (await self.engine.fetch_load(soon())).epoch
+        await self.complete(request_id="first", epoch=epoch)
+        self.server.crash()
+        await self.reconnect()
+        with self.assertRaises(exceptions.BackendRestarted) as caught:
+            await anext(self.engine.complete(make_request(epoch=epoch)))
+        self.assertEqual("no", caught.exception.executed)
+        self.assertEqual(1, self.server.counters["runs"])
+        await self.complete(request_id="third")
+
     async def test_queue_follows_priority_and_drops_expired_requests(self):
         """Guards against a queue that ignores priority or deadline."""
         self.server.inject(cold=False, token_seconds=3600.0)
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -61,6 +61,19 @@
         self.assertEqual([], self.restarted.requests)
         self.assertEqual(1, len(self.bench.engines["b:1"].requests))
 
+    async def test_restarted_server_gets_runs_with_permits_only(self):
+        """Guards against a refused run that ends all use of its server."""
+        self.bench.control.permit_limit = 1
+        self.bench.control.backends["b"].state = "down"
+        self.bench.control.publish()
+        await self.wait_for_backends()
+        for _ in range(2):
+            async with self.bench.post() as response:
+                self.assertEqual(200, response.status)
+        self.assertEqual("unknown", self.bench.state.get_backend("a").state)
+        self.assertEqual(["", ""], [r.epoch for r in self.restarted.requests])
+        self.assertEqual(2, len(self.bench.control.granted))
+
 
 class SuspectTest(gateway_fakes.GatewayTestCase):
     """The server "a" runs a suspect; the server "b" is down at first."""
@@ -75,6 +88,7 @@
         for name, state in states.items():
             self.control.backends[name].state = state
             self.control.backends[name].epoch = epoch
+            self.bench.engines[f"{name}:1"].epoch = epoch
         self.control.publish()
         await self.wait_for_backends()
 
