Grant reservations only once the other hosts are known

Callers saw: 1209 for an innocent request, when a request crashed servers right after the hosts had started. Cause: a control that had not met the others took itself for the owner of all servers and granted a reservation of its own. An innocent suspect shared a server with the request that crashed it, at another gateway. Change: a control refuses reservations from its start until the host list names it and its members have been heard, and for 2 s after that or after it became the owner, until holders have renewed theirs. The refusal carries the time of the first grants, and the suspect waits for it, up to 4 s and half of its remaining time. Before: the new tests of permits, members and suspects could not pass, since nothing told the two refusals apart.

--- a/src/sesamefold/admission.py
+++ b/src/sesamefold/admission.py
@@ -42,7 +42,8 @@
     expired. `queue_delay_seconds` is the time that the run waited on the
     server, None while it is unknown. `refused` is set when the server
     refused the run for lack of capacity. `reservation` is the permit to run
-    a suspect request, None without one.
+    a suspect request, None without one, and `reservable_at` the Unix time
+    from which the server's owner grants reservations, 0.0 if it does.
     """
 
     choice: routing.Choice
@@ -55,6 +56,7 @@
     refused: bool = False
     reservation: t.Optional[control_pb2.Permit] = None
     reservation_task: t.Optional["asyncio.Task[None]"] = None
+    reservable_at: float = 0.0
 
     @property
     def backend(self) -> control_pb2.BackendState:
@@ -337,8 +339,9 @@
     async def reserve(self, slot: Slot, deadline: deadlines.Deadline) -> bool:
         """Reserve the server of a slot for a suspect in the data centre.
 
-        Returns False if another gateway runs a suspect request on it. If the
-        control daemon does not answer, the server counts as free.
+        Returns False if another gateway runs a suspect request on it, or may
+        run one before `slot.reservable_at`. If the control daemon does not
+        answer, the server counts as free.
         """
         permit_deadline = deadline.cap(_PERMIT_TIMEOUT_SECONDS)
         permit = await self._state.try_call_control(
@@ -352,7 +355,9 @@
             ),
             permit_deadline.remaining(),
         )
-        if permit is not None and permit.id:
+        if permit is not None and not permit.id:
+            slot.reservable_at = permit.retry_at
+        elif permit is not None:
             slot.reservation = permit
             slot.reservation_task = self._state.spawn(
                 self._renew_reservation(slot)
--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -45,6 +45,9 @@
 # Longest time that a suspect request waits for a server on which no other
 # gateway runs one. A request that crashes servers does so soon.
 RESERVATION_WAIT_SECONDS = 0.5
+# Longest such wait while the owner of the server does not know yet whether
+# another gateway runs a suspect on it.
+MAX_RESERVATION_WAIT_SECONDS = 4.0
 
 
 @attrs.define(eq=False)
@@ -55,7 +58,8 @@
     `excluded_backends` holds the names and epochs of servers that failed or
     refused the request; a server that restarted may be tried again.
     A suspect request that found a server reserved at other gateways waits
-    for another one until `reservation_deadline`.
+    for another one until `reservation_deadline`, which is moved up to
+    `last_reservation_deadline` while owners grant no reservations.
     `may_have_executed` is set once a run may have begun; later errors must
     not say that the request was not executed.
     """
@@ -79,6 +83,7 @@
     token_texts: t.List[str] = attrs.field(factory=list)
     excluded_backends: t.Set[t.Tuple[str, str]] = attrs.field(factory=set)
     reservation_deadline: t.Optional[deadlines.Deadline] = None
+    last_reservation_deadline: t.Optional[deadlines.Deadline] = None
     may_have_executed: bool = False
     finished: bool = False
     failures: int = 0
@@ -290,16 +295,42 @@
         if in_flight_request.exclusive and not await self.slots.reserve(
             slot, self.deadline
         ):
-            if self.reservation_deadline is None:
-                self.reservation_deadline = self.deadline.cap(
-                    RESERVATION_WAIT_SECONDS
-                )
-            if not self.reservation_deadline.has_passed():
+            if not self._find_reservation_deadline(slot).has_passed():
                 return False
         # Another gateway may have reported a crash meanwhile.
         self.state.quarantine.ensure_not_quarantined(self.identity)
         return self.slots.is_current(slot)
 
+    def _find_reservation_deadline(
+        self, slot: admission.Slot
+    ) -> deadlines.Deadline:
+        """Return the end of the wait for a server that is not reserved.
+
+        It is later while the owner of the server grants no reservations, and
+        leaves half of the remaining time for the run.
+        """
+        if self.reservation_deadline is None:
+            self.reservation_deadline = self.deadline.cap(
+                RESERVATION_WAIT_SECONDS
+            )
+            self.last_reservation_deadline = self.deadline.cap(
+                min(
+                    MAX_RESERVATION_WAIT_SECONDS,
+                    self.deadline.remaining() / 2,
+                )
+            )
+        if slot.reservable_at:
+            self.reservation_deadline = max(
+                self.reservation_deadline,
+                min(
+                    deadlines.Deadline(
+                        slot.reservable_at + RESERVATION_WAIT_SECONDS
+                    ),
+                    self.last_reservation_deadline,
+                ),
+            )
+        return self.reservation_deadline
+
     def _may_recover(self, recovery_deadline: deadlines.Deadline) -> bool:
         """Return whether to wait for a server to continue the response."""
         if recovery_deadline.has_passed() or not self._is_version_configured():
--- a/src/sesamefold/control.py
+++ b/src/sesamefold/control.py
@@ -18,6 +18,7 @@
 
 from sesamefold import backends as backend_states
 from sesamefold import client
+from sesamefold import defaults
 from sesamefold import engines
 from sesamefold import exceptions
 from sesamefold import hostlist
@@ -317,9 +318,14 @@
                 count_hosts=self.membership.count_hosts,
             )
             # A suspect that gets none runs after a while all the same, so
-            # these need no handover.
+            # the handover covers only the time until holders have renewed
+            # their permits at a new owner.
             self.optional_components["exclusive_permits"] = permits.Permits(
-                self.membership, lambda _: 1, handover_seconds=0.0
+                self.membership,
+                lambda _: 1,
+                knows_members=self.membership.knows_members,
+                handover_seconds=defaults.PERMIT_RENEWAL_INTERVAL
+                + defaults.CLOCK_SKEW,
             )
         directory = _import_optional_module("directory")
         if directory is not None:
--- a/src/sesamefold/membership.py
+++ b/src/sesamefold/membership.py
@@ -47,7 +47,8 @@
 # reports of crashes. Of a pair, the host that is listed later finds the other
 # one on the list and sends it a heartbeat.
 _UNLISTED_POLL_INTERVAL_SECONDS = 0.25
-# After this time an unlisted host polls at the usual interval.
+# After this time an unlisted host polls at the usual interval, and does not
+# expect to meet others.
 _UNLISTED_POLL_LIMIT_SECONDS = 10.0
 
 # Delay before a failed urgent heartbeat is sent again.
@@ -162,6 +163,8 @@
         self.changed = notification.Notification()
         self._urgent = notification.Notification()
         self.has_host_list = False  # True once the host list has answered
+        # Unix time until which this host expects to be listed.
+        self._listed_by = clock() + _UNLISTED_POLL_LIMIT_SECONDS
         self.reports: t.Optional[Reports] = None
         self.get_revision: t.Callable[[], int] = lambda: 0
         self.on_peer_revision: t.Callable[[int, str], None] = lambda *_: None
@@ -280,6 +283,16 @@
             if self.is_alive(peer)
         )
 
+    def knows_members(self) -> bool:
+        """Return whether this host has met the hosts that started with it.
+
+        Hosts that start together meet once the host list names them. A host
+        that is not listed in time goes on alone.
+        """
+        if self.name in self._hosts:
+            return self.has_heartbeats_of_all_members()
+        return self._clock() >= self._listed_by
+
     def is_alive(self, peer: Peer) -> bool:
         """Return whether a peer's deadline has not passed."""
         return peer.deadline > self._clock()
@@ -357,7 +370,6 @@
 
     @mode.Service.task
     async def _poll_host_list(self) -> None:
-        fast_poll_until = time.monotonic() + _UNLISTED_POLL_LIMIT_SECONDS
         while not self.should_stop:
             try:
                 listing = await self._host_list.fetch(
@@ -374,7 +386,7 @@
             except exceptions.PlatformError as error:
                 _log.warning("failed to fetch the host list: {}", error)
             poll_fast = self.name not in self._hosts
-            poll_fast = poll_fast and time.monotonic() < fast_poll_until
+            poll_fast = poll_fast and self._clock() < self._listed_by
             interval = (
                 _UNLISTED_POLL_INTERVAL_SECONDS
                 if poll_fast
--- a/src/sesamefold/permits.py
+++ b/src/sesamefold/permits.py
@@ -74,7 +74,9 @@
     also the bound in a partition.
 
     `get_limit` returns the limit of a backend server, 0 when it is unknown.
-    `clock` returns Unix seconds.
+    Until `knows_members` has returned true once, this host counts as just
+    started: others that it has not met may grant permits as well. `clock`
+    returns Unix seconds.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         get_limit: t.Callable[[str], int],
         *,
         count_hosts: t.Optional[t.Callable[[], int]] = None,
+        knows_members: t.Callable[[], bool] = lambda: True,
         clock: t.Callable[[], float] = time.time,
         handover_seconds: float = defaults.PERMIT_SECONDS
         + defaults.CLOCK_SKEW
@@ -91,6 +94,8 @@
         self._peers = peers
         self._get_limit = get_limit
         self._count_hosts = count_hosts
+        self._knows_members = knows_members
+        self._has_known_members = False
         self._clock = clock
         self._handover_seconds = handover_seconds
         self._grants: t.Dict[str, t.Dict[str, _Grant]] = {}
@@ -107,8 +112,14 @@
         """
         now = self._clock()
         members = tuple(sorted(self._peers.list_members()))
-        if now - self._observed_at > MAX_OBSERVATION_GAP_SECONDS:
+        if (
+            not self._has_known_members
+            or now - self._observed_at > MAX_OBSERVATION_GAP_SECONDS
+        ):
             self._views.clear()
+        self._has_known_members = (
+            self._has_known_members or self._knows_members()
+        )
         self._observed_at = now
         if not self._views:
             # The view without members covers the time before the start.
@@ -154,8 +165,10 @@
     async def acquire(
         self, request: control_pb2.AcquirePermitRequest
     ) -> control_pb2.Permit:
-        """Return a permit; its id is empty when none is free.
+        """Return a permit; its id is empty when none is granted.
 
+        A refusal has a `retry_at` (Unix seconds) while this host is the owner
+        and does not grant permits yet.
         A holder that repeats a request gets the same permit again. Raises
         `exceptions.ControlUnavailable` when there is no owner or it does not
         answer.
@@ -177,7 +190,9 @@
                 request.request,
             ):
                 return self._extend_grant(request.backend, grant)
-        if now < (self.find_grant_time(request.backend) or 0.0):
+        grant_time = self.find_grant_time(request.backend) or 0.0
+        if now < grant_time:
+            refusal.retry_at = grant_time
             return refusal
         if len(grants) >= self._compute_grant_limit(request.backend):
             return refusal
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -247,6 +247,34 @@
             text = await self.read(self.make_suspect(stream=True))
         self.assertIn("[DONE]", text)
 
+    async def test_suspect_waits_for_an_owner_that_grants_nothing_yet(self):
+        """Guards against two suspects on one server after a start.
+
+        The owner has not met all hosts, which may run suspects there.
+        """
+        self.control.reserved_servers = {"a", "b"}
+        self.control.reservable_at = time.time() + 0.5
+        with unittest.mock.patch.object(
+            completions, "RESERVATION_WAIT_SECONDS", 0.1
+        ):
+            task = asyncio.create_task(
+                self.read(self.make_suspect(stream=True))
+            )
+            await asyncio.sleep(0.4)
+            self.assertEqual([], self.bench.engine_requests)
+            self.control.reserved_servers = set()
+            self.assertIn("[DONE]", await task)
+
+    async def test_wait_for_an_owner_leaves_time_for_the_run(self):
+        """Guards against suspects that miss their deadlines at a start."""
+        self.control.reserved_servers = {"a", "b"}
+        self.control.reservable_at = 2.0**40
+        text = await self.read(
+            self.make_suspect(stream=True),
+            Sesamefold_Deadline=str(time.time() + 3.0),
+        )
+        self.assertIn("[DONE]", text)
+
     async def test_crash_reported_during_reservation_stops_the_run(self):
         """Guards against a third crash while a server is being reserved."""
         self.control.reservation_delay_seconds = 0.3
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -157,6 +157,23 @@
         self.run_steps(("wait", 5.0))
         self.assertEqual(["a"], self.membership.list_members())
 
+    def test_hosts_that_start_together_know_their_members_once_met(self):
+        """Guards against a host that decides alone before it is listed."""
+        self.assertFalse(self.membership.knows_members())
+        self.apply_host_list("b")
+        self.send_heartbeat("b")
+        self.assertFalse(self.membership.knows_members())
+        self.apply_host_list("a", "b", revision=2)
+        self.assertTrue(self.membership.knows_members())
+
+    def test_host_that_is_not_listed_in_time_goes_on_alone(self):
+        """Guards against a host that waits forever to be listed."""
+        self.apply_host_list("b")
+        self.run_steps(("wait", 9.0))
+        self.assertFalse(self.membership.knows_members())
+        self.run_steps(("wait", 2.0))
+        self.assertTrue(self.membership.knows_members())
+
     async def test_urgent_heartbeat_goes_to_peer_that_usually_calls(self):
         """Guards against an urgent change that waits for a peer's heartbeat.
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -119,6 +119,44 @@
                 await self.release(self.other, "unknown")
 
 
+class StartTest(PermitsTestCase):
+    async def test_hosts_that_have_not_met_grant_nothing(self):
+        """Guards against two hosts that each grant the only reservation.
+
+        They start together, and neither is on the host list of the other.
+        """
+        met = set()
+        handover_seconds = 2.0
+        for name in "ab":
+            self.network.host_views[name] = [name]
+            self.start(
+                name,
+                knows_members=lambda name=name: name in met,
+                handover_seconds=handover_seconds,
+            )
+        await asyncio.sleep(3.0)
+        for name in "ab":
+            refusal = await self.request(name, "first")
+            self.assertEqual("", refusal.id)
+            self.assertAlmostEqual(
+                journal_fakes.read_clock() + handover_seconds,
+                refusal.retry_at,
+                places=3,
+            )
+        met.update("ab")
+        self.network.host_views.clear()
+        self.network.running_hosts.remove("c")
+        owner = rendezvous.choose_owner("e1", "ab")
+        await asyncio.sleep(handover_seconds - 0.3)
+        self.assertEqual("", await self.acquire("a", "first"))
+        await asyncio.sleep(0.6)
+        self.assertTrue(await self.acquire("a", "first"))
+        self.assertEqual(1, self.hosts[owner].count_permits("e1"))
+        # A refusal for lack of permits names no time.
+        await self.acquire("b", "second")
+        self.assertEqual(0.0, (await self.request("b", "third")).retry_at)
+
+
 class OwnershipTest(PermitsTestCase):
     async def test_started_owner_grants_nothing_during_handover(self):
         """Guards against exceeding the limit with earlier permits.
