--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -45,6 +45,9 @@
 # Longest time that a suspect request waits for a server on which no other
 # gateway runs one. A request that crashes servers does so soon.
 RESERVATION_WAIT_SECONDS = 0.5
+# Longest such wait while the owner of the server does not know yet whether
+# another gateway runs a suspect on it.
+MAX_RESERVATION_WAIT_SECONDS = 4.0
 
 
 @attrs.define(eq=False)
@@ -55,7 +58,8 @@
     `excluded_backends` holds the names and epochs of servers that failed or
     refused the request; a server that restarted may be tried again.
     A suspect request that found a server reserved at other gateways waits
-    for another one until `reservation_deadline`.
+    for another one until `reservation_deadline`, which is moved up to
+    `last_reservation_deadline` while owners grant no reservations.
     `may_have_executed` is set once a run may have begun; later errors must
     not say that the request was not executed.
     """
@@ -79,6 +83,7 @@
     token_texts: t.List[str] = attrs.field(factory=list)
     excluded_backends: t.Set[t.Tuple[str, str]] = attrs.field(factory=set)
     reservation_deadline: t.Optional[deadlines.Deadline] = None
+    last_reservation_deadline: t.Optional[deadlines.Deadline] = None
     may_have_executed: bool = False
     finished: bool = False
     failures: int = 0
@@ -290,16 +295,42 @@
         if in_flight_request.exclusive and not await self.slots.reserve(
             slot, self.deadline
         ):
-            if self.reservation_deadline is None:
-                self.reservation_deadline = self.deadline.cap(
-                    RESERVATION_WAIT_SECONDS
-                )
-            if not self.reservation_deadline.has_passed():
+            if not self._find_reservation_deadline(slot).has_passed():
                 return False
         # Another gateway may have reported a crash meanwhile.
         self.state.quarantine.ensure_not_quarantined(self.identity)
         return self.slots.is_current(slot)
 
+    def _find_reservation_deadline(
+        self, slot: admission.Slot
+    ) -> deadlines.Deadline:
+        """Return the end of the wait for a server that is not reserved.
+
+        It is later while the owner of the server grants no reservations, and
+        leaves half of the remaining time for the run.
+        """
+        if self.reservation_deadline is None:
+            self.reservation_deadline = self.deadline.cap(
+                RESERVATION_WAIT_SECONDS
+            )
+            self.last_reservation_deadline = self.deadline.cap(
+                min(
+                    MAX_RESERVATION_WAIT_SECONDS,
+                    self.deadline.remaining() / 2,
+                )
+            )
+        if slot.reservable_at:
+            self.reservation_deadline = max(
+                self.reservation_deadline,
+                min(
+                    deadlines.Deadline(
+                        slot.reservable_at + RESERVATION_WAIT_SECONDS
+                    ),
+                    self.last_reservation_deadline,
+                ),
+            )
+        return self.reservation_deadline
+
     def _may_recover(self, recovery_deadline: deadlines.Deadline) -> bool:
         """Return whether to wait for a server to continue the response."""
         if recovery_deadline.has_passed() or not self._is_version_configured():
@@ -432,7 +463,7 @@
         if not slot.is_valid():
             raise exceptions.BackendRefused("the permit expired before use")
         self.engine_address = slot.backend.address
-        request = self._build_request(slot.choice)
+        request = self._build_request(slot)
         previous_origin = attrs.evolve(self.origin)
         started_at = time.monotonic()
         first_event_seconds = 0.0
@@ -473,7 +504,7 @@
         )
 
     def _build_request(
-        self, choice: routing.Choice
+        self, slot: admission.Slot
     ) -> engines.CompletionRequest:
         # After a resume by handle, earlier tokens are not known.
         known_texts = () if self.resume_offset else tuple(self.token_texts)
@@ -489,7 +520,8 @@
             priority=CONTINUED_PRIORITY if self.may_have_executed else 0,
             offset=self.verifier.offset,
             output=known_texts,
-            imports=choice.imports,
+            imports=slot.choice.imports,
+            epoch="" if slot.permit else slot.backend.epoch,
         )
 
     async def _stream_run(
@@ -543,16 +575,21 @@
     def _record_refusal(
         self, slot: admission.Slot, error: exceptions.RoutingError
     ) -> None:
-        """Exclude a server that refused the request.
+        """Exclude a server that refused the request or was unreachable.
 
+        One that restarted before the run arrived is not excluded.
         Raises the error if the request must not be retried. An exhausted
         retry budget does not end a response that has begun, because its
         caller would repeat the whole request.
         """
         self.refusals += 1
-        self._exclude_backend(slot.backend)
-        slot.refused = isinstance(error, exceptions.BackendRefused)
-        if not slot.refused:
+        if isinstance(error, exceptions.BackendRestarted):
+            # With a permit, the server may run the request.
+            self.state.record_restart(slot.backend)
+        else:
+            self._exclude_backend(slot.backend)
+            slot.refused = isinstance(error, exceptions.BackendRefused)
+        if isinstance(error, exceptions.BackendUnreachable):
             self.state.record_failure(
                 slot.backend, self.request_id, error.message
             )
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -49,7 +49,8 @@
 
     It sends a token every `token_delay_seconds`, and appends `padding` to the
     text of each. A crashed engine refuses all connections, or resets them if
-    `resets_connections` is set.
+    `resets_connections` is set. `epoch` names its incarnation; a run that is
+    meant for another one is refused.
     """
 
     def __init__(self, address: str) -> None:
@@ -59,6 +60,7 @@
         self.resume_offsets: t.List[int] = []
         self.cancelled: t.List[str] = []
         self.exported: t.List[str] = []
+        self.epoch = "1"
         self.crashed = False
         self.resets_connections = False
         self.token_delay_seconds = 0.0
@@ -80,6 +82,8 @@
             raise exceptions.BackendUnreachable("connection refused")
         if fault.kind == "refuse":
             raise exceptions.BackendRefused("not admitted")
+        if request.epoch not in ("", self.epoch):
+            raise exceptions.BackendRestarted("the engine has restarted")
         self.requests.append(request)
         async for event in self._stream(request, request.offset, fault):
             yield event
@@ -146,7 +150,9 @@
 
     async def fetch_load(self, deadline):
         self._check_connection()
-        return engines.Load("1", False, False, 0, 0, 8, (), "serve", 0.0)
+        return engines.Load(
+            self.epoch, False, False, 0, 0, 8, (), "serve", 0.0
+        )
 
     async def export_blocks(self, blocks, store, deadline):
         self.exported.extend(blocks)
@@ -161,8 +167,9 @@
 
     It records the requests that it receives. At most `permit_limit` permits
     are granted at a time, and renewed only if `renews_permits` is set. The
-    servers in `reserved_servers` run suspects of other gateways; answers
-    about them take `reservation_delay_seconds`.
+    servers in `reserved_servers` run suspects of other gateways, or their
+    owner grants nothing until `reservable_at`; answers about them take
+    `reservation_delay_seconds`.
     """
 
     def __init__(self) -> None:
@@ -175,6 +182,7 @@
         self.released: t.List[str] = []
         self.renews_permits = True
         self.reserved_servers: t.Set[str] = set()
+        self.reservable_at = 0.0
         self.reservation_delay_seconds = 0.0
         self.holders: t.Dict[str, t.List[control_pb2.Holder]] = {}
         self.lookups: t.List[t.Tuple[str, ...]] = []
@@ -223,6 +231,7 @@
                 id="" if request.backend in self.reserved_servers else "r",
                 backend=request.backend,
                 deadline=request.deadline + 5,
+                retry_at=self.reservable_at,
             )
         if len(self.granted) - len(self.released) >= self.permit_limit:
             return control_pb2.Permit()
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -40,6 +40,41 @@
         )
 
 
+class RestartTest(gateway_fakes.GatewayTestCase):
+    """The server "a" restarts cold, which the gateway does not know yet."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.bench.control.backends["b"].queued = 100
+        self.bench.control.publish()
+        await self.wait_for_backends()
+        self.restarted = self.bench.engines["a:1"]
+        self.restarted.epoch = "2"
+
+    async def test_runs_without_permits_do_not_reach_a_restarted_server(self):
+        """Guards against gateways that together overload a cold server.
+
+        Each sends runs to it until the news of its restart arrives there.
+        """
+        async with self.bench.post({"stream": True}) as response:
+            self.assertIn("[DONE]", await response.text())
+        self.assertEqual([], self.restarted.requests)
+        self.assertEqual(1, len(self.bench.engines["b:1"].requests))
+
+    async def test_restarted_server_gets_runs_with_permits_only(self):
+        """Guards against a refused run that ends all use of its server."""
+        self.bench.control.permit_limit = 1
+        self.bench.control.backends["b"].state = "down"
+        self.bench.control.publish()
+        await self.wait_for_backends()
+        for _ in range(2):
+            async with self.bench.post() as response:
+                self.assertEqual(200, response.status)
+        self.assertEqual("unknown", self.bench.state.get_backend("a").state)
+        self.assertEqual(["", ""], [r.epoch for r in self.restarted.requests])
+        self.assertEqual(2, len(self.bench.control.granted))
+
+
 class SuspectTest(gateway_fakes.GatewayTestCase):
     """The server "a" runs a suspect; the server "b" is down at first."""
 
@@ -53,6 +88,7 @@
         for name, state in states.items():
             self.control.backends[name].state = state
             self.control.backends[name].epoch = epoch
+            self.bench.engines[f"{name}:1"].epoch = epoch
         self.control.publish()
         await self.wait_for_backends()
 
@@ -211,6 +247,34 @@
             text = await self.read(self.make_suspect(stream=True))
         self.assertIn("[DONE]", text)
 
+    async def test_suspect_waits_for_an_owner_that_grants_nothing_yet(self):
+        """Guards against two suspects on one server after a start.
+
+        The owner has not met all hosts, which may run suspects there.
+        """
+        self.control.reserved_servers = {"a", "b"}
+        self.control.reservable_at = time.time() + 0.5
+        with unittest.mock.patch.object(
+            completions, "RESERVATION_WAIT_SECONDS", 0.1
+        ):
+            task = asyncio.create_task(
+                self.read(self.make_suspect(stream=True))
+            )
+            await asyncio.sleep(0.4)
+            self.assertEqual([], self.bench.engine_requests)
+            self.control.reserved_servers = set()
+            self.assertIn("[DONE]", await task)
+
+    async def test_wait_for_an_owner_leaves_time_for_the_run(self):
+        """Guards against suspects that miss their deadlines at a start."""
+        self.control.reserved_servers = {"a", "b"}
+        self.control.reservable_at = 2.0**40
+        text = await self.read(
+            self.make_suspect(stream=True),
+            Sesamefold_Deadline=str(time.time() + 3.0),
+        )
+        self.assertIn("[DONE]", text)
+
     async def test_crash_reported_during_reservation_stops_the_run(self):
         """Guards against a third crash while a server is being reserved."""
         self.control.reservation_delay_seconds = 0.3
