Test that no sound server is given up for one that does not serve

A silent stream goes to its successor 0.2 s after the request was sent, also if the successor has not answered. If that then refuses, fails or never answers, the caller's response is cut, although the first server would have gone on.

--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -177,6 +177,41 @@
         await self.check_whole(streams)
         self.assertEqual(STREAMS, len(self.first.runs))
 
+    async def test_other_server_refuses_after_it_took_over(self) -> None:
+        """Guards against streams cut because a successor refuses late (LOST).
+
+        The refusals arrive when the first server's runs have been given up;
+        it could still go on with them.
+        """
+        streams = await self.start_streams()
+        self.other.faults = ["refuse"] * 100
+        await self.add_other()
+        silence(self.first, 1.5)
+        silence(self.other, 1.3)
+        await self.check_whole(streams)
+        self.assertGreater(len(self.other.arrivals), 0)
+
+    async def test_other_server_fails_after_it_took_over(self) -> None:
+        """Guards against streams cut because a successor fails late (LOST)."""
+        streams = await self.start_streams()
+        self.other.faults = ["fail", "reset"] * 50
+        await self.add_other()
+        silence(self.first, 1.5)
+        silence(self.other, 1.3)
+        await self.check_whole(streams)
+
+    async def test_other_server_is_dead(self) -> None:
+        """Guards against a sound server given up for one that never answers.
+
+        The first server goes on after 1.4 s; the other one takes the request
+        and sends nothing, not even the head of a reply.
+        """
+        streams = await self.start_streams()
+        await self.add_other()
+        silence(self.first, 1.4)
+        silence(self.other, 60.0)
+        await self.check_whole(streams)
+
     async def test_other_server_is_gone_in_a_new_configuration(self) -> None:
         """Guards against streams that are given up for a removed server."""
         await self.add_other()
