Count a server as a run although its next attempt is refused

A successor whose attempt was cancelled may have begun the run. When the next attempt there was refused, it no longer counted against the route's limit of servers, and a further server could run the request. The new test failed before.

All tests of the placement failed, because they accepted a configuration without the change that carries it; they pass one now.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -358,7 +358,7 @@
             error=type(error).__name__,
         )
         if isinstance(error, exceptions.NotExecuted):
-            call.refusals += 1
+            call.record_refusal(server.id)
             if error.mismatched:
                 self.placement.record_mismatch(call, server)
             elif error.reachable:
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -82,7 +82,7 @@
     the id of the last event of a stream that the caller has received,
     `tried_servers` has the id of the server of each attempt so far, except
     those that were cancelled, whose servers are in `cancelled_servers`.
-    `refusals` counts the attempts that did not execute the request, and
+    `refusals` counts the servers that did not execute the request, and
     `configuration_version` is that by which the request was routed.
     `waiting_for` says whether the call waits for the "capacity" or for the
     "reply" of a server, since `waiting_since`.
@@ -139,6 +139,14 @@
         servers = self.cancelled_servers.union(self.tried_servers)
         return len(servers) - self.refusals < self.route.max_servers
 
+    def record_refusal(self, server_id: str) -> None:
+        """Record that a server did not execute the request.
+
+        It still counts if an attempt there was cancelled before.
+        """
+        if server_id not in self.cancelled_servers:
+            self.refusals += 1
+
     def record_cancelled(self, server_id: str) -> None:
         """Record that the latest attempt at a server was cancelled."""
         self.tried_servers.remove(server_id)
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -35,7 +35,9 @@
             "chat", 0.0, engine=topology.EngineTraits(CAPACITY)
         )
         configuration.services["chat"] = service
-        catalog._accept_configuration(configuration)
+        catalog._accept_configuration(
+            changes.ConfigurationAccepted(configuration)
+        )
         self.servers = [
             entry_fakes.make_server(f"i-{n}", slots=slots, weights={"m": 1})
             for n in range(engines)
@@ -111,11 +113,26 @@
         call = self.make_call("a")
         call.route = attrs.evolve(call.route, max_servers=2)
         call.tried_servers += ["i-0", "i-1"]
-        call.refusals = 1
+        call.record_refusal("i-1")
         self.assertTrue(call.may_run_elsewhere())
         call.tried_servers.append("i-2")
         self.assertFalse(call.may_run_elsewhere())
 
+    def test_refusal_after_a_cancelled_run_does_not_count(self) -> None:
+        """Guards against runs at more servers than the route allows (BUDGET).
+
+        The second server began the run, was cancelled, and refuses the next
+        attempt.
+        """
+        self.make(3)
+        call = self.make_call("a")
+        call.route = attrs.evolve(call.route, max_servers=2)
+        call.tried_servers += ["i-0", "i-1"]
+        call.record_cancelled("i-1")
+        call.tried_servers.append("i-1")
+        call.record_refusal("i-1")
+        self.assertFalse(call.may_run_elsewhere())
+
     def test_engine_without_free_slot_has_no_capacity(self) -> None:
         self.make(1, slots=2)
         call = self.make_call("a")
