Test successors of streams that have not begun

A stream whose server has sent only the head goes to another server after 1.8 s without an event, or stays if that refuses.

--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -168,6 +168,28 @@
         silence(self.other, 2.2)
         await self.check_whole(streams)
 
+    async def test_stream_that_has_not_begun_goes_to_another(self) -> None:
+        """Guards against a stream that waits for its first event at a server.
+
+        The server has sent the head, and its first event would come later
+        than callers wait.
+        """
+        self.first.event_seconds = 6.0
+        streams = await self.start_streams()
+        await self.add_other()
+        await self.check_whole(streams)
+        self.assertEqual(STREAMS, len(self.other.runs))
+
+    async def test_stream_that_has_not_begun_is_kept(self) -> None:
+        """Guards against an error for a stream whose server is only slow."""
+        self.first.event_seconds = 3.5
+        streams = await self.start_streams()
+        self.first.event_seconds = EVENT_SECONDS
+        self.other.faults = ["refuse"] * 100
+        await self.add_other()
+        await self.check_only_first_runs(streams)
+        self.assertGreater(len(self.other.arrivals), 0)
+
     async def test_other_server_fails(self) -> None:
         """Guards against streams that end because the next server fails."""
         streams = await self.start_streams()
