Do not take a caller that left early for a short run

A caller that left after 0.1 s made the time of such requests known as 0.1 s to a host that had completed none, so that a stop would have taken requests that cannot end in time. A run that fails or is given up counts now only beside complete ones. The new test failed before.

The check before each sending has a test of its own; it fails without it.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -65,10 +65,9 @@
         """Serve a call until its response is complete.
 
         Raises `exceptions.NoRoom` or `exceptions.ShuttingDown` if no server
-        executed the request,
-        `exceptions.RunTimeout` or `exceptions.ReplyBroken` if a server may
-        have executed it, and `exceptions.AnswerCut` if a part of the response
-        was already sent.
+        executed the request, `exceptions.RunTimeout` or
+        `exceptions.ReplyBroken` if a server may have executed it, and
+        `exceptions.AnswerCut` if a part of the response was already sent.
         """
         response = deliveries.CallerResponse(writer)
         try:
--- a/src/sesamefold/entry/shutdown.py
+++ b/src/sesamefold/entry/shutdown.py
@@ -133,8 +133,8 @@
     def measure_run(self, call: requests.Call) -> t.Iterator[None]:
         """Record how long a server runs a request.
 
-        A run that is given up took at least as long. One that breaks off says
-        nothing.
+        A run that fails or is given up took at least as long, which counts
+        only beside complete runs. One that breaks off says nothing.
         """
         sent_at = clock.read_time()
         try:
@@ -142,7 +142,10 @@
         except exceptions.RoutingError:
             raise
         except BaseException:
-            self.durations.record(call, clock.read_time() - sent_at)
+            seconds = clock.read_time() - sent_at
+            longest = self.durations.find_longest(call)
+            if longest is not None and seconds > longest:
+                self.durations.record(call, seconds)
             raise
         self.durations.record(call, clock.read_time() - sent_at)
 
--- a/tests/test_entry_durations.py
+++ b/tests/test_entry_durations.py
@@ -1,5 +1,6 @@
 """Tests of the durations of runs and of the deadlines of a shutdown."""
 
+import asyncio
 import typing as t
 import unittest
 import unittest.mock
@@ -182,6 +183,28 @@
                 raise exceptions.ReplyBroken("reset")
         self.assertIsNone(self.shutdown.durations.find_longest(call))
 
+    def test_a_run_that_is_given_up_counts_only_beside_complete_ones(
+        self,
+    ) -> None:
+        """Guards against taking a caller that left early for a short run."""
+        call = make_call(self.clock.now + 30.0)
+
+        def leave_after(seconds: float) -> None:
+            with self.assertRaises(asyncio.CancelledError):
+                with self.shutdown.measure_run(call):
+                    self.clock.now += seconds
+                    raise asyncio.CancelledError
+
+        leave_after(0.1)
+        self.assertIsNone(self.shutdown.durations.find_longest(call))
+        with self.shutdown.measure_run(call):
+            self.clock.now += 1.0
+        leave_after(0.1)
+        leave_after(3.0)
+        longest = self.shutdown.durations.find_longest(call)
+        assert longest is not None
+        self.assertAlmostEqual(3.0, longest)
+
     def test_the_deadlines_are_in_order_for_any_time_to_stop(self) -> None:
         """Guards against refusing only after the end of a short shutdown."""
         for seconds in (0.5, 1.0, 3.0, 6.0, 8.0, 60.0):
--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -11,6 +11,8 @@
 import unittest.mock
 
 from sesamefold.entry import election
+from sesamefold.entry import placement
+from sesamefold import exceptions
 from standins import platform_engine
 from standins import platform_fixtures
 from tests import entry_fakes
@@ -489,3 +491,23 @@
             began = time.monotonic()
             await self.host.drain()
         self.assertLess(time.monotonic() - began, 5.0)
+
+    async def test_a_request_is_not_sent_again_if_it_may_not_end(self) -> None:
+        """Guards against a check only at the arrival of a request (LOST).
+
+        The signal comes while a server refuses the request unexecuted.
+        """
+        for engine in self.engines:
+            engine.faults = ["refuse"]
+        with unittest.mock.patch.object(
+            placement.Placement,
+            "record_refusal",
+            lambda *arguments: self.host.shutdown.begin(1.0),
+        ):
+            status, headers, body = await self.call("/unsafe/")
+        self.assertEqual(503, status)
+        self.assertIn(str(exceptions.ShuttingDown.code), body.decode())
+        self.assertLess(float(headers["Retry-After"]), 0.5)
+        self.assertEqual("close", headers["Connection"].lower())
+        arrivals = [a for engine in self.engines for a in engine.arrivals]
+        self.assertEqual(1, len(arrivals))
