Give a silent stream to its successor once that replies

A silent stream's first attempt was ended 0.2 s after the request of the second was sent, before it was known whether the second server would run it. The claim is now made by the head of the second server's successful reply; the first attempt ends at that moment.

--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -70,6 +70,11 @@
     on_first_event: t.Callable[[], None]
     claim: t.Optional[successors.Claim] = None
 
+    def claim_stream(self) -> None:
+        """Claim the stream of the attempt before, if there is one."""
+        if self.claim is not None:
+            self.claim.submit()
+
     async def acquire_stream(self) -> None:
         """Wait until no other attempt serves the stream."""
         if self.claim is not None:
@@ -111,6 +116,7 @@
             raise RunFailed(reply.head, await reply.read_body())
         self._check_continuation(reply.head)
         if call.route.streamed:
+            attempt.claim_stream()
             await self._forward_stream(call, reply, attempt)
             return
         await self._send_complete(reply.head, await reply.read_body())
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -480,7 +480,6 @@
                     functools.partial(
                         self.placement.record_reply, call, server
                     ),
-                    claim.record_sent if claim else lambda: None,
                 ) as reply:
                     await response.forward_reply(call, reply, attempt)
         except TimeoutError as error:
--- a/src/sesamefold/entry/successors.py
+++ b/src/sesamefold/entry/successors.py
@@ -4,9 +4,10 @@
 network may be slow. The host cannot tell, so silence alone ends no attempt: a
 second one, the successor, is started while the first stays open. The stream
 stays with the first attempt if that sends an event before the successor does,
-or if the successor fails. It goes to the successor with its first event, and
-`MAX_OVERLAP_SECONDS` after its request was sent at the latest, because no
-server may work on a request for long that goes on at another one.
+or if the successor fails. It goes to the successor once that replies with a
+stream of its own, so that its server runs the request. The first attempt then
+ends at once, because no server may work on a request for long that goes on at
+another one. A successor that waits in a queue leaves the stream where it is.
 """
 
 import asyncio
@@ -16,10 +17,6 @@
 
 from sesamefold import exceptions
 
-# Time for which two servers may work on a request, seconds. The first learns
-# of the end of its run a network latency later.
-MAX_OVERLAP_SECONDS = 0.2
-
 
 class TakenOver(exceptions.ReplyBroken):
     """The successor of an attempt serves the rest of the stream."""
@@ -36,15 +33,13 @@
     claimed: asyncio.Event = attrs.field(factory=asyncio.Event)
     granted: asyncio.Event = attrs.field(factory=asyncio.Event)
 
-    def record_sent(self) -> None:
-        """Record that the request of the successor is on its way."""
-        asyncio.get_running_loop().call_later(
-            MAX_OVERLAP_SECONDS, self.claimed.set
-        )
+    def submit(self) -> None:
+        """Claim the stream; the successor's server runs the request."""
+        self.claimed.set()
 
     async def acquire(self) -> None:
         """Claim the stream and wait until it is granted."""
-        self.claimed.set()
+        self.submit()
         await self.granted.wait()
 
 
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -98,13 +98,11 @@
         call: requests.Call,
         added: requests.AddedHeaders,
         on_head: t.Callable[[requests.ReplyHead], None] = lambda head: None,
-        on_begin: t.Callable[[], None] = lambda: None,
     ) -> t.AsyncIterator[Reply]:
         """Send a request and yield the reply once its head has arrived.
 
-        `on_begin` is called when the request has a connection, `on_head` with
-        the head of any reply to it, also if the reply is a refusal or not
-        genuine.
+        `on_head` is called with the head of any reply to the request, also if
+        the reply is a refusal or not genuine.
         Leaving the context before the reply has been read to the end closes
         the connection, which cancels the request at the server. Raises
         `exceptions.NotExecuted` and `exceptions.ReplyBroken`.
@@ -123,7 +121,6 @@
                             encoded=True,
                         ),
                         identity,
-                        on_begin=on_begin,
                         headers=self._codec.write_request(call.head, added),
                         data=call.body or None,
                         skip_auto_headers=_AUTOMATIC_HEADERS,
--- a/src/sesamefold/exchanges.py
+++ b/src/sesamefold/exchanges.py
@@ -77,8 +77,7 @@
     request. Without an identity, all answers that arrive while the request
     waits are accepted. `is_first` says whether the connection has carried no
     other request, and `was_reset` whether it was lost with an error before
-    the answer was complete. `on_begin` is called when the request has a
-    connection.
+    the answer was complete.
     """
 
     connector: "ExchangeConnector"
@@ -87,7 +86,6 @@
     carrier: t.Optional["_Carrier"] = None
     is_first: bool = False
     was_reset: bool = False
-    on_begin: t.Callable[[], None] = lambda: None
 
     async def __call__(
         self, request: aiohttp.ClientRequest, handler: t.Any
@@ -201,7 +199,6 @@
         exchange.carrier = self
         exchange.is_first = not self.exchanges
         self._body_bytes = self._overhead_bytes = 0
-        exchange.on_begin()
 
     def end(self) -> None:
         """Close the exchange; its answer is complete or was given up."""
--- a/src/sesamefold/transport.py
+++ b/src/sesamefold/transport.py
@@ -102,14 +102,12 @@
     method: str,
     url: t.Union[str, yarl.URL],
     identity: exchanges.Identity,
-    on_begin: t.Callable[[], None] = lambda: None,
     **options: t.Any,
 ) -> t.AsyncContextManager[aiohttp.ClientResponse]:
     """Send a request of a session and yield the answer to it.
 
     Any other answer raises `exchanges.ForeignAnswer`, one of `CALL_ERRORS`.
     `session` is one of `make_session`; the options are those of aiohttp.
-    `on_begin` is called when the request has a connection.
     """
     connector = t.cast(exchanges.ExchangeConnector, session.connector)
     return session.request(
@@ -117,7 +115,7 @@
         url,
         middlewares=(
             _prevent_automatic_retry,
-            exchanges.Exchange(connector, identity, on_begin=on_begin),
+            exchanges.Exchange(connector, identity),
         ),
         **options,
     )
