Let the first server go on with a stream whose successor fails

A silent stream that another server had taken over was cut if that server then broke off, because the first one counted as tried. It was only silent, and may get the rest again; the retry is charged as any other.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -405,13 +405,19 @@
                 self._record_failure(call, server, attempt_number, error)
                 if not succession.is_under_way():
                     raise
+                taken_over = isinstance(error, successors.TakenOver)
             finally:
                 reservation.release()
             try:
                 await succession.finish()
-            except exceptions.NotExecuted as error:
-                # The first server may have executed the request.
-                raise exceptions.ReplyBroken(error.message) from error
+            except _FAILURES as error:
+                if taken_over:
+                    # The server was only silent and may get the rest again.
+                    call.record_cancelled(server.id)
+                if isinstance(error, exceptions.NotExecuted):
+                    # The first server may have executed the request.
+                    raise exceptions.ReplyBroken(error.message) from error
+                raise
 
     async def _relay_reply(
         self,
--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -220,6 +220,18 @@
         silence(self.other, 1.3)
         await self.check_whole(streams)
 
+    async def test_other_server_breaks_off_after_it_took_over(self) -> None:
+        """Guards against streams cut although their first server is sound.
+
+        Each run at the other server is reset after its first event.
+        """
+        streams = await self.start_streams()
+        self.other.faults = ["cut"] * 100
+        await self.add_other()
+        silence(self.first, 1.2)
+        await self.check_whole(streams)
+        self.assertGreater(len(self.other.runs), 0)
+
     async def test_other_server_is_dead(self) -> None:
         """Guards against a sound server given up for one that never answers.
 
