--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -35,7 +35,9 @@
             "chat", 0.0, engine=topology.EngineTraits(CAPACITY)
         )
         configuration.services["chat"] = service
-        catalog._accept_configuration(configuration)
+        catalog.apply_changes(
+            changes.Batch((changes.ConfigurationAccepted(configuration),), 1)
+        )
         self.servers = [
             entry_fakes.make_server(f"i-{n}", slots=slots, weights={"m": 1})
             for n in range(engines)
