--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -244,6 +244,28 @@
         silence(self.other, 60.0)
         await self.check_whole(streams)
 
+    async def test_silent_successor_does_not_hold_back_the_next(self) -> None:
+        """Guards against streams that wait at two dead servers.
+
+        A third one, which the route allows, has room and could go on.
+        """
+        configuration = make_slow_configuration(3)
+        for route in configuration["routes"]:
+            route["max_attempts"] = 3
+        self.store.put("op/config", configuration)
+        streams = await self.start_streams()
+        await self.add_other()
+        silence(self.first, 60.0)
+        silence(self.other, 60.0)
+        await self.wait_until(lambda: self.other.runs)
+        third = platform_engine.PlatformEngine("i-2")
+        third.stream_events = EVENTS
+        address = await platform_fixtures.start_server(
+            self.stack, third.handle
+        )
+        self.put_server_entry(third.id, address)
+        await self.check_whole(streams)
+
     async def test_other_server_is_gone_in_a_new_configuration(self) -> None:
         """Guards against streams that are given up for a removed server."""
         await self.add_other()
