--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -445,3 +445,14 @@
         self.assertEqual(1209, caught.exception.error["code"])
         crashes = await self.sum_counter("atlas", "crashes_by_word")
         self.assertLessEqual(crashes, 2)
+
+
+class CrashAfterStartTest(CrashingRequestTest):
+    """The same before the hosts know each other from the host list."""
+
+    topology = topology.Topology(
+        data_centres={"north-1": "north"},
+        engines=3,
+        services=0,
+        host_list_lag=1.0,
+    )
