Report a soak host that exits before it is ready

Seen: once the hosts of the soak were not ready within 20 s, in a crowded run. Possible cause, not shown to be that of the run: a free port is looked up before the host process listens on it, and another process may take it in between. The host then exits with status 1, and the soak waited on. Change: the soak fails at once and names the exit status and the ports. Before: the new test failed after 20 s with the message seen. After: it passes.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import pathlib
+import socket
 import types
 import typing as t
 import unittest
 import unittest.mock
 
 from standins import platform_engine
+from standins import platform_fixtures
 from standins import proxy
 from tools import soak
 from tools import soak_invariants
@@ -52,6 +54,25 @@
         self.assertEqual([], run.violations)
         self.assertFalse(host.terminated_by_soak)
 
+    async def test_host_that_exits_at_its_start_is_reported(self) -> None:
+        """Guards against a wait for a host that can't listen on its port."""
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            taken = listener.getsockname()[1]
+
+            async def find_ports(count: int) -> t.List[int]:
+                return [taken, *await find_free_ports(count - 1)]
+
+            find_free_ports = platform_fixtures.find_free_ports
+            with (
+                unittest.mock.patch.object(
+                    platform_fixtures, "find_free_ports", find_ports
+                ),
+                self.assertRaisesRegex(RuntimeError, "exited with status 1"),
+            ):
+                await soak.Soak(SEED, SECONDS, 1).run()
+
     async def test_random_faults_violate_no_invariant(self) -> None:
         result = await soak.Soak(SEED, SECONDS, HOSTS).run()
         self.assertEqual([], result["broken"])
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -203,6 +203,7 @@
         async with asyncio.timeout(20.0):
             for host in self.hosts:
                 while not await self._is_ready(host):
+                    self._check_start(host)
                     await asyncio.sleep(0.1)
         publishing = asyncio.create_task(self._publish_server_entries())
         self._stack.callback(publishing.cancel)
@@ -216,6 +217,17 @@
         )
         host.terminated_by_soak = False
 
+    def _check_start(self, host: HostProcess) -> None:
+        """Raise `RuntimeError` if a host has exited before it was ready.
+
+        Another process may have taken one of its ports.
+        """
+        if host.process.returncode is not None:
+            raise RuntimeError(
+                f"{host.name} exited with status {host.process.returncode} "
+                f"before it was ready, ports {host.ports}"
+            )
+
     async def _kill_hosts(self) -> None:
         for host in self.hosts:
             if host.process is not None and host.process.returncode is None:
