Check for pauses of the event loop every 0.2 s

No successor is started when a stopping host has no time left for its run.

Evidence: test_entry_pauses and SilentProcessTest pass (4 tests).

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -238,6 +238,8 @@
         """
         if not call.may_run_elsewhere():
             return "limit of servers"
+        if self.shutdown.get_run_seconds(call) <= 0:
+            return "the host shuts down"
         if not self._is_confirmed(call):
             return "the configuration is not confirmed"
         chosen = self.placement.choose_server(call)
--- a/src/sesamefold/entry/pauses.py
+++ b/src/sesamefold/entry/pauses.py
@@ -13,7 +13,7 @@
 from sesamefold.entry import decisions
 
 # Time between two checks, seconds.
-CHECK_INTERVAL_SECONDS = 0.05
+CHECK_INTERVAL_SECONDS = 0.2
 # Delay of a check that counts as a pause, seconds.
 MIN_PAUSE_SECONDS = 0.05
 # Pause that is logged, seconds.
