--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -594,5 +594,5 @@
         outcome = await self.run_prompt(
             scripted_server.Script((scripted_server.Step(head), *trickle))
         )
-        self.assertEqual(exceptions.BackendFailed, outcome)
+        self.assertEqual(exceptions.BackendSilent, outcome)
         self.assertLess(time.monotonic() - started_at, 2.0)
