Log the crashes of servers with the requests that were in flight

The logs could not tell which requests, and which parts of their prompts, were in flight without an answer when a server crashed, nor how a host learnt of it. A lost connection is kept until its server turns out to have ended: it refuses connections, restarts or leaves the list. One line names the requests and the shared parts of their prompts.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -15,6 +15,7 @@
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
 from sesamefold.entry import context_stores
+from sesamefold.entry import crash_detection
 from sesamefold.entry import decisions
 from sesamefold.entry import deliveries
 from sesamefold.entry import loads
@@ -68,6 +69,7 @@
     log: decisions.DecisionLog
     key_withdrawal_seconds: t.Optional[float]
     pauses: pauses.PauseMonitor
+    crashes: crash_detection.CrashDetector
     shutdown: shutdowns.Shutdown = attrs.field(factory=shutdowns.Shutdown)
 
     async def serve(
@@ -357,9 +359,12 @@
             attempt=attempt_number,
             reason=str(error)[:200],
             error=type(error).__name__,
+            begun=call.begun_at is not None or None,
         )
         if isinstance(error, exceptions.NotExecuted):
             call.record_refusal(server.id)
+            if error.ended:
+                self.crashes.record_end(server)
             if error.mismatched:
                 self.placement.record_mismatch(call, server)
             elif error.reachable:
@@ -369,6 +374,10 @@
             return
         if isinstance(error, exceptions.WeightsExpired):
             return
+        if isinstance(error, exceptions.ReplyBroken) and not isinstance(
+            error, (successors.TakenOver, exceptions.ForeignReply)
+        ):
+            self.crashes.record_loss(call, server)
         self.placement.record_outcome(server, failed=True)
 
     async def _send_to_server(
@@ -457,6 +466,8 @@
         sent_at = clock.read_time()
 
         def record_first_event() -> None:
+            if call.begun_at is None:
+                call.begun_at = clock.read_time()
             reservation.record_prefill()
             start_timeout.reschedule(None)
             if call.head.prompt is not None and context is not None:
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -13,6 +13,7 @@
 from sesamefold.entry import clock
 from sesamefold.entry import context_relay
 from sesamefold.entry import context_stores
+from sesamefold.entry import crash_detection
 from sesamefold.entry import datagrams
 from sesamefold.entry import decisions
 from sesamefold.entry import dispatch
@@ -115,6 +116,9 @@
             self.channel, self.members, self.context_stores, self.decisions
         )
         self.pauses = pauses.PauseMonitor(self.decisions)
+        self.crashes = crash_detection.CrashDetector(
+            self.catalog, self.decisions
+        )
         self.server_statuses = server_status.ServerStatuses(
             self.decisions, leaving_seconds=settings.leaving_seconds
         )
@@ -172,6 +176,7 @@
             self.decisions,
             self.settings.key_withdrawal_seconds,
             self.pauses,
+            self.crashes,
             self.shutdown,
         )
         self.frontend = frontend.Frontend(
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -146,7 +146,9 @@
 def _convert_transport_error(error: BaseException) -> exceptions.RoutingError:
     message = transport.describe_error(error)
     if transport.is_unsent(error):
-        return exceptions.NotExecuted(message, reachable=False)
+        return exceptions.NotExecuted(
+            message, reachable=False, ended=transport.is_refused(error)
+        )
     if isinstance(error, exchanges.ForeignAnswer):
         return exceptions.ForeignReply(message)
     return exceptions.ReplyBroken(message)
@@ -163,7 +165,9 @@
     """
     if head.mismatched and head.server_id not in (None, server.id):
         raise exceptions.NotExecuted(
-            f"the server at {server.address} is another one", reachable=False
+            f"the server at {server.address} is another one",
+            reachable=False,
+            ended=True,
         )
     if head.not_executed:
         raise exceptions.NotExecuted(
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -234,18 +234,24 @@
     """The backend server certainly did not run the request.
 
     `reachable` tells that the server itself refused it, `mismatched` that it
-    did so because it is another server or has other weights.
+    did so because it is another server or has other weights. `ended` tells
+    that the server is no longer at its address.
     """
 
     code = 1215
     executed = NO
 
     def __init__(
-        self, message: str, reachable: bool, mismatched: bool = False
+        self,
+        message: str,
+        reachable: bool,
+        mismatched: bool = False,
+        ended: bool = False,
     ) -> None:
         super().__init__(message)
         self.reachable = reachable
         self.mismatched = mismatched
+        self.ended = ended
 
 
 class ReplyBroken(RoutingError):
--- a/src/sesamefold/transport.py
+++ b/src/sesamefold/transport.py
@@ -174,6 +174,13 @@
     )
 
 
+def is_refused(error: BaseException) -> bool:
+    """Return whether no process listens at the address of a call."""
+    return isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+        error.os_error, ConnectionRefusedError
+    )
+
+
 def describe_error(error: BaseException) -> str:
     """Return the text of an error for a message, never an empty one."""
     return f"{type(error).__name__}: {error}" if str(error) else repr(error)
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -8,12 +8,14 @@
 import unittest
 
 import aiohttp
+import multidict
 
 from sesamefold.entry import catalog
 from sesamefold.entry import changes
 from sesamefold.entry import datagrams
 from sesamefold.entry import decisions
 from sesamefold.entry import host as entry_host
+from sesamefold.entry import requests
 from sesamefold.entry import settings as entry_settings
 from sesamefold.entry import throttle
 from sesamefold.entry import topology
@@ -165,6 +167,42 @@
     return topology.Server(id=server_id, **{**values, **fields})
 
 
+def make_call(
+    request_id: str = "r-1",
+    prompt: t.Optional[requests.Prompt] = None,
+    **fields: t.Any,
+) -> requests.Call:
+    """Return a call, of a streamed route if it has a prompt."""
+    route = topology.Route(
+        name="route-1",
+        host="callers.example",
+        path_prefix="/",
+        services=(topology.ServiceShare("chat", 1.0),),
+        streamed=prompt is not None,
+        resumable=prompt is not None,
+        idempotent=False,
+        public=True,
+        max_servers=3,
+        timeout=10.0,
+        first_byte_target=1.0,
+        priority=1,
+    )
+    values: t.Dict[str, t.Any] = {
+        "head": requests.RequestHead(
+            request_id, multidict.CIMultiDict(), prompt=prompt
+        ),
+        "route": route,
+        "service": "chat",
+        "customer": None,
+        "method": "POST",
+        "target": "/",
+        "body": b"",
+        "arrived_at": 0.0,
+        "deadline": float("inf"),
+    }
+    return requests.Call(**{**values, **fields})
+
+
 def make_catalog(clock: t.Callable[[], float]) -> catalog.Catalog:
     """Return an empty catalog."""
     return catalog.Catalog(make_log(), clock)
