Test that requests and parts of prompts crash few servers

The engine stand-in crashes by parts and bodies, and its listener ends and comes back as a new incarnation.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -86,6 +86,9 @@
     Unless `leaving` is None, all responses carry it as the header
     `Server-Leaving`; `LEAVING_VALUE` announces that the server leaves.
 
+    `on_crash` is called when the server begins to write an answer to a prompt
+    with one of `deadly_parts`, or to a body in `deadly_bodies`.
+
     With a `simulator`, streams take its time and memory, and cached context
     is fetched from and saved to `context_stores`, by address. The context of
     `isolated_customers` is not shared with other customers.
@@ -110,6 +113,9 @@
     answer: bytes = b"answer"
     silent_until: float = 0.0
     keep_runs: bool = True
+    deadly_parts: t.Set[str] = attrs.field(factory=set)
+    deadly_bodies: t.Set[bytes] = attrs.field(factory=set)
+    on_crash: t.Callable[[], None] = lambda: None
     simulator: t.Optional[engine_simulator.EngineSimulator] = None
     context_stores: t.Dict[str, platform_context_store.ContextStore] = (
         attrs.field(factory=dict)
@@ -195,6 +201,9 @@
         )
         if self.keep_runs:
             self.runs.append(run)
+        if self._is_deadly(run):
+            await self._sleep_unless_cancelled(self.event_seconds)
+            self.on_crash()
         if fault == "late":
             await self._sleep_unless_cancelled(1.0)
         if fault == "reset":
@@ -231,6 +240,15 @@
             return web.Response(status=504, headers=headers, body=b"late")
         return web.Response(headers=headers, body=self.answer)
 
+    def _is_deadly(self, run: Run) -> bool:
+        """Return whether the server crashes as it answers a request."""
+        if run.body in self.deadly_bodies:
+            return True
+        if "Sesamefold-Model" not in run.headers or not self.deadly_parts:
+            return False
+        parts = parse_prompt(run.headers).shared_parts
+        return any(part_id in self.deadly_parts for part_id, _ in parts)
+
     async def _sleep_unless_cancelled(self, seconds: float) -> None:
         try:
             await asyncio.sleep(seconds)
