Refuse requests that crash the servers which begin to answer them

Cause: a crash was held against its server only. What ran there was sent on like any other request, up to the limit of its route, and no host learnt from the others.

All that was in flight without an answer at a crash is now remembered, by part and by request, for 10 minutes and in bounded memory, and exchanged between the hosts. A subject with which no request ends well, and that is at most crashes, explains them; the crashes then count against nothing else. From three crashes with three different requests on, requests with the part are refused at once. One answer that ends well clears a subject, on all hosts. With crashes of one customer only, only that customer's requests are refused.

--- /dev/null
+++ b/src/sesamefold/culprits.py
@@ -0,0 +1,385 @@
+"""Decision which requests and parts of prompts crash backend servers.
+
+It answers this pattern of load: a few requests crash each server that begins
+to answer them, because they are one request that is repeated, or because they
+have a part of their prompts in common. All that a server runs at its crash is
+suspect, mostly requests that are sound. They differ from the cause: sound
+requests with their parts end well elsewhere, and no other thing is there at
+crash after crash.
+"""
+
+import collections
+import enum
+import functools
+import hashlib
+import itertools
+import time
+import typing as t
+
+import attrs
+
+from sesamefold import defaults
+from sesamefold import suspicions
+from sesamefold.wire import control_pb2
+
+# Crashes at which a part of prompts was in flight, with as many different
+# requests, after which requests with it are refused. The requests that one
+# crash ends are sent again, so that one request can be at several crashes.
+PART_CRASHES = 3
+# The same for a part with which requests ended well before: while no server
+# answers, the parts that all prompts share are at each crash.
+SOUND_PART_CRASHES = defaults.QUARANTINE_CRASHES
+# Customers whose requests were at the crashes of a part, from which requests
+# of all customers with it are refused. With fewer, only those of customers
+# that have enough crashes themselves are, so that no customer can have the
+# requests of another one refused.
+CUSTOMERS_FOR_ALL = 3
+# Time without requests after the latest crash of a culprit until one of them
+# is tried again, seconds; it is longer by the factor with each further crash,
+# up to the limit.
+TRIAL_SECONDS = 30.0
+TRIAL_FACTOR = 4.0
+MAX_TRIAL_SECONDS = 3600.0
+# Further time for each host that ranks before this one for the trial, seconds.
+# The outcome of a trial reaches the other hosts in this time.
+TRIAL_STAGGER_SECONDS = 2.0
+# Parts whose requests ended well that are remembered.
+REMEMBERED_PARTS = 20_000
+# Parts of one prompt that are considered, the first ones.
+MAX_PARTS = 64
+_DIGEST_BYTES = 16
+_SHORT_BYTES = 8
+_NEVER = float("-inf")
+
+
+class Verdict(enum.Enum):
+    """What to do with a request.
+
+    A suspect runs where its crash would hit few others, and is not sent to
+    another server after a crash.
+    """
+
+    RUN = "run"
+    SUSPECT = "suspect"
+    REFUSE = "refuse"
+
+
+@functools.lru_cache(maxsize=REMEMBERED_PARTS)
+def digest_part(model: str, part: t.Union[str, bytes]) -> bytes:
+    """Return the digest of a part of the prompts for a model."""
+    digest = hashlib.sha256(len(model.encode()).to_bytes(4, "big"))
+    digest.update(model.encode())
+    digest.update(part.encode() if isinstance(part, str) else part)
+    return digest.digest()[:_DIGEST_BYTES]
+
+
+def digest_customer(customer: t.Optional[str]) -> bytes:
+    """Return the digest of a customer's name, b"" without a customer."""
+    if customer is None:
+        return b""
+    return hashlib.sha256(customer.encode()).digest()[:_SHORT_BYTES]
+
+
+@attrs.frozen
+class Fingerprint:
+    """What identifies a request, and what it has in common with others.
+
+    `request` is the digest of a request and its repetitions, `parts` are
+    those of the parts of its prompt that others may share, `customer` is that
+    of its customer.
+    """
+
+    request: bytes
+    customer: bytes = b""
+    parts: t.Tuple[bytes, ...] = ()
+
+
+@attrs.frozen
+class Judgement:
+    """The verdict on a request, and the crashes that it rests on.
+
+    `subject` is the digest of the request or the part that is believed to
+    crash servers, and `retry_seconds` the time until one such request is tried
+    again.
+    """
+
+    verdict: Verdict = Verdict.RUN
+    subject: bytes = b""
+    is_part: bool = False
+    crashes: int = 0
+    customers: int = 0
+    retry_seconds: float = 0.0
+
+
+_RUN = Judgement()
+
+
+@attrs.frozen
+class _Candidate:
+    """A subject with the crashes that count against it.
+
+    `sound_at` is when a request with it last ended well.
+    """
+
+    subject: bytes
+    is_part: bool
+    sound_at: float
+    crashes: t.Mapping[bytes, suspicions.Crash]
+
+    def make_sort_key(self) -> t.Tuple[t.Any, ...]:
+        """Return the order in which candidates explain crashes.
+
+        Subjects of the same key cannot be told apart.
+        """
+        return (
+            self.sound_at,
+            -len(self.crashes),
+            not self.is_part,
+            tuple(sorted(self.crashes)),
+        )
+
+    def count_customers(self, customer: bytes) -> t.Tuple[int, int]:
+        """Return the number of customers, and of requests of one of them."""
+        requests = collections.defaultdict(set)
+        for crash_id, crash in self.crashes.items():
+            requests[crash.customer].add(crash.request or crash_id)
+        return len(requests), len(requests.get(customer, ()))
+
+
+@attrs.frozen
+class _Culprit:
+    """A subject that is believed to crash servers.
+
+    `alternatives` are the subjects, itself included, that were at the same
+    crashes: the cause is one of them, or all of them together.
+    """
+
+    candidate: _Candidate
+    limit: int
+    alternatives: t.FrozenSet[bytes]
+
+    def concerns(self, customer: bytes) -> bool:
+        """Return whether requests of a customer are refused."""
+        if not self.candidate.is_part:
+            return True
+        customers, requests = self.candidate.count_customers(customer)
+        return customers >= CUSTOMERS_FOR_ALL or requests >= self.limit
+
+
+@attrs.define
+class Culprits:
+    """Finds the causes of crashes and says which requests to refuse.
+
+    The cause of a crash is sought among all subjects that were in flight. One
+    with which no request has ended well, and that was at most crashes,
+    explains these crashes; they then count against no other subject. It is a
+    culprit from `request_crashes` on if it is a request, and from
+    `PART_CRASHES` on if it is a part.
+
+    A request that ends well clears all its subjects. Once a culprit was not
+    run for some time, one request with it is tried, on the host for which
+    `get_rank` returns 0 first.
+
+        culprits.record_crash(crash_id, [fingerprint])
+        if culprits.judge(fingerprint).verdict is Verdict.REFUSE:
+            ...
+    """
+
+    store: suspicions.Suspicions
+    request_crashes: int
+    get_rank: t.Callable[[bytes], int] = lambda subject: 0
+    read_time: t.Callable[[], float] = time.time
+    _sound: "collections.OrderedDict[bytes, float]" = attrs.field(
+        factory=collections.OrderedDict
+    )
+    _revision: int = -1
+    _found_at: float = _NEVER
+    _culprits: t.Dict[bytes, _Culprit] = attrs.field(factory=dict)
+    _suspects: t.Set[bytes] = attrs.field(factory=set)
+    # Number of crashes of each culprit, and since when it has not been run.
+    _resting: t.Dict[bytes, t.Tuple[int, float]] = attrs.field(factory=dict)
+
+    def record_crash(
+        self, crash_id: bytes, fingerprints: t.Iterable[Fingerprint]
+    ) -> t.List[control_pb2.Suspicion]:
+        """Count a crash against what was in flight; return the changes."""
+        changes = []
+        for fingerprint in fingerprints:
+            changes.append(self.store.add_crash(fingerprint.request, crash_id))
+            changes += [
+                self.store.add_crash(
+                    part,
+                    crash_id,
+                    fingerprint.request[:_SHORT_BYTES],
+                    fingerprint.customer,
+                )
+                for part in fingerprint.parts
+            ]
+        return changes
+
+    def record_success(
+        self, fingerprint: Fingerprint
+    ) -> t.List[control_pb2.Suspicion]:
+        """Clear what a request that ended well consists of.
+
+        Returns the changes.
+        """
+        self.record_sound_parts(fingerprint.parts)
+        return [
+            self.store.clear_crashes(subject, crashes)
+            for subject in (fingerprint.request, *fingerprint.parts)
+            if (crashes := self.store.list_crashes(subject))
+        ]
+
+    def record_sound_parts(self, parts: t.Iterable[bytes]) -> None:
+        """Record that a request with these parts ended well.
+
+        Suffices instead of `record_success` while `has_suspects` is false.
+        """
+        now = self.read_time()
+        for part in parts:
+            self._sound[part] = now
+            self._sound.move_to_end(part)
+        while len(self._sound) > REMEMBERED_PARTS:
+            self._sound.popitem(last=False)
+
+    def has_suspects(self) -> bool:
+        """Return whether any crash is known."""
+        return not self.store.is_empty()
+
+    def list_changes(self) -> t.List[control_pb2.Suspicion]:
+        """Return what other hosts need to know of the culprits."""
+        self._find()
+        return [
+            change
+            for change in self.store.list_changes()
+            if change.request in self._culprits
+        ]
+
+    def judge(self, fingerprint: Fingerprint) -> Judgement:
+        """Return whether to run a request.
+
+        One that is due to be tried is a suspect.
+        """
+        if self.store.is_empty():
+            return _RUN
+        self._find()
+        subjects = {fingerprint.request, *fingerprint.parts}
+        suspect = None
+        for subject in subjects:
+            culprit = self._culprits.get(subject)
+            if culprit is None:
+                if subject in self._suspects:
+                    suspect = suspect or Judgement(Verdict.SUSPECT, subject)
+                continue
+            if culprit.alternatives <= subjects and culprit.concerns(
+                fingerprint.customer
+            ):
+                refusal = self._refuse(subject, culprit)
+                if refusal.retry_seconds > 0.0:
+                    return refusal
+            suspect = Judgement(Verdict.SUSPECT, subject)
+        return suspect or _RUN
+
+    def record_run(self, fingerprint: Fingerprint) -> None:
+        """Record that a suspect is run: another one is due later."""
+        subjects = {fingerprint.request, *fingerprint.parts}
+        for subject in self._culprits.keys() & subjects:
+            crashes, _ = self._resting[subject]
+            self._resting[subject] = (crashes, self.read_time())
+
+    def record_refusal(self, subject: bytes) -> t.List[control_pb2.Suspicion]:
+        """Keep what is known of a culprit whose requests still arrive.
+
+        Returns the changes.
+        """
+        change = self.store.renew(subject)
+        return [change] if change else []
+
+    def _refuse(self, subject: bytes, culprit: _Culprit) -> Judgement:
+        crashes = len(culprit.candidate.crashes)
+        customers, _ = culprit.candidate.count_customers(b"")
+        _, since = self._resting[subject]
+        hold = min(
+            MAX_TRIAL_SECONDS,
+            TRIAL_SECONDS * TRIAL_FACTOR ** max(0, crashes - culprit.limit),
+        )
+        hold += self.get_rank(subject) * TRIAL_STAGGER_SECONDS
+        return Judgement(
+            Verdict.REFUSE,
+            subject,
+            culprit.candidate.is_part,
+            crashes,
+            customers,
+            max(0.0, since + hold - self.read_time()),
+        )
+
+    def _find(self) -> None:
+        """Find the culprits, unless nothing has changed."""
+        now = self.read_time()
+        if self._revision == self.store.revision and now - self._found_at < 1:
+            return
+        self._revision, self._found_at = self.store.revision, now
+        self._culprits = {}
+        self._suspects = set()
+        explained: t.Set[bytes] = set()
+        candidates = sorted(
+            self._list_candidates(now), key=_Candidate.make_sort_key
+        )
+        for _, same in itertools.groupby(
+            candidates, key=_Candidate.make_sort_key
+        ):
+            explained |= self._accept(list(same), explained)
+        self._resting = {
+            subject: (
+                self._resting[subject]
+                if subject in self._resting
+                and self._resting[subject][0] == len(culprit.candidate.crashes)
+                else (len(culprit.candidate.crashes), now)
+            )
+            for subject, culprit in self._culprits.items()
+        }
+
+    def _list_candidates(self, now: float) -> t.Iterator[_Candidate]:
+        for subject, crashes in self.store.list_counting().items():
+            if len(crashes) < 2:
+                continue
+            is_part = any(crash.request for crash in crashes.values())
+            sound_at = self._sound.get(subject, _NEVER)
+            if sound_at == _NEVER and self.store.has_cleared_crash(subject):
+                sound_at = now - defaults.QUARANTINE_SECONDS
+            elif now - sound_at > defaults.QUARANTINE_SECONDS:
+                sound_at = _NEVER
+            yield _Candidate(subject, is_part, sound_at, crashes)
+
+    def _accept(
+        self,
+        same: t.Sequence[_Candidate],
+        explained: t.AbstractSet[bytes],
+    ) -> t.AbstractSet[bytes]:
+        """Add candidates that are culprits; return their crashes."""
+        crashes = set(same[0].crashes) - explained
+        found = []
+        for candidate in same:
+            limit = self._get_limit(candidate)
+            requests = {
+                candidate.crashes[crash_id].request or crash_id
+                for crash_id in crashes
+            }
+            if min(len(crashes), len(requests)) >= limit:
+                found.append((candidate, limit))
+            elif len(crashes) >= 2 and candidate.sound_at == _NEVER:
+                self._suspects.add(candidate.subject)
+        alternatives = frozenset(candidate.subject for candidate, _ in found)
+        for candidate, limit in found:
+            self._culprits[candidate.subject] = _Culprit(
+                candidate, limit, alternatives
+            )
+        return set(same[0].crashes) if found else frozenset()
+
+    def _get_limit(self, candidate: _Candidate) -> int:
+        if not candidate.is_part:
+            return self.request_crashes
+        if candidate.sound_at == _NEVER:
+            return PART_CRASHES
+        return SOUND_PART_CRASHES
--- a/src/sesamefold/defaults.py
+++ b/src/sesamefold/defaults.py
@@ -83,12 +83,13 @@
 DIRECTORY_LOOKUP_SECONDS = 0.02
 DIRECTORY_RESYNC_INTERVAL = 10.0
 
-# Requests that were in flight at crashes: time that a crash counts against
-# a request, seconds; most requests that a process keeps, and most crashes of
-# each. The largest set takes 1.8 MB of memory and 0.2 MB as a message.
+# Requests and parts of prompts that were in flight at crashes: time that a
+# crash counts against them, and by which it is renewed at least, seconds; most
+# of them that a process keeps, and most crashes of each.
 QUARANTINE_SECONDS = 600.0
+QUARANTINE_RENEWAL_SECONDS = 60.0
 QUARANTINE_REQUESTS = 2000
-QUARANTINE_CRASHES = 4
+QUARANTINE_CRASHES = 8
 
 # Share of successful requests that may be retried.
 RETRY_BUDGET = 0.1
--- a/src/sesamefold/entry/crash_detection.py
+++ b/src/sesamefold/entry/crash_detection.py
@@ -24,18 +24,45 @@
 # seconds. Servers may crash as they begin to write, and the first event then
 # arrives together with the end of the connection.
 BEGIN_SECONDS = 0.5
-# Lost connections and crashes that are kept.
-MAX_LOST_CONNECTIONS = 2000
-MAX_CRASHES = 200
+# Incarnations of servers, and lost connections of each, that are kept.
+MAX_INCARNATIONS = 500
+MAX_LOST_CONNECTIONS = 100
+# Requests of one crash that are logged.
+MAX_LOGGED_REQUESTS = 20
 
-# Id and time of start of a server.
-Incarnation = t.Tuple[str, int]
-Listener = t.Callable[[Incarnation, t.Sequence[requests.Call]], None]
 
+@attrs.frozen
+class Crash:
+    """A crash of a server, as all hosts name it.
 
-def get_incarnation(server: topology.Server) -> Incarnation:
-    """Return what identifies one incarnation of a server on all hosts."""
-    return server.id, server.started_at
+    `number` counts the crashes of an incarnation. It is above 1 only while
+    the store has not said yet that the server has restarted.
+    """
+
+    server_id: str
+    started_at: int
+    number: int = 1
+
+
+Listener = t.Callable[[Crash, t.Sequence[requests.Call]], None]
+
+
+@attrs.frozen
+class _Loss:
+    """A call whose connection was lost at `at`, of a request sent before."""
+
+    call: requests.Call
+    sent_at: float
+    at: float
+
+
+@attrs.define
+class _Incarnation:
+    """Crashes and lost connections of one incarnation of a server."""
+
+    number: int = 0
+    crashed_at: float = float("-inf")
+    losses: t.List[_Loss] = attrs.field(factory=list)
 
 
 @attrs.define
@@ -44,10 +71,10 @@
 
     Only requests whose answer had not begun, or only just, are reported: a
     server that has written most of an answer did not crash on its begin.
-    Each listener in `on_crash` is called with the server's incarnation and
-    the calls; more calls of the same crash may follow.
+    Each listener in `on_crash` is called with the crash and the calls, if
+    there are any; more calls of the same crash may follow.
 
-        detector.record_loss(call, server)
+        detector.record_loss(call, server, sent_at)
         detector.record_end(server)  # calls the listeners
     """
 
@@ -55,68 +82,86 @@
     log: decisions.DecisionLog
     read_time: t.Callable[[], float] = clock.read_time
     on_crash: t.List[Listener] = attrs.field(factory=list)
-    _losses: t.List[t.Tuple[float, Incarnation, requests.Call]] = attrs.field(
-        factory=list
+    _incarnations: t.Dict[t.Tuple[str, int], _Incarnation] = attrs.field(
+        factory=dict
     )
-    _crashes: t.Dict[Incarnation, float] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.catalog.on_report.append(self._record_report)
         self.catalog.on_removal.append(self._record_removal)
 
     def record_loss(
-        self, call: requests.Call, server: topology.Server
+        self, call: requests.Call, server: topology.Server, sent_at: float
     ) -> None:
-        """Record a call whose connection to a server was lost."""
+        """Record a call, sent at `sent_at`, that lost its connection."""
         now = self.read_time()
         if call.begun_at is not None and now - call.begun_at > BEGIN_SECONDS:
             return
-        incarnation = get_incarnation(server)
-        if now - self._crashes.get(incarnation, float("-inf")) <= (
-            CONFIRMATION_SECONDS
-        ):
-            self._report(incarnation, [call], "known")
+        key = (server.id, server.started_at)
+        incarnation = self._get(key)
+        if sent_at <= incarnation.crashed_at:
+            self._report(key, [call], "known")
             return
-        self._losses.append((now, incarnation, call))
-        del self._losses[:-MAX_LOST_CONNECTIONS]
+        incarnation.losses.append(_Loss(call, sent_at, now))
+        del incarnation.losses[:-MAX_LOST_CONNECTIONS]
 
     def record_end(self, server: topology.Server) -> None:
         """Record that a server is no longer at its address."""
-        if any(key == get_incarnation(server) for _, key, _ in self._losses):
-            self.confirm(get_incarnation(server), "not at its address")
-
-    def confirm(self, incarnation: Incarnation, reason: str) -> None:
-        """Record that an incarnation of a server has crashed."""
+        key = (server.id, server.started_at)
+        incarnation = self._get(key)
+        if incarnation.losses or not incarnation.number:
+            self._confirm(key, incarnation.number + 1, "not at its address")
+
+    def record_notice(self, crash: Crash) -> bool:
+        """Record that another host knows of a crash; return if it is news."""
+        key = (crash.server_id, crash.started_at)
+        known = self._incarnations.get(key)
+        if known is not None and known.number >= crash.number:
+            return False
+        self._confirm(key, crash.number, "another host")
+        return True
+
+    def _get(self, key: t.Tuple[str, int]) -> _Incarnation:
+        """Return what is known of an incarnation, the latest ones only."""
+        incarnation = self._incarnations.pop(key, None) or _Incarnation()
+        self._incarnations[key] = incarnation
+        if len(self._incarnations) > MAX_INCARNATIONS:
+            del self._incarnations[next(iter(self._incarnations))]
+        return incarnation
+
+    def _confirm(
+        self, key: t.Tuple[str, int], number: int, reason: str
+    ) -> None:
+        """Record a crash and report the calls that were lost by it."""
         now = self.read_time()
-        if incarnation in self._crashes:
-            return
-        self._crashes[incarnation] = now
-        if len(self._crashes) > MAX_CRASHES:
-            del self._crashes[next(iter(self._crashes))]
-        calls = []
-        kept = []
-        for loss in self._losses:
-            at, key, call = loss
-            if now - at > CONFIRMATION_SECONDS:
-                continue
-            if key == incarnation:
-                calls.append(call)
-            else:
-                kept.append(loss)
-        self._losses = kept
-        self._report(incarnation, calls, reason)
+        incarnation = self._get(key)
+        calls = [
+            loss.call
+            for loss in incarnation.losses
+            if now - loss.at <= CONFIRMATION_SECONDS
+        ]
+        incarnation.losses.clear()
+        incarnation.number = number
+        incarnation.crashed_at = now
+        self._report(key, calls, reason)
 
     def _report(
         self,
-        incarnation: Incarnation,
+        key: t.Tuple[str, int],
         calls: t.Sequence[requests.Call],
         reason: str,
     ) -> None:
-        server = self.catalog.servers.get(incarnation[0])
+        crash = Crash(*key, self._incarnations[key].number)
+        for listener in self.on_crash:
+            listener(crash, calls)
+        if not calls:
+            return
+        server = self.catalog.servers.get(crash.server_id)
         self.log.write(
             "server_crashed",
-            server=incarnation[0],
-            started_at=incarnation[1],
+            server=crash.server_id,
+            started_at=crash.started_at,
+            number=crash.number if crash.number > 1 else None,
             reason=reason,
             cold=server is not None and self.read_time() < server.cold_until,
             requests={
@@ -125,18 +170,23 @@
                     if call.head.prompt
                     else None
                 )
-                for call in calls[:20]
+                for call in calls[:MAX_LOGGED_REQUESTS]
             },
         )
-        for listener in self.on_crash:
-            listener(incarnation, calls)
 
     def _record_report(self, server: topology.Server) -> None:
-        for key in {key for _, key, _ in self._losses}:
-            if key[0] == server.id and key[1] < server.started_at:
-                self.confirm(key, "restarted")
+        self._record_changes(
+            lambda key: key[0] == server.id and key[1] < server.started_at,
+            "restarted",
+        )
 
     def _record_removal(self, server_id: str) -> None:
-        for key in {key for _, key, _ in self._losses}:
-            if key[0] == server_id:
-                self.confirm(key, "removed")
+        self._record_changes(lambda key: key[0] == server_id, "removed")
+
+    def _record_changes(
+        self, has_ended: t.Callable[[t.Tuple[str, int]], bool], reason: str
+    ) -> None:
+        """Confirm the crashes of incarnations that have ended."""
+        for key, incarnation in list(self._incarnations.items()):
+            if incarnation.losses and has_ended(key):
+                self._confirm(key, incarnation.number + 1, reason)
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -21,6 +21,7 @@
 from sesamefold.entry import loads
 from sesamefold.entry import pauses
 from sesamefold.entry import placement
+from sesamefold.entry import quarantine as quarantines
 from sesamefold.entry import requests
 from sesamefold.entry import shutdown as shutdowns
 from sesamefold.entry import successors
@@ -70,6 +71,7 @@
     key_withdrawal_seconds: t.Optional[float]
     pauses: pauses.PauseMonitor
     crashes: crash_detection.CrashDetector
+    quarantine: quarantines.Quarantine
     shutdown: shutdowns.Shutdown = attrs.field(factory=shutdowns.Shutdown)
 
     async def serve(
@@ -77,10 +79,11 @@
     ) -> None:
         """Serve a call until its response is complete.
 
-        Raises `exceptions.NoRoom` or `exceptions.ShuttingDown` if no server
-        executed the request, `exceptions.RunTimeout` or
-        `exceptions.ReplyBroken` if a server may have executed it, and
-        `exceptions.AnswerCut` if a part of the response was already sent.
+        Raises `exceptions.NoRoom`, `exceptions.CrashSuspected` or
+        `exceptions.ShuttingDown` if no server executed the request,
+        `exceptions.RunTimeout` or `exceptions.ReplyBroken` if a server may
+        have executed it, and `exceptions.AnswerCut` if a part of the response
+        was already sent.
         """
         response = deliveries.CallerResponse(writer)
         try:
@@ -107,12 +110,16 @@
         maybe_executed = False
         while True:
             call.record_wait("capacity")
+            self._check_quarantine(call, response, maybe_executed)
             server, cold = await self._wait_for_capacity(
                 call, response, maybe_executed
             )
             if not maybe_executed:
                 self.shutdown.check(call)
                 self.retries.record_request(call.service)
+            # Other hosts may have reported crashes while the call waited.
+            self._check_quarantine(call, response, maybe_executed)
+            self.quarantine.record_run(call, server)
             call.tried_servers.append(server.id)
             call.record_wait("reply")
             reservation = self.placement.record_request(call, server, cold)
@@ -121,6 +128,7 @@
                     await self._send_to_server(
                         call, response, server, cold, reservation
                     )
+                self.quarantine.record_success(call)
                 return
             except exceptions.NotExecuted as error:
                 self._acquire_retry_or_raise(
@@ -187,6 +195,20 @@
                 )
             await asyncio.sleep(CAPACITY_POLL_INTERVAL_SECONDS)
 
+    def _check_quarantine(
+        self,
+        call: requests.Call,
+        response: deliveries.CallerResponse,
+        maybe_executed: bool,
+    ) -> None:
+        """Refuse a call that is believed to crash servers."""
+        try:
+            self.quarantine.check(call)
+        except exceptions.CrashSuspected as error:
+            self._raise_final(
+                response, call, _convert_error(error, maybe_executed)
+            )
+
     def _check_confirmation(
         self, call: requests.Call, response: deliveries.CallerResponse
     ) -> None:
@@ -222,6 +244,7 @@
             return False
         return (
             call.route.may_repeat()
+            and self.quarantine.may_repeat(call)
             and call.may_run_elsewhere()
             and self.shutdown.get_run_seconds(call) > 0
             and self.retries.try_acquire_retry(call.service)
@@ -240,6 +263,8 @@
         """
         if not call.may_run_elsewhere():
             return "limit of servers"
+        if not self.quarantine.may_repeat(call):
+            return "the request may crash servers"
         if self.shutdown.get_run_seconds(call) <= 0:
             return "the host shuts down"
         if not self._is_confirmed(call):
@@ -350,6 +375,7 @@
         server: topology.Server,
         attempt_number: int,
         error: Exception,
+        sent_at: float,
     ) -> None:
         """Log a failed attempt and report it to the placement."""
         self.log.write(
@@ -377,7 +403,7 @@
         if isinstance(error, exceptions.ReplyBroken) and not isinstance(
             error, (successors.TakenOver, exceptions.ForeignReply)
         ):
-            self.crashes.record_loss(call, server)
+            self.crashes.record_loss(call, server, sent_at)
         self.placement.record_outcome(server, failed=True)
 
     async def _send_to_server(
@@ -396,6 +422,7 @@
         successor itself. The reservation is released.
         """
         attempt_number = len(call.tried_servers)
+        sent_at = clock.read_time()
         async with successors.Succession(
             functools.partial(self._choose_successor, call, response),
             _FAILURES,
@@ -413,7 +440,9 @@
                 self.placement.record_outcome(server, failed=False)
                 return
             except _FAILURES as error:
-                self._record_failure(call, server, attempt_number, error)
+                self._record_failure(
+                    call, server, attempt_number, error, sent_at
+                )
                 if not succession.is_under_way():
                     raise
                 taken_over = isinstance(error, successors.TakenOver)
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -8,6 +8,7 @@
 import attrs
 import mode
 
+from sesamefold import culprits
 from sesamefold import defaults
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
@@ -29,16 +30,20 @@
 from sesamefold.entry import orders
 from sesamefold.entry import pauses
 from sesamefold.entry import placement
+from sesamefold.entry import quarantine
 from sesamefold.entry import requests
 from sesamefold.entry import server_status
 from sesamefold.entry import settings as entry_settings
 from sesamefold.entry import shutdown as shutdowns
 from sesamefold.entry import store
+from sesamefold.entry import suspicion_exchange
 from sesamefold.entry import throttle
 from sesamefold.entry import upstream
 from sesamefold.entry import weight_status
 from sesamefold import exceptions
 from sesamefold import exchanges
+from sesamefold import rendezvous
+from sesamefold import suspicions
 from sesamefold import transport
 
 SETTINGS_POLL_INTERVAL_SECONDS = 2.0
@@ -145,6 +150,25 @@
         self.weight_status = weight_status.WeightStatusSharing(
             self.channel, self.members, self.catalog, self.placement
         )
+        self.suspicion_exchange = suspicion_exchange.SuspicionExchange(
+            self.channel,
+            settings.host,
+            self.members,
+            culprits.Culprits(
+                suspicions.Suspicions(clock=clock.read_time),
+                quarantine.REQUEST_CRASHES,
+                self._rank_for_trial,
+                clock.read_time,
+            ),
+            self.crashes,
+        )
+        self.quarantine = quarantine.Quarantine(
+            self.suspicion_exchange.culprits,
+            self.crashes,
+            self.suspicion_exchange,
+            self.server_statuses,
+            self.decisions,
+        )
         self.election = election.Election(
             settings.host,
             platform.host_records,
@@ -177,6 +201,7 @@
             self.settings.key_withdrawal_seconds,
             self.pauses,
             self.crashes,
+            self.quarantine,
             self.shutdown,
         )
         self.frontend = frontend.Frontend(
@@ -245,6 +270,14 @@
         self._runners.append(runner)
         await web.TCPSite(runner, *address, backlog=1024).start()
 
+    def _rank_for_trial(self, subject: bytes) -> int:
+        """Return how many hosts try a culprit before this one."""
+        hosts = rendezvous.rank_owners(
+            subject.hex(), self.members.list_hosts()
+        )
+        host = self.settings.host
+        return hosts.index(host) if host in hosts else 0
+
     def is_ready(self) -> bool:
         """Return whether the load balancer should send connections here."""
         if self.shutdown.requested or not self.catalog.has_snapshot:
@@ -295,6 +328,10 @@
     async def _watch_context_stores(self) -> None:
         await self.context_stores.run()
 
+    @mode.Service.task
+    async def _exchange_suspicions(self) -> None:
+        await self.suspicion_exchange.run()
+
     @mode.Service.task
     async def _share_loads(self) -> None:
         await loads.LoadSharing(self.loads, self.channel, self.members).run()
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -143,7 +143,11 @@
         healthy = [
             server for server, status in staying if not status.is_failing(now)
         ] or [server for server, _ in staying]
-        if call.head.prompt is not None:
+        if call.suspect:
+            chosen = min(
+                healthy, key=functools.partial(self._make_load_key, now=now)
+            )
+        elif call.head.prompt is not None:
             chosen = self._choose_engine(call, call.head.prompt, healthy)
         else:
             local = [s for s in healthy if self._is_in_region(s)] or healthy
--- a/src/sesamefold/entry/server_status.py
+++ b/src/sesamefold/entry/server_status.py
@@ -350,6 +350,15 @@
         if failed:
             status.avoided_until = self.read_time() + FAILURE_RETRY_SECONDS
 
+    def record_crash(self, server: topology.Server) -> None:
+        """Prefer other servers to one that is said to have crashed.
+
+        It may still get requests, because the message may be wrong.
+        """
+        status = self.get(server)
+        status.failure_rate = 1.0
+        status.avoided_until = self.read_time() + SUSPICION_SECONDS
+
     def record_activity(self, server: topology.Server) -> None:
         """Record that a server has just sent data."""
         self.get(server).last_activity_at = self.read_time()
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -274,6 +274,18 @@
         self.retry_after = retry_after
 
 
+class CrashSuspected(RoutingError):
+    """The request, or a part of its prompt, is believed to crash servers."""
+
+    code = 1223
+    status = 503
+    executed = NO
+
+    def __init__(self, message: str, retry_after: float) -> None:
+        super().__init__(message)
+        self.retry_after = retry_after
+
+
 class ForeignReply(ReplyBroken):
     """A reply is not shown to be that to the request; it may have run."""
 
--- a/src/sesamefold/suspicions.py
+++ b/src/sesamefold/suspicions.py
@@ -1,4 +1,4 @@
-"""Store of the requests that were in flight when backend servers crashed."""
+"""Store of what was in flight when backend servers crashed."""
 
 import collections
 import hashlib
@@ -41,30 +41,41 @@
 
 
 @attrs.define
-class _Crash:
-    expires_at: float  # Unix time, seconds
+class Crash:
+    """A crash that counts against a subject until it is cleared.
+
+    `expires_at` is in seconds of the clock of the store. `request` and
+    `customer` identify a request with the subject that was in flight;
+    `request` is empty if the subject is itself a request.
+    """
+
+    expires_at: float
     cleared: bool = False
+    request: bytes = b""
+    customer: bytes = b""
 
 
 @attrs.define
-class _RequestRecord:
-    crashes: t.Dict[bytes, _Crash] = attrs.field(factory=dict)
+class _Record:
+    crashes: t.Dict[bytes, Crash] = attrs.field(factory=dict)
     change_number: int = 0  # of the latest change of this record
 
 
 class Suspicions:
-    """Crashes by request digest, replicated between hosts.
+    """Crashes by subject, replicated between hosts.
 
-    A merge takes the union of the crashes, and a crash that is cleared on any
-    host stays cleared, so hosts may exchange records in any order and more
-    than once. Crashes expire after `retention_seconds`. At most `capacity`
-    requests are kept, with at most `defaults.QUARANTINE_CRASHES` crashes
-    each; the requests changed least recently and the crashes added first are
-    dropped.
+    A subject is the digest of a request or of a part of prompts. A merge
+    takes the union of the crashes, and a crash that is cleared on any host
+    stays cleared, so hosts may exchange records in any order and more than
+    once. Crashes expire after `retention_seconds`, unless they are renewed.
+    At most `capacity` subjects are kept, with at most
+    `defaults.QUARANTINE_CRASHES` crashes each; the subjects changed least
+    recently and the crashes added first are dropped.
 
     `allocate_change_number` returns a number that increases with each call
     and is stored with the changed record; see `list_changes`. `clock` returns
-    the Unix time in seconds.
+    the time in seconds; hosts that exchange records as they are need the same
+    time. `revision` grows with each change.
     """
 
     def __init__(
@@ -79,10 +90,37 @@
         self._capacity = capacity
         self._allocate_change_number = allocate_change_number
         self._clock = clock
-        self._records: "collections.OrderedDict[bytes, _RequestRecord]" = (
+        self.revision = 0
+        self._records: "collections.OrderedDict[bytes, _Record]" = (
             collections.OrderedDict()
         )
 
+    def is_empty(self) -> bool:
+        """Return whether there is nothing that may count."""
+        return not self._records
+
+    def list_counting(self) -> t.Dict[bytes, t.Dict[bytes, Crash]]:
+        """Return the crashes that count, by subject and id."""
+        now = self._clock()
+        found = {
+            subject: {
+                crash_id: crash
+                for crash_id, crash in record.crashes.items()
+                if crash.expires_at > now and not crash.cleared
+            }
+            for subject, record in self._records.items()
+        }
+        return {
+            subject: crashes for subject, crashes in found.items() if crashes
+        }
+
+    def has_cleared_crash(self, subject: bytes) -> bool:
+        """Return whether a subject was cleared of one of its crashes."""
+        record = self._records.get(subject)
+        return record is not None and any(
+            crash.cleared for crash in record.crashes.values()
+        )
+
     def list_crashes(self, digest: bytes) -> t.Tuple[bytes, ...]:
         """Return the ids of the crashes that count against a request."""
         return self._list_unexpired(digest, False)
@@ -106,34 +144,62 @@
         )
 
     def add_crash(
-        self, digest: bytes, crash_id: bytes
+        self,
+        digest: bytes,
+        crash_id: bytes,
+        request: bytes = b"",
+        customer: bytes = b"",
     ) -> control_pb2.Suspicion:
-        """Count a crash against a request and return the change to send."""
-        return self._apply_change(digest, [crash_id], False)
+        """Count a crash against a subject and return the change to send."""
+        return self._apply_change(
+            digest,
+            [
+                control_pb2.Crash(
+                    id=crash_id, request=request, customer=customer
+                )
+            ],
+        )
 
     def clear_crashes(
         self, digest: bytes, crash_ids: t.Iterable[bytes]
     ) -> control_pb2.Suspicion:
-        """Clear a request of crashes and return the change to send.
+        """Clear a subject of crashes and return the change to send.
 
-        The crashes no longer count against the request on any host that
+        The crashes no longer count against the subject on any host that
         merges the change.
         """
-        return self._apply_change(digest, crash_ids, True)
+        return self._apply_change(
+            digest,
+            [control_pb2.Crash(id=id_, cleared=True) for id_ in crash_ids],
+        )
 
-    def _apply_change(
-        self, digest: bytes, crash_ids: t.Iterable[bytes], cleared: bool
-    ) -> control_pb2.Suspicion:
-        expires_at = self._clock() + self._retention_seconds
-        change = control_pb2.Suspicion(
-            request=digest,
-            crashes=[
-                control_pb2.Crash(
-                    id=crash_id, until=expires_at, cleared=cleared
-                )
-                for crash_id in crash_ids
+    def renew(self, digest: bytes) -> t.Optional[control_pb2.Suspicion]:
+        """Let the crashes of a subject count for the whole retention again.
+
+        Returns the change to send, None if they were renewed shortly before.
+        """
+        crashes = self._records[digest].crashes
+        renewed_at = self._clock() + self._retention_seconds
+        if all(
+            crash.expires_at + defaults.QUARANTINE_RENEWAL_SECONDS > renewed_at
+            for crash in crashes.values()
+        ):
+            return None
+        return self._apply_change(
+            digest,
+            [
+                control_pb2.Crash(id=crash_id)
+                for crash_id, crash in crashes.items()
+                if not crash.cleared
             ],
         )
+
+    def _apply_change(
+        self, digest: bytes, crashes: t.Sequence[control_pb2.Crash]
+    ) -> control_pb2.Suspicion:
+        for crash in crashes:
+            crash.until = self._clock() + self._retention_seconds
+        change = control_pb2.Suspicion(request=digest, crashes=crashes)
         self.merge([change])
         return change
 
@@ -151,20 +217,32 @@
         # A host whose clock is ahead must not extend the time that a crash
         # counts.
         latest_expiry = now + self._retention_seconds + defaults.CLOCK_SKEW
-        record = self._records.get(change.request, _RequestRecord())
+        record = self._records.get(change.request, _Record())
         changed = False
         for crash in change.crashes:
             known = record.crashes.get(crash.id)
             if crash.until <= now:
                 continue
+            expires_at = min(crash.until, latest_expiry)
             if known is None:
-                expires_at = min(crash.until, latest_expiry)
-                record.crashes[crash.id] = _Crash(expires_at, crash.cleared)
+                record.crashes[crash.id] = Crash(
+                    expires_at, crash.cleared, crash.request, crash.customer
+                )
                 changed = True
-            elif crash.cleared and not known.cleared:
+                continue
+            if crash.cleared and not known.cleared:
                 known.cleared = True
                 changed = True
+            # Two hosts may have seen different requests of the same crash.
+            if crash.request > known.request:
+                known.request, known.customer = crash.request, crash.customer
+                changed = True
+            renewal = expires_at - known.expires_at
+            if renewal >= defaults.QUARANTINE_RENEWAL_SECONDS:
+                known.expires_at = expires_at
+                changed = True
         if changed:
+            self.revision += 1
             while len(record.crashes) > defaults.QUARANTINE_CRASHES:
                 del record.crashes[next(iter(record.crashes))]
             record.change_number = self._allocate_change_number()
@@ -192,7 +270,11 @@
                 break
             crashes = [
                 control_pb2.Crash(
-                    id=crash_id, until=crash.expires_at, cleared=crash.cleared
+                    id=crash_id,
+                    until=crash.expires_at,
+                    cleared=crash.cleared,
+                    request=crash.request,
+                    customer=crash.customer,
                 )
                 for crash_id, crash in record.crashes.items()
                 if crash.expires_at > now
@@ -204,5 +286,6 @@
         return found
 
     def remove_all(self) -> None:
-        """Remove the records of all requests."""
+        """Remove the records of all subjects."""
         self._records.clear()
+        self.revision += 1
