Refuse parts of prompts that crash engines on the own interface

Callers of the own interface lost one engine after the other to prompts with one block in common: each request was refused after two crashes, but no two requests were alike. Requests that share the customer and all other blocks are answered.

The quarantine asks the same `culprits` as entry hosts do; a part is a block of the prompt, whatever precedes it. Gateways share the crashes of parts through their controls. A refusal before the first run now says that nothing ran.

--- a/src/sesamefold/blocks.py
+++ b/src/sesamefold/blocks.py
@@ -25,6 +25,16 @@
     return prompt.split()
 
 
+def list_block_texts(
+    tokens: t.Sequence[str], block_tokens: int
+) -> t.List[str]:
+    """Return the texts of the blocks of a prompt, without its last block."""
+    return [
+        " ".join(tokens[start : start + block_tokens])
+        for start in range(0, len(tokens) - block_tokens, block_tokens)
+    ]
+
+
 def name_blocks(
     salt: str,
     model: str,
--- a/src/sesamefold/completions.py
+++ b/src/sesamefold/completions.py
@@ -92,12 +92,16 @@
     origin: streams.Origin = attrs.field(init=False)
     verifier: streams.Verifier = attrs.field(init=False)
     identity: quarantines.Identity = attrs.field(init=False)
+    parts: t.Tuple[bytes, ...] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         dropped = self.state.metrics.dropped_events
         self.identity = quarantines.make_identity(
             self.customer.name, self.body_sha256
         )
+        self.parts = quarantines.digest_blocks(
+            self.model.name, self.prompt.tokens, self.model.block_tokens
+        )
         self.origin = streams.Origin(self.state.settings.data_centre)
         self.verifier = streams.Verifier(
             self.request_id,
@@ -144,13 +148,7 @@
         If `exceptions.NoBackend` or `exceptions.DataCentreOut` is raised
         before the first token, another data centre may serve the request.
         """
-        if self.state.quarantine.count_crashes(self.identity) > 1:
-            raise exceptions.RequestQuarantined(
-                "the request was running at two crashes",
-                executed=(
-                    None if self.resumed_engine_address else exceptions.NO
-                ),
-            )
+        self._ensure_not_quarantined()
         if self.resumed_engine_address:
             self.may_have_executed = True
             async with contextlib.aclosing(self._resume_run()) as events:
@@ -207,6 +205,8 @@
                 self._run_on_slot(slot, run)
             ) as events:
                 async for event in events:
+                    if event.kind == "token":
+                        self.state.quarantine.record_begin(in_flight_request)
                     yield event
         except (
             exceptions.BackendRefused,
@@ -260,10 +260,14 @@
                     slot.backend.name,
                     self.deadline,
                     slot.backend.epoch,
+                    self.parts,
                 )
             except exceptions.DeadlineUnreachable as error:
                 self.slots.release(slot)
                 raise self.build_timeout() from error
+            except exceptions.RequestQuarantined as error:
+                self.slots.release(slot)
+                raise self._state_execution(error) from None
             except BaseException:
                 self.slots.release(slot)
                 raise
@@ -298,9 +302,26 @@
             if not self._find_reservation_deadline(slot).has_passed():
                 return False
         # Another gateway may have reported a crash meanwhile.
-        self.state.quarantine.ensure_not_quarantined(self.identity)
+        self._ensure_not_quarantined()
         return self.slots.is_current(slot)
 
+    def _ensure_not_quarantined(self) -> None:
+        """Raise `exceptions.RequestQuarantined` if the request is refused."""
+        try:
+            self.state.quarantine.ensure_not_quarantined(
+                self.identity, self.parts
+            )
+        except exceptions.RequestQuarantined as error:
+            raise self._state_execution(error) from None
+
+    def _state_execution(
+        self, error: exceptions.RequestQuarantined
+    ) -> exceptions.RequestQuarantined:
+        """Let a refusal say that nothing ran, if nothing did."""
+        if not self.may_have_executed and not self.resumed_engine_address:
+            error.executed = exceptions.NO
+        return error
+
     def _find_reservation_deadline(
         self, slot: admission.Slot
     ) -> deadlines.Deadline:
@@ -622,11 +643,9 @@
             self.state.record_failure(
                 slot.backend, self.request_id, error.message
             )
-            if self.state.quarantine.count_crashes(self.identity) > 1:
-                raise exceptions.RequestQuarantined(
-                    "the request was running at two crashes",
-                    executed=exceptions.UNKNOWN,
-                )
+            self._ensure_not_quarantined()
+            if not self.state.quarantine.may_repeat(self.identity, self.parts):
+                raise exceptions.StreamLost(error.message) from error
         allowed = self.state.retries.try_acquire_retry() or bool(
             self.token_texts
         )
--- a/src/sesamefold/culprits.py
+++ b/src/sesamefold/culprits.py
@@ -10,7 +10,6 @@
 
 import collections
 import enum
-import functools
 import hashlib
 import itertools
 import time
@@ -34,9 +33,9 @@
 # that have enough crashes themselves are, so that no customer can have the
 # requests of another one refused.
 CUSTOMERS_FOR_ALL = 3
-# Time without requests after the latest crash of a culprit until one of them
-# is tried again, seconds; it is longer by the factor with each further crash,
-# up to the limit.
+# Time without requests after the latest crash with a part until one with it is
+# tried again, seconds; it is longer by the factor with each further crash, up
+# to the limit. For a request it is the time that its crashes count.
 TRIAL_SECONDS = 30.0
 TRIAL_FACTOR = 4.0
 MAX_TRIAL_SECONDS = 3600.0
@@ -45,9 +44,15 @@
 TRIAL_STAGGER_SECONDS = 2.0
 # Parts whose requests ended well that are remembered.
 REMEMBERED_PARTS = 20_000
+# Time after the begin of an answer in which its request may be the cause of a
+# crash, seconds. Servers may crash as they begin to write, and the first event
+# then arrives together with the end of the connection.
+BEGIN_SECONDS = 0.5
 # Parts of one prompt that are considered, the first ones.
 MAX_PARTS = 64
-_DIGEST_BYTES = 16
+# Sizes of the digests of subjects, in bytes.
+REQUEST_DIGEST_BYTES = 16
+PART_DIGEST_BYTES = 17
 _SHORT_BYTES = 8
 _NEVER = float("-inf")
 
@@ -64,13 +69,16 @@
     REFUSE = "refuse"
 
 
-@functools.lru_cache(maxsize=REMEMBERED_PARTS)
-def digest_part(model: str, part: t.Union[str, bytes]) -> bytes:
-    """Return the digest of a part of the prompts for a model."""
-    digest = hashlib.sha256(len(model.encode()).to_bytes(4, "big"))
-    digest.update(model.encode())
-    digest.update(part.encode() if isinstance(part, str) else part)
-    return digest.digest()[:_DIGEST_BYTES]
+def digest_part(model: str, part: str) -> bytes:
+    """Return the digest of a part, its id or content, of a model's prompts.
+
+    It is longer than that of a request, so that hosts which know only those
+    take it for no request.
+    """
+    name = model.encode()
+    prefix = len(name).to_bytes(4, "big") + name
+    digest = hashlib.sha256(prefix + part.encode()).digest()
+    return digest[:PART_DIGEST_BYTES]
 
 
 def digest_customer(customer: t.Optional[str]) -> bytes:
@@ -206,17 +214,23 @@
         changes = []
         for fingerprint in fingerprints:
             changes.append(self.store.add_crash(fingerprint.request, crash_id))
-            changes += [
-                self.store.add_crash(
-                    part,
-                    crash_id,
-                    fingerprint.request[:_SHORT_BYTES],
-                    fingerprint.customer,
-                )
-                for part in fingerprint.parts
-            ]
+            changes += self.record_part_crash(crash_id, fingerprint)
         return changes
 
+    def record_part_crash(
+        self, crash_id: bytes, fingerprint: Fingerprint
+    ) -> t.List[control_pb2.Suspicion]:
+        """Count a crash against the parts of a request; return the changes."""
+        return [
+            self.store.add_crash(
+                part,
+                crash_id,
+                fingerprint.request[:_SHORT_BYTES],
+                fingerprint.customer,
+            )
+            for part in fingerprint.parts
+        ]
+
     def record_success(
         self, fingerprint: Fingerprint
     ) -> t.List[control_pb2.Suspicion]:
@@ -224,15 +238,13 @@
 
         Returns the changes.
         """
-        self.record_sound_parts(fingerprint.parts)
-        return [
-            self.store.clear_crashes(subject, crashes)
-            for subject in (fingerprint.request, *fingerprint.parts)
-            if (crashes := self.store.list_crashes(subject))
-        ]
+        changes = self._clear([fingerprint.request])
+        return changes + self.record_sound_parts(fingerprint.parts)
 
-    def record_sound_parts(self, parts: t.Iterable[bytes]) -> None:
-        """Record that a request with these parts ended well.
+    def record_sound_parts(
+        self, parts: t.Collection[bytes]
+    ) -> t.List[control_pb2.Suspicion]:
+        """Clear the parts of a request that ended well; return the changes.
 
         Suffices instead of `record_success` while `has_suspects` is false.
         """
@@ -242,6 +254,18 @@
             self._sound.move_to_end(part)
         while len(self._sound) > REMEMBERED_PARTS:
             self._sound.popitem(last=False)
+        return self._clear(parts)
+
+    def _clear(
+        self, subjects: t.Iterable[bytes]
+    ) -> t.List[control_pb2.Suspicion]:
+        if self.store.is_empty():
+            return []
+        return [
+            self.store.clear_crashes(subject, crashes)
+            for subject in subjects
+            if (crashes := self.store.list_crashes(subject))
+        ]
 
     def has_suspects(self) -> bool:
         """Return whether any crash is known."""
@@ -300,10 +324,13 @@
         crashes = len(culprit.candidate.crashes)
         customers, _ = culprit.candidate.count_customers(b"")
         _, since = self._resting[subject]
-        hold = min(
-            MAX_TRIAL_SECONDS,
-            TRIAL_SECONDS * TRIAL_FACTOR ** max(0, crashes - culprit.limit),
-        )
+        hold = defaults.QUARANTINE_SECONDS
+        if culprit.candidate.is_part:
+            hold = min(
+                MAX_TRIAL_SECONDS,
+                TRIAL_SECONDS
+                * TRIAL_FACTOR ** max(0, crashes - culprit.limit),
+            )
         hold += self.get_rank(subject) * TRIAL_STAGGER_SECONDS
         return Judgement(
             Verdict.REFUSE,
@@ -344,7 +371,7 @@
         for subject, crashes in self.store.list_counting().items():
             if len(crashes) < 2:
                 continue
-            is_part = any(crash.request for crash in crashes.values())
+            is_part = len(subject) == PART_DIGEST_BYTES
             sound_at = self._sound.get(subject, _NEVER)
             if sound_at == _NEVER and self.store.has_cleared_crash(subject):
                 sound_at = now - defaults.QUARANTINE_SECONDS
--- a/src/sesamefold/entry/crash_detection.py
+++ b/src/sesamefold/entry/crash_detection.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from sesamefold import culprits
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
 from sesamefold.entry import decisions
@@ -20,10 +21,6 @@
 # its cause, seconds. A server that has crashed is off the list after three
 # missing reports, one each 1.2 s, and the delay of the watch.
 CONFIRMATION_SECONDS = 6.0
-# Time after the begin of an answer in which it may be the cause of a crash,
-# seconds. Servers may crash as they begin to write, and the first event then
-# arrives together with the end of the connection.
-BEGIN_SECONDS = 0.5
 # Incarnations of servers, and lost connections of each, that are kept.
 MAX_INCARNATIONS = 500
 MAX_LOST_CONNECTIONS = 100
@@ -95,7 +92,10 @@
     ) -> None:
         """Record a call, sent at `sent_at`, that lost its connection."""
         now = self.read_time()
-        if call.begun_at is not None and now - call.begun_at > BEGIN_SECONDS:
+        if (
+            call.begun_at is not None
+            and now - call.begun_at > culprits.BEGIN_SECONDS
+        ):
             return
         key = (server.id, server.started_at)
         incarnation = self._get(key)
--- a/src/sesamefold/entry/quarantine.py
+++ b/src/sesamefold/entry/quarantine.py
@@ -1,5 +1,6 @@
 """Refusal of requests that are believed to crash backend servers."""
 
+import functools
 import hashlib
 import typing as t
 
@@ -18,6 +19,18 @@
 # Crashes at which a request and its repetitions were in flight, from which
 # they are refused. Other requests run on the same servers.
 REQUEST_CRASHES = 3
+# Longest id of a part whose digest is kept. Callers choose the ids.
+MAX_CACHED_ID_CHARACTERS = 64
+
+_digest_short_id = functools.lru_cache(maxsize=20_000)(
+    culprits_module.digest_part
+)
+
+
+def _digest_part(model: str, part_id: str) -> bytes:
+    if len(model) + len(part_id) > MAX_CACHED_ID_CHARACTERS:
+        return culprits_module.digest_part(model, part_id)
+    return _digest_short_id(model, part_id)
 
 
 def list_parts(call: requests.Call) -> t.Dict[bytes, str]:
@@ -29,7 +42,7 @@
     if prompt is None:
         return {}
     return {
-        culprits_module.digest_part(prompt.model, part.id): part.id
+        _digest_part(prompt.model, part.id): part.id
         for part in prompt.list_shared_parts()[: culprits_module.MAX_PARTS]
     }
 
@@ -49,7 +62,7 @@
         digest.update(len(data).to_bytes(4, "big") + data)
     digest.update(call.body)
     return culprits_module.Fingerprint(
-        digest.digest()[:16],
+        digest.digest()[: culprits_module.REQUEST_DIGEST_BYTES],
         culprits_module.digest_customer(customer or None),
         tuple(list_parts(call)),
     )
--- a/src/sesamefold/entry/suspicion_exchange.py
+++ b/src/sesamefold/entry/suspicion_exchange.py
@@ -33,7 +33,6 @@
 # Suspicions in one message, which must fit into a datagram.
 MAX_SUSPICIONS = 50
 MAX_CRASHES = 50
-_SUBJECT_BYTES = 16
 _SHORT_BYTES = 8
 
 
@@ -225,7 +224,11 @@
         if len(crashes) > defaults.QUARANTINE_CRASHES:
             raise ValueError("too many crashes")
         return control_pb2.Suspicion(
-            request=_decode_digest(subject, _SUBJECT_BYTES),
+            request=_decode_digest(
+                subject,
+                culprits_module.REQUEST_DIGEST_BYTES,
+                culprits_module.PART_DIGEST_BYTES,
+            ),
             crashes=[self._decode_crash(*crash) for crash in crashes],
         )
 
--- a/src/sesamefold/quarantine.py
+++ b/src/sesamefold/quarantine.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from sesamefold import blocks
+from sesamefold import culprits as culprits_module
 from sesamefold import deadline as deadlines
 from sesamefold import defaults
 from sesamefold import exceptions
@@ -14,6 +16,9 @@
 
 # Customer and SHA-256 digest of the request body.
 Identity = t.Tuple[str, bytes]
+# Crashes from which a request and its repetitions are refused. A suspect runs
+# without other requests on its server, so that the second one has one cause.
+REQUEST_CRASHES = 2
 
 
 def make_identity(customer: str, content_sha256: str) -> Identity:
@@ -24,6 +29,21 @@
     return customer, bytes.fromhex(content_sha256)
 
 
+def digest_blocks(
+    model: str, tokens: t.Sequence[str], block_tokens: int
+) -> t.Tuple[bytes, ...]:
+    """Return the digests of the blocks that prompts may have in common.
+
+    A block has the same digest in each prompt that holds it at the bounds of
+    blocks, whatever comes before it.
+    """
+    texts = blocks.list_block_texts(tokens, block_tokens)
+    return tuple(
+        culprits_module.digest_part(model, text)
+        for text in texts[: culprits_module.MAX_PARTS]
+    )
+
+
 @attrs.define(eq=False)
 class InFlightRequest:
     """One attempt of a request, in flight on a backend server.
@@ -31,12 +51,15 @@
     `epoch` is the boot epoch of the server. `known_crashes` are the ids of
     the request's crashes, cleared ones included, that this gateway knew when
     the attempt started. `exclusive` is set if the request is a suspect and
-    has the server to itself.
+    has the server to itself. `parts` are the digests of the blocks of its
+    prompt, and `begun_at` is the Unix time of the first token, 0 before it.
     """
 
     identity: Identity
     server: str
     epoch: str = ""
+    parts: t.Tuple[bytes, ...] = ()
+    begun_at: float = 0.0
     known_crashes: t.Tuple[bytes, ...] = ()
     exclusive: bool = False
     ended: bool = False
@@ -50,7 +73,8 @@
     requests, and only one suspect runs at a time, so the next crash has a
     single possible cause. A suspect that completes is cleared. A request that
     was in flight at two crashes is refused until at most one of its crashes
-    has not expired.
+    has not expired, unless a part of prompts explains them. Which parts are
+    refused, and which requests, is decided by `culprits.Culprits`.
 
     The gateways of a data centre share the crashes through their controls:
     `report_changes` is called with each local change, and `merge` applies the
@@ -84,6 +108,9 @@
         self._suspicions = suspicions.Suspicions(
             retention_seconds=retention_seconds, capacity=capacity, clock=clock
         )
+        self._culprits = culprits_module.Culprits(
+            self._suspicions, REQUEST_CRASHES, read_time=clock
+        )
         self._in_flight: t.Dict[str, t.Set[InFlightRequest]] = {}
         self.reserved_servers: t.Set[str] = set()
         self._suspect_lock = asyncio.Lock()
@@ -105,12 +132,41 @@
         """Return all suspicions, to resend to a control that may lack some."""
         return self._suspicions.list_changes()
 
-    def ensure_not_quarantined(self, identity: Identity) -> None:
-        """Raise `exceptions.RequestQuarantined` if two crashes count."""
-        if self.count_crashes(identity) >= 2:
-            raise exceptions.RequestQuarantined(
-                "the request was running at two crashes of backend servers"
-            )
+    def ensure_not_quarantined(
+        self, identity: Identity, parts: t.Tuple[bytes, ...] = ()
+    ) -> None:
+        """Raise `exceptions.RequestQuarantined` if a request is refused."""
+        judgement = self._judge(identity, parts)
+        if judgement.verdict is not culprits_module.Verdict.REFUSE:
+            return
+        if changes := self._culprits.record_refusal(judgement.subject):
+            self.report_changes(changes)
+        subject = (
+            "a part of the prompt" if judgement.is_part else "the request"
+        )
+        raise exceptions.RequestQuarantined(
+            f"{subject} was running at {judgement.crashes} crashes of "
+            "backend servers"
+        )
+
+    def may_repeat(
+        self, identity: Identity, parts: t.Tuple[bytes, ...] = ()
+    ) -> bool:
+        """Return whether a request may run again after a crash.
+
+        It may not if a part of its prompt is suspect, because the request is
+        then not the cause by itself.
+        """
+        judgement = self._judge(identity, parts)
+        return (
+            judgement.verdict is culprits_module.Verdict.RUN
+            or judgement.subject not in parts
+        )
+
+    def _judge(
+        self, identity: Identity, parts: t.Tuple[bytes, ...]
+    ) -> culprits_module.Judgement:
+        return self._culprits.judge(_make_fingerprint(identity, parts))
 
     async def start(
         self,
@@ -118,23 +174,35 @@
         server: str,
         deadline: deadlines.Deadline,
         epoch: str = "",
+        parts: t.Tuple[bytes, ...] = (),
     ) -> t.Optional[InFlightRequest]:
         """Register and return an attempt of a request on a server.
 
+        `parts` are the digests of the blocks of its prompt.
+
         Returns None while the server is reserved for a suspect. A suspect
         waits until no other request of this gateway is in flight on the
         server. Raises `exceptions.RequestQuarantined` if the request is
         refused, and `exceptions.DeadlineUnreachable` if a suspect waits past
         `deadline`.
         """
-        self.ensure_not_quarantined(identity)
-        if self.count_crashes(identity):
+        self.ensure_not_quarantined(identity, parts)
+        verdict = self._judge(identity, parts).verdict
+        if self.count_crashes(identity) or (
+            verdict is culprits_module.Verdict.SUSPECT
+        ):
             return await self._start_exclusive(
-                identity, server, deadline, epoch
+                identity, server, deadline, epoch, parts
             )
         if server in self.reserved_servers:
             return None
-        return self._register(self._make_request(identity, server, epoch))
+        return self._register(
+            self._make_request(identity, server, epoch, parts)
+        )
+
+    def record_begin(self, request: InFlightRequest) -> None:
+        """Record that an attempt has given a token."""
+        request.begun_at = request.begun_at or self._clock()
 
     def finish(self, request: InFlightRequest, completed: bool) -> None:
         """Unregister an attempt and clear a suspect that completed.
@@ -152,8 +220,16 @@
             self.report_changes(
                 [self._suspicions.clear_crashes(digest, sorted(crashes))]
             )
+        if completed:
+            self._clear_parts(request)
         self._unregister(request)
 
+    def _clear_parts(self, request: InFlightRequest) -> None:
+        """Clear the parts of the prompt of a request that completed."""
+        changes = self._culprits.record_sound_parts(request.parts)
+        if changes:
+            self.report_changes(changes)
+
     def record_crash(self, request: InFlightRequest) -> None:
         """Count a crash of the server on which an attempt was in flight.
 
@@ -177,6 +253,16 @@
             )
             for identity, request in by_identity.items()
         ]
+        now = self._clock()
+        for identity, request in by_identity.items():
+            if request.begun_at and (
+                now - request.begun_at > culprits_module.BEGIN_SECONDS
+            ):
+                continue
+            changes += self._culprits.record_part_crash(
+                suspicions.make_crash_id(server, request.epoch, ()),
+                _make_fingerprint(identity, request.parts),
+            )
         if changes:
             self.report_changes(changes)
         for request in requests:
@@ -188,6 +274,7 @@
         server: str,
         deadline: deadlines.Deadline,
         epoch: str,
+        parts: t.Tuple[bytes, ...],
     ) -> InFlightRequest:
         try:
             async with asyncio.timeout(deadline.remaining(self._clock())):
@@ -199,9 +286,14 @@
                         await self._request_ended.wait()
                     # A concurrent attempt of the same request may have
                     # crashed a server while this one waited.
-                    self.ensure_not_quarantined(identity)
-                    request = self._make_request(identity, server, epoch)
+                    self.ensure_not_quarantined(identity, parts)
+                    request = self._make_request(
+                        identity, server, epoch, parts
+                    )
                     request.exclusive = True
+                    self._culprits.record_run(
+                        _make_fingerprint(identity, parts)
+                    )
                     return self._register(request)
                 except BaseException:
                     self.reserved_servers.discard(server)
@@ -213,11 +305,19 @@
             ) from None
 
     def _make_request(
-        self, identity: Identity, server: str, epoch: str
+        self,
+        identity: Identity,
+        server: str,
+        epoch: str,
+        parts: t.Tuple[bytes, ...],
     ) -> InFlightRequest:
         digest = suspicions.digest_request(*identity)
         return InFlightRequest(
-            identity, server, epoch, self._suspicions.list_all_crashes(digest)
+            identity,
+            server,
+            epoch,
+            parts,
+            known_crashes=self._suspicions.list_all_crashes(digest),
         )
 
     def _register(self, request: InFlightRequest) -> InFlightRequest:
@@ -234,3 +334,13 @@
             self.reserved_servers.discard(request.server)
             self._suspect_lock.release()
         self._request_ended.set()
+
+
+def _make_fingerprint(
+    identity: Identity, parts: t.Tuple[bytes, ...]
+) -> culprits_module.Fingerprint:
+    return culprits_module.Fingerprint(
+        suspicions.digest_request(*identity),
+        culprits_module.digest_customer(identity[0]),
+        parts,
+    )
--- a/tests/test_culprits.py
+++ b/tests/test_culprits.py
@@ -253,6 +253,22 @@
         late.store.merge(changes)
         self.assertEqual(RUN, late.judge(self.make("S")).verdict)
 
+    def test_parts_that_an_earlier_host_passed_on_refuse_nothing(self) -> None:
+        """Guards against hosts of two versions that refuse sound requests.
+
+        An earlier one does not pass on which request was at a crash.
+        """
+        self.end_well("F")
+        for _ in range(9):
+            self.crash(self.make("FS"))
+        changes = self.host.store.list_changes()
+        for change in changes:
+            for crash in change.crashes:
+                crash.request = crash.customer = b""
+        self.host = self.make_host()
+        self.host.store.merge(changes)
+        self.assertNotEqual(REFUSE, self.judge("FS"))
+
     def test_memory_is_bounded(self) -> None:
         """Guards against a customer that fills the memory with parts."""
         for _ in range(3000):
--- a/tests/test_entry_suspicion_exchange.py
+++ b/tests/test_entry_suspicion_exchange.py
@@ -202,6 +202,7 @@
             [[], [[digest]]],
             [[], [["xx", []]]],
             [[], [[short, [crash]]]],
+            [[], [["00" * 18, [crash]]]],
             [[], [[digest, [[digest, 5.0, 0, "", ""]]]]],
             [[], [[digest, [[short, float("inf"), 0, "", ""]]]]],
             [[], [[digest, [[short, "5", 0, "", ""]]]]],
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -356,10 +356,12 @@
         self.first.report_changes = self.second.merge
         self.second.report_changes = self.first.merge
 
-    async def start(self, quarantine, name="x", server="e1", epoch="1"):
+    async def start(
+        self, quarantine, name="x", server="e1", epoch="1", parts=()
+    ):
         identity = make_identity("acme", name)
         return await quarantine.start(
-            identity, server, make_deadline(5.0), epoch
+            identity, server, make_deadline(5.0), epoch, parts
         )
 
     async def test_crashes_at_two_gateways_add_up(self):
@@ -378,6 +380,44 @@
         for quarantine in (self.first, self.second):
             self.assertFalse((await self.start(quarantine)).exclusive)
 
+    async def test_part_that_crashes_servers_is_refused_at_all_gateways(self):
+        """Guards against a part of prompts that crashes server after server.
+
+        No two requests are alike, and each comes through another gateway.
+        """
+        parts = quarantines.digest_blocks("m", ["f", "p", "own"], 1)
+        sound = quarantines.digest_blocks("m", ["f", "s", "own"], 1)
+        for number in range(3):
+            quarantine = (self.first, self.second)[number % 2]
+            run = await self.start(
+                quarantine, f"x{number}", f"e{number}", parts=parts
+            )
+            quarantine.record_crash(run)
+        for quarantine in (self.first, self.second):
+            with self.assertRaises(exceptions.RequestQuarantined):
+                await self.start(quarantine, "new", "e9", parts=parts)
+            run = await self.start(quarantine, "s", "e9", parts=sound)
+            quarantine.finish(run, completed=True)
+            self.assertFalse(
+                (
+                    await self.start(quarantine, "t", "e9", parts=sound)
+                ).exclusive
+            )
+
+    async def test_answer_that_had_begun_makes_no_part_suspect(self):
+        """Guards against parts refused for crashes of other causes."""
+        parts = quarantines.digest_blocks("m", ["f", "s", "own"], 1)
+        for number in range(5):
+            run = await self.start(
+                self.first, f"x{number}", f"e{number}", parts=parts
+            )
+            self.first.record_begin(run)
+            await asyncio.sleep(1.0)
+            self.first.record_crash(run)
+        self.assertIsNotNone(
+            await self.start(self.second, "new", "e9", parts=parts)
+        )
+
     async def test_crash_reported_by_two_gateways_counts_once(self):
         """Guards against a quarantine after one crash."""
         runs = [await self.start(q) for q in (self.first, self.second)]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -447,6 +447,63 @@
         self.assertLessEqual(crashes, 2)
 
 
+class CrashingPartTest(SystemTest):
+    topology = topology.Topology(
+        data_centres={"north-1": "north"}, engines=5, services=0
+    )
+
+    def make_parts_prompt(self, *words, customer="ada"):
+        """Return a prompt with a block of each word and an own end."""
+        block = topology.BLOCK_TOKENS
+        own = " ".join(f"w{self.random.random()}" for _ in range(20))
+        text = "".join(f"{word} " * block for word in words) + own
+        return topology.Prompt(customer, text, 8)
+
+    async def test_part_that_crashes_its_servers(self):
+        """Guards against one server after the other that a part crashes.
+
+        No two requests with it are alike. Requests that share their customer
+        and all other parts are answered.
+        """
+        for engine in self.system.backends.values():
+            await self.system.inject_fault(engine, crash_words=["poison"])
+        stop = asyncio.Event()
+        failed = []
+        answered = 0
+
+        async def send_sound(host):
+            nonlocal answered
+            while not stop.is_set():
+                prompt = self.make_parts_prompt("first", "second")
+                try:
+                    await self.send_checked(host, prompt)
+                    answered += 1
+                except (caller.CallError, aiohttp.ClientError) as error:
+                    failed.append(repr(error))
+                await asyncio.sleep(0.05)
+
+        sound = [asyncio.create_task(send_sound(host)) for host in self.hosts]
+        codes = []
+        for index in range(16):
+            prompt = self.make_parts_prompt("first", "poison", "second")
+            try:
+                await self.send(self.hosts[index % 2], prompt)
+            except caller.CallError as error:
+                codes.append(error.error["code"])
+            except aiohttp.ClientError as error:
+                codes.append(repr(error))
+            await asyncio.sleep(0.5)
+        failed_before = len(failed)
+        await asyncio.sleep(2.0)
+        stop.set()
+        await asyncio.gather(*sound)
+        crashes = await self.sum_counter("atlas", "crashes_by_word")
+        self.assertLessEqual(crashes, 8, codes)
+        self.assertEqual([1209] * 4, codes[-4:], codes)
+        self.assertGreater(answered, 20)
+        self.assertEqual(failed_before, len(failed), failed)
+
+
 class CrashAfterStartTest(CrashingRequestTest):
     """The same before the hosts know each other from the host list."""
 
