Take a stream without an event that its connection ends for broken

An engine that crashes as it begins to answer may close its connection behind the head of a stream. If that has neither a length nor chunks, callers got an empty stream that looked whole, and the request was cleared of the crash.

--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -171,6 +171,9 @@
             call.last_event_id = (
                 stream.buffer.last_event_id or call.last_event_id
             )
+        if first and reply.ends_with_connection():
+            # A server that crashes as it begins to answer closes it too.
+            raise exceptions.ReplyBroken("the stream ends without an event")
         await attempt.acquire_stream()
         await self._ensure_started(reply.head)
         await self.writer.finish()
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -55,6 +55,10 @@
         self._read_bytes += len(chunk)
         return chunk
 
+    def ends_with_connection(self) -> bool:
+        """Return whether only the close of the connection ends the body."""
+        return exchanges.ends_with_connection(self._response)
+
     def has_unread_data(self) -> bool:
         """Return whether more of the body, or its end, has arrived.
 
--- a/src/sesamefold/exchanges.py
+++ b/src/sesamefold/exchanges.py
@@ -53,6 +53,14 @@
     code: int = exceptions.ForeignReply.code
 
 
+def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a body has neither a length nor chunks."""
+    return not any(
+        name in response.headers
+        for name in ("Content-Length", "Transfer-Encoding")
+    )
+
+
 Reporter = t.Callable[[StrayAnswer], None]
 
 
@@ -118,10 +126,7 @@
         The HTTP client takes any loss of the connection as the regular end
         of a body without a length.
         """
-        if not any(
-            name in response.headers
-            for name in ("Content-Length", "Transfer-Encoding")
-        ):
+        if ends_with_connection(response):
             response.content.set_exception(
                 aiohttp.ClientPayloadError("the connection was reset")
             )
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import itertools
+import socket
+import struct
 import typing as t
 
 import attrs
@@ -35,12 +37,13 @@
     """What the server does with one request.
 
     With `executes`, it runs the request before the first step. With `closes`,
-    it closes the connection after the last one.
+    it closes the connection after the last one, with `resets` it resets it.
     """
 
     steps: t.Tuple[Step, ...]
     executes: bool = True
     closes: bool = False
+    resets: bool = False
 
 
 class ScriptedServer:
@@ -124,9 +127,19 @@
             data = text.encode()[step.start : step.stop]
             await _write(writer, data, step)
             await asyncio.sleep(step.pause_seconds)
+        if script.resets:
+            _reset(writer)
         return script.closes
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    # With a linger time of 0, closing the socket sends a reset.
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
 async def _write(
     writer: asyncio.StreamWriter, data: bytes, step: Step
 ) -> None:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -76,7 +76,9 @@
             writer.close()
 
 
-class CallTest(unittest.IsolatedAsyncioTestCase):
+class CallCase(unittest.IsolatedAsyncioTestCase):
+    """Test case with a gateway and one server of a plain service."""
+
     async def asyncSetUp(self):
         self.bench = gateway_fakes.Bench(["a"])
         self.service = FakeService()
@@ -103,6 +105,8 @@
                 return response.status, json.loads(text)["error"], executed
             return response.status, text, executed
 
+
+class CallTest(CallCase):
     async def test_closed_connection_returns_what_was_executed(self):
         """Guards against a false "no", and against a second execution."""
         refusal = b"HTTP/1.1 503 No\r\nSesamefold-Executed: no\r\n"
