--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -207,9 +207,9 @@
         while True:
             chunk = await self._read_chunk()
             previous_id = self.buffer.last_event_id
-            whole_events = self._feed(chunk)
-            if not chunk and self.buffer.partial:
-                raise exceptions.ReplyBroken("the stream ends within an event")
+            whole_events = self._feed(chunk) or (
+                b"" if chunk else self.buffer.finish()
+            )
             if not chunk or self.buffer.last_event_id != previous_id:
                 await self._cancel_successor()
             if whole_events or not chunk:
--- a/src/sesamefold/entry/events.py
+++ b/src/sesamefold/entry/events.py
@@ -28,10 +28,15 @@
         self._partial = b""
         self.last_event_id: t.Optional[str] = None
 
-    @property
-    def partial(self) -> bytes:
-        """Return the bytes received after the last whole event."""
-        return self._partial
+    def finish(self) -> bytes:
+        """Return blank lines behind the last event, at the stream's end.
+
+        Raises `exceptions.ReplyBroken` if the stream ends within an event.
+        """
+        if self._partial.strip(b"\r\n"):
+            raise exceptions.ReplyBroken("the stream ends within an event")
+        rest, self._partial = self._partial, b""
+        return rest
 
     def feed(self, data: bytes) -> bytes:
         """Add a chunk and return the events that it completes, else b"".
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -175,6 +175,7 @@
             ("at once", [STREAM + WHOLE]),
             ("by event", [STREAM, *EVENTS]),
             ("in pieces", [STREAM + WHOLE[:5], WHOLE[5:20], WHOLE[20:]]),
+            ("a further blank line", [f"{STREAM}{WHOLE}\n"]),
             ("returns", [STREAM + WHOLE.replace("\n", "\r\n")]),
         ):
             for path in ("/stream/", "/resumable/"):
