--- a/tests/test_entry_crashing_requests.py
+++ b/tests/test_entry_crashing_requests.py
@@ -272,6 +272,49 @@
         await crashing
 
 
+class NewHostTest(PartCase):
+    """A host that starts while a part crashes servers."""
+
+    async def test_host_that_has_just_started_refuses_the_part(self) -> None:
+        """Guards against crashes by way of hosts that know of none yet."""
+
+        async def start_host() -> None:
+            await asyncio.sleep(8.0)
+            await self.start_host()
+
+        starting = asyncio.create_task(start_host())
+        await self.check_part("deadly", interval=0.15)
+        await starting
+
+
+class LostMessagesTest(PartCase):
+    """The hosts do not hear of each other."""
+
+    async def test_host_out_of_touch_finds_the_part_itself(self) -> None:
+        """Guards against a host that sends on what it cannot ask others."""
+        for host in self.hosts:
+            host.suspicion_exchange.peers = entry_fakes.FakePeers("", [])
+        for server in self.servers:
+            server.engine.deadly_parts.add("deadly")
+        statuses = []
+
+        async def send() -> None:
+            number = next(self.numbers)
+            statuses.append(
+                await self.send(
+                    ["first", f"subject{number % 7}", "deadly"],
+                    host=self.hosts[0],
+                )
+            )
+
+        await asyncio.gather(
+            self.send_sound_repeatedly(8.0),
+            self.send_repeatedly(8.0, 0.3, send),
+        )
+        self.check_arrivals(self.list_arrivals("deadly"))
+        self.assertEqual([503] * 3, [status for status, _ in statuses[-3:]])
+
+
 class SilentStoreTest(PartCase):
     """The platform's store does not answer while a part crashes servers."""
 
