Let hosts vouch for parts whose requests ended well there before

A host knew only its own answers, so that one that had just started, or that seldom saw a part, could hold three crashes against a part that the others had long served. A host that hears of a suspicion against such a part now says so, and the part counts as known on all hosts: more crashes are needed, and parts with which no request ever ended well explain crashes first. A refusal names all parts that cannot be told apart, and keeps all of them from expiring.

test_part_that_another_host_knows_as_sound_is_not_refused failed before.

--- a/src/sesamefold/culprits.py
+++ b/src/sesamefold/culprits.py
@@ -27,7 +27,7 @@
 PART_CRASHES = 3
 # The same for a part with which requests ended well before: while no server
 # answers, the parts that all prompts share are at each crash.
-SOUND_PART_CRASHES = defaults.QUARANTINE_CRASHES
+SOUND_PART_CRASHES = 8
 # Customers whose requests were at the crashes of a part, from which requests
 # of all customers with it are refused. With fewer, only those of customers
 # that have enough crashes themselves are, so that no customer can have the
@@ -54,6 +54,8 @@
 REQUEST_DIGEST_BYTES = 16
 PART_DIGEST_BYTES = 17
 _SHORT_BYTES = 8
+# Id of a crash of which a part is cleared by a host that knows it as sound.
+_SOUND_ID = b"sound".ljust(_SHORT_BYTES, b"\0")
 _NEVER = float("-inf")
 
 
@@ -106,13 +108,13 @@
 class Judgement:
     """The verdict on a request, and the crashes that it rests on.
 
-    `subject` is the digest of the request or the part that is believed to
-    crash servers, and `retry_seconds` the time until one such request is tried
-    again.
+    `subjects` are the digests of the request, or of the parts one of which is
+    believed to crash servers, and `retry_seconds` is the time until one such
+    request is tried again.
     """
 
     verdict: Verdict = Verdict.RUN
-    subject: bytes = b""
+    subjects: t.FrozenSet[bytes] = frozenset()
     is_part: bool = False
     crashes: int = 0
     customers: int = 0
@@ -221,7 +223,7 @@
         self, crash_id: bytes, fingerprint: Fingerprint
     ) -> t.List[control_pb2.Suspicion]:
         """Count a crash against the parts of a request; return the changes."""
-        return [
+        changes = [
             self.store.add_crash(
                 part,
                 crash_id,
@@ -230,6 +232,31 @@
             )
             for part in fingerprint.parts
         ]
+        return changes + self._vouch(fingerprint.parts)
+
+    def merge(
+        self, changes: t.Collection[control_pb2.Suspicion]
+    ) -> t.List[control_pb2.Suspicion]:
+        """Merge changes of another host; return what it has to know."""
+        self.store.merge(changes)
+        return self._vouch(change.request for change in changes)
+
+    def _vouch(
+        self, subjects: t.Iterable[bytes]
+    ) -> t.List[control_pb2.Suspicion]:
+        """Let other hosts know which subjects ended well here before."""
+        return [
+            self.store.clear_crashes(subject, [_SOUND_ID])
+            for subject in subjects
+            if self._get_sound_at(subject) != _NEVER
+            and not self.store.has_cleared_crash(subject)
+        ]
+
+    def _get_sound_at(self, subject: bytes) -> float:
+        """Return when a request with a subject last ended well here."""
+        sound_at = self._sound.get(subject, _NEVER)
+        expired = self.read_time() - sound_at > defaults.QUARANTINE_SECONDS
+        return _NEVER if expired else sound_at
 
     def record_success(
         self, fingerprint: Fingerprint
@@ -294,7 +321,9 @@
             culprit = self._culprits.get(subject)
             if culprit is None:
                 if subject in self._suspects:
-                    suspect = suspect or Judgement(Verdict.SUSPECT, subject)
+                    suspect = suspect or Judgement(
+                        Verdict.SUSPECT, frozenset([subject])
+                    )
                 continue
             if culprit.alternatives <= subjects and culprit.concerns(
                 fingerprint.customer
@@ -302,7 +331,7 @@
                 refusal = self._refuse(subject, culprit)
                 if refusal.retry_seconds > 0.0:
                     return refusal
-            suspect = Judgement(Verdict.SUSPECT, subject)
+            suspect = Judgement(Verdict.SUSPECT, culprit.alternatives)
         return suspect or _RUN
 
     def record_run(self, fingerprint: Fingerprint) -> None:
@@ -312,13 +341,15 @@
             crashes, _ = self._resting[subject]
             self._resting[subject] = (crashes, self.read_time())
 
-    def record_refusal(self, subject: bytes) -> t.List[control_pb2.Suspicion]:
+    def record_refusal(
+        self, judgement: Judgement
+    ) -> t.List[control_pb2.Suspicion]:
         """Keep what is known of a culprit whose requests still arrive.
 
         Returns the changes.
         """
-        change = self.store.renew(subject)
-        return [change] if change else []
+        changes = map(self.store.renew, judgement.subjects)
+        return [change for change in changes if change is not None]
 
     def _refuse(self, subject: bytes, culprit: _Culprit) -> Judgement:
         crashes = len(culprit.candidate.crashes)
@@ -334,7 +365,7 @@
         hold += self.get_rank(subject) * TRIAL_STAGGER_SECONDS
         return Judgement(
             Verdict.REFUSE,
-            subject,
+            culprit.alternatives,
             culprit.candidate.is_part,
             crashes,
             customers,
@@ -372,11 +403,9 @@
             if len(crashes) < 2:
                 continue
             is_part = len(subject) == PART_DIGEST_BYTES
-            sound_at = self._sound.get(subject, _NEVER)
+            sound_at = self._get_sound_at(subject)
             if sound_at == _NEVER and self.store.has_cleared_crash(subject):
                 sound_at = now - defaults.QUARANTINE_SECONDS
-            elif now - sound_at > defaults.QUARANTINE_SECONDS:
-                sound_at = _NEVER
             yield _Candidate(subject, is_part, sound_at, crashes)
 
     def _accept(
--- a/src/sesamefold/entry/quarantine.py
+++ b/src/sesamefold/entry/quarantine.py
@@ -97,14 +97,15 @@
         call.suspect = judgement.verdict is culprits_module.Verdict.SUSPECT
         if judgement.verdict is not culprits_module.Verdict.REFUSE:
             return
-        self.exchange.announce(self.culprits.record_refusal(judgement.subject))
-        part = list_parts(call).get(judgement.subject)
+        self.exchange.announce(self.culprits.record_refusal(judgement))
+        parts = list_parts(call)
         self.log.write(
             "suspect_refused",
             request=call.request_id,
             customer=call.customer and call.customer.name,
-            part=part,
-            subject=judgement.subject.hex(),
+            parts=sorted(parts[s] for s in judgement.subjects & parts.keys())
+            or None,
+            subjects=sorted(s.hex() for s in judgement.subjects),
             crashes=judgement.crashes,
             customers=judgement.customers or None,
             retry=round(judgement.retry_seconds, 1),
--- a/src/sesamefold/entry/suspicion_exchange.py
+++ b/src/sesamefold/entry/suspicion_exchange.py
@@ -208,11 +208,12 @@
             raise ValueError("the message is too long")
         changes = [self._decode(row) for row in rows]
         notices = [_decode_crash_notice(row) for row in crashes]
-        news = [
-            change.request
-            for change in changes
-            if self.culprits.store.merge([change])
-        ]
+        news = []
+        for change in changes:
+            revision = self.culprits.store.revision
+            self.announce(self.culprits.merge([change]))
+            if self.culprits.store.revision != revision:
+                news.append(change.request)
         new_crashes = [
             crash for crash in notices if self.crashes.record_notice(crash)
         ]
--- a/src/sesamefold/quarantine.py
+++ b/src/sesamefold/quarantine.py
@@ -126,7 +126,9 @@
 
     def merge(self, changes: t.Iterable[control_pb2.Suspicion]) -> None:
         """Merge the changes of suspicions that other gateways made."""
-        self._suspicions.merge(changes)
+        vouchers = self._culprits.merge(list(changes))
+        if vouchers:
+            self.report_changes(vouchers)
 
     def list_suspicions(self) -> t.List[control_pb2.Suspicion]:
         """Return all suspicions, to resend to a control that may lack some."""
@@ -139,7 +141,7 @@
         judgement = self._judge(identity, parts)
         if judgement.verdict is not culprits_module.Verdict.REFUSE:
             return
-        if changes := self._culprits.record_refusal(judgement.subject):
+        if changes := self._culprits.record_refusal(judgement):
             self.report_changes(changes)
         subject = (
             "a part of the prompt" if judgement.is_part else "the request"
@@ -160,7 +162,7 @@
         judgement = self._judge(identity, parts)
         return (
             judgement.verdict is culprits_module.Verdict.RUN
-            or judgement.subject not in parts
+            or judgement.subjects.isdisjoint(parts)
         )
 
     def _judge(
--- a/tests/test_culprits.py
+++ b/tests/test_culprits.py
@@ -86,7 +86,7 @@
         for _ in range(4):
             self.crash(self.make("FP"))
         judgement = self.host.judge(self.make("FP"))
-        self.assertEqual(make_part("P"), judgement.subject)
+        self.assertEqual({make_part("P")}, judgement.subjects)
         self.assertTrue(judgement.is_part)
         self.assertEqual((4, 1), (judgement.crashes, judgement.customers))
         self.assertGreater(judgement.retry_seconds, 100.0)
@@ -209,7 +209,7 @@
             fingerprint = self.make("P")
             judgement = self.host.judge(fingerprint)
             if judgement.verdict is REFUSE:
-                self.host.record_refusal(judgement.subject)
+                self.host.record_refusal(judgement)
             else:
                 times.append(self.clock.now)
                 self.host.record_run(fingerprint)
@@ -240,6 +240,28 @@
         self.assertEqual(REFUSE, self.judge("FP"))
         self.assertEqual(RUN, self.judge("F"))
 
+    def test_part_that_another_host_knows_as_sound_is_not_refused(
+        self,
+    ) -> None:
+        """Guards against a host that has just started and knows no part."""
+        other = self.make_host()
+        other.record_success(self.make("S"))
+        for _ in range(4):
+            self.crash(self.make("S"))
+            self.host.merge(other.merge(self.host.store.list_changes()))
+        self.assertEqual(RUN, self.judge("S"))
+
+    def test_part_that_turns_deadly_is_refused_in_the_end(self) -> None:
+        """Guards against a part that is trusted for ever."""
+        for _ in range(3):
+            self.end_well("FP")
+        for _ in range(culprits_module.SOUND_PART_CRASHES):
+            self.assertEqual(RUN, self.judge("FP"))
+            self.crash(self.make("FP"))
+            self.end_well("F")
+        self.assertEqual(REFUSE, self.judge("FP"))
+        self.assertEqual(RUN, self.judge("F"))
+
     def test_late_report_of_a_cleared_crash_does_not_count(self) -> None:
         """Guards against messages that arrive after the answer."""
         late = self.make_host()
