--- a/src/sesamefold/culprits.py
+++ b/src/sesamefold/culprits.py
@@ -123,7 +123,7 @@
 _RUN = Judgement()
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class _Candidate:
     """A subject with the crashes that count against it.
 
@@ -155,7 +155,7 @@
         return len(requests), len(requests.get(customer, ()))
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class _Culprit:
     """A subject that is believed to crash servers.
 
@@ -175,7 +175,7 @@
         return customers >= CUSTOMERS_FOR_ALL or requests >= self.limit
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Culprits:
     """Finds the causes of crashes and says which requests to refuse.
 
--- a/src/sesamefold/entry/crash_detection.py
+++ b/src/sesamefold/entry/crash_detection.py
@@ -44,7 +44,7 @@
 Listener = t.Callable[[Crash, t.Sequence[requests.Call]], None]
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class _Loss:
     """A call whose connection was lost at `at`, of a request sent before."""
 
@@ -53,7 +53,7 @@
     at: float
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Incarnation:
     """Crashes and lost connections of one incarnation of a server."""
 
@@ -62,7 +62,7 @@
     losses: t.List[_Loss] = attrs.field(factory=list)
 
 
-@attrs.define
+@attrs.define(eq=False)
 class CrashDetector:
     """Finds out which requests were in flight when their server crashed.
 
--- a/src/sesamefold/entry/quarantine.py
+++ b/src/sesamefold/entry/quarantine.py
@@ -68,7 +68,7 @@
     )
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Quarantine:
     """Decides which calls this host refuses because of crashes.
 
--- a/src/sesamefold/entry/suspicion_exchange.py
+++ b/src/sesamefold/entry/suspicion_exchange.py
@@ -36,7 +36,7 @@
 _SHORT_BYTES = 8
 
 
-@attrs.define
+@attrs.define(eq=False)
 class SuspicionExchange:
     """Sends the crashes and suspicions of this host to the other hosts.
 
@@ -91,9 +91,13 @@
             self.send_due()
             if self.read_time() >= gossip_at:
                 gossip_at = self.read_time() + GOSSIP_INTERVAL_SECONDS
+                self.culprits.store.drop_expired()
                 self.send_culprits()
 
-    def _get_wait_seconds(self, gossip_at: float) -> float:
+    def _get_wait_seconds(self, gossip_at: float) -> t.Optional[float]:
+        """Return the seconds until something is due, None if nothing is."""
+        if not self._due and not self.culprits.has_suspects():
+            return None
         times = itertools.chain([gossip_at], *self._due.values())
         return max(0.0, min(times) - self.read_time())
 
@@ -219,6 +223,8 @@
         ]
         if self._is_relay():
             self._enqueue([*news, *new_crashes])
+        # Wakes `run`, which waits for a change while nothing is suspected.
+        self._changed.set()
 
     def _decode(self, row: t.Any) -> suspicions.Suspicion:
         subject, crashes = row
--- a/src/sesamefold/suspicions.py
+++ b/src/sesamefold/suspicions.py
@@ -72,7 +72,7 @@
     crash: t.Callable[..., t.Any] = CrashMessage
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Crash:
     """A crash that counts against a subject until it is cleared.
 
@@ -87,7 +87,7 @@
     customer: bytes = b""
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Record:
     crashes: t.Dict[bytes, Crash] = attrs.field(factory=dict)
     change_number: int = 0  # of the latest change of this record
@@ -285,6 +285,10 @@
             self._records.move_to_end(change.request)
         return changed
 
+    def drop_expired(self) -> None:
+        """Drop subjects none of whose crashes counts any more."""
+        self._evict_records(self._clock())
+
     def _evict_records(self, now: float) -> None:
         # Records are ordered by their latest change, oldest first.
         while self._records:
--- a/tests/test_culprits.py
+++ b/tests/test_culprits.py
@@ -307,3 +307,5 @@
             self.crash(self.make("P"))
         self.clock.now += 601.0
         self.assertEqual(RUN, self.judge("P"))
+        self.host.store.drop_expired()
+        self.assertFalse(self.host.has_suspects())
