Let soak, fuzz and stand-ins play deadly parts and unframed answers

The soak sends prompts with a part that crashes each server which begins to answer them, and checks how many of them reach servers after the fifth crash. Engine stand-ins send answers with neither a length nor chunks, whole and reset; so does the fuzz of kept connections.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -65,8 +65,9 @@
     "reset" (executed, connection reset without a response), "fail" (executed,
     status 500), "foreign" (the request ID of another request in the
     response), "unsealed" (no response seal), "cut" (a stream reset after its
-    first event), "cut-unframed" (a body without a length, reset before its
-    end), "late" (responds after a second), or "" for none.
+    first event), "unframed" (a body with neither a length nor chunks, which
+    the close of the connection ends), "cut-unframed" (the same, reset before
+    its end), "late" (responds after a second), or "" for none.
 
     A plain request takes `work_seconds` and is answered with `answer`. It ends
     with status 504 at the deadline that it names, if that is earlier.
@@ -204,6 +205,7 @@
         if self._is_deadly(run):
             await self._sleep_unless_cancelled(self.event_seconds)
             self.on_crash()
+            self._reset_connection(request)
         if fault == "late":
             await self._sleep_unless_cancelled(1.0)
         if fault == "reset":
@@ -218,6 +220,8 @@
             headers["Sesamefold-Response-Seal"] = RESPONSE_SEAL
         if fault == "fail":
             return web.Response(status=500, headers=headers, body=b"failed")
+        if fault in ("unframed", "cut-unframed"):
+            return await self._send_unframed(request, headers, fault)
         if (
             "Sesamefold-Model" in request.headers
             and self.simulator is not None
@@ -232,8 +236,6 @@
                 return _make_refusal(request, 503)
         if "Sesamefold-Model" in request.headers:
             return await self._stream_fixed_events(request, headers, fault)
-        if fault == "cut-unframed":
-            return await self._send_truncated_body(request, headers)
         left = float(request.headers["Sesamefold-Deadline-Ms"]) / 1000.0
         await self._sleep_unless_cancelled(min(self.work_seconds, left))
         if left < self.work_seconds:
@@ -373,18 +375,30 @@
         await simulator.load_weights(model, version)
         self.weights[model] = version
 
-    async def _send_truncated_body(
-        self, request: web.BaseRequest, headers: t.Dict[str, str]
-    ) -> web.StreamResponse:
-        assert request.transport is not None
+    async def _send_unframed(
+        self, request: web.BaseRequest, headers: t.Dict[str, str], fault: str
+    ) -> t.NoReturn:
+        """Send a body that its connection ends, or a part of one."""
+        pieces = [self.answer[:3], self.answer[3:]]
+        if "Sesamefold-Model" in request.headers:
+            headers["Content-Type"] = "text/event-stream"
+            first = int(request.headers.get("Last-Event-Id", "0")) + 1
+            pieces = [
+                f"id: {number}\ndata: x\n\n".encode()
+                for number in range(first, self.stream_events + 1)
+            ]
         lines = ["HTTP/1.1 200 OK", *(f"{k}: {v}" for k, v in headers.items())]
         head = "\r\n".join([*lines, "Connection: close", "", ""])
-        t.cast(asyncio.Transport, request.transport).write(
-            head.encode() + b"ans"
-        )
-        await asyncio.sleep(0.05)
-        self._reset_connection(request)
-        return web.Response()
+        connection = t.cast(asyncio.Transport, request.transport)
+        connection.write(head.encode())
+        for piece in pieces[:1] if fault == "cut-unframed" else pieces:
+            connection.write(piece)
+            await self._sleep_unless_cancelled(self.event_seconds)
+        if fault == "cut-unframed":
+            await asyncio.sleep(0.05)
+            self._reset_connection(request)
+        connection.close()
+        raise asyncio.CancelledError()
 
     def _reset_connection(self, request: web.BaseRequest) -> t.NoReturn:
         """Reset the connection and cancel the handler."""
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -48,15 +48,7 @@
     def reset(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
-            connection = writer.get_extra_info("socket")
-            if connection is not None and connection.fileno() >= 0:
-                # Without lingering, a close sends a reset.
-                connection.setsockopt(
-                    socket.SOL_SOCKET,
-                    socket.SO_LINGER,
-                    struct.pack("ii", 1, 0),
-                )
-            writer.transport.abort()
+            _reset(writer)
 
     def heal(self) -> None:
         """Pass everything on again."""
@@ -105,4 +97,14 @@
                 writer.write_eof()
             return
         # One end was reset, so the other is as well.
-        writer.transport.abort()
+        _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        # Without lingering, a close sends a reset.
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    writer.transport.abort()
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -129,7 +129,7 @@
             await asyncio.sleep(step.pause_seconds)
         if script.resets:
             _reset(writer)
-        return script.closes
+        return script.closes or script.resets
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
--- a/tests/test_exchange_fuzz.py
+++ b/tests/test_exchange_fuzz.py
@@ -101,6 +101,21 @@
         )
     ),
 )
+# Only the connection ends such an answer: a close as whole, a reset does not.
+UNFRAMED = ANSWER.replace("Content-Length: 13\r\n", "")
+UNFRAMED_SCRIPTS = strategies.one_of(
+    PACES.map(
+        lambda pace: scripted_server.Script(
+            (make_step(UNFRAMED, (None, None), pace),), closes=True
+        )
+    ),
+    strategies.integers(1, len(UNFRAMED) - 1).map(
+        lambda size: scripted_server.Script(
+            (scripted_server.Step(UNFRAMED, stop=size, pause_seconds=0.01),),
+            resets=True,
+        )
+    ),
+)
 SOUND_SCRIPTS = strategies.sampled_from(
     (
         test_exchanges.script(ANSWER),
@@ -123,7 +138,9 @@
         @SETTINGS
         @hypothesis.given(
             strategies.lists(
-                strategies.one_of(RUN_SCRIPTS, SOUND_SCRIPTS),
+                strategies.one_of(
+                    RUN_SCRIPTS, UNFRAMED_SCRIPTS, SOUND_SCRIPTS
+                ),
                 min_size=2,
                 max_size=6,
             )
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,7 +8,8 @@
 refuse requests, break off responses, restart, announce that they leave, ask
 for a rest, ignore orders, or fall silent and go on; revoked API keys; grown
 configurations; new target versions of the weights; a store of context that
-restarts or whose connections are disrupted.
+restarts or whose connections are disrupted; prompts with a part that crashes
+each server which begins to answer them.
 Prints one JSON line for each seed, and exits with status 1 if an invariant
 was violated.
 
@@ -19,6 +20,7 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import itertools
 import json
 import logging
@@ -73,6 +75,10 @@
 # Share of faults beside which servers fall silent, and the times of silence.
 SILENCE_SHARE = 0.3
 SILENCE_SECONDS = (0.4, 2.5)
+# Share of the prompts that have the deadly part while there are any, and for
+# how long there are, seconds.
+DEADLY_SHARE = 0.06
+DEADLY_SECONDS = 8.0
 # Routes by which a configuration may grow.
 ADDED_ROUTES = 900
 ENGINE_FAULTS = (
@@ -83,6 +89,8 @@
     "foreign",
     "unsealed",
     "cut",
+    "unframed",
+    "cut-unframed",
     "late",
 )
 
@@ -119,6 +127,7 @@
         self._superseded_at: t.Dict[int, float] = {}
         self._second_key_revoked_at = float("inf")
         self._started_instances = 0
+        self._deadly_until = 0.0
         self._disruptions: t.Dict[str, t.List[soak_invariants.Disruption]] = (
             collections.defaultdict(list)
         )
@@ -184,6 +193,8 @@
                     self.context_store_link.address: self.context_store
                 },
                 isolated_customers=(ISOLATED_CUSTOMER,),
+                stream_events=soak_invariants.STREAM_EVENTS,
+                deadly_parts={soak_invariants.DEADLY_PART},
             )
             simulation = asyncio.create_task(engine.simulator.run())
             self._stack.callback(simulation.cancel)
@@ -193,6 +204,7 @@
             link = proxy.Proxy(target)
             await link.start(self._stack)
             self.engines.append((engine, link))
+            engine.on_crash = functools.partial(self._crash, engine, link)
             self._start_instance(engine, link)
         folder = self._stack.enter_context(tempfile.TemporaryDirectory())
         self.session = await self._stack.enter_async_context(
@@ -365,13 +377,19 @@
         }
         if kind in ("/stream/", "/resumable/"):
             session = self._random.randrange(20)
+            parts = ["a:50", f"{session:x}:{SHARED_TOKENS}"]
+            if (
+                time.monotonic() < self._deadly_until
+                and self._random.random() < DEADLY_SHARE
+            ):
+                parts.append(f"{soak_invariants.DEADLY_PART}:1")
             headers |= {
                 "Sesamefold-Model": platform_fixtures.MODEL,
                 "Sesamefold-Token-Usage": (
                     f"{100 + SHARED_TOKENS},{soak_invariants.STREAM_EVENTS}"
                 ),
-                "Sesamefold-Prompt-Prefix": (
-                    f"a:50,{session:x}:{SHARED_TOKENS},c:50"
+                "Sesamefold-Prompt-Prefix": ",".join(
+                    [*parts, f"{request_id}:50"]
                 ),
             }
         try:
@@ -415,6 +433,7 @@
                 self._change_keys,
                 self._change_target_version,
                 self._disrupt_context_store,
+                self._send_deadly_part,
             )
         )
         series = self._random.random() < SERIES_SHARE
@@ -505,6 +524,17 @@
         link.reset()
         self._start_instance(engine, link)
 
+    def _crash(
+        self, engine: platform_engine.PlatformEngine, link: proxy.Proxy
+    ) -> None:
+        """Restart a server that a request has crashed."""
+        link.reset()
+        self._start_instance(engine, link)
+
+    async def _send_deadly_part(self, seconds: float) -> None:
+        """Let some of the prompts have a part that crashes servers."""
+        self._deadly_until = time.monotonic() + DEADLY_SECONDS
+
     async def _end_engine(self, seconds: float) -> None:
         """Let a server announce that it leaves, and later replace it."""
         engine, link = self._random.choice(self.engines)
@@ -623,6 +653,11 @@
                         self._disruptions[link.address],
                     )
                 )
+        self.violations += soak_invariants.find_excess_crashes(
+            itertools.chain.from_iterable(e.runs for e, _ in self.engines),
+            self._sent_requests,
+            self._disruptions,
+        )
         self.violations += soak_invariants.find_notice_violations(
             [a for engine, _ in self.engines for a in engine.arrivals],
             self._sent_requests,
--- a/tools/soak_invariants.py
+++ b/tools/soak_invariants.py
@@ -29,10 +29,17 @@
 # are on their way may arrive, and the most that may arrive later in the rest.
 IN_FLIGHT_SECONDS = 0.5
 MAX_RESTING_ARRIVALS = 2
+# Part of prompts that crashes each server which begins to answer it. Crashes
+# by it after which, and time after the last of these from which, few requests
+# with it may reach servers, and how many.
+DEADLY_PART = "dead"
+DEADLY_CRASHES = 5
+CONTACT_SECONDS = 4.0
+MAX_DEADLY_ARRIVALS = 3
 # Tolerance of the caller's measurement of a request's end.
 DEADLINE_TOLERANCE_SECONDS = 0.1
 # Faults that leave a server's response whole.
-SOUND_FAULTS = ("", "late")
+SOUND_FAULTS = ("", "late", "unframed")
 # Statuses of responses that only a server can have made.
 SERVER_STATUSES = (200, 500)
 # Statuses that guarantee that a request was not and will not be executed.
@@ -285,3 +292,38 @@
                 f"{run.request_id} began on version {run.weight_version}, "
                 f"{age:.1f} s after the next one was named"
             )
+
+
+def find_excess_crashes(
+    runs: t.Iterable[platform_engine.Run],
+    requests: t.Mapping[str, SentRequest],
+    disruptions: t.Mapping[str, t.Sequence[Disruption]],
+) -> t.Iterator[str]:
+    """Yield a description of too many runs with the deadly part.
+
+    Runs that hosts sent which were paused or restarted in `CONTACT_SECONDS`
+    before do not count; `disruptions` are those of the hosts.
+    """
+    deadly = sorted(
+        (
+            run
+            for run in runs
+            if DEADLY_PART in run.headers.get("Sesamefold-Prompt-Prefix", "")
+        ),
+        key=lambda run: run.began_at,
+    )
+    if len(deadly) < DEADLY_CRASHES:
+        return
+    since = deadly[DEADLY_CRASHES - 1].began_at + CONTACT_SECONDS
+    late = [
+        run.request_id
+        for run in deadly
+        if run.began_at > since
+        and not _is_disrupted(
+            disruptions.get(requests[run.request_id].host, ()),
+            run.began_at - CONTACT_SECONDS,
+            run.began_at,
+        )
+    ]
+    if len(late) > MAX_DEADLY_ARRIVALS:
+        yield f"{late} reached servers with a part that crashes them"
