--- a/tests/test_entry_quarantine.py
+++ b/tests/test_entry_quarantine.py
@@ -118,6 +118,15 @@
         self.assertEqual(502, status)
         self.assertEqual(1, len(self.list_runs()))
 
+    async def test_other_servers_are_preferred_to_one_said_to_have_crashed(
+        self,
+    ) -> None:
+        """Guards against first attempts that each host loses by itself."""
+        self.host.crashes.record_notice(crash_detection.Crash("i-0", 1))
+        for number in range(8):
+            await self.send("aa:400,x:1", request_id=f"r-{number}")
+        self.assertEqual([0, 8], [len(engine.runs) for engine in self.engines])
+
     async def test_answer_that_ends_well_clears_its_parts(self) -> None:
         for _ in range(2):
             self.crash("aa:400,good:300")
