--- a/src/sesamefold/entry/events.py
+++ b/src/sesamefold/entry/events.py
@@ -28,6 +28,11 @@
         self._partial = b""
         self.last_event_id: t.Optional[str] = None
 
+    @property
+    def partial(self) -> bytes:
+        """Return the bytes received after the last whole event."""
+        return self._partial
+
     def finish(self) -> bytes:
         """Return blank lines behind the last event, at the stream's end.
 
