Refuse no part before some request has ended well

While no server answers, a part that all prompts share is at each crash, and hosts that have just started have never seen it end well. After three crashes of other causes, all requests with it were refused, for 30 s or more, and no answer could clear it. Three crashes now condemn a part only if another request with a prompt has ended well since the first of them, on any host; until then eight are needed.

test_nothing_is_refused_while_no_request_ends_well failed before.

--- a/src/sesamefold/culprits.py
+++ b/src/sesamefold/culprits.py
@@ -24,8 +24,9 @@
 # requests, after which requests with it are refused. The requests that one
 # crash ends are sent again, so that one request can be at several crashes.
 PART_CRASHES = 3
-# The same for a part with which requests ended well before: while no server
-# answers, the parts that all prompts share are at each crash.
+# The same for a part with which requests ended well before, and for any part
+# while no request with a prompt has ended well since its first crash: as long
+# as no server answers, the parts that all prompts share are at each crash.
 SOUND_PART_CRASHES = 8
 # Customers whose requests were at the crashes of a part, from which requests
 # of all customers with it are refused. With fewer, only those of customers
@@ -201,8 +202,12 @@
     _sound: "collections.OrderedDict[bytes, float]" = attrs.field(
         factory=collections.OrderedDict
     )
+    # When a request with a prompt last ended well, here or on another host.
+    last_success_at: float = _NEVER
     _revision: int = -1
     _found_at: float = _NEVER
+    # Whether a part is no culprit only because no request has ended well.
+    _lacks_success: bool = False
     _culprits: t.Dict[bytes, _Culprit] = attrs.field(factory=dict)
     _suspects: t.Set[bytes] = attrs.field(factory=set)
     # Number of crashes of each culprit, and since when it has not been run.
@@ -275,6 +280,8 @@
         Suffices instead of `record_success` while `has_suspects` is false.
         """
         now = self.read_time()
+        if parts:
+            self.last_success_at = now
         for part in parts:
             self._sound[part] = now
             self._sound.move_to_end(part)
@@ -374,8 +381,12 @@
     def _find(self) -> None:
         """Find the culprits, unless nothing has changed."""
         now = self.read_time()
-        if self._revision == self.store.revision and now - self._found_at < 1:
+        is_known = self._revision == self.store.revision and not (
+            self._lacks_success and self.last_success_at >= self._found_at
+        )
+        if is_known and now - self._found_at < 1:
             return
+        self._lacks_success = False
         self._revision, self._found_at = self.store.revision, now
         self._culprits = {}
         self._suspects = set()
@@ -435,6 +446,10 @@
     def _get_limit(self, candidate: _Candidate) -> int:
         if not candidate.is_part:
             return self.request_crashes
-        if candidate.sound_at == _NEVER:
+        first_at = min(crash.at for crash in candidate.crashes.values())
+        if candidate.sound_at != _NEVER:
+            return SOUND_PART_CRASHES
+        if self.last_success_at > first_at:
             return PART_CRASHES
+        self._lacks_success = True
         return SOUND_PART_CRASHES
--- a/src/sesamefold/entry/suspicion_exchange.py
+++ b/src/sesamefold/entry/suspicion_exchange.py
@@ -42,9 +42,11 @@
 
     Messages hold states, not events, and merging them is idempotent, so they
     may be lost, repeated and reordered. A message is a list of crashes,
-    `[server, started_at, number]`, and one of suspicions, `[subject, crashes]`
+    `[server, started_at, number]`, one of suspicions, `[subject, crashes]`
     with crashes of the form `[id, seconds, cleared, request, customer]`, where
-    `seconds` is how much longer one counts. Digests are in hexadecimal.
+    `seconds` is how much longer one counts, and the seconds since a request
+    with a prompt last ended well, null if none has. Digests are in
+    hexadecimal.
     """
 
     channel: datagrams.PeerChannel
@@ -184,10 +186,15 @@
                         for crash in crashes[start:end]
                     ],
                     rows[start:end],
+                    self._get_success_age(),
                 ],
                 receivers,
             )
 
+    def _get_success_age(self) -> t.Optional[float]:
+        age = self.read_time() - self.culprits.last_success_at
+        return round(age, 3) if math.isfinite(age) else None
+
     def _encode(self, change: suspicions.Suspicion) -> t.List[t.Any]:
         now = self.read_time()
         return [
@@ -207,11 +214,19 @@
     def _receive(
         self, host: str, address: datagrams.Address, body: t.Any
     ) -> None:
-        crashes, rows = body
+        crashes, rows, success_age = body
         if len(crashes) > MAX_CRASHES or len(rows) > MAX_SUSPICIONS:
             raise ValueError("the message is too long")
+        if success_age is None:
+            success_age = math.inf
+        elif not math.isfinite(success_age):
+            raise ValueError("the age is not finite")
         changes = [self._decode(row) for row in rows]
         notices = [_decode_crash_notice(row) for row in crashes]
+        self.culprits.last_success_at = max(
+            self.culprits.last_success_at,
+            self.read_time() - max(0.0, success_age),
+        )
         news = []
         for change in changes:
             revision = self.culprits.store.revision
--- a/src/sesamefold/suspicions.py
+++ b/src/sesamefold/suspicions.py
@@ -78,9 +78,11 @@
 
     `expires_at` is in seconds of the clock of the store. `request` and
     `customer` identify a request with the subject that was in flight;
-    `request` is empty if the subject is itself a request.
+    `request` is empty if the subject is itself a request. `at` is when the
+    crash happened, or became known if that is not known.
     """
 
+    at: float
     expires_at: float
     cleared: bool = False
     request: bytes = b""
@@ -261,7 +263,11 @@
             expires_at = min(crash.until, latest_expiry)
             if known is None:
                 record.crashes[crash.id] = Crash(
-                    expires_at, crash.cleared, crash.request, crash.customer
+                    min(now, expires_at - self._retention_seconds),
+                    expires_at,
+                    crash.cleared,
+                    crash.request,
+                    crash.customer,
                 )
                 changed = True
                 continue
--- a/tests/test_culprits.py
+++ b/tests/test_culprits.py
@@ -28,6 +28,7 @@
         """Make hosts that know of no crash."""
         self.clock = entry_fakes.FakeClock()
         self.rank = 0
+        self.others_end_well = True
         self.host = self.make_host()
         self.numbers = itertools.count()
 
@@ -59,6 +60,9 @@
         self.clock.now += 0.5
         crash_id = f"c{next(self.numbers)}".encode().ljust(8, b".")
         self.host.record_crash(crash_id, requests)
+        self.clock.now += 0.1
+        if self.others_end_well:
+            self.end_well("Z", "other")
 
     def end_well(self, parts: str, customer: str = "one") -> None:
         """Let a request with parts end well."""
@@ -106,6 +110,19 @@
         self.assertEqual(REFUSE, self.judge("FP"))
         self.assertEqual(RUN, self.judge("F"))
 
+    def test_nothing_is_refused_while_no_request_ends_well(self) -> None:
+        """Guards against a service that is shut out when it starts.
+
+        Its servers crash for other reasons before any has answered, so that
+        the part of all prompts is at each crash, and never ended well.
+        """
+        self.others_end_well = False
+        for _ in range(culprits_module.SOUND_PART_CRASHES - 1):
+            self.crash(self.make("F"), self.make("F"))
+            self.assertNotEqual(REFUSE, self.judge("F"))
+        self.end_well("F")
+        self.assertEqual(RUN, self.judge("F"))
+
     def test_one_request_that_is_sent_again_condemns_no_part(self) -> None:
         """Guards against a request whose own parts are at its crashes."""
         for _ in range(5):
@@ -237,6 +254,7 @@
             self.crash(self.make("FP"))
         old, self.host = self.host, self.make_host()
         self.host.store.merge(old.list_changes())
+        self.host.last_success_at = old.last_success_at
         self.assertEqual(REFUSE, self.judge("FP"))
         self.assertEqual(RUN, self.judge("F"))
 
--- a/tests/test_entry_quarantine.py
+++ b/tests/test_entry_quarantine.py
@@ -65,6 +65,7 @@
         self.host.quarantine._record_crash(
             crash_detection.Crash(f"i-9{self.crashes}", 1), [call]
         )
+        self.host.quarantine.culprits.record_sound_parts([b"another part"])
 
     def make_headers(self, parts: str) -> t.Dict[str, str]:
         """Return the headers of a prompt."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -394,6 +394,9 @@
             )
             quarantine.record_crash(run)
         for quarantine in (self.first, self.second):
+            await asyncio.sleep(0.1)
+            run = await self.start(quarantine, "r", "e9", parts=sound[1:])
+            quarantine.finish(run, completed=True)
             with self.assertRaises(exceptions.RequestQuarantined):
                 await self.start(quarantine, "new", "e9", parts=parts)
             run = await self.start(quarantine, "s", "e9", parts=sound)
