--- a/src/sesamefold/culprits.py
+++ b/src/sesamefold/culprits.py
@@ -184,7 +184,8 @@
     with which no request has ended well, and that was at most crashes,
     explains these crashes; they then count against no other subject. It is a
     culprit from `request_crashes` on if it is a request, and from
-    `PART_CRASHES` on if it is a part.
+    `PART_CRASHES` on if it is a part and some other request has ended well
+    since the first of them, on any host.
 
     A request that ends well clears all its subjects. Once a culprit was not
     run for some time, one request with it is tried, on the host for which
