Free cached context only when weights of its own model were replaced

Cause: a salt named the version of the weights, but not the model. The lowest of the versions named for any model decided what is outdated, so that version 2 of one model made version 1 of all models outdated that had no record of their own, while the permission to fetch was looked up for the right model. Parts of two models with equal ids and versions also had one name in a store.

Change: the salt names the model. Context is outdated when a newer version of its model was read FREE_DELAY_SECONDS ago; the catalog keeps that time for each version, so a newer naming, or a host that becomes the first follower, no longer begins the delay anew. Context under salts of earlier builds is not fetched any more and left to the store.

Evidence: on, test_new_weights_leave_context_of_other_models fails (the parts of another model are freed), as do the tests for equal names of parts, for a second naming and for a new first follower; all pass now.

--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -30,12 +30,14 @@
     """A target version of a model's weights.
 
     `superseded_at` is the earliest time at which it may have replaced older
-    versions, and `older_expire_at` the time from which no request may begin
-    on an older version, both in seconds of `clock.read_time`.
+    versions, `read_at` when this host read it, and `older_expire_at` the time
+    from which no request may begin on an older version, all in seconds of
+    `clock.read_time`.
     """
 
     version: int
     superseded_at: float
+    read_at: float
     older_expire_at: float
 
 
@@ -189,7 +191,10 @@
         history = self._target_history.setdefault(model, [])
         history.append(
             _TargetWeights(
-                version, self.confirmed_at, self._compute_older_expiry()
+                version,
+                self.confirmed_at,
+                self.read_time(),
+                self._compute_older_expiry(),
             )
         )
         del history[:-MAX_TARGET_HISTORY]
@@ -212,6 +217,15 @@
         target = self._find_successor(model, version)
         return target.superseded_at if target else float("inf")
 
+    def find_latest_supersession(self, model: str, version: int) -> float:
+        """Return the latest time at which a newer version may have been set.
+
+        This is when this host read the newer target version of `model`. It is
+        `inf` while it knows of none.
+        """
+        target = self._find_successor(model, version)
+        return target.read_at if target else float("inf")
+
     def find_weights_expiry(self, model: str, version: int) -> float:
         """Return the time from which no request may begin on a version.
 
--- a/src/sesamefold/entry/context_stores.py
+++ b/src/sesamefold/entry/context_stores.py
@@ -8,6 +8,7 @@
 import asyncio
 import itertools
 import typing as t
+import urllib.parse
 
 import attrs
 
@@ -62,25 +63,33 @@
 FOLLOWERS_PER_STORE = 4
 # Most parts that one call frees.
 MAX_PARTS_PER_FREE_CALL = 200
-_VERSION_SEPARATOR = "/"
+_SALT_SEPARATOR = "/"
 
 
-def make_salt(customer: t.Optional[topology.Customer], version: int) -> str:
-    """Return the salt: the namespace of the context of a weight version.
+def make_salt(
+    customer: t.Optional[topology.Customer], model: str, version: int
+) -> str:
+    """Return the salt: the namespace of the context of a model's weights.
 
     An isolated customer has a namespace of its own; all other customers share
-    one. Engines find context only under the salt that it was saved with.
+    one. Engines find context only under the salt that it was saved with, and
+    stores free it by salt and part alone. The salt therefore names the model:
+    parts and versions of different models may be equal.
+
+        make_salt(None, "org/model", 3) == "3/org%2Fmodel/"
     """
     owner = customer.name if customer and customer.isolated else ""
-    return f"{version}{_VERSION_SEPARATOR}{owner}"
+    name = urllib.parse.quote(model, safe="")
+    return _SALT_SEPARATOR.join((str(version), name, owner))
 
 
-def parse_version(salt: str) -> int:
-    """Return the weight version that a salt contains.
+def parse_salt(salt: str) -> t.Tuple[str, int]:
+    """Return the model and the weight version that a salt names.
 
-    Raises `ValueError` if the salt does not begin with a number.
+    Raises `ValueError` for a salt of another format.
     """
-    return int(salt.partition(_VERSION_SEPARATOR)[0])
+    version, name, _ = salt.split(_SALT_SEPARATOR, 2)
+    return urllib.parse.unquote(name), int(version)
 
 
 class Fleet(t.Protocol):
@@ -158,9 +167,6 @@
     _rankings: t.Dict[str, t.Tuple[t.Set[str], t.List[str]]] = attrs.field(
         factory=dict
     )
-    _version_seen_at: t.Dict[str, t.Tuple[int, float]] = attrs.field(
-        factory=dict
-    )
 
     def plan_context(
         self, call: requests.Call, server: topology.Server
@@ -174,7 +180,7 @@
         version = prompt and self._get_weight_version(prompt.model, server)
         if prompt is None or version is None:
             return None
-        salt = make_salt(call.customer, version)
+        salt = make_salt(call.customer, prompt.model, version)
         plan = requests.ContextPlan(salt, version)
         now = self.read_time()
         if self._may_fetch(prompt.model, version, now):
@@ -192,7 +198,7 @@
         now = self.read_time()
         if not self._may_fetch(prompt.model, version, now):
             return 0
-        salt = make_salt(call.customer, version)
+        salt = make_salt(call.customer, prompt.model, version)
         views = self._list_usable_views(call, server, now)
         return sum(
             part.tokens
@@ -452,14 +458,12 @@
         first_follower = self.rank_followers(view.store)[:1]
         if self.host not in first_follower or view.boot_epoch is None:
             return
-        oldest_kept = self._find_oldest_kept_version()
+        now = self.read_time()
+        salts = {salt for salt, _ in view.stored_parts}
+        outdated_salts = {s for s in salts if self._is_outdated(s, now)}
         outdated = list(
             itertools.islice(
-                (
-                    key
-                    for key in view.stored_parts
-                    if _is_older(key[0], oldest_kept)
-                ),
+                (k for k in view.stored_parts if k[0] in outdated_salts),
                 MAX_PARTS_PER_FREE_CALL,
             )
         )
@@ -469,25 +473,21 @@
                 "context_freed",
                 store=view.store.address,
                 parts=len(outdated),
-                before=oldest_kept,
+                salts=sorted({salt for salt, _ in outdated}),
             )
 
-    def _find_oldest_kept_version(self) -> int:
-        """Return the weight version below which all context may be freed.
+    def _is_outdated(self, salt: str, now: float) -> bool:
+        """Return whether no host lets engines fetch context of a salt.
 
-        A salt does not name the model, so this is the lowest of the versions
-        of all models; a version that became the target less than
-        `FREE_DELAY_SECONDS` ago counts as 0.
+        Only a newer version of the same model makes context outdated. Context
+        with a salt of another format is never outdated.
         """
-        now = self.read_time()
-        for model, version in self.catalog.target_weights.items():
-            if self._version_seen_at.get(model, (0, 0.0))[0] != version:
-                self._version_seen_at[model] = (version, now)
-        versions = [
-            version if now >= at + FREE_DELAY_SECONDS else 0
-            for version, at in self._version_seen_at.values()
-        ]
-        return min(versions, default=0)
+        try:
+            model, version = parse_salt(salt)
+        except ValueError:
+            return False
+        superseded_at = self.catalog.find_latest_supersession(model, version)
+        return now >= superseded_at + FREE_DELAY_SECONDS
 
 
 def _find_holder(
@@ -497,10 +497,3 @@
 ) -> t.Optional[store_views.StoreView]:
     """Return the view of the first store that holds a part, if any."""
     return next((v for v in views if (salt, part.id) in v.stored_parts), None)
-
-
-def _is_older(salt: str, version: int) -> bool:
-    try:
-        return parse_version(salt) < version
-    except ValueError:
-        return False
--- a/tests/test_entry_context_stores.py
+++ b/tests/test_entry_context_stores.py
@@ -69,7 +69,7 @@
         )
         self.view = store_views.StoreView(STORE)
         self.context_stores.views[STORE.address] = self.view
-        self.apply_parts(("1/", "aa", 400))
+        self.apply_parts(("1/m/", "aa", 400))
         self.clock.now += store_views.SAVE_DELAY_SECONDS
         self.apply_parts()
         self.catalog.confirm(self.clock.now)
@@ -89,12 +89,14 @@
         view = view or self.view
         view.apply_batch(batch, self.clock.now, self.clock.now)
 
-    def set_target_version(self, version: int) -> None:
-        """Apply a newer target version of the weights."""
-        change = changes.TargetWeightsChanged("m", version)
+    def set_target_version(self, version: int, model: str = "m") -> None:
+        """Apply a newer target version of a model's weights."""
+        change = changes.TargetWeightsChanged(model, version)
         self.catalog.apply_changes(changes.Batch((change,), version))
 
-    def make_plan(self, **customer: t.Any) -> requests.ContextPlan:
+    def make_plan(
+        self, model: str = "m", **customer: t.Any
+    ) -> requests.ContextPlan:
         """Return the plan for a prompt of three parts, the last not shared."""
         parts = tuple(
             requests.PromptPart(name, 400) for name in ("aa", "bb", "cc")
@@ -102,7 +104,7 @@
         head = requests.RequestHead(
             "r-1",
             requests.Headers(),
-            prompt=requests.Prompt("m", 1200, 80, parts),
+            prompt=requests.Prompt(model, 1200, 80, parts),
         )
         configuration = test_entry_catalog.make_configuration(1)
         now = clocks.read_time()
@@ -171,7 +173,7 @@
 
     def test_isolated_customer_shares_no_context(self) -> None:
         plan = self.make_plan(isolated=True)
-        self.assertEqual("1/c", plan.salt)
+        self.assertEqual("1/m/c", plan.salt)
         self.assertFalse(any(plan.fetches))
 
     def test_nothing_is_transferred_outside_permitted_regions(self) -> None:
@@ -179,7 +181,7 @@
         self.assertFalse(any(plan.fetches) or any(plan.saves))
 
     def test_nothing_is_saved_to_full_store(self) -> None:
-        self.apply_parts(("1/", "zz", 9_500))
+        self.apply_parts(("1/m/", "zz", 9_500))
         self.assertFalse(any(self.make_plan().saves))
 
     async def test_outdated_context_is_freed_only_after_free_delay(
@@ -192,7 +194,73 @@
         self.assertEqual([], self.store.freed)
         self.clock.now += 0.2
         await self.context_stores._free_outdated(self.view)
-        self.assertEqual([(1, (("1/", "aa"),))], self.store.freed)
+        self.assertEqual([(1, (("1/m/", "aa"),))], self.store.freed)
+
+    # Guards against context that is freed while engines fetch it: the versions
+    # of different models were compared with each other.
+    async def test_new_weights_leave_context_of_other_models(self) -> None:
+        self.apply_parts(("1/other/", "aa", 400), ("1/other/c", "bb", 400))
+        self.set_target_version(2)
+        for _ in range(2):
+            self.clock.now += context_stores.FREE_DELAY_SECONDS + 0.1
+            await self.context_stores._free_outdated(self.view)
+        freed = {part for _, parts in self.store.freed for part in parts}
+        self.assertEqual({("1/m/", "aa")}, freed)
+
+    # A model that is named for the first time, with others at higher versions.
+    async def test_new_weights_free_context_beside_other_models(self) -> None:
+        for model, version in (("first", 7), ("second", 3)):
+            self.set_target_version(version, model)
+        self.clock.now += context_stores.FREE_DELAY_SECONDS + 0.1
+        self.set_target_version(2)
+        self.apply_parts(
+            ("1/second/", "aa", 400),
+            ("3/second/", "bb", 400),
+            ("6/first/", "cc", 400),
+            ("7/first/", "dd", 400),
+        )
+        await self.context_stores._free_outdated(self.view)
+        expected = {("1/second/", "aa"), ("6/first/", "cc")}
+        self.assertEqual(expected, set(self.store.freed[-1][1]))
+        self.clock.now += context_stores.FREE_DELAY_SECONDS
+        await self.context_stores._free_outdated(self.view)
+        self.assertIn(("1/m/", "aa"), self.store.freed[-1][1])
+
+    async def test_a_newer_version_does_not_delay_freeing(self) -> None:
+        self.set_target_version(2)
+        self.clock.now += context_stores.FREE_DELAY_SECONDS - 0.1
+        self.set_target_version(3)
+        self.apply_parts(("2/m/", "bb", 400))
+        self.clock.now += 0.2
+        await self.context_stores._free_outdated(self.view)
+        self.assertEqual([(1, (("1/m/", "aa"),))], self.store.freed)
+
+    # A host that became the first to free a store has not looked before.
+    async def test_new_first_follower_frees_what_was_outdated_before(
+        self,
+    ) -> None:
+        self.set_target_version(2)
+        self.clock.now += context_stores.FREE_DELAY_SECONDS + 0.1
+        await self.context_stores._free_outdated(self.view)
+        self.assertEqual([(1, (("1/m/", "aa"),))], self.store.freed)
+
+    async def test_context_with_unknown_salt_is_not_freed(self) -> None:
+        self.apply_parts(("0/", "bb", 400), ("x/m/", "bb", 400))
+        self.set_target_version(2)
+        self.clock.now += context_stores.FREE_DELAY_SECONDS + 0.1
+        await self.context_stores._free_outdated(self.view)
+        self.assertEqual([(1, (("1/m/", "aa"),))], self.store.freed)
+
+    # Guards against a fetch of another model's part, and against frees by a
+    # name that two models share.
+    def test_parts_of_other_models_are_not_fetched(self) -> None:
+        self.server = entry_fakes.make_server(
+            "i-1", weights={"m": 1, "a/b": 1}
+        )
+        plan = self.make_plan("a/b")
+        self.assertFalse(any(plan.fetches))
+        self.assertNotEqual(self.make_plan().salt, plan.salt)
+        self.assertEqual(("a/b", 1), context_stores.parse_salt(plan.salt))
 
     async def test_fetches_for_old_weights_end_before_context_is_freed(
         self,
@@ -244,7 +312,7 @@
 
     def test_slow_store_is_not_used_until_backoff_ends(self) -> None:
         prompt = requests.Prompt("m", 1200, 80)
-        no_fetch = requests.ContextPlan("1/", 1)
+        no_fetch = requests.ContextPlan("1/m/", 1)
         for _ in range(40):
             self.context_stores.record_first_token(prompt, no_fetch, 0.1)
         for _ in range(40):
