Tell the progress of a weights rollout apart by model

What callers saw: nothing; a second host could campaign for the lease while the first one's rollout went on.

--- a/src/sesamefold/entry/orders.py
+++ b/src/sesamefold/entry/orders.py
@@ -131,7 +131,7 @@
     is_leaving: t.Callable[[topology.Server], bool] = lambda server: False
     _pending_orders: t.Dict[str, _PendingOrder] = attrs.field(factory=dict)
     _last_progress: t.Optional[
-        t.Tuple[bool, t.FrozenSet[t.Tuple[str, int]]]
+        t.Tuple[bool, t.FrozenSet[t.Tuple[str, str, int]]]
     ] = None
     _stalled_since: float = 0.0
     _updates: t.Dict[str, "asyncio.Task[None]"] = attrs.field(factory=dict)
@@ -181,7 +181,7 @@
     def _track_progress(
         self, outdated: t.List[t.Tuple[topology.Server, str, int]]
     ) -> None:
-        versions = frozenset((server.id, v) for server, _, v in outdated)
+        versions = frozenset((s.id, model, v) for s, model, v in outdated)
         progress = (self.election.vacant, versions)
         if progress != self._last_progress:
             self._last_progress = progress
--- a/tests/test_entry_orders.py
+++ b/tests/test_entry_orders.py
@@ -136,6 +136,23 @@
         await self.run_until_loaded(4, 5.0)
         self.assertEqual(["i-3", "i-2"], self.engines.ordered[:2])
 
+    async def test_progress_with_one_of_two_models_is_no_stall(self) -> None:
+        """Guards against a second holder beside a rollout that goes on.
+
+        Two models whose versions are equal counted as one.
+        """
+        for model in ("m", "other"):
+            change = changes.TargetWeightsChanged(model, 2)
+            self.catalog.apply_changes(changes.Batch((change,), 1))
+        times = self.rollout.read_time = entry_fakes.FakeClock()
+        for weights in ({"m": 1, "other": 1}, {"m": 2, "other": 1}):
+            server = entry_fakes.make_server("i-0", weights=weights)
+            self.catalog.apply_changes(entry_fakes.make_report_batch(server))
+            self.rollout._track_progress(self.rollout._list_outdated_engines())
+            self.assertFalse(self.rollout._is_stalled())
+            times.now += orders.STALL_TIMEOUT_SECONDS + 0.1
+        self.assertTrue(self.rollout._is_stalled())
+
     async def test_unreachable_engines_do_not_hold_up_the_others(self) -> None:
         """Guards against a rollout that stalls on engines that have crashed.
 
