Undo a supposed weight version for the model that was refused only

What callers saw: requests for one model refused with 421 by engines once more after two models of an engine had been refused.

Cause: the weights of all models were remembered at a refusal and restored together, so that a second model's refusal hid the first one's and undid what was learnt of others meanwhile.

Evidence: test_refusal_for_one_model_says_nothing_of_others fails on the commit before with {'m': 2, 'other': 4}, passes now.

--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -433,21 +433,28 @@
         meanwhile. If it refuses the next request as well, it has not.
         """
         prompt = call.head.prompt
-        state = self.states.get(server)
-        if prompt is not None and self._has_old_weights(prompt.model, server):
-            state.weights_before_refusal = server.weights
-            target = {prompt.model: self.catalog.target_weights[prompt.model]}
-            self.catalog.update_weights(
-                server.id, {**server.weights, **target}
-            )
-            return
-        if state.weights_before_refusal is not None:
-            self.catalog.update_weights(
-                server.id, state.weights_before_refusal
-            )
-            state.weights_before_refusal = None
+        if prompt is not None:
+            model = prompt.model
+            replaced = self.states.get(server).versions_before_refusal
+            if self._has_old_weights(model, server):
+                replaced[model] = server.weights[model]
+                self._set_version(
+                    server, model, self.catalog.target_weights[model]
+                )
+                return
+            if model in replaced:
+                self._set_version(server, model, replaced.pop(model))
         self.record_refusal(server)
 
+    def _set_version(
+        self, server: topology.Server, model: str, version: int
+    ) -> None:
+        """Set the version of one model; other models may have new ones."""
+        known = self.catalog.servers.get(server.id, server)
+        self.catalog.update_weights(
+            server.id, {**known.weights, model: version}
+        )
+
     def record_refusal(self, server: topology.Server) -> None:
         """Record a refusal and pause requests to the server shortly."""
         self.states.record_refusal(server)
--- a/src/sesamefold/entry/server_status.py
+++ b/src/sesamefold/entry/server_status.py
@@ -118,8 +118,8 @@
     instants are in seconds of `clock.read_time`. No request is sent before
     `backoff_until` and `suspected_until`. `suspected_sequence` is that of the
     server's latest report when the server became suspected.
-    `weights_before_refusal` are the weights that were known before a refusal
-    made other ones seem likely, until they are reported.
+    `versions_before_refusal` has, by model, the weight version that was known
+    before a refusal made another one seem likely, until one is reported.
     """
 
     started_at: int
@@ -128,7 +128,7 @@
     backoff_until: float = _NEVER
     suspected_until: float = _NEVER
     suspected_sequence: int = 0
-    weights_before_refusal: t.Optional[t.Mapping[str, int]] = None
+    versions_before_refusal: t.Dict[str, int] = attrs.field(factory=dict)
     last_activity_at: float = _NEVER
     failure_rate: float = 0.0
     avoided_until: float = _NEVER
@@ -341,7 +341,7 @@
         """End the pause of an engine that has loaded weights."""
         status = self.get(server)
         status.backoff_until = _NEVER
-        status.weights_before_refusal = None
+        status.versions_before_refusal.clear()
 
     def record_outcome(self, server: topology.Server, failed: bool) -> None:
         """Update a server's failure rate with the outcome of a request."""
@@ -386,7 +386,7 @@
         known = self._statuses.get(server.id)
         if known is None:
             return
-        known.weights_before_refusal = None
+        known.versions_before_refusal.clear()
         if known.suspected_until == _NEVER:
             return
         if (server.started_at, server.sequence) > (
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -252,6 +252,28 @@
         known = self.placement.catalog.servers[ended.id]
         self.assertEqual({"m": 1}, dict(known.weights))
 
+    def test_refusal_for_one_model_says_nothing_of_others(self) -> None:
+        """Guards against weights of one model restored for another's refusal.
+
+        Two models of an engine were refused, and then one of them again.
+        """
+        self.make_outdated(1)
+        catalog = self.placement.catalog
+        change = changes.TargetWeightsChanged("other", 5)
+        catalog.apply_changes(changes.Batch((change,), 3))
+        engine_id = self.servers[0].id
+        catalog.update_weights(engine_id, {"m": 1, "other": 4})
+        for model in ("m", "other", "m"):
+            call = self.make_call("a")
+            call.head = attrs.evolve(
+                call.head,
+                prompt=attrs.evolve(call.head.prompt, model=model),
+            )
+            self.placement.record_mismatch(call, catalog.servers[engine_id])
+        self.assertEqual(
+            {"m": 1, "other": 5}, dict(catalog.servers[engine_id].weights)
+        )
+
     def test_expired_engine_is_not_replaced_by_one_that_has_ended(
         self,
     ) -> None:
