Divide fleet-wide limits among hosts that may still serve

Cause: a host dropped others by the time since it last read their records, in which it had read nothing. At the first answer after the outage each host listed itself only, and took the whole of each limit: the rate of cold servers and the extra retries. In the same way a host that was cut off for long kept a share that the others had distributed anew, and one that had started during an outage took the first hosts that returned for all.

Change: a host is dropped once its record was missing for 6 s in contact with the store, counted from the end of an outage. Shares need a record that the others still count, and end with it; after a new registration they wait until the others have read it, and after a start during an outage until all have registered. A host whose record is removed registers at once (2.5 s before).

How long shares stay too small: after an outage in which no host ended, the whole limit is in use 5.6 s after the store's return at most, mostly at once; hosts that ended in it count 6 s more; hosts that started in it have none for 4.5 s after their first contact.

--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -153,6 +153,10 @@
             self._contact_since = now
         self._last_contact_at = now
 
+    def get_contact_start(self) -> float:
+        """Return since when the store has answered, without an outage."""
+        return self._contact_since
+
     def apply_changes(self, batch: changes.Batch) -> None:
         """Apply changes in their order."""
         now = self.read_time()
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -104,6 +104,7 @@
             ),
             platform.host_records,
             self.decisions,
+            find_contact_start=self.catalog.get_contact_start,
         )
         self.channel = datagrams.PeerChannel(
             settings.host, settings.peer_address, self.decisions
@@ -129,7 +130,9 @@
         )
         self.placement = placement.Placement(
             self.catalog,
-            throttle.ColdThrottle(settings.host, self.members.list_hosts),
+            throttle.ColdThrottle(
+                settings.host, self.members.list_sharing_hosts
+            ),
             self.loads,
             self.context_stores,
             settings.data_centre,
@@ -194,7 +197,7 @@
             self.placement,
             self.context_stores,
             throttle.RetryThrottle(
-                self.settings.retries, self.members.list_hosts
+                self.settings.retries, self.members.list_sharing_hosts
             ),
             upstream.UpstreamClient(self.session, self.platform.codec),
             self.decisions,
--- a/tests/test_entry_members.py
+++ b/tests/test_entry_members.py
@@ -72,7 +72,7 @@
         own = members.Member("entry-1", "region-1", ("127.0.0.1", 1), 50.0)
         host = members.Membership(own, self.client, entry_fakes.make_log())
         sound = b'["region-1", "127.0.0.1", 1, 1.0]'
-        host._started_at = float("-inf")
+        host._settled_at = float("-inf")
         host.apply_changes(
             [
                 changes.HostRecordChanged(f"{store.MEMBERS_PREFIX}{name}", row)
