Bound the bytes of messages that an entry host holds

What callers saw: an engine that sends bytes without end, in a body or a refusal, let the host keep up to 8 MiB for each attempt.

Cause: each attempt had a bound, all together had none. What was read of a broken answer also stayed referenced by the traceback of its error, and an answer was copied whole into the buffer of its caller's connection.

Change: answers that are read, and bodies of requests, count to a budget of the process, an eighth of its memory each. Beyond it, the largest answer without a length is given up, of the server that holds the most; answers with a length wait for each other; a body that does not fit is refused with 503. A length beyond the limit ends the attempt at the head, a refusal needs no more than 64 KiB of body within 0.2 s, and whole answers are written in parts. Replies of stores, engines and other hosts count to the same budget.

--- a/src/sesamefold/calls.py
+++ b/src/sesamefold/calls.py
@@ -391,7 +391,7 @@
             yarl.URL(
                 f"http://{backend.address}{call.path}{query}", encoded=True
             ),
-            identity,
+            transport.make_exchange(self._state.session, identity),
             data=call.body or None,
             headers=headers,
             allow_redirects=False,
--- a/src/sesamefold/engines.py
+++ b/src/sesamefold/engines.py
@@ -389,7 +389,7 @@
             self._session,
             method,
             f"http://{self.address}/{path}",
-            identity,
+            transport.make_exchange(self._session, identity),
             headers={transport.EXCHANGE_HEADER: identity.request_id},
             timeout=transport.make_timeout(deadline, idle_seconds),
             **options,
--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -25,6 +25,9 @@
 # asked in any case. The server may only have preempted the run, but callers
 # leave after 2 s.
 STREAM_SILENCE_SECONDS = 1.8
+# Size of the parts in which a whole body is sent. The next one is sent when
+# the caller has taken most of it, and is not copied before.
+WRITE_BYTES = 64 * 1024
 # Time after which another server is looked for again if there was none,
 # seconds.
 SUCCESSOR_RETRY_SECONDS = 0.2
@@ -36,8 +39,8 @@
     async def start(self, head: requests.ReplyHead) -> None:
         """Send the head of the response."""
 
-    async def write(self, data: bytes) -> None:
-        """Send a part of the body."""
+    async def write(self, data: t.Union[bytes, memoryview]) -> None:
+        """Send a part of the body; wait while the caller takes none."""
 
     async def finish(self) -> None:
         """End the response as complete."""
@@ -113,7 +116,9 @@
         `successors.TakenOver` if another attempt serves the rest.
         """
         if not 200 <= reply.head.status < 300:
-            raise RunFailed(reply.head, await reply.read_body())
+            raise RunFailed(
+                reply.head, await reply.read_body(upstream.MAX_FAILURE_BYTES)
+            )
         self._check_continuation(reply.head)
         if call.route.streamed:
             attempt.claim_stream()
@@ -147,7 +152,9 @@
         self, head: requests.ReplyHead, body: bytes
     ) -> None:
         await self._ensure_started(head)
-        await self.writer.write(body)
+        view = memoryview(body)
+        for start in range(0, len(body), WRITE_BYTES):
+            await self.writer.write(view[start : start + WRITE_BYTES])
         await self.writer.finish()
 
     async def _ensure_started(self, head: requests.ReplyHead) -> None:
@@ -272,6 +279,7 @@
         """Return the events that a chunk completes."""
         previous_id = self.buffer.last_event_id
         whole_events = self.buffer.feed(chunk)
+        self.reply.record_kept(len(self.buffer.partial))
         if self.buffer.last_event_id != previous_id:
             self.silence_seconds = 0.0
             self.next_check_seconds = SERVER_SILENCE_SECONDS
--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -16,6 +16,7 @@
 from sesamefold.entry import requests
 from sesamefold.entry import shutdown as shutdowns
 from sesamefold import exceptions
+from sesamefold import memory
 
 # Timeout of a request whose headers name none.
 DEFAULT_TIMEOUT_SECONDS = 30.0
@@ -58,8 +59,8 @@
         self.response = response
         await response.prepare(self.request)
 
-    async def write(self, data: bytes) -> None:
-        """Send a part of the body."""
+    async def write(self, data: t.Union[bytes, memoryview]) -> None:
+        """Send a part of the body; wait while the caller takes none."""
         if data and self.response is not None:
             self.writing = True
             await self.response.write(data)
@@ -83,6 +84,7 @@
 
     arrived_at: float
     writer: _HttpResponseWriter
+    body: memory.Holding
     request_id: t.Optional[str] = None
     call: t.Optional[requests.Call] = None
 
@@ -115,7 +117,8 @@
 class Frontend:
     """Handler of the requests of callers.
 
-    Once `shutdown` is requested, each response closes its connection.
+    Once `shutdown` is requested, each response closes its connection. The
+    bodies of all requests in progress count to `body_budget`.
     """
 
     catalog: catalogs.Catalog
@@ -124,6 +127,7 @@
     log: decisions.DecisionLog
     metrics: entry_metrics.EntryMetrics
     shutdown: shutdowns.Shutdown
+    body_budget: memory.MemoryBudget = attrs.field(factory=memory.MemoryBudget)
     _active: t.Set[_ActiveRequest] = attrs.field(factory=set)
 
     @property
@@ -135,13 +139,14 @@
         """Serve one request and return its response."""
         arrived_at = clock.read_time()
         writer = _HttpResponseWriter(request, self.shutdown)
-        active = _ActiveRequest(arrived_at, writer)
+        body = self.body_budget.open(request.remote or "")
+        active = _ActiveRequest(arrived_at, writer, body)
         self._active.add(active)
         code = 0
         try:
             head = self.codec.read_request(request.headers)
             active.request_id = head.request_id
-            call = await self._make_call(request, head, arrived_at)
+            call = await self._make_call(request, head, arrived_at, body)
             active.call = call
             await self.dispatcher.serve(call, writer)
             assert writer.response is not None
@@ -165,6 +170,7 @@
             return self._respond_with_error(active, unexpected)
         finally:
             self._active.remove(active)
+            body.close()
             if code and self.shutdown.has_given_up():
                 self.log.write("ended_by_stop", code=code, **active.describe())
             seconds = clock.read_time() - arrived_at
@@ -181,6 +187,7 @@
         request: web.BaseRequest,
         head: requests.RequestHead,
         arrived_at: float,
+        body: memory.Holding,
     ) -> requests.Call:
         self.shutdown.refuse_new()
         configuration = self.catalog.require_configuration()
@@ -204,23 +211,29 @@
         self.shutdown.check(call)
         async with self.shutdown.limit_body(call):
             call.body = await self._read_body(
-                request, configuration.limits.max_body_bytes
+                request, configuration.limits.max_body_bytes, body
             )
         return call
 
-    async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes:
+    async def _read_body(
+        self, request: web.BaseRequest, limit: int, held: memory.Holding
+    ) -> bytes:
+        """Return the body of a request, which stays held until its end.
+
+        Raises `exceptions.RequestTooLarge` above `limit` bytes, and
+        `exceptions.NoRoom` if it does not fit beside those of other requests.
+        """
         if not request.body_exists:
             return b""
+        _check_body_size(request.content_length or 0, limit, held)
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         chunks = []
         size = 0
         async for chunk in request.content.iter_any():
             size += len(chunk)
-            if size > limit:
-                raise exceptions.RequestTooLarge(
-                    f"the body exceeds {limit} bytes"
-                )
+            _check_body_size(size, limit, held)
+            held.resize(size)
             chunks.append(chunk)
         return b"".join(chunks)
 
@@ -258,6 +271,18 @@
         return response
 
 
+def _check_body_size(size: int, limit: int, held: memory.Holding) -> None:
+    """Check that a body may have a size.
+
+    Raises `exceptions.RequestTooLarge` above `limit` bytes, and
+    `exceptions.NoRoom` if it does not fit beside those of other requests.
+    """
+    if size > limit:
+        raise exceptions.RequestTooLarge(f"the body exceeds {limit} bytes")
+    if not held.fits(size):
+        raise exceptions.NoRoom("the bodies of requests take all memory")
+
+
 def _break_connection(request: web.BaseRequest) -> None:
     """Close a caller's connection without the end of the body.
 
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -42,6 +42,7 @@
 from sesamefold.entry import weight_status
 from sesamefold import exceptions
 from sesamefold import exchanges
+from sesamefold import memory
 from sesamefold import rendezvous
 from sesamefold import suspicions
 from sesamefold import transport
@@ -77,7 +78,8 @@
     """The components of an entry host and their background tasks.
 
     The catalog, the decision log and the settings are shared by all
-    components.
+    components. What the process holds of answers counts to `answer_budget`,
+    and the bodies of requests to another one of the same size.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         settings: entry_settings.EntrySettings,
         platform: PlatformAdapters,
         log: decisions.DecisionLog,
+        answer_budget: t.Optional[memory.MemoryBudget] = None,
     ) -> None:
         super().__init__()
         self.settings = settings
@@ -92,6 +95,9 @@
         # Not named `log`, which is an attribute of mode.Service.
         self.decisions = log
         self.metrics = entry_metrics.EntryMetrics()
+        limit = memory.compute_limit(settings.memory_bytes)
+        self.answer_budget = answer_budget or memory.MemoryBudget(limit)
+        self.body_budget = memory.MemoryBudget(limit)
         self.catalog = catalogs.Catalog(
             self.decisions, weights_limits=settings.weights_limits
         )
@@ -191,7 +197,9 @@
         )
         await self.channel.open()
         await self._open_relay()
-        self.session = upstream.make_session(self._log_stray_answer)
+        self.session = upstream.make_session(
+            self._log_stray_answer, self.answer_budget
+        )
         self.dispatcher = dispatch.Dispatcher(
             self.catalog,
             self.placement,
@@ -214,6 +222,7 @@
             self.decisions,
             self.metrics,
             self.shutdown,
+            self.body_budget,
         )
         await self._listen(self.settings.ready_address, self._handle_ready)
         await self._serve_metrics()
@@ -225,7 +234,7 @@
         Without its listener, the host serves, but other hosts cannot fetch
         records from it.
         """
-        self.peer_session = transport.make_session()
+        self.peer_session = transport.make_session(budget=self.answer_budget)
         self.relay = operator_relay.OperatorRelay(
             self.settings.host,
             self.channel,
--- a/src/sesamefold/entry/settings.py
+++ b/src/sesamefold/entry/settings.py
@@ -20,7 +20,8 @@
     `order_pause_seconds` is the minimum time between the orders of two
     different entry hosts. `leaving_seconds` is the time after a server
     announces that it leaves from which it must get no new requests.
-    `link_mbps` is the bandwidth of the host's link, 0.0 if unknown.
+    `link_mbps` is the bandwidth of the host's link and `memory_bytes` the
+    memory that the process may use, 0.0 if unknown.
     """
 
     host: str
@@ -39,3 +40,4 @@
     order_pause_seconds: float
     leaving_seconds: float
     link_mbps: float
+    memory_bytes: float = 0.0
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -1,5 +1,6 @@
 """Client for requests from the entry host to backend servers."""
 
+import asyncio
 import contextlib
 import typing as t
 
@@ -10,13 +11,21 @@
 from sesamefold.entry import topology
 from sesamefold import exceptions
 from sesamefold import exchanges
+from sesamefold import memory
 from sesamefold import transport
 
 # Timeout for connecting to a server: ten round trips between regions. A server
 # without power does not reply to connection attempts at all.
 CONNECT_TIMEOUT_SECONDS = 0.4
-# Largest body of a reply that is not streamed.
+# Largest body of a successful reply that is not streamed.
 MAX_REPLY_BYTES = 8 * 1024 * 1024
+# Largest body of a failure.
+MAX_FAILURE_BYTES = 1024 * 1024
+# Size of a refusal's body up to which it is read, so that its connection can
+# be used again. The head says all that matters.
+MAX_REFUSAL_BYTES = 64 * 1024
+# Time in which that body must arrive.
+REFUSAL_BODY_SECONDS = 0.2
 # Idle time after which a connection to a server is not reused. Servers close
 # idle connections, and a request sent while its connection is being closed may
 # have been executed.
@@ -34,18 +43,25 @@
     """A backend server's reply, of which the head has arrived."""
 
     def __init__(
-        self, response: aiohttp.ClientResponse, head: requests.ReplyHead
+        self,
+        response: aiohttp.ClientResponse,
+        head: requests.ReplyHead,
+        exchange: exchanges.Exchange,
     ) -> None:
         self.head = head
         self._response = response
+        self._exchange = exchange
         self._read_bytes = 0
+        self._kept_bytes = 0
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, b"" at its end.
 
-        May be called again after a cancellation. Raises
+        The bytes before count as passed on, except those that the caller of
+        this method keeps. May be called again after a cancellation. Raises
         `exceptions.ReplyBroken`.
         """
+        self._exchange.record_passed(self._read_bytes - self._kept_bytes)
         try:
             chunk = await self._response.content.readany()
         except transport.CALL_ERRORS as error:
@@ -55,6 +71,10 @@
         self._read_bytes += len(chunk)
         return chunk
 
+    def record_kept(self, count: int) -> None:
+        """Record how many of the bytes that were read are kept."""
+        self._kept_bytes = count
+
     def ends_with_connection(self) -> bool:
         """Return whether only the close of the connection ends the body."""
         return exchanges.ends_with_connection(self._response)
@@ -71,19 +91,43 @@
             or content.total_bytes > self._read_bytes
         )
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, max_bytes: int = MAX_REPLY_BYTES) -> bytes:
         """Return the whole body.
 
-        Raises `exceptions.ReplyBroken`.
+        Raises `exceptions.ReplyBroken`, also for a body of over `max_bytes`,
+        before it is read if its length is known.
         """
-        chunks = []
-        size = 0
-        while chunk := await self.read_chunk():
-            size += len(chunk)
-            if size > MAX_REPLY_BYTES:
-                raise exceptions.ReplyBroken("the reply is too large")
-            chunks.append(chunk)
-        return b"".join(chunks)
+        length = self.head.content_length
+        if (length or 0) > max_bytes:
+            raise exceptions.ReplyBroken("the reply is too large")
+        holding = self._exchange.holding
+        if length is not None and holding is not None:
+            holding.keep()
+        chunks: t.List[bytes] = []
+        try:
+            while chunk := await self.read_chunk():
+                self.record_kept(self._read_bytes)
+                if self._read_bytes > max_bytes:
+                    raise exceptions.ReplyBroken("the reply is too large")
+                chunks.append(chunk)
+                if length is not None and holding is not None:
+                    await holding.wait_for_room()
+            if holding is not None:
+                holding.keep()
+            return b"".join(chunks)
+        finally:
+            # The traceback of an error would keep them.
+            chunks.clear()
+
+    async def read_refusal(self) -> None:
+        """Read the body of a refusal, if it is short.
+
+        The connection is used again only after the whole body has been read.
+        A body that is long, late or broken ends the connection.
+        """
+        with contextlib.suppress(exceptions.ReplyBroken, TimeoutError):
+            async with asyncio.timeout(REFUSAL_BODY_SECONDS):
+                await self.read_body(MAX_REFUSAL_BYTES)
 
 
 class UpstreamClient:
@@ -114,7 +158,11 @@
         identity = exchanges.Identity(
             call.request_id, self._codec.read_reply_id
         )
+        exchange = transport.make_exchange(
+            self._session, identity, keeps_answer=True
+        )
         async with contextlib.AsyncExitStack() as stack:
+            stack.callback(exchange.close)
             try:
                 response = await stack.enter_async_context(
                     transport.request(
@@ -124,7 +172,7 @@
                             f"http://{server.address}{call.target}",
                             encoded=True,
                         ),
-                        identity,
+                        exchange,
                         headers=self._codec.write_request(call.head, added),
                         data=call.body or None,
                         skip_auto_headers=_AUTOMATIC_HEADERS,
@@ -138,11 +186,9 @@
                 raise _convert_transport_error(error) from error
             head = self._codec.read_reply(response.status, response.headers)
             on_head(head)
-            reply = Reply(response, head)
+            reply = Reply(response, head, exchange)
             if head.not_executed:
-                # A connection can be reused only after the whole body has
-                # been read.
-                await reply.read_body()
+                await reply.read_refusal()
             _check_reply_head(head, server)
             yield reply
 
@@ -189,13 +235,18 @@
         )
 
 
-def make_session(report: exchanges.Reporter) -> aiohttp.ClientSession:
+def make_session(
+    report: exchanges.Reporter,
+    budget: t.Optional[memory.MemoryBudget] = None,
+) -> aiohttp.ClientSession:
     """Return the session for requests to backend servers.
 
-    `report` is called with each answer that belongs to no request.
+    `report` is called with each answer that belongs to no request. What is
+    held of the answers counts to `budget`.
     """
     return transport.make_session(
         keepalive_seconds=KEEPALIVE_SECONDS,
         report=report,
+        budget=budget,
         auto_decompress=False,
     )
--- a/src/sesamefold/exchanges.py
+++ b/src/sesamefold/exchanges.py
@@ -13,6 +13,7 @@
 import multidict
 
 from sesamefold import exceptions
+from sesamefold import memory
 
 # Bytes that may arrive while neither the head of an answer is complete nor its
 # body grows. Three times what the HTTP client buffers before it stops reading.
@@ -86,14 +87,21 @@
     waits are accepted. `is_first` says whether the connection has carried no
     other request, and `was_reset` whether it was lost with an error before
     the answer was complete.
+
+    What the process holds of the answer counts as `holding` until the exchange
+    ends or, with `keeps_answer`, until `close`. `passed_bytes` are those of
+    the body that are not held any more.
     """
 
     connector: "ExchangeConnector"
     identity: t.Optional[Identity] = None
+    keeps_answer: bool = False
     response: t.Optional[aiohttp.ClientResponse] = None
     carrier: t.Optional["_Carrier"] = None
     is_first: bool = False
     was_reset: bool = False
+    holding: t.Optional[memory.Holding] = None
+    passed_bytes: int = 0
 
     async def __call__(
         self, request: aiohttp.ClientRequest, handler: t.Any
@@ -120,6 +128,43 @@
         if self.response is not None:
             self._break_body(self.response)
 
+    def begin(self, carrier: "_Carrier", source: str) -> None:
+        """Begin on a connection to `source`."""
+        self.carrier = carrier
+        self.is_first = not carrier.exchanges
+        self.holding = self.connector.budget.open(source, self.give_up)
+
+    def end(self) -> None:
+        """End on the connection; the answer is complete or was given up."""
+        if not self.keeps_answer:
+            self.close()
+
+    def close(self) -> None:
+        """Hold nothing of the answer any more."""
+        if self.holding is not None:
+            self.holding.close()
+
+    def record_passed(self, body_bytes: int) -> None:
+        """Record how many bytes of the body are not held any more."""
+        self.passed_bytes = body_bytes
+        self.record_held(0)
+
+    def record_held(self, overhead_bytes: int) -> None:
+        """Record what is held, with bytes that belong to no body yet."""
+        if self.holding is not None:
+            self.holding.resize(
+                self.count_body_bytes() - self.passed_bytes + overhead_bytes
+            )
+
+    def give_up(self) -> None:
+        """End the connection because the process holds too many bytes."""
+        if self.carrier is not None and self.carrier.carries(self):
+            self.record_reset()
+            self.carrier.discard(
+                "the process holds too many bytes",
+                self.identity.request_id if self.identity else None,
+            )
+
     def _break_body(self, response: aiohttp.ClientResponse) -> None:
         """Let reads of a body that its connection ends fail.
 
@@ -178,6 +223,8 @@
         self._handler = handler
         self._report = report
         self._number = next(_connection_numbers)
+        host, port = transport.get_extra_info("peername")[:2]
+        self._address = f"{host}:{port}"
         self._opened_at = time.monotonic()
         self._exchange: t.Optional[Exchange] = None
         self._request_ids: t.Deque[str] = collections.deque(
@@ -198,11 +245,14 @@
             exchange.identity.request_id not in self._request_ids
         )
 
+    def carries(self, exchange: Exchange) -> bool:
+        """Return whether an exchange is open on the connection."""
+        return self._exchange is exchange
+
     def begin(self, exchange: Exchange) -> None:
         """Open an exchange; the connection carries no other until `end`."""
         self._exchange = exchange
-        exchange.carrier = self
-        exchange.is_first = not self.exchanges
+        exchange.begin(self, self._address)
         self._body_bytes = self._overhead_bytes = 0
 
     def end(self) -> None:
@@ -211,6 +261,7 @@
             return
         if self._exchange.identity is not None:
             self._request_ids.append(self._exchange.identity.request_id)
+        self._exchange.end()
         self._exchange = None
         self.exchanges += 1
 
@@ -230,11 +281,10 @@
         """Report bytes that belong to no request and end the connection."""
         if self._transport.is_closing():
             return
-        host, port = self._transport.get_extra_info("peername")[:2]
         self._report(
             StrayAnswer(
                 reason,
-                f"{host}:{port}",
+                self._address,
                 self._number,
                 time.monotonic() - self._opened_at,
                 self.exchanges,
@@ -254,12 +304,16 @@
         if self._exchange is None:
             if self._handler.should_close:
                 self.discard("another answer follows a complete one")
-        elif self._count_overhead(len(data)) > MAX_OVERHEAD_BYTES:
-            identity = self._exchange.identity
+            return
+        exchange = self._exchange
+        overhead_bytes = self._count_overhead(len(data))
+        if overhead_bytes > MAX_OVERHEAD_BYTES:
             self.discard(
                 "the bytes lead to no answer",
-                identity.request_id if identity else None,
+                exchange.identity.request_id if exchange.identity else None,
             )
+        else:
+            exchange.record_held(overhead_bytes)
 
     def _split_after_head(self, data: bytes) -> t.Iterable[bytes]:
         """Return the data in one part or, behind a head, in two.
@@ -307,11 +361,17 @@
     """Connector whose connections carry one exchange at a time.
 
     `report` is called with each `StrayAnswer`. Each request must be sent
-    through an `Exchange`.
+    through an `Exchange`. What is held of the answers counts to `budget`.
     """
 
-    def __init__(self, report: Reporter, **options: t.Any) -> None:
+    def __init__(
+        self,
+        report: Reporter,
+        budget: memory.MemoryBudget,
+        **options: t.Any,
+    ) -> None:
         super().__init__(**options)
+        self.budget = budget
         self._report_stray = report
         self._exchanges: t.MutableMapping[aiohttp.ClientRequest, Exchange] = (
             weakref.WeakKeyDictionary()
--- a/src/sesamefold/platform/daemon.py
+++ b/src/sesamefold/platform/daemon.py
@@ -12,6 +12,7 @@
 from sesamefold.entry import host as entry_host
 from sesamefold.entry import settings as entry_settings
 from sesamefold import exceptions
+from sesamefold import memory
 from sesamefold.platform import client
 from sesamefold.platform import engines
 from sesamefold.platform import headers
@@ -42,7 +43,8 @@
         pathlib.Path(os.environ[platform_settings.PATH_VARIABLE])
     )
     settings = await _wait_for_settings(file)
-    async with transport.make_session() as session:
+    budget = memory.MemoryBudget(memory.compute_limit(settings.memory_bytes))
+    async with transport.make_session(budget=budget) as session:
         log = decisions.DecisionLog(sys.stdout.fileno(), settings.host)
 
         def report_transfer(transfer: client.Transfer) -> None:
@@ -58,7 +60,7 @@
             engines.EngineClient(session),
             stores.ContextStoreClient(session),
         )
-        host = entry_host.EntryHost(settings, platform, log)
+        host = entry_host.EntryHost(settings, platform, log, budget)
         await entry_host.run(host, file)
 
 
--- a/src/sesamefold/platform/settings.py
+++ b/src/sesamefold/platform/settings.py
@@ -13,6 +13,7 @@
 PATH_VARIABLE = "SESAMEFOLD_CONFIG"
 # Must equal the port that deploy/system.toml declares to the platform.
 METRICS_PORT = 9464
+_BYTES_PER_MB = 1e6
 _MS_PER_SECOND = 1000.0
 
 
@@ -56,6 +57,7 @@
     """
     bounds = body["bounds"]
     listen = body["listen_addrs"]
+    limits = body.get("limits", {})
     # The first and the last port of the range for traffic between entry hosts.
     peer_port, _ = body["inner_ports"]
     # Despite its name, not a state but a rule: whether a host that cannot
@@ -92,7 +94,8 @@
         shutdown_seconds=bounds["grace_s"],
         order_pause_seconds=bounds["lease_ms"] / _MS_PER_SECOND,
         leaving_seconds=bounds["drain_ms"] / _MS_PER_SECOND,
-        link_mbps=float(body.get("limits", {}).get("link_mbps", 0.0)),
+        link_mbps=float(limits.get("link_mbps", 0.0)),
+        memory_bytes=float(limits.get("memory_mb", 0.0)) * _BYTES_PER_MB,
     )
 
 
--- a/src/sesamefold/transport.py
+++ b/src/sesamefold/transport.py
@@ -10,6 +10,7 @@
 from sesamefold import deadline as deadlines
 from sesamefold import exchanges
 from sesamefold import jsonvalues
+from sesamefold import memory
 
 # Largest fraction of the remaining time that connecting may take. A timeout
 # while connecting shows that a host which drops packets has not received the
@@ -67,6 +68,7 @@
     keepalive_seconds: float = 15.0,
     max_connections: int = 0,
     report: exchanges.Reporter = _ignore_stray_answer,
+    budget: t.Optional[memory.MemoryBudget] = None,
     **options: t.Any,
 ) -> aiohttp.ClientSession:
     """Return an HTTP session for all clients of a process.
@@ -78,10 +80,14 @@
     another. It has no limit of connections unless `max_connections` is set,
     because waiting for a free one would count as time to connect. Redirects
     are followed unless the call disables them. A connection that was idle for
-    `keepalive_seconds` is not reused.
+    `keepalive_seconds` is not reused. Answers that are being read count to
+    `budget`, one of the session's own by default.
     """
     connector = exchanges.ExchangeConnector(
-        report, limit=max_connections, keepalive_timeout=keepalive_seconds
+        report,
+        budget or memory.MemoryBudget(),
+        limit=max_connections,
+        keepalive_timeout=keepalive_seconds,
     )
 
     async def open_exchange(
@@ -97,11 +103,21 @@
     )
 
 
+def make_exchange(
+    session: aiohttp.ClientSession,
+    identity: exchanges.Identity,
+    keeps_answer: bool = False,
+) -> exchanges.Exchange:
+    """Return an exchange for one request of a session of `make_session`."""
+    connector = t.cast(exchanges.ExchangeConnector, session.connector)
+    return exchanges.Exchange(connector, identity, keeps_answer)
+
+
 def request(
     session: aiohttp.ClientSession,
     method: str,
     url: t.Union[str, yarl.URL],
-    identity: exchanges.Identity,
+    exchange: exchanges.Exchange,
     **options: t.Any,
 ) -> t.AsyncContextManager[aiohttp.ClientResponse]:
     """Send a request of a session and yield the answer to it.
@@ -109,14 +125,10 @@
     Any other answer raises `exchanges.ForeignAnswer`, one of `CALL_ERRORS`.
     `session` is one of `make_session`; the options are those of aiohttp.
     """
-    connector = t.cast(exchanges.ExchangeConnector, session.connector)
     return session.request(
         method,
         url,
-        middlewares=(
-            _prevent_automatic_retry,
-            exchanges.Exchange(connector, identity),
-        ),
+        middlewares=(_prevent_automatic_retry, exchange),
         **options,
     )
 
@@ -138,15 +150,19 @@
     response: aiohttp.ClientResponse, max_bytes: int = MAX_BODY_BYTES
 ) -> bytes:
     """Return the whole body; raises `BodyTooLarge` above `max_bytes`."""
-    chunks = []
+    chunks: t.List[bytes] = []
     size = 0
-    while chunk := await response.content.readany():
-        size += len(chunk)
-        if size > max_bytes:
-            response.close()
-            raise BodyTooLarge(f"the body exceeds {max_bytes} bytes")
-        chunks.append(chunk)
-    return b"".join(chunks)
+    try:
+        while chunk := await response.content.readany():
+            size += len(chunk)
+            if size > max_bytes:
+                response.close()
+                raise BodyTooLarge(f"the body exceeds {max_bytes} bytes")
+            chunks.append(chunk)
+        return b"".join(chunks)
+    finally:
+        # The traceback of an error would keep them.
+        chunks.clear()
 
 
 def make_timeout(
--- a/standins/platform_fixtures.py
+++ b/standins/platform_fixtures.py
@@ -22,6 +22,8 @@
 [listen_addrs]
 front = "127.0.0.1:{ports[0]}"
 ready = "127.0.0.1:{ports[1]}"
+[limits]
+memory_mb = {memory_mb}
 [bounds]
 retry_budget_ratio = {ratio}
 retry_budget_extra = 58
@@ -46,7 +48,7 @@
     `ports` are those for callers, for readiness checks and for other entry
     hosts; `store` is the address of the platform's store. `changes` may set
     `ratio`, the retry budget ratio, and the bounds `revoke_ms`, `contact_ms`,
-    `version_ms` and `grace_s`.
+    `version_ms` and `grace_s`, and `memory_mb`, the memory of the host.
     """
     values = {
         "ratio": 0.2,
@@ -54,6 +56,7 @@
         "contact_ms": 4000,
         "version_ms": 10000,
         "grace_s": 6,
+        "memory_mb": 128,
         **changes,
     }
     return SETTINGS_TEMPLATE.format(ports=ports, store=store, **values)
