--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -39,6 +39,10 @@
 )
 
 
+class _ReplyTooLarge(exceptions.ReplyBroken):
+    """The body of a reply is larger than any that is passed on."""
+
+
 class Reply:
     """A backend server's reply, of which the head has arrived."""
 
@@ -99,7 +103,7 @@
         """
         length = self.head.content_length
         if (length or 0) > max_bytes:
-            raise exceptions.ReplyBroken("the reply is too large")
+            raise _ReplyTooLarge("the reply is too large")
         holding = self._exchange.holding
         if length is not None and holding is not None:
             holding.keep()
@@ -108,7 +112,7 @@
             while chunk := await self.read_chunk():
                 self.record_kept(self._read_bytes)
                 if self._read_bytes > max_bytes:
-                    raise exceptions.ReplyBroken("the reply is too large")
+                    raise _ReplyTooLarge("the reply is too large")
                 chunks.append(chunk)
                 if length is not None and holding is not None:
                     await holding.wait_for_room()
@@ -123,9 +127,12 @@
         """Read the body of a refusal, if it is short.
 
         The connection is used again only after the whole body has been read.
-        A body that is long, late or broken ends the connection.
+        A body that is long or late ends the connection. Raises
+        `exceptions.ReplyBroken` for one that breaks off.
         """
-        with contextlib.suppress(exceptions.ReplyBroken, TimeoutError):
+        if self._exchange.holding is not None:
+            self._exchange.holding.keep()
+        with contextlib.suppress(_ReplyTooLarge, TimeoutError):
             async with asyncio.timeout(REFUSAL_BODY_SECONDS):
                 await self.read_body(MAX_REFUSAL_BYTES)
 
