Keep the pause of a new lease holder that loses the lease in it

Cause: a host that is the last holder on record sends orders at once, although it may have become that a moment ago, after another one that sent orders.

Evidence: test_lease_lost_in_the_handover_pause_does_not_end_it fails before.

--- a/src/sesamefold/entry/election.py
+++ b/src/sesamefold/entry/election.py
@@ -35,7 +35,8 @@
 
     The holder sends orders only while its own clock shows that the lease is
     valid. A new holder first waits until the orders of the previous one are
-    `handover_pause_seconds` old. The hosts elect a holder even while there is
+    `handover_pause_seconds` old, also if it loses the lease meanwhile and
+    acquires it again. The hosts elect a holder even while there is
     nothing to order, so that this wait is over when new target weights are
     set; `vacant` says that no host holds the lease.
     """
@@ -50,6 +51,7 @@
     _fencing_token: t.Optional[int] = None
     _active_from: float = float("inf")
     _active_until: float = float("-inf")
+    _handover_until: float = float("-inf")
     _stopping: bool = False
     _renewals: t.Set["asyncio.Task[None]"] = attrs.field(factory=set)
 
@@ -121,9 +123,9 @@
         now = self.read_time()
         pause = self.handover_pause_seconds + HANDOVER_MARGIN_SECONDS
         if last is None or last.value == name:
-            pause = 0.0
+            pause = max(0.0, self._handover_until - now)
         self._lease, self._fencing_token = lease, fencing_token
-        self._active_from = now + pause
+        self._active_from = self._handover_until = now + pause
         self._active_until = started + SAFE_LEASE_SHARE * LEASE_SECONDS
         self.log.write("elected", fence=fencing_token, pause=round(pause, 2))
 
--- a/tests/test_entry_election.py
+++ b/tests/test_entry_election.py
@@ -56,6 +56,27 @@
         await self.first.campaign()
         self.assertTrue(self.first.may_send_orders())
 
+    async def test_lease_lost_in_the_handover_pause_does_not_end_it(
+        self,
+    ) -> None:
+        """Guards against orders of two holders shortly after each other (ONE).
+
+        The holder is the last one on record, but another one sent orders
+        right before.
+        """
+        await self.first.campaign()
+        self.store.remove(election.HOLDER_KEY)
+        await self.second.campaign()
+        self.clock.now += 1.0
+        self.second._resign("test")
+        self.store.remove(election.HOLDER_KEY)
+        await self.second.campaign()
+        self.assertTrue(self.second.holds_lease())
+        self.assertFalse(self.second.may_send_orders())
+        self.clock.now += 2.0 + election.HANDOVER_MARGIN_SECONDS
+        self.second._active_until = self.clock.now + 10
+        self.assertTrue(self.second.may_send_orders())
+
     async def test_holder_frozen_past_its_lease_has_no_token(
         self,
     ) -> None:
