--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -152,9 +152,12 @@
         self, head: requests.ReplyHead, body: bytes
     ) -> None:
         await self._ensure_started(head)
-        view = memoryview(body)
-        for start in range(0, len(body), WRITE_BYTES):
-            await self.writer.write(view[start : start + WRITE_BYTES])
+        if len(body) <= WRITE_BYTES:
+            await self.writer.write(body)
+        else:
+            view = memoryview(body)
+            for start in range(0, len(body), WRITE_BYTES):
+                await self.writer.write(view[start : start + WRITE_BYTES])
         await self.writer.finish()
 
     async def _ensure_started(self, head: requests.ReplyHead) -> None:
@@ -279,7 +282,7 @@
         """Return the events that a chunk completes."""
         previous_id = self.buffer.last_event_id
         whole_events = self.buffer.feed(chunk)
-        self.reply.record_kept(len(self.buffer.partial))
+        self.reply.kept_bytes = len(self.buffer.partial)
         if self.buffer.last_event_id != previous_id:
             self.silence_seconds = 0.0
             self.next_check_seconds = SERVER_SILENCE_SECONDS
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -44,7 +44,10 @@
 
 
 class Reply:
-    """A backend server's reply, of which the head has arrived."""
+    """A backend server's reply, of which the head has arrived.
+
+    `kept_bytes` are those of the bytes that were read which are still needed.
+    """
 
     def __init__(
         self,
@@ -55,17 +58,16 @@
         self.head = head
         self._response = response
         self._exchange = exchange
+        self.kept_bytes = 0
         self._read_bytes = 0
-        self._kept_bytes = 0
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, b"" at its end.
 
-        The bytes before count as passed on, except those that the caller of
-        this method keeps. May be called again after a cancellation. Raises
-        `exceptions.ReplyBroken`.
+        The bytes before count as passed on, except `kept_bytes`. May be called
+        again after a cancellation. Raises `exceptions.ReplyBroken`.
         """
-        self._exchange.record_passed(self._read_bytes - self._kept_bytes)
+        self._exchange.record_passed(self._read_bytes - self.kept_bytes)
         try:
             chunk = await self._response.content.readany()
         except transport.CALL_ERRORS as error:
@@ -75,10 +77,6 @@
         self._read_bytes += len(chunk)
         return chunk
 
-    def record_kept(self, count: int) -> None:
-        """Record how many of the bytes that were read are kept."""
-        self._kept_bytes = count
-
     def ends_with_connection(self) -> bool:
         """Return whether only the close of the connection ends the body."""
         return exchanges.ends_with_connection(self._response)
@@ -104,20 +102,18 @@
         length = self.head.content_length
         if (length or 0) > max_bytes:
             raise _ReplyTooLarge("the reply is too large")
-        holding = self._exchange.holding
-        if length is not None and holding is not None:
-            holding.keep()
+        if length is not None:
+            self._exchange.keep()
         chunks: t.List[bytes] = []
         try:
             while chunk := await self.read_chunk():
-                self.record_kept(self._read_bytes)
+                self.kept_bytes = self._read_bytes
                 if self._read_bytes > max_bytes:
                     raise _ReplyTooLarge("the reply is too large")
                 chunks.append(chunk)
-                if length is not None and holding is not None:
-                    await holding.wait_for_room()
-            if holding is not None:
-                holding.keep()
+                if length is not None and self._exchange.holding is not None:
+                    await self._exchange.holding.wait_for_room()
+            self._exchange.keep()
             return b"".join(chunks)
         finally:
             # The traceback of an error would keep them.
@@ -130,8 +126,7 @@
         A body that is long or late ends the connection. Raises
         `exceptions.ReplyBroken` for one that breaks off.
         """
-        if self._exchange.holding is not None:
-            self._exchange.holding.keep()
+        self._exchange.keep()
         with contextlib.suppress(_ReplyTooLarge, TimeoutError):
             async with asyncio.timeout(REFUSAL_BODY_SECONDS):
                 await self.read_body(MAX_REFUSAL_BYTES)
