--- a/src/sesamefold/entry/context_stores.py
+++ b/src/sesamefold/entry/context_stores.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import itertools
 import typing as t
 import urllib.parse
@@ -79,6 +80,11 @@
         make_salt(None, "org/model", 3) == "3/org%2Fmodel/"
     """
     owner = customer.name if customer and customer.isolated else ""
+    return _join_salt(version, model, owner)
+
+
+@functools.lru_cache(maxsize=1024)
+def _join_salt(version: int, model: str, owner: str) -> str:
     name = urllib.parse.quote(model, safe="")
     return _SALT_SEPARATOR.join((str(version), name, owner))
 
