Look an API key up again if the configuration changed while a body came

Cause: the key was found in the configuration of the head's arrival; at the sending it was only asked whether the configuration of that moment, which may be a newer one without the key, is confirmed.

Evidence: test_a_key_withdrawn_while_a_body_arrives_is_refused fails before with 200, passes now.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -79,8 +79,9 @@
     ) -> None:
         """Serve a call until its response is complete.
 
-        Raises `exceptions.NoRoom`, `exceptions.CrashSuspected` or
-        `exceptions.ShuttingDown` if no server executed the request,
+        Raises `exceptions.NoRoom`, `exceptions.CrashSuspected`,
+        `exceptions.ShuttingDown` or, for a key that was withdrawn meanwhile,
+        `exceptions.Unauthenticated` if no server executed the request,
         `exceptions.RunTimeout` or `exceptions.ReplyBroken` if a server may
         have executed it, and `exceptions.AnswerCut` if a part of the response
         was already sent.
@@ -212,11 +213,19 @@
     def _check_confirmation(
         self, call: requests.Call, response: deliveries.CallerResponse
     ) -> None:
-        """Refuse a request whose API key may have been withdrawn.
+        """Refuse a request whose API key was or may have been withdrawn.
 
-        Not to be called for a request that may have been executed: its key
-        was valid when it arrived, and it may go on at another server.
+        The key was found in the configuration of the request's arrival, which
+        may not be the one that is confirmed now. Not to be called for a
+        request that may have been executed: its key was valid when it
+        arrived, and it may go on at another server.
         """
+        configuration = self.catalog.require_configuration()
+        if call.key_version != configuration.version:
+            call.customer = configuration.find_customer(
+                call.route, call.head.api_key
+            )
+            call.key_version = configuration.version
         if not self._is_confirmed(call):
             age = clock.read_time() - self.catalog.confirmed_at
             error = exceptions.NoRoom(
--- a/src/sesamefold/entry/frontend.py
+++ b/src/sesamefold/entry/frontend.py
@@ -207,6 +207,7 @@
             deadline=arrived_at + min(timeout, route.timeout),
             last_event_id=head.last_event_id,
             configuration_version=configuration.version,
+            key_version=configuration.version,
         )
         self.shutdown.check(call)
         async with self.shutdown.limit_body(call):
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -84,6 +84,7 @@
     those that were cancelled, whose servers are in `cancelled_servers`.
     `refusals` counts the servers that did not execute the request, and
     `configuration_version` is that by which the request was routed.
+    `key_version` is that in which the API key was found last.
     `suspect` says that the call may crash the server that runs it.
     `begun_at` is when the first event of the answer arrived, None before.
     `waiting_for` says whether the call waits for the "capacity" or for the
@@ -104,6 +105,7 @@
     cancelled_servers: t.Set[str] = attrs.field(factory=set)
     refusals: int = 0
     configuration_version: int = 0
+    key_version: int = 0
     begun_at: t.Optional[float] = None
     suspect: bool = False
     waiting_for: str = "capacity"
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -514,6 +514,45 @@
         await asyncio.sleep(0.5)
         self.assertEqual(401, (await self.call("/safe/"))[0])
 
+    async def test_a_key_withdrawn_while_a_body_arrives_is_refused(
+        self,
+    ) -> None:
+        """Guards against a withdrawn key that runs (CONFIG).
+
+        The key is looked up at the head, and the configuration without it is
+        confirmed before the end of the body.
+        """
+
+        async def write_slowly() -> t.AsyncIterator[bytes]:
+            yield b"bo"
+            configuration = platform_fixtures.make_configuration(2)
+            configuration["tenants"][0]["api_keys"] = ["another"]
+            self.store.put("op/config", configuration)
+            await self.wait_until(
+                lambda: self.host.catalog.require_configuration().version == 2
+            )
+            yield b"dy"
+
+        status, _, _ = await self.call("/safe/", data=write_slowly())
+        self.assertEqual(401, status)
+        self.assertEqual([], self.list_runs())
+
+    async def test_a_key_that_stays_serves_a_body_beside_a_change(
+        self,
+    ) -> None:
+        async def write_slowly() -> t.AsyncIterator[bytes]:
+            yield b"bo"
+            configuration = platform_fixtures.make_configuration(2)
+            configuration["tenants"][0]["api_keys"].append("another")
+            self.store.put("op/config", configuration)
+            await self.wait_until(
+                lambda: self.host.catalog.require_configuration().version == 2
+            )
+            yield b"dy"
+
+        status, _, _ = await self.call("/safe/", data=write_slowly())
+        self.assertEqual(200, status)
+
 
 class UnexpectedErrorTest(entry_fakes.EntryHostCase):
     """Unexpected exceptions while a request is served."""
