Share no context that was made before a customer was isolated

Cause: all customers that are not isolated shared one namespace, which stayed the same when one of them was isolated.

Change: the namespace that customers share is named after the customers that are isolated. Stores free that of an earlier configuration after the delay in which no host can fetch from it any more. Its cost: shared context is computed again whenever the list of isolated customers changes.

Evidence: test_the_shared_salt_changes_when_a_customer_is_isolated fails before: both salts are 4/model-1/.

--- a/src/sesamefold/entry/context_stores.py
+++ b/src/sesamefold/entry/context_stores.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import functools
+import hashlib
 import itertools
+import json
 import typing as t
 import urllib.parse
 
@@ -65,37 +67,60 @@
 # Most parts that one call frees.
 MAX_PARTS_PER_FREE_CALL = 200
 _SALT_SEPARATOR = "/"
+# Begin of the name of a shared space; quoted names do not contain it.
+_SHARED_MARK = "*"
 
 
 def make_salt(
-    customer: t.Optional[topology.Customer], model: str, version: int
+    customer: t.Optional[topology.Customer],
+    model: str,
+    version: int,
+    isolated_customers: t.FrozenSet[str] = frozenset(),
 ) -> str:
     """Return the salt: the namespace of the context of a model's weights.
 
-    An isolated customer has a namespace of its own; all other customers share
-    one. Engines find context only under the salt that it was saved with, and
-    stores free it by salt and part alone. The salt therefore names the model:
-    parts and versions of different models may be equal.
+    An isolated customer has a namespace of its own. All others share one for
+    as long as `isolated_customers` are the same: what the requests of a
+    customer left there before it was isolated is not used any more. Engines
+    find context only under the salt that it was saved with, and stores free it
+    by salt and part alone. The salt therefore names the model: parts and
+    versions of different models may be equal.
 
         make_salt(None, "org/model", 3) == "3/org%2Fmodel/"
     """
-    owner = customer.name if customer and customer.isolated else ""
-    return _join_salt(version, model, owner)
+    if customer is not None and customer.isolated:
+        return _join_salt(version, model, _quote(customer.name))
+    return _join_salt(version, model, name_shared_space(isolated_customers))
 
 
 @functools.lru_cache(maxsize=1024)
-def _join_salt(version: int, model: str, owner: str) -> str:
-    name = urllib.parse.quote(model, safe="")
-    return _SALT_SEPARATOR.join((str(version), name, owner))
+def _join_salt(version: int, model: str, space: str) -> str:
+    return _SALT_SEPARATOR.join((str(version), _quote(model), space))
 
 
-def parse_salt(salt: str) -> t.Tuple[str, int]:
-    """Return the model and the weight version that a salt names.
+@functools.lru_cache(maxsize=64)
+def name_shared_space(isolated_customers: t.FrozenSet[str]) -> str:
+    """Return the part of a salt that names what customers share.
+
+    It is no quoted name of a customer.
+    """
+    if not isolated_customers:
+        return ""
+    names = json.dumps(sorted(isolated_customers))
+    return _SHARED_MARK + hashlib.sha256(names.encode()).hexdigest()[:16]
+
+
+def _quote(name: str) -> str:
+    return urllib.parse.quote(name, safe="")
+
+
+def parse_salt(salt: str) -> t.Tuple[str, int, str]:
+    """Return the model, the weight version and the space that a salt names.
 
     Raises `ValueError` for a salt of another format.
     """
-    version, name, _ = salt.split(_SALT_SEPARATOR, 2)
-    return urllib.parse.unquote(name), int(version)
+    version, name, space = salt.split(_SALT_SEPARATOR, 2)
+    return urllib.parse.unquote(name), int(version), space
 
 
 class Fleet(t.Protocol):
@@ -170,6 +195,8 @@
     slowness: float = 1.0
     followed_addresses: t.Set[str] = attrs.field(factory=set)
     read_listeners: t.List[ReadListener] = attrs.field(factory=list)
+    _shared_space: t.Optional[str] = None
+    _shared_since: float = float("-inf")
     _rankings: t.Dict[str, t.Tuple[t.Set[str], t.List[str]]] = attrs.field(
         factory=dict
     )
@@ -186,7 +213,7 @@
         version = prompt and self._get_weight_version(prompt.model, server)
         if prompt is None or version is None:
             return None
-        salt = make_salt(call.customer, prompt.model, version)
+        salt = self._make_salt(call, prompt.model, version)
         plan = requests.ContextPlan(salt, version)
         now = self.read_time()
         if self._may_fetch(prompt.model, version, now):
@@ -204,7 +231,7 @@
         now = self.read_time()
         if not self._may_fetch(prompt.model, version, now):
             return 0
-        salt = make_salt(call.customer, prompt.model, version)
+        salt = self._make_salt(call, prompt.model, version)
         views = self._list_usable_views(call, server, now)
         return sum(
             part.tokens
@@ -212,6 +239,15 @@
             if _find_holder(views, salt, part) is not None
         )
 
+    def _make_salt(self, call: requests.Call, model: str, version: int) -> str:
+        configuration = self.catalog.configuration
+        return make_salt(
+            call.customer,
+            model,
+            version,
+            configuration.isolated_customers if configuration else frozenset(),
+        )
+
     def _get_weight_version(
         self, model: str, server: topology.Server
     ) -> t.Optional[int]:
@@ -465,6 +501,7 @@
         if self.host not in first_follower or view.boot_epoch is None:
             return
         now = self.read_time()
+        self._update_shared_space(now)
         salts = {salt for salt, _ in view.stored_parts}
         outdated_salts = {s for s in salts if self._is_outdated(s, now)}
         outdated = list(
@@ -482,18 +519,31 @@
                 salts=sorted({salt for salt, _ in outdated}),
             )
 
+    def _update_shared_space(self, now: float) -> None:
+        """Record since when the customers that share context are the same."""
+        configuration = self.catalog.configuration
+        if configuration is None:
+            return
+        space = name_shared_space(configuration.isolated_customers)
+        if space != self._shared_space:
+            self._shared_space, self._shared_since = space, now
+
     def _is_outdated(self, salt: str, now: float) -> bool:
         """Return whether no host lets engines fetch context of a salt.
 
-        Only a newer version of the same model makes context outdated. Context
-        with a salt of another format is never outdated.
+        Only a newer version of the same model makes context outdated, or that
+        other customers are isolated than when it was made. Context with a salt
+        of another format is never outdated.
         """
         try:
-            model, version = parse_salt(salt)
+            model, version, space = parse_salt(salt)
         except ValueError:
             return False
-        superseded_at = self.catalog.find_latest_supersession(model, version)
-        return now >= superseded_at + FREE_DELAY_SECONDS
+        replaced_at = self.catalog.find_latest_supersession(model, version)
+        is_shared = space == "" or space.startswith(_SHARED_MARK)
+        if is_shared and self._shared_space not in (None, space):
+            replaced_at = min(replaced_at, self._shared_since)
+        return now >= replaced_at + FREE_DELAY_SECONDS
 
 
 def _find_holder(
--- a/src/sesamefold/entry/topology.py
+++ b/src/sesamefold/entry/topology.py
@@ -123,7 +123,8 @@
     """A configuration as the operator wrote it.
 
     `customers` maps each API key to its customer. `needs_key` says whether
-    requests need a key, even if no customer has one yet.
+    requests need a key, even if no customer has one yet. `isolated_customers`
+    has the names of customers that share no context, with or without a key.
     """
 
     version: int
@@ -132,6 +133,7 @@
     customers: t.Mapping[str, Customer]
     needs_key: bool
     limits: ClientLimits
+    isolated_customers: t.FrozenSet[str] = frozenset()
 
     @functools.cached_property
     def _by_host(self) -> t.Dict[str, t.List[Route]]:
--- a/src/sesamefold/platform/records.py
+++ b/src/sesamefold/platform/records.py
@@ -155,6 +155,10 @@
         routes.append(_decode_route(route))
         if number % _ROUTES_PER_PIECE == 0:
             yield
+    customers = [
+        (_decode_customer(entry), entry.get("api_keys") or ())
+        for entry in body.get("tenants") or ()
+    ]
     return topology.Configuration(
         version=wire.get_field(body, "version", int),
         routes=tuple(routes),
@@ -163,15 +167,15 @@
             for service in body["services"]
         },
         customers={
-            key: customer
-            for entry in body.get("tenants") or ()
-            for customer in [_decode_customer(entry)]
-            for key in entry.get("api_keys") or ()
+            key: customer for customer, keys in customers for key in keys
         },
         needs_key="tenants" in body,
         limits=topology.ClientLimits(
             max_body_bytes=limits["max_body_bytes"],
         ),
+        isolated_customers=frozenset(
+            customer.name for customer, _ in customers if customer.isolated
+        ),
     )
 
 
--- a/tests/test_entry_context_stores.py
+++ b/tests/test_entry_context_stores.py
@@ -3,6 +3,8 @@
 import typing as t
 import unittest
 
+import attrs
+
 from sesamefold.entry import changes
 from sesamefold.entry import clock as clocks
 from sesamefold.entry import context_stores
@@ -176,6 +178,50 @@
         self.assertEqual("1/m/c", plan.salt)
         self.assertFalse(any(plan.fetches))
 
+    def isolate(self, *names: str) -> None:
+        """Apply a configuration in which customers are isolated."""
+        known = self.catalog.configuration
+        version = known.version + 1 if known else 1
+        self.catalog.configuration = attrs.evolve(
+            test_entry_catalog.make_configuration(version),
+            isolated_customers=frozenset(names),
+        )
+        self.catalog.confirm(self.clock.now)
+
+    # Guards against context that a customer's requests made before it was
+    # isolated, and that the requests of others go on using (WALL).
+    async def test_context_of_a_customer_is_not_shared_once_it_is_isolated(
+        self,
+    ) -> None:
+        self.isolate()
+        self.assertTrue(any(self.make_plan().fetches))
+        await self.context_stores._free_outdated(self.view)
+        self.isolate("b")
+        plan = self.make_plan()
+        self.assertFalse(any(plan.fetches))
+        self.assertNotEqual("1/m/", plan.salt)
+        self.assertEqual(plan.salt, self.make_plan().salt)
+        own = self.make_plan(isolated=True).salt
+        self.assertEqual("1/m/c", own)
+        self.isolate("b", "c")
+        self.assertNotIn(self.make_plan().salt, (plan.salt, own))
+
+    async def test_context_shared_before_is_freed_after_the_delay(
+        self,
+    ) -> None:
+        self.isolate()
+        await self.context_stores._free_outdated(self.view)
+        self.isolate("b")
+        shared = self.make_plan().salt
+        self.apply_parts((shared, "bb", 400), ("1/m/b", "aa", 400))
+        await self.context_stores._free_outdated(self.view)
+        self.clock.now += context_stores.FREE_DELAY_SECONDS - 0.1
+        await self.context_stores._free_outdated(self.view)
+        self.assertEqual([], self.store.freed)
+        self.clock.now += 0.2
+        await self.context_stores._free_outdated(self.view)
+        self.assertEqual([(1, (("1/m/", "aa"),))], self.store.freed)
+
     def test_nothing_is_transferred_outside_permitted_regions(self) -> None:
         plan = self.make_plan(regions=frozenset({"region-2"}))
         self.assertFalse(any(plan.fetches) or any(plan.saves))
@@ -260,7 +306,7 @@
         plan = self.make_plan("a/b")
         self.assertFalse(any(plan.fetches))
         self.assertNotEqual(self.make_plan().salt, plan.salt)
-        self.assertEqual(("a/b", 1), context_stores.parse_salt(plan.salt))
+        self.assertEqual(("a/b", 1, ""), context_stores.parse_salt(plan.salt))
 
     async def test_fetches_for_old_weights_end_before_context_is_freed(
         self,
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -421,6 +421,37 @@
         self.assertEqual("4", run.headers["Sesamefold-Expect-Version"])
         self.assertEqual("4/model-1/", run.headers["Sesamefold-Cache-Salt"])
 
+    async def test_the_shared_salt_changes_when_a_customer_is_isolated(
+        self,
+    ) -> None:
+        """Guards against context of an isolated customer in use (WALL).
+
+        Its requests put it into the caches of engines before.
+        """
+        for engine in self.engines:
+            engine.weights = {platform_fixtures.MODEL: 4}
+            self.host.catalog.update_weights(engine.id, engine.weights)
+        for isolated in (False, True):
+            version = self.host.catalog.require_configuration().version + 1
+            configuration = platform_fixtures.make_configuration(version)
+            (first,) = configuration["tenants"][:1]
+            configuration["tenants"] = [
+                {**first, "isolated": isolated},
+                {**first, "name": "another", "api_keys": ["another"]},
+            ]
+            self.store.put("op/config", configuration)
+            await self.wait_until(
+                lambda: self.host.catalog.require_configuration().version
+                == version  # noqa: B023
+            )
+            headers = {**PROMPT, "Api-Key": "another"}
+            await self.call("/stream/", f"r-{version}", headers=headers)
+        before, after = sorted(
+            (run.request_id, run.headers["Sesamefold-Cache-Salt"])
+            for run in self.list_runs()
+        )
+        self.assertNotEqual(before[1], after[1])
+
     async def test_a_mismatch_refusal_updates_the_known_weights(self) -> None:
         for engine in self.engines:
             engine.weights = {platform_fixtures.MODEL: 5}
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -427,7 +427,7 @@
     @hypothesis.given(strategies.text(max_size=12))
     def test_any_salt_gives_a_version_or_value_error(self, salt: str) -> None:
         try:
-            model, version = context_stores.parse_salt(salt)
+            model, version, _ = context_stores.parse_salt(salt)
             self.assertIsInstance(model, str)
             self.assertIsInstance(version, int)
         except ValueError:
