Take over connections that were lost before they could be used

Since the bound on held bytes names the peer of each connection, one that the server reset at once, and that has no peer any more, was an error of the type. The request ended as it did before, as possibly executed, but the connection was not given back.

Evidence: test_connection_without_a_peer_is_taken_over fails before.

--- a/src/sesamefold/exchanges.py
+++ b/src/sesamefold/exchanges.py
@@ -235,8 +235,9 @@
         self._handler = handler
         self._report = report
         self._number = next(_connection_numbers)
-        host, port = transport.get_extra_info("peername")[:2]
-        self.address = f"{host}:{port}"
+        # None for a connection that was lost before it could be used.
+        peer = transport.get_extra_info("peername") or ("unknown", 0)
+        self.address = f"{peer[0]}:{peer[1]}"
         self._opened_at = time.monotonic()
         self._exchange: t.Optional[Exchange] = None
         self._request_ids: t.Deque[str] = collections.deque(
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -5,6 +5,7 @@
 import time
 import typing as t
 import unittest
+import unittest.mock
 
 import multidict
 
@@ -336,6 +337,17 @@
         self.assertEqual(exceptions.ForeignReply, outcome)
 
 
+class LostConnectionTest(unittest.TestCase):
+    """Connections that are lost as soon as they are made."""
+
+    def test_connection_without_a_peer_is_taken_over(self) -> None:
+        """Guards against an error of this process for one of the server."""
+        connection = unittest.mock.Mock()
+        connection.get_extra_info.return_value = None
+        carrier = exchanges._Carrier(connection, None, lambda stray: None)
+        self.assertEqual("unknown:0", carrier.address)
+
+
 class EndlessBytesTest(UpstreamCase):
     """Bytes without end, which no answer is made of."""
 
