Roll out versions of a service with bounded exposure

Cause: nothing answered an operator's order under op/rollout/SERVICE; a host took servers of any version for the same, so a bad version would have got half of the requests as soon as its servers appeared.

Change: the lease holder moves a service's requests to the ordered version in steps, bounded by the exposure that the settings allow; answers of all hosts are compared with those of the old version by route, and a bad version is left within 0.25 s of the verdict and rolled back. Versions that no order names get nothing beside those that serve. Without a bound in the settings, versions count as the same, as before.

--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -1,5 +1,6 @@
 """Current configuration and usable backend servers."""
 
+import math
 import typing as t
 
 import attrs
@@ -41,6 +42,23 @@
     older_expire_at: float
 
 
+@attrs.frozen
+class RolloutOrder:
+    """The operator's order to roll out a version of a service.
+
+    `revision` tells orders apart. `ordered_at` is the earliest time at which
+    the order may have been given and `deadline` when the rollout must have
+    ended at the latest, in seconds of `clock.read_time`. Both are later for
+    an order that is older than this host's first read of the store.
+    """
+
+    service: str
+    target: str
+    revision: int
+    ordered_at: float
+    deadline: float
+
+
 @attrs.frozen
 class WeightsLimits:
     """Limits on the use of weights after a newer version was named.
@@ -62,7 +80,8 @@
     been up to date, in seconds of `clock.read_time`. `has_snapshot` is set
     after the first complete read. `target_weights` maps each model to the
     weight version that its engines should load. Without `weights_limits`,
-    replaced weights never expire.
+    replaced weights never expire. `rollouts` maps services to the latest order
+    to roll out a version of them.
 
     A configuration is never replaced by an older one. A server whose report
     expired during a store outage stays usable for `EXPIRY_GRACE_SECONDS` after
@@ -80,6 +99,7 @@
     servers: t.Dict[str, topology.Server] = attrs.field(factory=dict)
     evacuated_data_centres: t.Set[str] = attrs.field(factory=set)
     target_weights: t.Dict[str, int] = attrs.field(factory=dict)
+    rollouts: t.Dict[str, RolloutOrder] = attrs.field(factory=dict)
     has_snapshot: bool = False
     on_report: t.List[t.Callable[[topology.Server], None]] = attrs.field(
         factory=list
@@ -125,6 +145,13 @@
                 for change in batch.changes
                 if isinstance(change, changes.EvacuationRequested)
             }
+            ordered = {
+                change.service
+                for change in batch.changes
+                if isinstance(change, changes.RolloutOrdered)
+            }
+            for service in self.rollouts.keys() - ordered:
+                self._withdraw_rollout(service)
         if scope is not store.Scope.OPERATOR:
             self._remove_unlisted_servers(batch)
             self.has_snapshot = True
@@ -185,11 +212,43 @@
                     model=change.model,
                     version=change.version,
                 )
+        elif isinstance(change, changes.RolloutOrdered):
+            self._order_rollout(change)
+        elif isinstance(change, changes.RolloutWithdrawn):
+            self._withdraw_rollout(change.service)
         else:
             self.log.write(
                 "record_rejected", key=change.key, reason=change.reason
             )
 
+    def _order_rollout(self, change: changes.RolloutOrdered) -> None:
+        known = self.rollouts.get(change.service)
+        if known is not None and known.revision >= change.revision:
+            return
+        ordered_at = self.confirmed_at
+        if not math.isfinite(ordered_at):
+            ordered_at = self.read_time()
+        order = RolloutOrder(
+            change.service,
+            change.target,
+            change.revision,
+            ordered_at,
+            ordered_at + change.seconds,
+        )
+        self.rollouts[change.service] = order
+        self.log.write(
+            "rollout_ordered",
+            service=order.service,
+            target=order.target,
+            revision=order.revision,
+            seconds=change.seconds,
+            replaced=known.target if known else None,
+        )
+
+    def _withdraw_rollout(self, service: str) -> None:
+        if self.rollouts.pop(service, None) is not None:
+            self.log.write("rollout_withdrawn", service=service)
+
     def _set_target_weights(self, model: str, version: int) -> None:
         self.target_weights[model] = version
         history = self._target_history.setdefault(model, [])
@@ -297,6 +356,7 @@
                 data_centre=server.data_centre,
                 draining=server.draining,
                 cold=round(max(0.0, server.cold_until - now), 2),
+                version=server.version or None,
                 weights=dict(server.weights),
                 started_at=server.started_at,
             )
--- a/src/sesamefold/entry/changes.py
+++ b/src/sesamefold/entry/changes.py
@@ -42,6 +42,27 @@
     version: int
 
 
+@attrs.frozen
+class RolloutOrdered:
+    """An order to move a service's requests to servers of another version.
+
+    `seconds` is the time from the order within which the rollout is to end.
+    `revision` is that of the record, which tells orders apart.
+    """
+
+    service: str
+    target: str
+    seconds: float
+    revision: int
+
+
+@attrs.frozen
+class RolloutWithdrawn:
+    """The removal of the order to roll out a version of a service."""
+
+    service: str
+
+
 @attrs.frozen
 class ServerReported:
     """A status report written by a backend server."""
@@ -89,6 +110,8 @@
     EvacuationRequested,
     EvacuationEnded,
     TargetWeightsChanged,
+    RolloutOrdered,
+    RolloutWithdrawn,
     ServerReported,
     ServerRemoved,
     RecordRejected,
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -28,6 +28,7 @@
 from sesamefold.entry import throttle
 from sesamefold.entry import topology
 from sesamefold.entry import upstream
+from sesamefold.entry import version_routing
 from sesamefold import exceptions
 
 # Age of the last confirmation of the configuration above which no request with
@@ -432,6 +433,7 @@
         """
         attempt_number = len(call.tried_servers)
         sent_at = clock.read_time()
+        observation = self.placement.versions.observe(call, server)
         async with successors.Succession(
             functools.partial(self._choose_successor, call, response),
             _FAILURES,
@@ -445,10 +447,18 @@
                     reservation,
                     succession,
                     claim,
+                    observation,
                 )
                 self.placement.record_outcome(server, failed=False)
+                observation.finish(failed=False)
                 return
             except _FAILURES as error:
+                if isinstance(
+                    error, (deliveries.RunFailed, exceptions.ReplyBroken)
+                ) and not isinstance(error, successors.TakenOver):
+                    observation.finish(failed=True)
+                else:
+                    observation.discard()
                 self._record_failure(
                     call, server, attempt_number, error, sent_at
                 )
@@ -456,6 +466,8 @@
                     raise
                 taken_over = isinstance(error, successors.TakenOver)
             finally:
+                # Has no effect unless the attempt was cancelled.
+                observation.finish(failed=False)
                 reservation.release()
             try:
                 await succession.finish()
@@ -477,6 +489,7 @@
         reservation: loads.Reservation,
         succession: successors.Succession,
         claim: t.Optional[successors.Claim],
+        observation: version_routing.Observation,
     ) -> None:
         """Send a call to a server and relay its reply.
 
@@ -506,6 +519,7 @@
         def record_first_event() -> None:
             if call.begun_at is None:
                 call.begun_at = clock.read_time()
+            observation.record_first_event()
             reservation.record_prefill()
             start_timeout.reschedule(None)
             if call.head.prompt is not None and context is not None:
--- a/src/sesamefold/entry/election.py
+++ b/src/sesamefold/entry/election.py
@@ -78,6 +78,15 @@
         """Return the fencing token, None if this host may not send orders."""
         return self._fencing_token if self.may_send_orders() else None
 
+    def get_term(self) -> t.Optional[int]:
+        """Return the fencing token while this host holds the lease.
+
+        Unlike `get_fencing_token`, it does not wait until the orders of the
+        previous holder have arrived: what is decided by it is written under a
+        condition and announced with the token.
+        """
+        return self._fencing_token if self.holds_lease() else None
+
     def holds_lease(self) -> bool:
         """Return whether this host holds the lease, as far as it knows."""
         return self.read_time() < self._active_until
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -32,6 +32,7 @@
 from sesamefold.entry import placement
 from sesamefold.entry import quarantine
 from sesamefold.entry import requests
+from sesamefold.entry import rollout_coordinator
 from sesamefold.entry import server_status
 from sesamefold.entry import settings as entry_settings
 from sesamefold.entry import shutdown as shutdowns
@@ -39,6 +40,7 @@
 from sesamefold.entry import suspicion_exchange
 from sesamefold.entry import throttle
 from sesamefold.entry import upstream
+from sesamefold.entry import version_routing
 from sesamefold.entry import weight_status
 from sesamefold import exceptions
 from sesamefold import exchanges
@@ -72,6 +74,7 @@
     codec: requests.Codec
     engine_control: orders.EngineControl
     context_store_api: context_stores.ContextStoreApi
+    encode_rollout_status: rollout_coordinator.StatusEncoder
 
 
 class EntryHost(mode.Service):
@@ -134,6 +137,9 @@
         self.server_statuses = server_status.ServerStatuses(
             self.decisions, leaving_seconds=settings.leaving_seconds
         )
+        self.versions = version_routing.VersionRouting(
+            self.catalog, settings.rollout_limits is not None, self.decisions
+        )
         self.placement = placement.Placement(
             self.catalog,
             throttle.ColdThrottle(
@@ -146,6 +152,7 @@
             settings.region,
             self.decisions,
             states=self.server_statuses,
+            versions=self.versions,
         )
         self.server_statuses.on_leaving.append(
             lambda server: self.metrics.count_notice("leaving")
@@ -184,6 +191,17 @@
             settings.order_pause_seconds,
             self.decisions,
         )
+        self.rollouts = rollout_coordinator.RolloutCoordinator(
+            settings.host,
+            self.versions,
+            settings.rollout_limits,
+            self.channel,
+            self.members,
+            self.election,
+            platform.host_records,
+            platform.encode_rollout_status,
+            self.decisions,
+        )
         self.shutdown = shutdowns.Shutdown()
         self._runners: t.List[web.ServerRunner] = []
 
@@ -323,7 +341,7 @@
             self.platform.record_source,
             follower.WATCH_INTERVAL_SHARE * self.settings.leaving_seconds,
             self.catalog,
-            (self.members, self.election),
+            (self.members, self.election, self.versions),
             self.decisions,
             self.relay,
         ).run()
@@ -365,6 +383,10 @@
             is_leaving=self.server_statuses.is_leaving,
         ).run()
 
+    @mode.Service.task
+    async def _coordinate_rollouts(self) -> None:
+        await self.rollouts.run()
+
     def reload(self, file: "SettingsFile", cause: str) -> None:
         """Apply the settings of a file that can change without a restart.
 
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -16,6 +16,7 @@
 from sesamefold.entry import server_status
 from sesamefold.entry import throttle
 from sesamefold.entry import topology
+from sesamefold.entry import version_routing
 from sesamefold import rendezvous
 
 # Prompt tokens that an engine prefills per millisecond beside its running
@@ -123,6 +124,14 @@
             takes_self=True,
         )
     )
+    versions: version_routing.VersionRouting = attrs.field(
+        default=attrs.Factory(
+            lambda self: version_routing.VersionRouting(
+                self.catalog, False, self.log, self.read_time
+            ),
+            takes_self=True,
+        )
+    )
     _last_engines: t.Dict[str, str] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -163,9 +172,9 @@
         configuration = self.catalog.require_configuration()
         service = configuration.services.get(call.service)
         rate = service.cold_rate if service else 0.0
-        return [
+        usable = [
             (server, status)
-            for server in self.catalog.list_usable_servers(call.service)
+            for server in self._list_servers(call)
             if call.may_try(server.id)
             and (status := self.states.get(server)).is_available(now)
             and self._is_permitted(server, allowed)
@@ -175,6 +184,20 @@
                 or self.cold_throttle.allows_request(server.id, rate)
             )
         ]
+        preferred = self.versions.prefer_servers(
+            call, [server for server, _ in usable]
+        )
+        if len(preferred) == len(usable):
+            return usable
+        return [pair for pair in usable if pair[0] in preferred]
+
+    def _list_servers(
+        self, call: requests.Call
+    ) -> t.Sequence[topology.Server]:
+        """Return the servers that may get a call, usable now or not."""
+        return self.versions.select_servers(
+            call, self.catalog.list_usable_servers(call.service)
+        )
 
     def find_weights_expiry(
         self, call: requests.Call, server: topology.Server
@@ -215,7 +238,7 @@
             call.may_try(server.id)
             and self._is_permitted(server, allowed)
             and self.states.get(server).may_serve(now)
-            for server in self.catalog.list_usable_servers(call.service)
+            for server in self._list_servers(call)
         )
 
     def find_rest_end(
@@ -230,7 +253,7 @@
         now = self.read_time()
         allowed = call.list_permitted_regions()
         ends = []
-        for server in self.catalog.list_usable_servers(call.service):
+        for server in self._list_servers(call):
             status = self.states.get(server)
             if (
                 (untried_only and not call.may_try(server.id))
@@ -407,7 +430,7 @@
 
         `chosen` is the result of `choose_server`.
         """
-        known = self.catalog.list_usable_servers(call.service)
+        known = self._list_servers(call)
         if chosen is None:
             now = self.read_time()
             expired = sum(now >= self._get_last_start(call, s) for s in known)
--- a/src/sesamefold/entry/settings.py
+++ b/src/sesamefold/entry/settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from sesamefold.entry import catalog
+from sesamefold.entry import exposure
 from sesamefold.entry import throttle
 
 
@@ -18,7 +19,9 @@
     keys. `weights_limits` bounds the use of replaced weights, None if it is
     not limited. `shutdown_seconds` is the time that the process has to stop.
     `order_pause_seconds` is the minimum time between the orders of two
-    different entry hosts. `leaving_seconds` is the time after a server
+    different entry hosts. `rollout_limits` bounds the requests of a service's
+    version that is rolled out, None if no rollouts are ordered.
+    `leaving_seconds` is the time after a server
     announces that it leaves from which it must get no new requests.
     `link_mbps` is the bandwidth of the host's link and `memory_bytes` the
     memory that the process may use, 0.0 if unknown.
@@ -41,3 +44,4 @@
     leaving_seconds: float
     link_mbps: float
     memory_bytes: float = 0.0
+    rollout_limits: t.Optional[exposure.RolloutLimits] = None
--- a/src/sesamefold/entry/topology.py
+++ b/src/sesamefold/entry/topology.py
@@ -179,7 +179,8 @@
     `started_at` is the Unix time of its start in milliseconds and identifies
     the incarnation; it is 0 if it is not known. `sequence` grows with each
     report of an incarnation. `cold_until` is in seconds of `clock.read_time`.
-    `weights` maps the names of its models to their weight versions.
+    `weights` maps the names of its models to their weight versions. `version`
+    is that of the server's software, "" if the server does not say.
     """
 
     id: str
@@ -192,3 +193,4 @@
     sequence: int
     cold_until: float = 0.0
     weights: t.Mapping[str, int] = attrs.field(factory=dict)
+    version: str = ""
--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -202,7 +202,7 @@
     ) -> t.Tuple[changes.Change, ...]:
         """Return the changes that records of the operator stand for."""
         decoded = [
-            await _decode_change(record.key, record.value)
+            await _decode_change(record.key, record.value, record.revision)
             for record in operator_records
         ]
         return tuple(filter(None, decoded))
@@ -429,7 +429,7 @@
         for event in events
     ]
     decoded = [
-        await _decode_change(event["key"], value)
+        await _decode_change(event["key"], value, event["revision"])
         for event, value in zip(events, values)
         if event["key"].startswith(_PLATFORM_PREFIXES)
     ]
@@ -452,9 +452,9 @@
 
 
 async def _decode_change(
-    key: str, value: t.Optional[bytes]
+    key: str, value: t.Optional[bytes], revision: int
 ) -> t.Optional[changes.Change]:
     """Return the change that a record, or its removal, stands for."""
     if value is None:
         return records.decode_removal(key)
-    return await records.decode_record_in_pieces(key, value)
+    return await records.decode_record_in_pieces(key, value, revision)
--- a/src/sesamefold/platform/daemon.py
+++ b/src/sesamefold/platform/daemon.py
@@ -16,6 +16,7 @@
 from sesamefold.platform import client
 from sesamefold.platform import engines
 from sesamefold.platform import headers
+from sesamefold.platform import records
 from sesamefold.platform import settings as platform_settings
 from sesamefold.platform import stores
 from sesamefold import transport
@@ -59,6 +60,7 @@
             headers.HeaderCodec(),
             engines.EngineClient(session),
             stores.ContextStoreClient(session),
+            records.encode_rollout_status,
         )
         host = entry_host.EntryHost(settings, platform, log, budget)
         await entry_host.run(host, file)
--- a/src/sesamefold/platform/records.py
+++ b/src/sesamefold/platform/records.py
@@ -8,6 +8,7 @@
 from sesamefold import addresses
 from sesamefold.entry import changes
 from sesamefold.entry import clock
+from sesamefold.entry import store
 from sesamefold.entry import topology
 from sesamefold.platform import wire
 
@@ -38,13 +39,15 @@
 JsonObject = t.Mapping[str, t.Any]
 
 
-def decode_record(key: str, value: bytes) -> t.Optional[changes.Change]:
+def decode_record(
+    key: str, value: bytes, revision: int = 0
+) -> t.Optional[changes.Change]:
     """Return the change that a written record stands for.
 
     A record that cannot be decoded, or has an unknown key, becomes
     `changes.RecordRejected`.
     """
-    pieces = _decode_in_pieces(key, value)
+    pieces = _decode_in_pieces(key, value, revision)
     while True:
         try:
             next(pieces)
@@ -53,10 +56,10 @@
 
 
 async def decode_record_in_pieces(
-    key: str, value: bytes
+    key: str, value: bytes, revision: int = 0
 ) -> t.Optional[changes.Change]:
     """Do as `decode_record`, and let other tasks run in between."""
-    pieces = _decode_in_pieces(key, value)
+    pieces = _decode_in_pieces(key, value, revision)
     while True:
         try:
             next(pieces)
@@ -68,7 +71,7 @@
 _Pieces = t.Generator[None, None, changes.Change]
 
 
-def _decode_in_pieces(key: str, value: bytes) -> _Pieces:
+def _decode_in_pieces(key: str, value: bytes, revision: int) -> _Pieces:
     """Decode a record; yield where other tasks may run."""
     started_at = time.perf_counter()
     try:
@@ -92,6 +95,10 @@
                 wire.get_field(body, "model", str),
                 wire.get_count(body, "version"),
             )
+        if key.startswith(wire.ROLLOUT_PREFIX):
+            return _decode_rollout(
+                key.removeprefix(wire.ROLLOUT_PREFIX), body, revision
+            )
     except _DECODING_ERRORS as error:
         reason = f"{type(error).__name__}: {error}"
         return changes.RecordRejected(key, reason[:_MAX_REASON_LENGTH])
@@ -106,9 +113,36 @@
         return changes.EvacuationEnded(
             key.removeprefix(wire.EVACUATION_PREFIX)
         )
+    if key.startswith(wire.ROLLOUT_PREFIX):
+        return changes.RolloutWithdrawn(key.removeprefix(wire.ROLLOUT_PREFIX))
     return changes.RecordRejected(key, "removed record with an unknown key")
 
 
+def _decode_rollout(
+    service: str, body: JsonObject, revision: int
+) -> changes.RolloutOrdered:
+    if wire.get_field(body, "service", str) != service:
+        raise ValueError("the service is not the one in the key")
+    target = wire.get_field(body, "target", str)
+    seconds = wire.get_number(body, "duration_s")
+    if not target or seconds <= 0:
+        raise ValueError("the target or the duration is empty")
+    return changes.RolloutOrdered(service, target, seconds, revision)
+
+
+def encode_rollout_status(
+    service: str, target: str, state: str
+) -> store.Write:
+    """Return the write that tells the operator the state of a rollout.
+
+    `state` is "running", "completed" or "rolled_back".
+    """
+    return store.Write(
+        f"{wire.ROLLOUT_STATUS_PREFIX}{service}",
+        wire.encode({"target": target, "state": state}),
+    )
+
+
 def _decode_server(server_id: str, body: JsonObject) -> topology.Server:
     # Requests name the server in a header.
     if not re.fullmatch(r"[!-~]+", server_id):
@@ -143,6 +177,9 @@
             )
             for model in body.get("models", ())
         },
+        version=(
+            wire.get_field(body, "version", str) if "version" in body else ""
+        ),
     )
 
 
--- a/src/sesamefold/platform/settings.py
+++ b/src/sesamefold/platform/settings.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from sesamefold.entry import catalog
+from sesamefold.entry import exposure
 from sesamefold.entry import settings as entry_settings
 from sesamefold.entry import throttle
 from sesamefold import exceptions
@@ -91,6 +92,14 @@
             if "version_ms" in bounds
             else None
         ),
+        rollout_limits=(
+            exposure.RolloutLimits(
+                exposure_share=bounds["exposure_share"],
+                extra_requests=bounds["exposure_slack"],
+            )
+            if "exposure_share" in bounds
+            else None
+        ),
         shutdown_seconds=bounds["grace_s"],
         order_pause_seconds=bounds["lease_ms"] / _MS_PER_SECOND,
         leaving_seconds=bounds["drain_ms"] / _MS_PER_SECOND,
--- a/src/sesamefold/platform/wire.py
+++ b/src/sesamefold/platform/wire.py
@@ -57,6 +57,8 @@
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 WEIGHTS_PREFIX = "op/version/"
+ROLLOUT_PREFIX = "op/rollout/"
+ROLLOUT_STATUS_PREFIX = "status/rollout/"
 SERVERS_PREFIX = "servers/"
 
 JSON_CONTENT_TYPE = "application/json"
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -22,6 +22,7 @@
 from sesamefold.platform import client
 from sesamefold.platform import engines
 from sesamefold.platform import headers
+from sesamefold.platform import records
 from sesamefold.platform import stores
 from sesamefold import transport
 from standins import platform_engine
@@ -303,6 +304,7 @@
                 headers.HeaderCodec(),
                 engines.EngineClient(session),
                 stores.ContextStoreClient(session),
+                records.encode_rollout_status,
             ),
             make_log(),
         )
--- a/tests/test_entry_operator_fleet.py
+++ b/tests/test_entry_operator_fleet.py
@@ -7,6 +7,7 @@
 from sesamefold.platform import client
 from sesamefold.platform import engines
 from sesamefold.platform import headers
+from sesamefold.platform import records
 from sesamefold.platform import stores
 from sesamefold import transport
 from standins import platform_fixtures
@@ -52,6 +53,7 @@
                 headers.HeaderCodec(),
                 engines.EngineClient(session),
                 stores.ContextStoreClient(session),
+                records.encode_rollout_status,
             ),
             entry_fakes.make_log(),
         )
