Test that a frozen coordinator completes no rollout that was undone

Cause: the test froze the coordinator before its last step, so that it passed without the condition on the record. Change: it is frozen within the last step. Result: fails without the condition, passes with it.

--- a/tests/test_entry_rollouts.py
+++ b/tests/test_entry_rollouts.py
@@ -395,7 +395,7 @@
 
     async def test_new_coordinator_goes_on_at_each_step(self) -> None:
         """Guards against a rollout that ends with its coordinator."""
-        for seconds in (0.25, 0.5, 2.0, 8.0, 10.75, 11.25):
+        for seconds in (0.25, 0.5, 2.0, 8.0, 10.75, 11.5):
             with self.subTest(seconds=seconds):
                 self.setUp()
                 self.start_rollout()
@@ -441,8 +441,9 @@
     ) -> None:
         """Guards the final state: it is written once and stays."""
         self.start_rollout()
-        await self.play(11.25)
+        await self.play(11.5)
         frozen = self.hosts.pop(0)
+        self.assertIsNotNone(frozen.coordinator._rollouts["chat"].complete_at)
         del self.network.channels[frozen.channel.address]
         self.hosts[0].election.term = 2
         await self.play(2.5, lambda load: 0.9)
