Leave servers alone whose address another one has taken

Cause: a refusal that names another server proves that the server of the request has ended, but the host tried it again after 4 s for as long as its entry lasted.

Change: such a server gets nothing for 60 s unless it reports itself anew, the hosts of the region are told, and up to three servers that had ended do not count to the limit of two servers for requests that no server executed.

Result: the new test with four replaced servers failed before (503) and passes.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -46,6 +46,10 @@
 # refused because of it are told to come back, seconds.
 RETURN_SPREAD_SECONDS = 1.0
 
+# Servers that had ended which a request may try beside the other ones. A loss
+# of several servers at once is known to all hosts within half a second.
+MAX_ENDED_SERVERS = 3
+
 # Errors of an attempt after which the request may go on at another server.
 _FAILURES = (
     exceptions.NotExecuted,
@@ -317,13 +321,16 @@
         """Charge the retry of a request that the last server did not execute.
 
         Raises the final error if no retry is allowed. Such a request may try
-        two servers even on a route that allows only one. For a response that
-        has started, servers that did not execute it do not count.
+        two servers even on a route that allows only one, and a few more if
+        those had ended: that says nothing of the load of the others. For a
+        response that has started, servers that did not execute it do not
+        count.
         """
         if response.started:
             may_retry = call.may_run_elsewhere()
         else:
-            may_retry = len(call.tried_servers) < max(
+            ended = min(call.ended_servers, MAX_ENDED_SERVERS)
+            may_retry = len(call.tried_servers) - ended < max(
                 2, call.route.max_servers
             )
         if not may_retry or not self.retries.try_acquire_retry(call.service):
@@ -400,8 +407,11 @@
         if isinstance(error, exceptions.NotExecuted):
             call.record_refusal(server.id)
             if error.ended:
+                call.ended_servers += 1
                 self.crashes.record_end(server)
-            if error.mismatched:
+            if error.replaced:
+                self.placement.record_replaced(server, error.message)
+            elif error.mismatched:
                 self.placement.record_mismatch(call, server)
             elif error.reachable:
                 self.placement.record_refusal(server)
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -21,7 +21,6 @@
 from sesamefold.entry import election
 from sesamefold.entry import follower
 from sesamefold.entry import frontend
-from sesamefold.entry import leaving_notices
 from sesamefold.entry import loads
 from sesamefold.entry import members as member_lists
 from sesamefold.entry import metrics as entry_metrics
@@ -33,6 +32,7 @@
 from sesamefold.entry import quarantine
 from sesamefold.entry import requests
 from sesamefold.entry import rollout_coordinator
+from sesamefold.entry import server_notices
 from sesamefold.entry import server_status
 from sesamefold.entry import settings as entry_settings
 from sesamefold.entry import shutdown as shutdowns
@@ -160,7 +160,7 @@
         self.server_statuses.on_rest.append(
             lambda server: self.metrics.count_notice("resting")
         )
-        leaving_notices.LeavingNotices(
+        server_notices.exchange_notices(
             self.channel, self.members, self.catalog, self.server_statuses
         )
         self.weight_status = weight_status.WeightStatusSharing(
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -573,6 +573,12 @@
         if latest is None or latest.started_at == server.started_at:
             self.states.suspect(latest or server, reason)
 
+    def record_replaced(self, server: topology.Server, reason: str) -> None:
+        """Send nothing to a server whose address another one has taken."""
+        latest = self.catalog.servers.get(server.id)
+        if latest is None or latest.started_at == server.started_at:
+            self.states.record_replaced(latest or server, reason)
+
     def record_activity(self, server: topology.Server) -> None:
         """Record that a server has just sent data."""
         self.states.record_activity(server)
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -82,7 +82,8 @@
     the id of the last event of a stream that the caller has received,
     `tried_servers` has the id of the server of each attempt so far, except
     those that were cancelled, whose servers are in `cancelled_servers`.
-    `refusals` counts the servers that did not execute the request, and
+    `refusals` counts the servers that did not execute the request,
+    `ended_servers` those of them that were no longer at their address, and
     `configuration_version` is that by which the request was routed.
     `key_version` is that in which the API key was found last.
     `suspect` says that the call may crash the server that runs it.
@@ -104,6 +105,7 @@
     tried_servers: t.List[str] = attrs.field(factory=list)
     cancelled_servers: t.Set[str] = attrs.field(factory=set)
     refusals: int = 0
+    ended_servers: int = 0
     configuration_version: int = 0
     key_version: int = 0
     begun_at: t.Optional[float] = None
--- a/src/sesamefold/entry/server_status.py
+++ b/src/sesamefold/entry/server_status.py
@@ -29,6 +29,10 @@
 # it reports itself earlier. A server whose reports are missing for three
 # intervals of about 1.2 s is removed anyway.
 SUSPICION_SECONDS = 4.0
+# Time without requests for a server whose address another server has taken,
+# seconds, unless it reports itself anew. Its entry may outlast it for several
+# outages of the store, and each host would try it once in each of them.
+REPLACED_SECONDS = 60.0
 # Age above which a load reported by a server is ignored, seconds. An engine
 # takes about a second for a request.
 REPORTED_LOAD_EXPIRY_SECONDS = 1.0
@@ -117,7 +121,9 @@
     `started_at` identifies the incarnation as in `topology.Server`. All other
     instants are in seconds of `clock.read_time`. No request is sent before
     `backoff_until` and `suspected_until`. `suspected_sequence` is that of the
-    server's latest report when the server became suspected.
+    server's latest report when the server became suspected. Until
+    `replaced_until`, other servers are preferred because another host says
+    that the address of this one belongs to another server.
     `versions_before_refusal` has, by model, the weight version that was known
     before a refusal made another one seem likely, until one is reported.
     """
@@ -128,6 +134,7 @@
     backoff_until: float = _NEVER
     suspected_until: float = _NEVER
     suspected_sequence: int = 0
+    replaced_until: float = _NEVER
     versions_before_refusal: t.Dict[str, int] = attrs.field(factory=dict)
     last_activity_at: float = _NEVER
     failure_rate: float = 0.0
@@ -158,7 +165,7 @@
 
     def is_failing(self, now: float) -> bool:
         """Return whether other servers should be preferred at `now`."""
-        return (
+        return now < self.replaced_until or (
             self.failure_rate > FAILURE_RATE_LIMIT and now < self.avoided_until
         )
 
@@ -185,7 +192,8 @@
     A server that has said that it leaves gets no requests from
     `leaving_seconds` after it, less `LEAVING_MARGIN_SECONDS`. The callbacks
     in `on_leaving` are called with a server whose first such answer arrives,
-    those in `on_rest` with one that asks for a rest.
+    those in `on_rest` with one that asks for a rest, and those in
+    `on_replaced` with one whose address this host found to be another's.
 
         statuses.suspect(server, "connection refused")
         if statuses.get(server).is_available(now):
@@ -201,6 +209,9 @@
     on_rest: t.List[t.Callable[[topology.Server], None]] = attrs.field(
         factory=list
     )
+    on_replaced: t.List[t.Callable[[topology.Server], None]] = attrs.field(
+        factory=list
+    )
     _statuses: t.Dict[str, ServerStatus] = attrs.field(factory=dict)
     _removed: t.Dict[str, ServerStatus] = attrs.field(factory=dict)
 
@@ -381,19 +392,52 @@
         status.suspected_sequence = server.sequence
         self.log.write("server_suspected", server=server.id, reason=reason)
 
+    def record_replaced(self, server: topology.Server, reason: str) -> None:
+        """Send no request to a server whose address another one has taken.
+
+        `server` is the latest report known of the incarnation. A later report
+        of it ends this, and `REPLACED_SECONDS` do in any case.
+        """
+        status = self.get(server)
+        known = status.suspected_until - self.read_time() > SUSPICION_SECONDS
+        self.suspect(server, reason)
+        status.suspected_until = self.read_time() + REPLACED_SECONDS
+        if known or not self._is_latest(status, server):
+            return
+        for listener in self.on_replaced:
+            listener(server)
+
+    def record_replaced_notice(
+        self, server: topology.Server, host: str
+    ) -> None:
+        """Record that another host found a server's address to be another's.
+
+        The message may be wrong, so that the server still gets requests that
+        no other one can take.
+        """
+        status = self.get(server)
+        if not self._is_latest(status, server):
+            return
+        status.suspected_sequence = max(
+            status.suspected_sequence, server.sequence
+        )
+        status.replaced_until = self.read_time() + REPLACED_SECONDS
+        self.log.write("server_replaced", server=server.id, source=host)
+
     def record_report(self, server: topology.Server) -> None:
         """Drop what a newer report of a server replaces."""
         known = self._statuses.get(server.id)
         if known is None:
             return
         known.versions_before_refusal.clear()
-        if known.suspected_until == _NEVER:
+        if known.suspected_until == known.replaced_until == _NEVER:
             return
         if (server.started_at, server.sequence) > (
             known.started_at,
             known.suspected_sequence,
         ):
-            self.get(server).suspected_until = _NEVER
+            status = self.get(server)
+            status.suspected_until = status.replaced_until = _NEVER
             self.log.write("server_trusted", server=server.id)
 
     def forget_server(self, server_id: str) -> None:
--- a/src/sesamefold/entry/upstream.py
+++ b/src/sesamefold/entry/upstream.py
@@ -220,6 +220,7 @@
             f"the server at {server.address} is another one",
             reachable=False,
             ended=True,
+            replaced=True,
         )
     if head.not_executed:
         raise exceptions.NotExecuted(
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -235,7 +235,8 @@
 
     `reachable` tells that the server itself refused it, `mismatched` that it
     did so because it is another server or has other weights. `ended` tells
-    that the server is no longer at its address.
+    that the server is no longer at its address, `replaced` that another
+    server has taken its address.
     """
 
     code = 1215
@@ -247,11 +248,13 @@
         reachable: bool,
         mismatched: bool = False,
         ended: bool = False,
+        replaced: bool = False,
     ) -> None:
         super().__init__(message)
         self.reachable = reachable
         self.mismatched = mismatched
         self.ended = ended
+        self.replaced = replaced
 
 
 class ReplyBroken(RoutingError):
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -97,6 +97,36 @@
                 if status == 503:
                     self.assertGreater(float(response[1]["Retry-After"]), 0)
 
+    async def test_entries_of_replaced_servers_cost_no_request(self) -> None:
+        """Guards against refusals after several servers were replaced.
+
+        Four entries name servers that have ended; another one answers at
+        their addresses.
+        """
+        address = self.host.catalog.servers["i-0"].address
+        for number in range(4):
+            self.put_server_entry(f"gone-{number}", address)
+        await self.wait_until(lambda: len(self.host.catalog.servers) == 6)
+        # The host tries the servers that have ended first.
+        for name in ("i-0", "i-1"):
+            server = self.host.catalog.servers[name]
+            for _ in range(3):
+                self.host.server_statuses.record_outcome(server, failed=True)
+        for number in range(12):
+            path = ("/safe/", "/unsafe/")[number % 2]
+            status, _, _ = await self.call(path, f"r-{number}")
+            self.assertEqual(200, status)
+        replaced = [
+            server_id
+            for server_id, server in self.host.catalog.servers.items()
+            if not self.host.server_statuses.get(server).is_available(
+                clock.read_time()
+            )
+        ]
+        self.assertEqual(
+            sorted(replaced), [f"gone-{number}" for number in range(4)]
+        )
+
     async def test_requests_without_route_key_or_id_are_refused(self) -> None:
         cases = (
             ("/none/", {}, 404),
--- a/tests/test_entry_leaving_notices.py
+++ b/tests/test_entry_leaving_notices.py
@@ -5,7 +5,7 @@
 import unittest
 
 from sesamefold.entry import datagrams
-from sesamefold.entry import leaving_notices
+from sesamefold.entry import server_notices
 from sesamefold.entry import server_status
 from tests import entry_fakes
 
@@ -32,7 +32,7 @@
             entry_fakes.make_log(), self.clock, leaving_seconds=2.5
         )
         channel = entry_fakes.FakeChannel(self.network, host)
-        leaving_notices.LeavingNotices(
+        server_notices.exchange_notices(
             t.cast(datagrams.PeerChannel, channel),
             entry_fakes.FakePeers(host, HOSTS, ["entry-9"]),
             host_catalog,
@@ -47,7 +47,21 @@
             [True, True, True, False],
             [s.is_leaving(self.server) for s in self.statuses.values()],
         )
-        self.assertEqual(1, self.network.sent[leaving_notices.TOPIC])
+        self.assertEqual(1, self.network.sent[server_notices.LEAVING_TOPIC])
+
+    def test_hosts_of_the_region_learn_that_a_server_was_replaced(
+        self,
+    ) -> None:
+        """Guards against one refused request of each host."""
+        self.sender.record_replaced(self.server, "another one")
+        self.assertEqual(
+            [False, True, True, False],
+            [
+                s.get(self.server).is_failing(self.clock.now)
+                for s in self.statuses.values()
+            ],
+        )
+        self.assertEqual(1, self.network.sent[server_notices.REPLACED_TOPIC])
 
     def test_notice_of_another_incarnation_is_ignored(self) -> None:
         """Guards against a late message that stops a restarted server."""
@@ -65,7 +79,7 @@
         statuses = server_status.ServerStatuses(log, self.clock)
         host_catalog = entry_fakes.make_catalog(self.clock)
         host_catalog.apply_changes(entry_fakes.make_report_batch(self.server))
-        leaving_notices.LeavingNotices(
+        server_notices.exchange_notices(
             channel,
             entry_fakes.FakePeers("entry-2", HOSTS),
             host_catalog,
--- a/tests/test_entry_server_status.py
+++ b/tests/test_entry_server_status.py
@@ -108,6 +108,51 @@
         self.assertEqual(0, status.count_reported_requests(self.clock.now))
 
 
+class ReplacedTest(ServerStatusCase):
+    """Servers that crashed and whose addresses others have taken.
+
+    While the store is away or has lost its history, their entries outlast
+    them, and each host would try each of them every few seconds.
+    """
+
+    def test_replaced_server_gets_nothing_while_its_entry_lasts(self) -> None:
+        self.statuses.record_replaced(self.server, "another one")
+        self.statuses.record_report(self.server)
+        self.clock.now += server_status.REPLACED_SECONDS - 0.01
+        self.assertFalse(self.is_available())
+        self.clock.now += 0.02
+        self.assertTrue(self.is_available())
+
+    def test_new_report_of_a_replaced_server_is_believed(self) -> None:
+        """Guards against a wrong answer that shuts a sound server out."""
+        for record in (
+            lambda: self.statuses.record_replaced(self.server, "another one"),
+            lambda: self.statuses.record_replaced_notice(self.server, "b"),
+        ):
+            record()
+            self.statuses.record_report(
+                entry_fakes.make_server("i-1", started_at=10, sequence=2)
+            )
+            self.assertTrue(self.is_available())
+            status = self.statuses.get(self.server)
+            self.assertFalse(status.is_failing(self.clock.now))
+
+    def test_notice_of_another_host_only_lowers_the_rank(self) -> None:
+        """Guards against a wrong message that shuts out all servers."""
+        self.statuses.record_replaced_notice(self.server, "b")
+        self.assertTrue(self.is_available())
+        status = self.statuses.get(self.server)
+        self.clock.now += server_status.SUSPICION_SECONDS + 1
+        self.assertTrue(status.is_failing(self.clock.now))
+
+    def test_hosts_are_told_once(self) -> None:
+        told: t.List[topology.Server] = []
+        self.statuses.on_replaced.append(told.append)
+        for _ in range(3):
+            self.statuses.record_replaced(self.server, "another one")
+        self.assertEqual(told, [self.server])
+
+
 class LeavingTest(ServerStatusCase):
     """Servers whose answers say that they leave."""
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -16,9 +16,9 @@
 from sesamefold.entry import context_stores
 from sesamefold.entry import datagrams
 from sesamefold.entry import events
-from sesamefold.entry import leaving_notices
 from sesamefold.entry import loads
 from sesamefold.entry import requests
+from sesamefold.entry import server_notices
 from sesamefold.entry import server_status
 from sesamefold.entry import store_views
 from sesamefold.entry import topology
@@ -382,7 +382,7 @@
         self.loads = loads.Loads("a", "region-1")
         self.channel.subscribe(loads.TOPIC, self.loads.receive_loads)
         self.channel.subscribe(loads.SUMS_TOPIC, self.loads.receive_sums)
-        leaving_notices.LeavingNotices(
+        server_notices.exchange_notices(
             self.channel,
             entry_fakes.FakePeers("a", "ab"),
             entry_fakes.make_catalog(clock.read_time),
@@ -405,7 +405,11 @@
             strategies.binary(max_size=60),
             strategies.tuples(
                 strategies.sampled_from(
-                    (loads.TOPIC, loads.SUMS_TOPIC, leaving_notices.TOPIC)
+                    (
+                        loads.TOPIC,
+                        loads.SUMS_TOPIC,
+                        server_notices.LEAVING_TOPIC,
+                    )
                 ),
                 strategies.sampled_from("ab"),
                 JSON_VALUES,
