Queue requests for room, and use servers evenly by old figures

All hosts saw freed room at once and promised an engine of 87,574 tokens up to 335,790; engines preempted 466 runs in 14 s, the busiest had 1.65 of the mean, and requests were refused after 0.25 s in the order in which they woke up. Loads with a fourth figure were dropped as malformed.

Change: where the settings list the contract "pressure", requests wait by rank, customer's share and reachable deadline, and each host sends the part of them for which there is room; what waits on other hosts is a row in the messages with loads. There, and where servers say how long work takes, servers are drawn such that all hosts fill them evenly. No message is added.

--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -7,7 +7,6 @@
 import asyncio
 import functools
 import math
-import random
 import typing as t
 
 import attrs
@@ -23,6 +22,7 @@
 from sesamefold.entry import placement
 from sesamefold.entry import quarantine as quarantines
 from sesamefold.entry import requests
+from sesamefold.entry import room_queue as room_queues
 from sesamefold.entry import shutdown as shutdowns
 from sesamefold.entry import successors
 from sesamefold.entry import throttle
@@ -42,9 +42,6 @@
 # waits longer is refused, so that its caller can retry once there is capacity.
 MAX_CAPACITY_WAIT_SECONDS = 0.25
 CAPACITY_POLL_INTERVAL_SECONDS = 0.03
-# Time after the end of the servers' rest over which the callers that were
-# refused because of it are told to come back, seconds.
-RETURN_SPREAD_SECONDS = 1.0
 
 # Servers that had ended which a request may try beside the other ones. A loss
 # of several servers at once is known to all hosts within half a second.
@@ -64,7 +61,8 @@
 
     `key_withdrawal_seconds` is the time within which a withdrawn API key must
     stop working; it limits the age of the configuration's last confirmation
-    for requests with a key. None sets no limit.
+    for requests with a key. None sets no limit. Without `room_queue`, requests
+    that find no room are refused shortly after.
     """
 
     catalog: catalogs.Catalog
@@ -78,6 +76,7 @@
     crashes: crash_detection.CrashDetector
     quarantine: quarantines.Quarantine
     shutdown: shutdowns.Shutdown = attrs.field(factory=shutdowns.Shutdown)
+    room_queue: t.Optional[room_queues.RoomQueue] = None
 
     async def serve(
         self, call: requests.Call, writer: deliveries.ResponseWriter
@@ -117,18 +116,30 @@
         while True:
             call.record_wait("capacity")
             self._check_quarantine(call, response, maybe_executed)
-            server, cold = await self._wait_for_capacity(
-                call, response, maybe_executed
-            )
-            if not maybe_executed:
-                self.shutdown.check(call)
-                self.retries.record_request(call.service)
-            # Other hosts may have reported crashes while the call waited.
-            self._check_quarantine(call, response, maybe_executed)
+            if self._uses_queue(call, maybe_executed):
+                place = await self._wait_for_room(call, response)
+                server, cold = place.server, place.cold
+                reservation = place.reservation
+            else:
+                server, cold = await self._wait_for_capacity(
+                    call, response, maybe_executed
+                )
+                reservation = None
+            try:
+                if not maybe_executed:
+                    self.shutdown.check(call)
+                    self.retries.record_request(call.service)
+                # Other hosts may have reported crashes while the call waited.
+                self._check_quarantine(call, response, maybe_executed)
+            except BaseException:
+                if reservation is not None:
+                    reservation.release()
+                raise
             self.quarantine.record_run(call, server)
             call.tried_servers.append(server.id)
             call.record_wait("reply")
-            reservation = self.placement.record_request(call, server, cold)
+            if reservation is None:
+                reservation = self.placement.record_request(call, server, cold)
             try:
                 with self.shutdown.measure_run(call):
                     await self._send_to_server(
@@ -149,6 +160,31 @@
                 elif not self._try_acquire_retry(call, response):
                     self._raise_final(response, call, error)
 
+    def _uses_queue(self, call: requests.Call, maybe_executed: bool) -> bool:
+        """Return whether a call waits in the queue for room.
+
+        A request that may have run is no longer refused, and neither is one
+        without a prompt, whose servers bound their own queues.
+        """
+        return (
+            self.room_queue is not None
+            and call.head.prompt is not None
+            and not call.suspect
+            and not maybe_executed
+        )
+
+    async def _wait_for_room(
+        self, call: requests.Call, response: deliveries.CallerResponse
+    ) -> room_queues.Place:
+        """Return room for a call; raises the error that the caller gets."""
+        queue = t.cast(room_queues.RoomQueue, self.room_queue)
+
+        def check() -> None:
+            self.shutdown.check(call)
+            self._check_confirmation(call, response)
+
+        return await queue.acquire(call, check)
+
     async def _wait_for_capacity(
         self,
         call: requests.Call,
@@ -460,6 +496,10 @@
                     observation,
                 )
                 self.placement.record_outcome(server, failed=False)
+                seconds = clock.read_time() - sent_at
+                self.placement.record_run_seconds(call.service, seconds)
+                if self.room_queue is not None:
+                    self.room_queue.record_run(call.route.name, seconds)
                 observation.finish(failed=False)
                 return
             except _FAILURES as error:
@@ -530,6 +570,10 @@
             if call.begun_at is None:
                 call.begun_at = clock.read_time()
             observation.record_first_event()
+            if self.room_queue is not None:
+                self.room_queue.record_first_event(
+                    call.route.name, clock.read_time() - sent_at
+                )
             reservation.record_prefill()
             start_timeout.reschedule(None)
             if call.head.prompt is not None and context is not None:
@@ -589,13 +633,11 @@
 ) -> t.Optional[float]:
     """Return the seconds after which a caller should come back.
 
-    They are spread over `RETURN_SPREAD_SECONDS` after the end of the servers'
-    rest. None if no rest ends.
+    None if no rest ends.
     """
     if rest_end is None:
         return None
-    spread = random.uniform(0.0, RETURN_SPREAD_SECONDS)
-    return max(0.0, rest_end - clock.read_time()) + spread
+    return room_queues.compute_rest_return(rest_end, clock.read_time())
 
 
 def _convert_error(
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -32,6 +32,7 @@
 from sesamefold.entry import quarantine
 from sesamefold.entry import requests
 from sesamefold.entry import rollout_coordinator
+from sesamefold.entry import room_queue
 from sesamefold.entry import server_notices
 from sesamefold.entry import server_status
 from sesamefold.entry import settings as entry_settings
@@ -140,6 +141,11 @@
         self.versions = version_routing.VersionRouting(
             self.catalog, settings.rollout_limits is not None, self.decisions
         )
+        self.versions.on_share.append(
+            lambda service, share: self.metrics.rollout_share.labels(
+                service
+            ).set(share)
+        )
         self.placement = placement.Placement(
             self.catalog,
             throttle.ColdThrottle(
@@ -153,6 +159,7 @@
             self.decisions,
             states=self.server_statuses,
             versions=self.versions,
+            balances=settings.queues_requests,
         )
         self.server_statuses.on_leaving.append(
             lambda server: self.metrics.count_notice("leaving")
@@ -160,6 +167,9 @@
         self.server_statuses.on_rest.append(
             lambda server: self.metrics.count_notice("resting")
         )
+        self.server_statuses.on_replaced.append(
+            lambda server: self.metrics.count_notice("replaced")
+        )
         server_notices.exchange_notices(
             self.channel, self.members, self.catalog, self.server_statuses
         )
@@ -218,6 +228,13 @@
         self.session = upstream.make_session(
             self._log_stray_answer, self.answer_budget
         )
+        queue: t.Optional[room_queue.RoomQueue] = None
+        if self.settings.queues_requests:
+            queue = room_queue.RoomQueue(
+                self.placement, self.loads, self.decisions
+            )
+            queue.on_wait.append(self.metrics.record_wait)
+            self.metrics.room_waiting.set_function(queue.count_waiting)
         self.dispatcher = dispatch.Dispatcher(
             self.catalog,
             self.placement,
@@ -232,6 +249,7 @@
             self.crashes,
             self.quarantine,
             self.shutdown,
+            queue,
         )
         self.frontend = frontend.Frontend(
             self.catalog,
--- a/src/sesamefold/entry/loads.py
+++ b/src/sesamefold/entry/loads.py
@@ -63,6 +63,28 @@
 
 
 _NO_LOAD = Load()
+# Begin of the names of rows that stand for no server: ids of servers have no
+# spaces. Hosts that do not know the rows pass them on.
+_WAITING_MARK = " waiting"
+_SLOWDOWN_MARK = " slowdown"
+
+
+def make_waiting_row(service: str, rank: int) -> str:
+    """Return the name of the row with what waits for a service.
+
+    The row holds the requests of one rank that wait for room, and the memory
+    that they need.
+    """
+    return f"{_WAITING_MARK} {rank} {service}"
+
+
+def make_slowdown_row(server_id: str) -> str:
+    """Return the name of the row with the slowdown of a server.
+
+    `requests` counts the hosts that have learnt of it and `memory_tokens` is
+    the sum of what they learnt, in percent.
+    """
+    return f"{_SLOWDOWN_MARK} {server_id}"
 
 
 def estimate_memory(prompt: t.Optional[requests.Prompt]) -> int:
@@ -94,6 +116,7 @@
         self._memory_tokens = memory_tokens
         self._prefill_tokens = prefill_tokens
         self._released = False
+        self.load = Load(1, memory_tokens, prefill_tokens)
         loads.add(server_id, Load(1, memory_tokens, prefill_tokens))
 
     def record_prefill(self) -> None:
@@ -114,6 +137,26 @@
         self._loads.add(self._server_id, Load(-1, -self._memory_tokens))
 
 
+class SharedValue:
+    """A value in a row of this host's loads until it is released."""
+
+    def __init__(
+        self, loads: "Loads", row: str, value: int, expires_at: float
+    ) -> None:
+        self.expires_at = expires_at
+        self._loads = loads
+        self._row = row
+        self._load = Load(1, value)
+        self._released = False
+        loads.add(row, self._load)
+
+    def release(self) -> None:
+        """Remove the value; further calls have no effect."""
+        if not self._released:
+            self._released = True
+            self._loads.add(self._row, -self._load)
+
+
 LoadsByServer = t.Mapping[str, Load]
 
 
@@ -159,6 +202,7 @@
     messages, and those of an unreachable peer are missing from the sum.
     While sums of this host's own region are known, only the sums of regions
     are added to this host's own loads, not the loads of single peers.
+    The callbacks in `on_change` are called when room may have become free.
     """
 
     host: str
@@ -170,6 +214,8 @@
     _sent_loads: t.Dict[int, LoadsByServer] = attrs.field(factory=dict)
     _other_loads: t.Optional[t.Dict[str, Load]] = None
     _changed: bool = False
+    _shared_values: t.List[SharedValue] = attrs.field(factory=list)
+    on_change: t.List[t.Callable[[], None]] = attrs.field(factory=list)
 
     def add(self, server_id: str, load: Load) -> None:
         """Add to this host's load on a server; `load` may be negative."""
@@ -179,6 +225,34 @@
         else:
             self._own_loads[server_id] = total
         self._changed = True
+        if load.requests < 0:
+            self._notify()
+
+    def _notify(self) -> None:
+        for listener in self.on_change:
+            listener()
+
+    def get_update_interval(self) -> float:
+        """Return the time between two figures of this region's loads."""
+        if self.region in self._region_updates:
+            return AGGREGATION_INTERVAL_SECONDS
+        return SHARE_INTERVAL_SECONDS
+
+    def get_figure_age(self, same_region: bool) -> float:
+        """Return how old the figures of other hosts are on average, seconds.
+
+        A figure waits half an interval on average at each host that passes it
+        on, and is used for half an interval until the next one.
+        """
+        if self.region not in self._region_updates:
+            return (
+                SHARE_INTERVAL_SECONDS
+                if same_region
+                else REMOTE_INTERVAL_SECONDS
+            )
+        if same_region:
+            return 1.5 * AGGREGATION_INTERVAL_SECONDS
+        return AGGREGATION_INTERVAL_SECONDS + REMOTE_SUMS_INTERVAL_SECONDS
 
     def reserve(
         self, server_id: str, memory_tokens: int, prefill_tokens: int
@@ -186,15 +260,27 @@
         """Add a request to a server's load and return its reservation."""
         return Reservation(self, server_id, memory_tokens, prefill_tokens)
 
+    def share_value(
+        self, row: str, value: int, expires_at: float
+    ) -> SharedValue:
+        """Add a value to a row until it expires, and return it."""
+        shared = SharedValue(self, row, value, expires_at)
+        self._shared_values.append(shared)
+        return shared
+
     def get_load(self, server_id: str) -> Load:
         """Return the load of a server, summed over all unexpired hosts."""
-        if self._other_loads is None:
-            self._other_loads = self._sum_other_loads()
-        other = self._other_loads.get(server_id)
+        other = self.get_other_load(server_id)
         own = self._own_loads.get(server_id)
         if own is None:
-            return other or _NO_LOAD
-        return own if other is None else own + other
+            return other
+        return own if other is _NO_LOAD else own + other
+
+    def get_other_load(self, server_id: str) -> Load:
+        """Return the load that the other hosts put on a server."""
+        if self._other_loads is None:
+            self._other_loads = self._sum_other_loads()
+        return self._other_loads.get(server_id, _NO_LOAD)
 
     def _sum_other_loads(self) -> t.Dict[str, Load]:
         if self.region in self._region_updates:
@@ -209,7 +295,14 @@
         )
 
     def drop_expired(self) -> None:
-        """Remove the loads of peers whose last message has expired."""
+        """Remove values and the loads of peers that have expired."""
+        now = self.read_time()
+        for shared in self._shared_values:
+            if now >= shared.expires_at:
+                shared.release()
+        self._shared_values = [
+            shared for shared in self._shared_values if now < shared.expires_at
+        ]
         oldest = self.read_time() - PEER_EXPIRY_SECONDS
         for updates in (self._peer_updates, self._region_updates):
             for name in [
@@ -280,6 +373,7 @@
             return
         updates[name] = update
         self._other_loads = None
+        self._notify()
 
     def reset_changed(self) -> bool:
         """Return whether this host's loads changed, and reset the flag."""
--- a/src/sesamefold/entry/metrics.py
+++ b/src/sesamefold/entry/metrics.py
@@ -34,7 +34,7 @@
         )
         self.server_notices = prometheus_client.Counter(
             "sesamefold_server_notices",
-            "Notices in answers of servers by kind: leaving or resting.",
+            "Notices of servers by kind: leaving, resting or replaced.",
             ("kind",),
             registry=self.registry,
         )
@@ -45,8 +45,32 @@
             registry=self.registry,
         )
 
+        self.room_seconds = prometheus_client.Histogram(
+            "sesamefold_room_wait_seconds",
+            "Time that requests waited for room, by outcome: sent or refused.",
+            ("outcome",),
+            buckets=_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.room_waiting = prometheus_client.Gauge(
+            "sesamefold_room_waiting",
+            "Requests of this host that wait for room.",
+            registry=self.registry,
+        )
+        self.rollout_share = prometheus_client.Gauge(
+            "sesamefold_rollout_share",
+            "Share of this host's requests that a new version may get.",
+            ("service",),
+            registry=self.registry,
+        )
+
+    def record_wait(self, sent: bool, seconds: float) -> None:
+        """Record the end of a request's wait for room."""
+        outcome = "sent" if sent else "refused"
+        self.room_seconds.labels(outcome).observe(seconds)
+
     def count_notice(self, kind: str) -> None:
-        """Count a notice of a server: "leaving" or "resting"."""
+        """Count a notice of a server: "leaving", "resting" or "replaced"."""
         self.server_notices.labels(kind).inc()
 
     def count_request(self, code: int, seconds: float) -> None:
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -9,6 +9,7 @@
 
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
+from sesamefold.entry import contention
 from sesamefold.entry import context_stores
 from sesamefold.entry import decisions
 from sesamefold.entry import loads
@@ -38,6 +39,15 @@
 # host chose the best of all engines, the same few engines would get all
 # requests of that time.
 SAMPLED_ENGINES = 5
+# Factor on the age of the figures in the draw of an engine. Requests that are
+# on their way and likely engines of sessions fill servers beside the draw; a
+# draw that is too even costs less than one that is too sharp
+# (`test_entry_contention`).
+FIGURE_AGE_FACTOR = 3.0
+# Mean duration of a run before one has ended, seconds, and the weight of the
+# latest one.
+INITIAL_RUN_SECONDS = 1.0
+LATEST_RUN_WEIGHT = 0.05
 # Cost of another data centre in the region, milliseconds: its latency and the
 # price of traffic between data centres.
 OTHER_DATA_CENTRE_MS = 4.0
@@ -64,6 +74,8 @@
 # Share of a prompt's shared context that is expected in the cache of the
 # engine that ranks first for the session by rendezvous hashing.
 OWNER_CACHED_SHARE = 0.5
+# Slowdown of a server from which the other hosts are told of it, percent.
+MIN_SHARED_PERCENT = 130
 # Number of sessions whose last engine this host remembers.
 REMEMBERED_SESSIONS = 20_000
 
@@ -105,6 +117,9 @@
 
     A server that cannot be reached gets no request until it reports itself
     again, because it may have restarted and be cold.
+
+    With `balances`, servers are drawn such that all hosts fill them evenly,
+    and so they are if they share their machines with others.
     """
 
     catalog: catalogs.Catalog
@@ -132,7 +147,12 @@
             takes_self=True,
         )
     )
+    balances: bool = False
+    _run_seconds: t.Dict[str, float] = attrs.field(factory=dict)
     _last_engines: t.Dict[str, str] = attrs.field(factory=dict)
+    _shared_slowdowns: t.Dict[str, loads.SharedValue] = attrs.field(
+        factory=dict
+    )
 
     def __attrs_post_init__(self) -> None:
         self.catalog.on_report.append(self.states.record_report)
@@ -160,8 +180,12 @@
             chosen = self._choose_engine(call, call.head.prompt, healthy)
         else:
             local = [s for s in healthy if self._is_in_region(s)] or healthy
-            chosen = min(
-                local, key=functools.partial(self._make_load_key, now=now)
+            chosen = (
+                self._draw_plain_server(local)
+                if self._balances(call.service)
+                else min(
+                    local, key=functools.partial(self._make_load_key, now=now)
+                )
             )
         return chosen, now < chosen.cold_until
 
@@ -310,8 +334,17 @@
         last = self._last_engines.get(session)
         if len(servers) > 2 * SAMPLED_ENGINES:
             remote = [s for s in servers if not self._is_in_region(s)]
-            likely = [s for s in servers if s.id in (owner, last)]
-            servers = _sample_servers(local) + _sample_servers(remote) + likely
+            if self._balances(call.service):
+                limit = self._get_memory_capacity(call)
+                servers = [
+                    *self._draw_engines(local, limit, True, (owner, last)),
+                    *self._draw_engines(remote, limit, False, (last,)),
+                ]
+            else:
+                likely = [s for s in servers if s.id in (owner, last)]
+                servers = (
+                    _sample_servers(local) + _sample_servers(remote) + likely
+                )
         fetchable = self._count_fetchable_tokens(call, prompt, servers)
         most_fetchable = max(fetchable.values())
         demand = self._estimate_demand(call, prompt)
@@ -332,6 +365,96 @@
 
         return min(servers, key=estimate_cost_ms)
 
+    def _balances(self, service: str) -> bool:
+        """Return whether the hosts share the servers of a service evenly."""
+        return self.balances or service in self.states.sharing_services
+
+    def _draw_plain_server(
+        self, servers: t.Sequence[topology.Server]
+    ) -> topology.Server:
+        """Return a server without a cache, drawn evenly.
+
+        One in the data centre of this host is preferred if it has as much
+        room as the servers have on average.
+        """
+        weights = self._weigh_servers(servers, math.inf, True)
+        near = [
+            (server, weight)
+            for server, weight in zip(servers, weights)
+            if server.data_centre == self.data_centre
+            and weight >= sum(weights) / len(weights)
+        ]
+        if near:
+            (drawn,) = random.choices(*zip(*near))
+        else:
+            (drawn,) = random.choices(servers, weights)
+        return drawn
+
+    def _draw_engines(
+        self,
+        servers: t.Sequence[topology.Server],
+        memory_tokens: float,
+        same_region: bool,
+        likely: t.Collection[t.Optional[str]],
+    ) -> t.List[topology.Server]:
+        """Return one engine that is drawn evenly, and the likely ones.
+
+        Engines in `likely` may hold the context of the prompt. They are left
+        out if they are fuller than the level to which the engines are filled.
+        """
+        if not servers:
+            return []
+        weights = self._weigh_servers(servers, memory_tokens, same_region)
+        (drawn,) = random.choices(servers, weights)
+        return [drawn] + [
+            server
+            for server, weight in zip(servers, weights)
+            if server.id in likely and weight > 0 and server is not drawn
+        ]
+
+    def _weigh_servers(
+        self,
+        servers: t.Sequence[topology.Server],
+        memory_tokens: float,
+        same_region: bool,
+    ) -> t.List[float]:
+        """Return weights with which all hosts together fill servers evenly.
+
+        `memory_tokens` is the memory of each server. The load that has come
+        since the figures were taken follows from the load that they show: it
+        turns over once in the mean duration of a run.
+        """
+        shares = [
+            max(
+                load.requests / max(1, server.slots),
+                load.memory_tokens / memory_tokens,
+            )
+            * self.get_slowdown(server)
+            for server in servers
+            for load in [self.loads.get_load(server.id)]
+        ]
+        age = FIGURE_AGE_FACTOR * self.loads.get_figure_age(same_region)
+        run_seconds = self._run_seconds.get(
+            servers[0].service, INITIAL_RUN_SECONDS
+        )
+        return contention.weigh_servers(
+            shares, sum(shares) * age / run_seconds
+        )
+
+    def get_slowdown(self, server: topology.Server) -> float:
+        """Return how many times as long as usual work takes at a server.
+
+        It comes from this host's own answers of the server or from those of
+        other hosts, and is 1.0 if none is recent.
+        """
+        own = self.states.get(server).find_slowdown(self.read_time())
+        if own is not None:
+            return own
+        row = self.loads.get_load(loads.make_slowdown_row(server.id))
+        if row.requests <= 0:
+            return 1.0
+        return max(1.0, row.memory_tokens / row.requests / 100)
+
     def _count_fetchable_tokens(
         self,
         call: requests.Call,
@@ -391,10 +514,17 @@
             demand.prompt_tokens - demand.shared_tokens + uncached - fetched
         )
         overflow = max(0.0, -demand.count_free_memory(load))
+        slowdown = (
+            self.get_slowdown(server)
+            if self._balances(server.service)
+            else 1.0
+        )
         return (
-            (load.prefill_tokens + prefill_tokens) / PREFILL_TOKENS_PER_MS
+            (load.prefill_tokens + prefill_tokens)
+            / PREFILL_TOKENS_PER_MS
+            * slowdown
             + fetched / FETCH_TOKENS_PER_MS
-            + load.requests * RUNNING_REQUEST_MS
+            + load.requests * RUNNING_REQUEST_MS * slowdown
             + max(0, load.requests + 1 - server.slots) * QUEUED_REQUEST_MS
             + overflow / RELEASED_TOKENS_PER_MS
             + OTHER_DATA_CENTRE_MS * (server.data_centre != self.data_centre)
@@ -407,20 +537,56 @@
         return server.weights.get(model, target) < target
 
     def has_capacity(
-        self, call: requests.Call, server: topology.Server
+        self,
+        call: requests.Call,
+        server: topology.Server,
+        reserved: t.Optional[loads.Load] = None,
     ) -> bool:
         """Return whether a server has a free slot and memory for a request.
 
-        Always true for a request without a prompt.
+        Always true for a request without a prompt. `reserved` is what the
+        request has reserved at the server already.
         """
         prompt = call.head.prompt
         if prompt is None:
             return True
         load = self.loads.get_load(server.id)
+        if reserved is not None:
+            load += -reserved
         if load.requests >= server.slots:
             return False
         return self._estimate_demand(call, prompt).count_free_memory(load) >= 0
 
+    def is_usable(self, call: requests.Call, server: topology.Server) -> bool:
+        """Return whether a request may be sent to a server now."""
+        return any(
+            usable.id == server.id and usable.started_at == server.started_at
+            for usable, _ in self._list_usable_servers(call, self.read_time())
+        )
+
+    def compute_send_probability(
+        self, call: requests.Call, ahead: float, waiting: float
+    ) -> float:
+        """Return with which probability a waiting request is sent now.
+
+        `ahead` and `waiting` are the tokens of memory that requests of higher
+        ranks and of its own rank wait for on other hosts.
+        """
+        prompt = t.cast(requests.Prompt, call.head.prompt)
+        demand = self._estimate_demand(call, prompt)
+        if not math.isfinite(demand.memory_limit_tokens):
+            return 1.0
+        free = 0.0
+        for server, _ in self._list_usable_servers(call, self.read_time()):
+            load = self.loads.get_load(server.id)
+            if load.requests < server.slots:
+                free += max(
+                    0.0, demand.memory_limit_tokens - load.memory_tokens
+                )
+        return contention.compute_send_probability(
+            free, demand.memory_tokens, ahead, demand.memory_tokens + waiting
+        )
+
     def describe_missing_capacity(
         self,
         call: requests.Call,
@@ -540,11 +706,36 @@
             return
         if head.load is not None and not head.not_executed:
             self.states.record_load(server, head.load)
+            self._share_slowdown(server, head.load)
         if head.leaving and head.is_genuine():
             self.states.record_leaving(server, call.request_id)
         if head.rest_seconds is not None:
             self.states.record_rest(server, head.rest_seconds, call.request_id)
 
+    def record_run_seconds(self, service: str, seconds: float) -> None:
+        """Update the mean duration of the runs of a service."""
+        known = self._run_seconds.setdefault(service, seconds)
+        self._run_seconds[service] = known + LATEST_RUN_WEIGHT * (
+            seconds - known
+        )
+
+    def _share_slowdown(
+        self, server: topology.Server, load: requests.ReportedLoad
+    ) -> None:
+        """Tell the other hosts, with the loads, that a server is slow now."""
+        if load.slowdown is None:
+            return
+        percent = round(100 * load.slowdown)
+        known = self._shared_slowdowns.pop(server.id, None)
+        if known is not None:
+            known.release()
+        if percent >= MIN_SHARED_PERCENT:
+            self._shared_slowdowns[server.id] = self.loads.share_value(
+                loads.make_slowdown_row(server.id),
+                percent,
+                self.read_time() + server_status.SLOWDOWN_EXPIRY_SECONDS,
+            )
+
     def _is_sender(
         self,
         call: requests.Call,
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -233,11 +233,16 @@
 
 @attrs.frozen
 class ReportedLoad:
-    """Running and queued requests and slots, as a server reports them."""
+    """Running and queued requests and slots, as a server reports them.
+
+    `slowdown` is how many times as long as usual work takes on its machine,
+    which it shares with others, None if the server does not say.
+    """
 
     running: int
     queued: int
     slots: int
+    slowdown: t.Optional[float] = None
 
 
 @attrs.frozen
--- a/src/sesamefold/entry/server_status.py
+++ b/src/sesamefold/entry/server_status.py
@@ -36,6 +36,9 @@
 # Age above which a load reported by a server is ignored, seconds. An engine
 # takes about a second for a request.
 REPORTED_LOAD_EXPIRY_SECONDS = 1.0
+# Age above which the slowdown that a server reported is ignored, seconds. Its
+# machine is shared with others, and the figure changes many times a second.
+SLOWDOWN_EXPIRY_SECONDS = 0.5
 # Time without requests for a server that refused one, seconds. Engines refuse
 # requests while they load weights, which takes about a second.
 REFUSAL_BACKOFF_SECONDS = 0.4
@@ -131,6 +134,7 @@
     started_at: int
     reported_load: t.Optional[requests.ReportedLoad] = None
     load_expires_at: float = _NEVER
+    slowdown_expires_at: float = _NEVER
     backoff_until: float = _NEVER
     suspected_until: float = _NEVER
     suspected_sequence: int = 0
@@ -169,6 +173,12 @@
             self.failure_rate > FAILURE_RATE_LIMIT and now < self.avoided_until
         )
 
+    def find_slowdown(self, now: float) -> t.Optional[float]:
+        """Return the slowdown that the server reported, None if it is old."""
+        if self.reported_load is None or now > self.slowdown_expires_at:
+            return None
+        return self.reported_load.slowdown
+
     def count_reported_requests(self, now: float) -> int:
         """Return the running and queued requests that the server reported.
 
@@ -194,6 +204,8 @@
     in `on_leaving` are called with a server whose first such answer arrives,
     those in `on_rest` with one that asks for a rest, and those in
     `on_replaced` with one whose address this host found to be another's.
+    `sharing_services` has the services whose servers say how long work takes,
+    because they share their machines with others.
 
         statuses.suspect(server, "connection refused")
         if statuses.get(server).is_available(now):
@@ -212,6 +224,7 @@
     on_replaced: t.List[t.Callable[[topology.Server], None]] = attrs.field(
         factory=list
     )
+    sharing_services: t.Set[str] = attrs.field(factory=set)
     _statuses: t.Dict[str, ServerStatus] = attrs.field(factory=dict)
     _removed: t.Dict[str, ServerStatus] = attrs.field(factory=dict)
 
@@ -327,10 +340,12 @@
     ) -> None:
         """Record the load that a server reports in an answer."""
         status = self.get(server)
+        now = self.read_time()
         status.reported_load = load
-        status.load_expires_at = (
-            self.read_time() + REPORTED_LOAD_EXPIRY_SECONDS
-        )
+        status.load_expires_at = now + REPORTED_LOAD_EXPIRY_SECONDS
+        status.slowdown_expires_at = now + SLOWDOWN_EXPIRY_SECONDS
+        if load.slowdown is not None:
+            self.sharing_services.add(server.service)
 
     def record_refusal(self, server: topology.Server) -> None:
         """Pause requests to a server that refused one.
--- a/src/sesamefold/entry/settings.py
+++ b/src/sesamefold/entry/settings.py
@@ -21,6 +21,8 @@
     `order_pause_seconds` is the minimum time between the orders of two
     different entry hosts. `rollout_limits` bounds the requests of a service's
     version that is rolled out, None if no rollouts are ordered.
+    `queues_requests` says that requests wait for room until their callers
+    leave, and that all hosts share the room evenly.
     `leaving_seconds` is the time after a server
     announces that it leaves from which it must get no new requests.
     `link_mbps` is the bandwidth of the host's link and `memory_bytes` the
@@ -44,4 +46,5 @@
     leaving_seconds: float
     link_mbps: float
     memory_bytes: float = 0.0
+    queues_requests: bool = False
     rollout_limits: t.Optional[exposure.RolloutLimits] = None
--- a/src/sesamefold/entry/version_routing.py
+++ b/src/sesamefold/entry/version_routing.py
@@ -120,7 +120,8 @@
 
     A server of the target gets requests as the latest permission says, and
     all of them once the rollout is complete. After a rollout was rolled back,
-    the target gets none until a later order.
+    the target gets none until a later order. The callbacks in `on_share` are
+    called with a service and its new share.
     """
 
     catalog: catalogs.Catalog
@@ -130,6 +131,9 @@
     records: t.Dict[str, rollout_records.RolloutRecord] = attrs.field(
         factory=dict
     )
+    on_share: t.List[t.Callable[[str, float], None]] = attrs.field(
+        factory=list
+    )
     _permissions: t.Dict[str, Permission] = attrs.field(factory=dict)
     _tallies: t.Dict[str, Tally] = attrs.field(factory=dict)
     _proved: t.Dict[str, t.FrozenSet[str]] = attrs.field(factory=dict)
@@ -202,6 +206,8 @@
         ):
             return
         if known is None or known.share != permission.share:
+            for listener in self.on_share:
+                listener(service, permission.share)
             self.log.write(
                 "rollout_share",
                 service=service,
--- a/src/sesamefold/limits.py
+++ b/src/sesamefold/limits.py
@@ -284,6 +284,12 @@
             if queue.requests:
                 heapq.heappush(queues, (queue.virtual_time, index, queue))
 
+    def estimate_clearance(self) -> float:
+        """Return the seconds in which all waiting requests get a slot."""
+        if self._interval.mean_seconds is None:
+            return 0.0
+        return self.waiting_requests * self._interval.estimate(self._clock())
+
     def _find_queue(self, customer: str, share: float) -> _CustomerQueue:
         queue = self._queues.get(customer)
         if queue is None:
--- a/src/sesamefold/platform/headers.py
+++ b/src/sesamefold/platform/headers.py
@@ -24,6 +24,8 @@
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
 _NO_ADDRESS = "-"
+# Time that work takes on a server's machine when it is as usual.
+_USUAL_PERCENT = 100
 _LEAVING_VALUE = "1"
 # Characters of an ignored header that are logged.
 _MAX_LOGGED_CHARACTERS = 80
@@ -300,13 +302,18 @@
 
 
 def _parse_load(text: t.Optional[str]) -> t.Optional[requests.ReportedLoad]:
-    """Return a server's load, None if it is missing or malformed."""
+    """Return a server's load, None if it is missing or malformed.
+
+    The fourth figure, in percent of the usual time, may be missing.
+    """
     load_fields = (text or "").split(",")
-    if len(load_fields) != 3 or not all(
+    if len(load_fields) not in (3, 4) or not all(
         _INTEGER.fullmatch(field.strip()) for field in load_fields
     ):
         return None
-    return requests.ReportedLoad(*(int(field) for field in load_fields))
+    running, queued, slots, *percent = (int(field) for field in load_fields)
+    slowdown = percent[0] / _USUAL_PERCENT if percent and percent[0] else None
+    return requests.ReportedLoad(running, queued, slots, slowdown)
 
 
 def _parse_leaving(
--- a/src/sesamefold/platform/settings.py
+++ b/src/sesamefold/platform/settings.py
@@ -14,6 +14,8 @@
 PATH_VARIABLE = "SESAMEFOLD_CONFIG"
 # Must equal the port that deploy/system.toml declares to the platform.
 METRICS_PORT = 9464
+# Part of the rules for deployments whose callers compete for room.
+_PRESSURE_CONTRACT = "pressure"
 _BYTES_PER_MB = 1e6
 _MS_PER_SECOND = 1000.0
 
@@ -100,6 +102,8 @@
             if "exposure_share" in bounds
             else None
         ),
+        # Despite the field's name, the parts of the rules that are in force.
+        queues_requests=_PRESSURE_CONTRACT in body.get("contracts", ()),
         shutdown_seconds=bounds["grace_s"],
         order_pause_seconds=bounds["lease_ms"] / _MS_PER_SECOND,
         leaving_seconds=bounds["drain_ms"] / _MS_PER_SECOND,
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -92,7 +92,8 @@
 
     With a `simulator`, streams take its time and memory, and cached context
     is fetched from and saved to `context_stores`, by address. The context of
-    `isolated_customers` is not shared with other customers.
+    `isolated_customers` is not shared with other customers. The load that it
+    reports ends with `slowdown_percent`, which holds at most one figure.
     """
 
     id: str
@@ -122,6 +123,7 @@
         attrs.field(factory=dict)
     )
     isolated_customers: t.Container[str] = ()
+    slowdown_percent: t.Sequence[int] = ()
     _tasks: t.Set["asyncio.Task[t.Any]"] = attrs.field(factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -301,8 +303,16 @@
             headers={
                 **headers,
                 "Content-Type": "text/event-stream",
-                "Sesamefold-Server-Load": (
-                    f"{running},{waiting},{simulator.options.slots}"
+                "Sesamefold-Server-Load": ",".join(
+                    map(
+                        str,
+                        (
+                            running,
+                            waiting,
+                            simulator.options.slots,
+                            *self.slowdown_percent,
+                        ),
+                    )
                 ),
             }
         )
--- a/standins/platform_fixtures.py
+++ b/standins/platform_fixtures.py
@@ -17,6 +17,7 @@
 region = "region-1"
 ip = "127.0.0.1"
 inner_ports = [{ports[2]}, {ports[2]}]
+contracts = {contracts}
 [zones]
 dc-1 = "region-1"
 [listen_addrs]
@@ -48,7 +49,8 @@
     `ports` are those for callers, for readiness checks and for other entry
     hosts; `store` is the address of the platform's store. `changes` may set
     `ratio`, the retry budget ratio, and the bounds `revoke_ms`, `contact_ms`,
-    `version_ms` and `grace_s`, and `memory_mb`, the memory of the host.
+    `version_ms` and `grace_s`, `memory_mb`, the memory of the host, and
+    `contracts`, a list of the parts of the rules that are in force.
     """
     values = {
         "ratio": 0.2,
@@ -57,6 +59,7 @@
         "version_ms": 10000,
         "grace_s": 6,
         "memory_mb": 128,
+        "contracts": [],
         **changes,
     }
     return SETTINGS_TEMPLATE.format(ports=ports, store=store, **values)
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -11,7 +11,7 @@
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import changes
 from sesamefold.entry import clock
-from sesamefold.entry import dispatch
+from sesamefold.entry import room_queue
 from sesamefold.entry import topology
 from sesamefold import exceptions
 from standins import platform_fixtures
@@ -700,7 +700,7 @@
         returns = [retry_after for _, retry_after, _ in answers]
         self.assertGreater(min(returns), 1.5)
         self.assertLessEqual(
-            max(returns), 2.0 + dispatch.RETURN_SPREAD_SECONDS
+            max(returns), 2.0 + room_queue.REST_SPREAD_SECONDS
         )
         self.assertGreater(max(returns) - min(returns), 0.05)
         self.assertEqual([], self.list_runs())
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,7 +8,8 @@
 refuse requests, break off responses, restart, announce that they leave, ask
 for a rest, ignore orders, or fall silent and go on; revoked API keys; grown
 configurations; new target versions of the weights; a store of context that
-restarts or whose connections are disrupted; prompts with a part that crashes
+restarts or whose connections are disrupted; hosts with a queue for room, and
+servers that say how long work takes; prompts with a part that crashes
 each server which begins to answer them.
 Prints one JSON line for each seed, and exits with status 1 if an invariant
 was violated.
@@ -65,6 +66,10 @@
 # The customer with the second key; its context is isolated.
 ISOLATED_CUSTOMER = "customer-2"
 SHARED_TOKENS = 200
+# Contract with which requests wait in a queue for room.
+PRESSURE_CONTRACT = "pressure"
+# Times that servers say work takes, in percent of the usual one.
+SLOWDOWNS = ((), (100,), (250,))
 ENGINE_OPTIONS = engine_simulator.EngineOptions(
     slots=8, memory_tokens=4000, step_seconds=0.03, load_seconds=0.5
 )
@@ -194,6 +199,7 @@
                 },
                 isolated_customers=(ISOLATED_CUSTOMER,),
                 stream_events=soak_invariants.STREAM_EVENTS,
+                slowdown_percent=self._random.choice(SLOWDOWNS),
                 deadly_parts={soak_invariants.DEADLY_PART},
             )
             simulation = asyncio.create_task(engine.simulator.run())
@@ -211,6 +217,7 @@
             aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         )
         self.hosts = []
+        contracts = self._random.choice(([], [PRESSURE_CONTRACT]))
         for number in range(self._host_count):
             link = proxy.Proxy(store_address)
             await link.start(self._stack)
@@ -221,6 +228,7 @@
                 ports,
                 link.address,
                 contact_ms=500,
+                contracts=contracts,
                 version_ms=int(
                     1000 * soak_invariants.WEIGHTS_LIFETIME_SECONDS
                 ),
