Keep a verdict against a version while it cannot be saved

Cause: a version that turned bad after many good answers is judged by its latest seconds. If the store was away meanwhile, these passed without an answer of it, the verdict was gone, and the version got requests again.

Change: the coordinator keeps the first verdict of a rollout.

Result: the new test failed before (the rollout was still running) and passes.

--- a/src/sesamefold/entry/rollout_coordinator.py
+++ b/src/sesamefold/entry/rollout_coordinator.py
@@ -77,6 +77,8 @@
 
     `ended` has what hosts counted that have restarted since. `revision` is
     that of the record, 0 if there is none and None if it is not known.
+    `verdict` is the first one against the version; it holds while it cannot
+    be saved, although no answers of the version follow that would show it.
     """
 
     order: catalogs.RolloutOrder
@@ -87,6 +89,7 @@
     ended: t.List[version_routing.Tally] = attrs.field(factory=list)
     snapshots: t.Deque[_Snapshot] = attrs.field(factory=collections.deque)
     complete_at: t.Optional[float] = None
+    verdict: t.Optional[version_evidence.Verdict] = None
     final: t.Optional[rollout_records.RolloutRecord] = None
     announced_until: float = float("inf")
     last_reason: str = ""
@@ -339,6 +342,11 @@
         latest = version_evidence.subtract_tables(
             table, rollout.snapshots[0].table
         )
+        rollout.verdict = (
+            rollout.verdict
+            or version_evidence.judge(table)
+            or version_evidence.judge(latest)
+        )
         run_seconds = sum(
             (tally.run_seconds for tally in tallies),
             version_evidence.Outcomes(),
@@ -356,8 +364,7 @@
                     for (_, is_new), outcomes in table.items()
                     if is_new
                 ),
-                version_evidence.judge(table)
-                or version_evidence.judge(latest),
+                rollout.verdict,
                 slots,
                 target_slots,
                 run_seconds,
--- a/tests/test_entry_rollouts.py
+++ b/tests/test_entry_rollouts.py
@@ -466,6 +466,25 @@
         await self.play(1.0, lambda load: 0.5)
         self.assert_state("rolled_back")
 
+    async def test_verdict_that_cannot_be_saved_is_kept(self) -> None:
+        """Guards against a version that is tried again during an outage."""
+        self.start_rollout()
+        await self.play(4.0)
+        tally = self.hosts[0].routing.get_tally("chat")
+        assert tally is not None
+        for _ in range(600):
+            tally.outcomes["route-1", True].record(False, 0.05)
+        await self.play(3.5)
+        self.records.down = True
+        await self.play(2.0, lambda load: 0.6)
+        exposed = self.exposed
+        # No answer of the latest seconds shows the fault any more.
+        await self.play(rollout_coordinator.LATEST_SECONDS + 1.0)
+        self.assertEqual(self.exposed, exposed)
+        self.records.down = False
+        await self.play(0.5)
+        self.assert_state("rolled_back")
+
     async def test_rollout_ends_after_an_outage_of_the_store(self) -> None:
         self.start_rollout()
         await self.play(2.0)
