Replace the successor of a silent stream if its server is silent as well

Cause: a stream whose server is silent asked one other server to go on, and looked for no third one while that attempt was open. If the second server was dead too, the stream waited there until its deadline and was cut, although the route allowed a third server and one had room.

A successor that only waits in the queue of a server that sends data to others stays. The log event `stream_silent` names the successor that is replaced.

--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -241,6 +241,8 @@
             paused_before = self.attempt.pauses.measure_paused_seconds()
             if self.attempt.succession.is_under_way():
                 chunk = await self._read_beside_successor()
+                if not self.attempt.succession.is_under_way():
+                    self.next_check_seconds = self.silence_seconds
             else:
                 chunk = await self._read_until_silent()
             paused = (
@@ -252,9 +254,13 @@
             if chunk is not None:
                 return chunk
             if (
-                self.silence_seconds >= self.next_check_seconds
-                and not self.reply.has_unread_data()
+                self.silence_seconds < self.next_check_seconds
+                or self.reply.has_unread_data()
             ):
+                continue
+            if self.attempt.succession.is_under_way():
+                await self._replace_successor(paused)
+            else:
                 self._start_successor(paused)
 
     async def _read_until_silent(self) -> t.Optional[bytes]:
@@ -266,11 +272,16 @@
             return None
 
     async def _read_beside_successor(self) -> t.Optional[bytes]:
-        """Return the next bytes, None if the successor fails before."""
+        """Return the next bytes, None if the successor fails before.
+
+        None is also returned at the next check.
+        """
         reading = asyncio.create_task(self.reply.read_chunk())
         try:
             await self.attempt.succession.wait_beside(
-                reading, self.reply.has_unread_data
+                reading,
+                self.reply.has_unread_data,
+                max(0.0, self.next_check_seconds - self.silence_seconds),
             )
         finally:
             if not reading.done():
@@ -298,13 +309,42 @@
         """Start a successor if the stream is silent and there is one."""
         if self._is_silent():
             obstacle = self.attempt.succession.start()
-            next_wait = SUCCESSOR_RETRY_SECONDS if obstacle else 0.0
+            self._schedule_check(obstacle)
         else:
             obstacle = "the server sends data to others"
-            next_wait = SERVER_SILENCE_SECONDS
-        self.next_check_seconds = self.silence_seconds + next_wait
+            self._schedule_check(None)
+        self._log_decision(paused_seconds, obstacle)
+
+    async def _replace_successor(self, paused_seconds: float) -> None:
+        """Replace a successor whose server is silent, if there is another.
+
+        A server that sends data to other callers has it wait in its queue.
+        """
+        succession = self.attempt.succession
+        server = succession.get_server()
+        silence = self.attempt.placement.measure_silence(server)
+        if silence < SERVER_SILENCE_SECONDS:
+            self._schedule_check(None)
+            return
+        obstacle = await succession.replace()
+        self._schedule_check(obstacle)
+        self._log_decision(paused_seconds, obstacle, server)
+
+    def _schedule_check(self, obstacle: t.Optional[str]) -> None:
+        """Set when a successor is next looked for, also for one under way."""
+        self.next_check_seconds = self.silence_seconds + (
+            SUCCESSOR_RETRY_SECONDS if obstacle else SERVER_SILENCE_SECONDS
+        )
+
+    def _log_decision(
+        self,
+        paused_seconds: float,
+        obstacle: t.Optional[str],
+        successor: t.Optional[topology.Server] = None,
+    ) -> None:
+        """Log a decision about a silent stream unless it is as before."""
         if obstacle is None or obstacle != self.last_obstacle:
-            self._log_silence(paused_seconds, obstacle)
+            self._log_silence(paused_seconds, obstacle, successor)
         self.last_obstacle = obstacle
 
     def _is_silent(self) -> bool:
@@ -314,9 +354,12 @@
         return self.response.started and silence >= SERVER_SILENCE_SECONDS
 
     def _log_silence(
-        self, paused_seconds: float, obstacle: t.Optional[str]
+        self,
+        paused_seconds: float,
+        obstacle: t.Optional[str],
+        successor: t.Optional[topology.Server],
     ) -> None:
-        """Log that a stream is silent, and why it has no successor."""
+        """Log that a stream is silent, and why it has no other successor."""
         silence = self.attempt.placement.measure_silence(self.attempt.server)
         self.attempt.log.write(
             "stream_silent",
@@ -327,6 +370,7 @@
             started=self.response.started,
             unread=self.reply.has_unread_data() or None,
             paused=round(paused_seconds, 3) or None,
+            successor=successor and successor.id,
             decision="successor" if obstacle is None else "wait",
             reason=obstacle,
         )
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -330,6 +330,7 @@
         if not self.retries.try_acquire_retry(call.service):
             return "retry budget"
         call.tried_servers.append(server.id)
+        claim.server = server
         # Recorded before the task runs, so that streams that fall silent
         # together do not all choose the same server.
         reservation = self.placement.record_request(call, server, cold)
--- a/src/sesamefold/entry/successors.py
+++ b/src/sesamefold/entry/successors.py
@@ -8,6 +8,7 @@
 stream of its own, so that its server runs the request. The first attempt then
 ends at once, because no server may work on a request for long that goes on at
 another one. A successor that waits in a queue leaves the stream where it is.
+One whose server is silent as well gives way to the next one.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 
 import attrs
 
+from sesamefold.entry import topology
 from sesamefold import exceptions
 
 
@@ -27,9 +29,11 @@
     """The claim of a successor to the stream of its predecessor.
 
     `claimed` is set once the successor should have the stream, `granted` once
-    the predecessor has closed its connection.
+    the predecessor has closed its connection. `server` is that of the
+    successor, None until it is chosen.
     """
 
+    server: t.Optional[topology.Server] = None
     claimed: asyncio.Event = attrs.field(factory=asyncio.Event)
     granted: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -82,6 +86,23 @@
         self._claim, self._task = claim, chosen
         return None
 
+    async def replace(self) -> t.Optional[str]:
+        """Start another successor in place of the one under way.
+
+        Returns why there is none; the one under way then goes on.
+        """
+        claim = Claim()
+        chosen = self.choose(claim)
+        if isinstance(chosen, str):
+            return chosen
+        await self.cancel()
+        self._claim, self._task = claim, chosen
+        return None
+
+    def get_server(self) -> t.Optional[topology.Server]:
+        """Return the server of the latest successor."""
+        return self._claim.server
+
     def is_under_way(self) -> bool:
         """Return whether a successor was started and has not failed.
 
@@ -98,21 +119,26 @@
         self,
         reading: "asyncio.Task[bytes]",
         has_unread_data: t.Callable[[], bool],
+        seconds: float,
     ) -> None:
         """Wait until the predecessor has read data or the successor failed.
 
-        Raises `TakenOver` if the successor gets the stream. Data that reached
-        the predecessor before goes first, also if `reading` has not run yet.
+        Returns after some seconds in any case. Raises `TakenOver` if the
+        successor gets the stream. Data that reached the predecessor before
+        goes first, also if `reading` has not run yet.
         """
         assert self._task is not None
         claiming = asyncio.create_task(self._claim.claimed.wait())
         try:
             await asyncio.wait(
                 {reading, self._task, claiming},
+                timeout=seconds,
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if reading.done() or not self.is_under_way():
                 return
+            if not self._claim.claimed.is_set():
+                return
             if not has_unread_data():
                 raise TakenOver("another server goes on with the stream")
             await asyncio.wait({reading})
--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -253,6 +253,9 @@
         for route in configuration["routes"]:
             route["max_attempts"] = 3
         self.store.put("op/config", configuration)
+        await self.wait_until(
+            lambda: self.host.catalog.require_configuration().version == 3
+        )
         streams = await self.start_streams()
         await self.add_other()
         silence(self.first, 60.0)
--- a/tests/test_entry_successors.py
+++ b/tests/test_entry_successors.py
@@ -17,6 +17,7 @@
         self.failing = asyncio.Event()
         self.error: Exception = exceptions.ReplyBroken("closed")
         self.unread = False
+        self.wait_seconds = 5.0
         self.succession = successors.Succession(
             lambda claim: asyncio.create_task(self.run_successor(claim)),
             (exceptions.ReplyBroken,),
@@ -52,7 +53,9 @@
         reading = asyncio.create_task(self.read())
         self.addCleanup(reading.cancel)
         async with asyncio.timeout(5.0):
-            await self.succession.wait_beside(reading, lambda: self.unread)
+            await self.succession.wait_beside(
+                reading, lambda: self.unread, self.wait_seconds
+            )
         return reading
 
     async def start(self) -> None:
@@ -129,6 +132,29 @@
             await self.wait()
         self.assertLess(loop.time() - replied_at, 0.4)
 
+    async def test_successor_is_replaced_by_the_next_one(self) -> None:
+        """Guards against a stream that waits for a silent successor."""
+        await self.start()
+        self.wait_seconds = 0.05
+        reading = await self.wait()
+        self.assertFalse(reading.done())
+        self.succession.choose = self.start_granted
+        self.assertIsNone(await self.succession.replace())
+        self.assertEqual(["begin", "end"], self.steps)
+        with self.assertRaises(successors.TakenOver):
+            await self.wait()
+
+    async def test_successor_goes_on_if_there_is_no_other(self) -> None:
+        """Guards against the loss of the only server that may still answer."""
+        await self.start()
+        self.succession.choose = lambda claim: "limit of servers"
+        self.assertEqual("limit of servers", await self.succession.replace())
+        self.assertTrue(self.succession.is_under_way())
+        self.assertEqual(["begin"], self.steps)
+        self.claim.submit()
+        with self.assertRaises(successors.TakenOver):
+            await self.wait()
+
     async def test_unexpected_error_is_not_hidden(self) -> None:
         self.error = ValueError("a fault")
         await self.start()
