Draw servers in turns, and move the draw to a module of its own

Cause: servers were drawn independently at random, so that a host sent two of its requests to one server and none to the next, beside the randomness of the arrivals.

Change: the servers below the level that the arrivals since the figures have filled are candidates alike, and each has its turn on each host (`contention.EvenDraw`). Requests that affinity sends to a server count as its turn. `balancing` has the draw, for engines and plain servers; `placement` tells what a choice was made from, and why a server gets nothing.

The test of slow servers sends its requests now: draws that send nothing change nothing.

--- a/src/sesamefold/entry/contention.py
+++ b/src/sesamefold/entry/contention.py
@@ -5,28 +5,32 @@
 latest figures; and more requests wait than there is room, so that each place
 that is freed is taken by the waiting requests of all hosts at once.
 
-`weigh_servers` is the interpretation of old load figures by Dahlin
-("Interpreting stale load information", IEEE TPDS 11(10), 2000): servers are
-chosen at random such that the requests that all hosts have probably sent since
-the figures were taken fill them up to the same level. The older the figures,
-the closer the choice is to an even one; fresh figures lead to the least loaded
-servers. `compute_send_probability` divides the room that is left among the
-requests that wait for it.
+`find_candidates` is the aggressive interpretation of old load figures by
+Dahlin ("Interpreting stale load information", IEEE TPDS 11(10), 2000): the
+requests that all hosts have probably sent since the figures were taken have
+filled the least loaded servers up to one level, and the next request goes to
+any of these servers. The older the figures, the closer the choice is to an
+even one; fresh figures lead to the least loaded servers. `EvenDraw` chooses
+among them such that a host gives each its turn. `compute_send_probability`
+divides the room that is left among the requests that wait for it.
 """
 
 import itertools
+import random
 import typing as t
 
+import attrs
 
-def weigh_servers(loads: t.Sequence[float], arrivals: float) -> t.List[float]:
-    """Return the weight of each server in a random choice.
+
+def find_candidates(loads: t.Sequence[float], arrivals: float) -> t.List[bool]:
+    """Return which servers may get the next request.
 
     `loads` are those of the figures, as shares of a server's room, and
-    `arrivals` the load that has probably come to all servers since then. The
-    sum of the weights is `arrivals` if that is positive. If it is 0, only the
-    servers with the least load have a weight.
+    `arrivals` the load that has probably come to all servers since then. It
+    is thought of as filling the least loaded servers up to one level; those
+    below it, and the least loaded ones in any case, are candidates.
 
-        weigh_servers([0.2, 0.5, 0.9], 0.5)  # [0.4, 0.1, 0.0]
+        find_candidates([0.2, 0.5, 0.9], 0.5)  # [True, True, False]
     """
     ranked = sorted(loads)
     level = ranked[0]
@@ -40,10 +44,67 @@
         level = upper
     else:
         level += (arrivals - filled) / len(ranked)
-    weights = [max(0.0, level - load) for load in loads]
-    if any(weights):
-        return weights
-    return [float(load <= ranked[0]) for load in loads]
+    return [load < level or load <= ranked[0] for load in loads]
+
+
+@attrs.define(eq=False)
+class EvenDraw:
+    """Chooses among servers such that each gets its share in turn.
+
+    A server's turn comes sooner the longer ago its last one is, counted in
+    requests that it could have got; servers that were chosen for other reasons
+    count as well. Hosts begin at different servers. Independent draws would
+    send two of a host's requests to one server and none to the next, in
+    addition to the randomness of the arrivals.
+
+        index = draw.draw(["i-1", "i-2"], [True, True])
+        draw.record("i-2")  # the request was sent to this server
+    """
+
+    draw_start: t.Callable[[], float] = random.random
+    # Turns that are due to each server less those that it got.
+    _due: t.Dict[str, float] = attrs.field(factory=dict)
+    _offered: t.Dict[str, float] = attrs.field(factory=dict)
+
+    def draw(
+        self, servers: t.Sequence[str], candidates: t.Sequence[bool]
+    ) -> int:
+        """Return the index of the candidate whose turn it is.
+
+        Nothing changes until `record`. There is one candidate at least.
+        """
+        share = 1.0 / sum(candidates)
+        chosen = [
+            (index, server)
+            for index, (server, candidate) in enumerate(
+                zip(servers, candidates)
+            )
+            if candidate
+        ]
+        for _, server in chosen:
+            if server not in self._due:
+                self._due[server] = self.draw_start()
+        self._offered = {server: share for _, server in chosen}
+        return max(chosen, key=lambda pair: self._due[pair[1]])[0]
+
+    def record(self, server: str) -> None:
+        """Record that a request was sent to a server after the last draw.
+
+        One that was no candidate had no turn and loses none.
+        """
+        offered, self._offered = self._offered, {}
+        if server not in offered:
+            return
+        for name, share in offered.items():
+            # Missing if the server was forgotten since the draw.
+            if name in self._due:
+                self._due[name] += share
+        if server in self._due:
+            self._due[server] -= 1.0
+
+    def forget(self, server: str) -> None:
+        """Forget a server that has ended."""
+        self._due.pop(server, None)
 
 
 def compute_send_probability(
--- a/src/sesamefold/entry/placement.py
+++ b/src/sesamefold/entry/placement.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from sesamefold.entry import balancing
 from sesamefold.entry import catalog as catalogs
 from sesamefold.entry import clock
 from sesamefold.entry import contention
@@ -39,23 +40,11 @@
 # host chose the best of all engines, the same few engines would get all
 # requests of that time.
 SAMPLED_ENGINES = 5
-# Prefill that waits at an engine which counts as full, tokens. It delays the
-# first tokens of new requests and the events of running ones.
-FULL_PREFILL_TOKENS = 40_000
 # Prompts that are longer than this are long, tokens, and wait while more than
 # `MAX_PREFILL_TOKENS` wait for prefill at an engine: its streams would pause
 # for longer than their callers bear.
 LONG_PROMPT_TOKENS = 4000
 MAX_PREFILL_TOKENS = 12_000
-# Factor on the age of the figures in the draw of an engine. Requests that are
-# on their way and likely engines of sessions fill servers beside the draw; a
-# draw that is too even costs less than one that is too sharp
-# (`test_entry_contention`).
-FIGURE_AGE_FACTOR = 3.0
-# Mean duration of a run before one has ended, seconds, and the weight of the
-# latest one.
-INITIAL_RUN_SECONDS = 1.0
-LATEST_RUN_WEIGHT = 0.05
 # Cost of another data centre in the region, milliseconds: its latency and the
 # price of traffic between data centres.
 OTHER_DATA_CENTRE_MS = 4.0
@@ -116,6 +105,20 @@
         )
 
 
+@attrs.frozen
+class Choice:
+    """A server chosen for a request, and what it was chosen from.
+
+    `cold` says whether the server is. `costs_ms` are the estimated costs of
+    the engines that were compared by server id, empty for a request without
+    a prompt.
+    """
+
+    server: topology.Server
+    cold: bool
+    costs_ms: t.Mapping[str, float]
+
+
 @attrs.define
 class Placement:
     """Chooses servers for requests and records the outcomes of requests.
@@ -157,7 +160,15 @@
         )
     )
     balances: bool = False
-    _run_seconds: t.Dict[str, float] = attrs.field(factory=dict)
+    balancer: balancing.Balancer = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda self: balancing.Balancer(
+                self.loads, self.get_slowdown, self.data_centre, self.balances
+            ),
+            takes_self=True,
+        ),
+    )
     _last_engines: t.Dict[str, str] = attrs.field(factory=dict)
     _shared_slowdowns: t.Dict[str, loads.SharedValue] = attrs.field(
         factory=dict
@@ -171,7 +182,16 @@
         self, call: requests.Call
     ) -> t.Optional[t.Tuple[topology.Server, bool]]:
         """Return a server and whether it is cold, None if none is usable."""
+        choice = self.explain_choice(call)
+        return None if choice is None else (choice.server, choice.cold)
+
+    def explain_choice(self, call: requests.Call) -> t.Optional[Choice]:
+        """Return the choice of a server, None if none is usable.
+
+        It has no effect on later choices until `record_request`.
+        """
         now = self.read_time()
+        costs_ms: t.Mapping[str, float] = {}
         usable = self._list_usable_servers(call, now)
         if not usable:
             return None
@@ -186,17 +206,46 @@
                 healthy, key=functools.partial(self._make_load_key, now=now)
             )
         elif call.head.prompt is not None:
-            chosen = self._choose_engine(call, call.head.prompt, healthy)
+            costs_ms = self._compare_engines(call, call.head.prompt, healthy)
+            cheapest = min(costs_ms, key=costs_ms.__getitem__)
+            chosen = next(s for s in healthy if s.id == cheapest)
         else:
             local = [s for s in healthy if self._is_in_region(s)] or healthy
             chosen = (
-                self._draw_plain_server(local)
-                if self._balances(call.service)
+                self.balancer.draw_plain_server(local)
+                if self.balances_service(call.service)
                 else min(
                     local, key=functools.partial(self._make_load_key, now=now)
                 )
             )
-        return chosen, now < chosen.cold_until
+        return Choice(chosen, now < chosen.cold_until, costs_ms)
+
+    def find_obstacle(
+        self, call: requests.Call, server: topology.Server
+    ) -> t.Optional[str]:
+        """Return why a server gets no request now, None if it may get it.
+
+        The conditions are those of `explain_choice`. Versions of a service
+        that is rolled out are not considered.
+        """
+        now = self.read_time()
+        status = self.states.get(server)
+        configuration = self.catalog.require_configuration()
+        service = configuration.services.get(call.service)
+        rate = service.cold_rate if service else 0.0
+        obstacles = {
+            "tried before": not call.may_try(server.id),
+            "suspected": now < status.suspected_until,
+            "rests as it asked": status.is_resting(now),
+            "not available": not status.is_available(now),
+            "not in a permitted region": not self._is_permitted(
+                server, call.list_permitted_regions()
+            ),
+            "its weights expire": now >= self._get_last_start(call, server),
+            "cold, and its rate is used up": now < server.cold_until
+            and not self.cold_throttle.allows_request(server.id, rate),
+        }
+        return next((text for text, holds in obstacles.items() if holds), None)
 
     def _list_usable_servers(
         self, call: requests.Call, now: float
@@ -207,7 +256,7 @@
         rate = service.cold_rate if service else 0.0
         usable = [
             (server, status)
-            for server in self._list_servers(call)
+            for server in self.list_servers(call)
             if call.may_try(server.id)
             and (status := self.states.get(server)).is_available(now)
             and self._is_permitted(server, allowed)
@@ -224,9 +273,7 @@
             return usable
         return [pair for pair in usable if pair[0] in preferred]
 
-    def _list_servers(
-        self, call: requests.Call
-    ) -> t.Sequence[topology.Server]:
+    def list_servers(self, call: requests.Call) -> t.Sequence[topology.Server]:
         """Return the servers that may get a call, usable now or not."""
         return self.versions.select_servers(
             call, self.catalog.list_usable_servers(call.service)
@@ -271,7 +318,7 @@
             call.may_try(server.id)
             and self._is_permitted(server, allowed)
             and self.states.get(server).may_serve(now)
-            for server in self._list_servers(call)
+            for server in self.list_servers(call)
         )
 
     def find_rest_end(
@@ -286,7 +333,7 @@
         now = self.read_time()
         allowed = call.list_permitted_regions()
         ends = []
-        for server in self._list_servers(call):
+        for server in self.list_servers(call):
             status = self.states.get(server)
             if (
                 (untried_only and not call.may_try(server.id))
@@ -326,13 +373,13 @@
         reported = self.states.get(server).count_reported_requests(now)
         return max(known, reported), server.data_centre != self.data_centre
 
-    def _choose_engine(
+    def _compare_engines(
         self,
         call: requests.Call,
         prompt: requests.Prompt,
         servers: t.Sequence[topology.Server],
-    ) -> topology.Server:
-        """Return the engine with the lowest estimated cost.
+    ) -> t.Dict[str, float]:
+        """Return the estimated costs of the engines that come into question.
 
         The cost is the time to the first token, with surcharges for traffic,
         old weights and the recomputation of tokens that a store holds.
@@ -343,11 +390,13 @@
         last = self._last_engines.get(session)
         if len(servers) > 2 * SAMPLED_ENGINES:
             remote = [s for s in servers if not self._is_in_region(s)]
-            if self._balances(call.service):
+            if self.balances_service(call.service):
                 limit = self._get_memory_capacity(call)
                 servers = [
-                    *self._draw_engines(local, limit, True, (owner, last)),
-                    *self._draw_engines(remote, limit, False, (last,)),
+                    *self.balancer.draw_engines(
+                        local, limit, True, (owner, last)
+                    ),
+                    *self.balancer.draw_engines(remote, limit, False, (last,)),
                 ]
             else:
                 likely = [s for s in servers if s.id in (owner, last)]
@@ -372,90 +421,12 @@
                 )
             )
 
-        return min(servers, key=estimate_cost_ms)
+        return {server.id: estimate_cost_ms(server) for server in servers}
 
-    def _balances(self, service: str) -> bool:
+    def balances_service(self, service: str) -> bool:
         """Return whether the hosts share the servers of a service evenly."""
         return self.balances or service in self.states.sharing_services
 
-    def _draw_plain_server(
-        self, servers: t.Sequence[topology.Server]
-    ) -> topology.Server:
-        """Return a server without a cache, drawn evenly.
-
-        One in the data centre of this host is preferred if it has as much
-        room as the servers have on average.
-        """
-        weights = self._weigh_servers(servers, math.inf, True)
-        near = [
-            (server, weight)
-            for server, weight in zip(servers, weights)
-            if server.data_centre == self.data_centre
-            and weight >= sum(weights) / len(weights)
-        ]
-        if near:
-            (drawn,) = random.choices(*zip(*near))
-        else:
-            (drawn,) = random.choices(servers, weights)
-        return drawn
-
-    def _draw_engines(
-        self,
-        servers: t.Sequence[topology.Server],
-        memory_tokens: float,
-        same_region: bool,
-        likely: t.Collection[t.Optional[str]],
-    ) -> t.List[topology.Server]:
-        """Return one engine that is drawn evenly, and the likely ones.
-
-        Engines in `likely` may hold the context of the prompt. They are left
-        out if they are fuller than the level to which the engines are filled.
-        """
-        if not servers:
-            return []
-        weights = self._weigh_servers(servers, memory_tokens, same_region)
-        (drawn,) = random.choices(servers, weights)
-        return [drawn] + [
-            server
-            for server, weight in zip(servers, weights)
-            if server.id in likely and weight > 0 and server is not drawn
-        ]
-
-    def _weigh_servers(
-        self,
-        servers: t.Sequence[topology.Server],
-        memory_tokens: float,
-        same_region: bool,
-    ) -> t.List[float]:
-        """Return weights with which all hosts together fill servers evenly.
-
-        `memory_tokens` is the memory of each server. The load that has come
-        since the figures were taken follows from the load that they show: it
-        turns over once in the mean duration of a run. The request that is to
-        be sent counts, so that a slow server is avoided while it is idle, too.
-        """
-        full_prefill = FULL_PREFILL_TOKENS if self.balances else math.inf
-        shares = [
-            max(
-                load.requests / max(1, server.slots),
-                load.memory_tokens / max(1.0, memory_tokens),
-                load.prefill_tokens / full_prefill,
-            )
-            for server in servers
-            for load in [self.loads.get_load(server.id)]
-        ]
-        slowed = [
-            (share + 1 / max(1, server.slots)) * self.get_slowdown(server)
-            for server, share in zip(servers, shares)
-        ]
-        age = FIGURE_AGE_FACTOR * self.loads.get_figure_age(same_region)
-        run_seconds = self._run_seconds.get(
-            servers[0].service, INITIAL_RUN_SECONDS
-        )
-        return contention.weigh_servers(
-            slowed, sum(shares) * age / run_seconds
-        )
-
     def get_slowdown(self, server: topology.Server) -> float:
         """Return how many times as long as usual work takes at a server.
 
@@ -532,7 +503,7 @@
         overflow = max(0.0, -demand.count_free_memory(load))
         slowdown = (
             self.get_slowdown(server)
-            if self._balances(server.service)
+            if self.balances_service(server.service)
             else 1.0
         )
         return (
@@ -619,7 +590,7 @@
 
         `chosen` is the result of `choose_server`.
         """
-        known = self._list_servers(call)
+        known = self.list_servers(call)
         if chosen is None:
             now = self.read_time()
             expired = sum(now >= self._get_last_start(call, s) for s in known)
@@ -693,6 +664,7 @@
         The caller must release the reservation when the request ends.
         """
         self.states.record_request(server)
+        self.balancer.record_request(server.id)
         if cold:
             self.cold_throttle.record_request(server.id)
         prompt = call.head.prompt
@@ -736,11 +708,8 @@
             self.states.record_rest(server, head.rest_seconds, call.request_id)
 
     def record_run_seconds(self, service: str, seconds: float) -> None:
-        """Update the mean duration of the runs of a service."""
-        known = self._run_seconds.setdefault(service, seconds)
-        self._run_seconds[service] = known + LATEST_RUN_WEIGHT * (
-            seconds - known
-        )
+        """Record how long a run of a service took."""
+        self.balancer.record_run_seconds(service, seconds)
 
     def _share_slowdown(
         self, server: topology.Server, load: requests.ReportedLoad
@@ -807,6 +776,7 @@
     def _forget_server(self, server_id: str) -> None:
         self.states.forget_server(server_id)
         self.cold_throttle.forget_server(server_id)
+        self.balancer.forget_server(server_id)
         shared = self._shared_slowdowns.pop(server_id, None)
         if shared is not None:
             shared.release()
--- a/tests/test_entry_contention.py
+++ b/tests/test_entry_contention.py
@@ -216,10 +216,16 @@
         )
 
     def count_choices(self, host: Host, server_id: str) -> int:
-        """Return how many of 300 plain requests would go to a server."""
-        calls = (entry_fakes.make_call(f"r-{n}") for n in range(300))
-        chosen = map(host.placement.choose_server, calls)
-        return sum(c is not None and c[0].id == server_id for c in chosen)
+        """Return how many of 300 plain requests go to a server.
+
+        Each ends at once, so that loads stay as they are.
+        """
+        count = 0
+        for number in range(300):
+            server, reservation = host.place(number, self.clock.now, True)
+            reservation.release()
+            count += server.id == server_id
+        return count
 
     def test_other_hosts_avoid_a_server_that_is_slow_now(self) -> None:
         """Guards against even loads of uneven servers."""
@@ -261,29 +267,104 @@
             self.hosts[1].loads.add(loads.make_slowdown_row("i-2"), -load)
 
 
-class WeightTest(unittest.TestCase):
-    """Weights of servers in a random choice."""
+class CandidateTest(unittest.TestCase):
+    """Servers that may get the next request."""
 
     def test_arrivals_fill_servers_to_one_level(self) -> None:
-        weights = contention.weigh_servers([0.2, 0.5, 0.9], 0.5)
-        for weight, expected in zip(weights, (0.4, 0.1, 0.0)):
-            self.assertAlmostEqual(weight, expected)
+        self.assertEqual(
+            contention.find_candidates([0.2, 0.5, 0.9], 0.5),
+            [True, True, False],
+        )
 
     def test_old_figures_lead_to_an_even_choice(self) -> None:
         """Guards against one server that gets all when figures stop."""
-        weights = contention.weigh_servers([0.0, 0.5, 1.0], 100.0)
-        self.assertLess(max(weights) / min(weights), 1.05)
+        self.assertEqual(
+            contention.find_candidates([0.0, 0.5, 1.0], 100.0), [True] * 3
+        )
 
     def test_fresh_figures_lead_to_the_least_loaded(self) -> None:
         self.assertEqual(
-            contention.weigh_servers([0.2, 0.1, 0.9], 0.0), [0.0, 1.0, 0.0]
+            contention.find_candidates([0.2, 0.1, 0.9], 0.0),
+            [False, True, False],
         )
 
     def test_idle_servers_are_chosen_alike(self) -> None:
         for arrivals in (0.0, 1.0):
-            weights = contention.weigh_servers([0.0, 0.0, 0.0], arrivals)
-            self.assertEqual(len(set(weights)), 1)
-            self.assertGreater(weights[0], 0)
+            self.assertEqual(
+                contention.find_candidates([0.0, 0.0, 0.0], arrivals),
+                [True] * 3,
+            )
+
+
+class EvenDrawTest(unittest.TestCase):
+    """Turns of the servers at one host."""
+
+    def send(
+        self, draw: contention.EvenDraw, candidates: t.Sequence[bool]
+    ) -> int:
+        """Send a request to a server that is drawn."""
+        index = draw.draw(self.servers, candidates)
+        draw.record(self.servers[index])
+        return index
+
+    def setUp(self) -> None:
+        """Make four servers."""
+        self.servers = [f"i-{n}" for n in range(4)]
+        random.seed(3)
+        self.draw = contention.EvenDraw()
+
+    def test_each_server_has_its_turn(self) -> None:
+        """Guards against two requests at one server and none at the next."""
+        for _ in range(10):
+            turns = [self.send(self.draw, [True] * 4) for _ in range(4)]
+            self.assertEqual([0, 1, 2, 3], sorted(turns))
+
+    def test_hosts_begin_at_different_servers(self) -> None:
+        """Guards against hosts that all follow the same order."""
+        firsts = {
+            contention.EvenDraw().draw(self.servers, [True] * 4)
+            for _ in range(100)
+        }
+        self.assertEqual({0, 1, 2, 3}, firsts)
+
+    def test_server_that_was_full_is_not_overrun(self) -> None:
+        """Guards against turns that a server saves up while it has no room."""
+        for _ in range(300):
+            self.send(self.draw, [False, True, True, True])
+        turns = [self.send(self.draw, [True] * 4) for _ in range(40)]
+        self.assertLessEqual(turns[:12].count(0), 4)
+        self.assertAlmostEqual(10, turns.count(0), delta=1)
+
+    def test_new_server_is_not_overrun(self) -> None:
+        """Guards against a returning server that gets all requests."""
+        for _ in range(300):
+            self.send(self.draw, [True] * 4)
+        self.draw.forget("i-2")
+        turns = [self.send(self.draw, [True] * 4) for _ in range(12)]
+        self.assertIn(turns.count(2), (2, 3, 4))
+
+    def test_draws_that_send_nothing_change_nothing(self) -> None:
+        """Guards against turns lost to requests that wait for room."""
+        first = self.draw.draw(self.servers, [True] * 4)
+        for _ in range(10):
+            self.assertEqual(first, self.draw.draw(self.servers, [True] * 4))
+
+    def test_choices_for_other_reasons_count(self) -> None:
+        """Guards against servers that affinity and the draw both fill."""
+        counts = [0] * 4
+        for number in range(40):
+            index = self.draw.draw(self.servers, [True] * 4)
+            index = 0 if number % 4 == 0 else index
+            self.draw.record(self.servers[index])
+            counts[index] += 1
+        self.assertLessEqual(max(counts) - min(counts), 1)
+
+    def test_server_that_ended_since_the_draw_is_no_error(self) -> None:
+        """Guards against a request that fails as a server is removed."""
+        self.draw.draw(self.servers, [True] * 4)
+        self.draw.forget("i-0")
+        self.draw.record("i-0")
+        self.draw.record("i-1")
 
 
 class SendTest(unittest.TestCase):
