Add a command that explains where a request would go now

Cause: operators asked for it. Why a request went to a server could be seen only afterwards, from the logs, and not at all for one that was not sent.

Change: `sesamefold route` describes a request to an entry host, which answers at its metrics address with the choice that it would make, the figures and their age, and for each server the estimated cost or the obstacle. It makes the same choice as a request does, without recording anything. Only entry hosts of the users' platform answer; the product's own interface does not.

--- a/src/sesamefold/commands.py
+++ b/src/sesamefold/commands.py
@@ -25,6 +25,7 @@
 from sesamefold import exceptions
 from sesamefold import exitcodes
 from sesamefold import log_commands
+from sesamefold import placement_commands
 from sesamefold import presentation
 from sesamefold import settings as process_settings
 
@@ -540,6 +541,7 @@
 
 app.command()(log_commands.explain)
 app.command()(log_commands.replay)
+app.command()(placement_commands.route)
 
 
 def _print_version(value: bool) -> None:
--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -19,6 +19,7 @@
 from sesamefold.entry import decisions
 from sesamefold.entry import dispatch
 from sesamefold.entry import election
+from sesamefold.entry import explanations
 from sesamefold.entry import follower
 from sesamefold.entry import frontend
 from sesamefold.entry import loads
@@ -212,6 +213,15 @@
             platform.encode_rollout_status,
             self.decisions,
         )
+        self.explainer = explanations.Explainer(
+            settings.host,
+            settings.data_centre,
+            self.catalog,
+            self.placement,
+            platform.codec,
+            self.quarantine,
+            settings.queues_requests,
+        )
         self.shutdown = shutdowns.Shutdown()
         self._runners: t.List[web.ServerRunner] = []
 
@@ -342,6 +352,8 @@
         return web.Response(status=200 if self.is_ready() else 503)
 
     async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
+        if request.path == explanations.PATH:
+            return await self.explainer.handle(request)
         body, content_type = self.metrics.render()
         return web.Response(body=body, headers={"Content-Type": content_type})
 
--- a/src/sesamefold/exceptions.py
+++ b/src/sesamefold/exceptions.py
@@ -476,6 +476,12 @@
     code = 1507
 
 
+class EntryHostUnavailable(PlatformError):
+    """The entry host could not be reached or gave no readable answer."""
+
+    code = 1508
+
+
 class SettingsError(SesamefoldError):
     """The process settings are invalid."""
 
--- a/src/sesamefold/presentation.py
+++ b/src/sesamefold/presentation.py
@@ -160,3 +160,56 @@
             for centre in status.data_centres
         ],
     }
+
+
+_CANDIDATE_COLUMNS = (
+    ("server", "server"),
+    ("data centre", "data_centre"),
+    ("requests", "requests"),
+    ("slots", "slots"),
+    ("memory", "memory_tokens"),
+    ("prefill", "prefill_tokens"),
+    ("slowdown", "slowdown"),
+    ("room", "has_room"),
+    ("cost ms", "cost_ms"),
+    ("obstacle", "obstacle"),
+)
+
+
+def format_explanation(explained: t.Mapping[str, t.Any]) -> str:
+    """Return the explanation of a request's placement as text.
+
+    The first lines say what would happen and by which figures; a line for
+    each server follows.
+    """
+    server = explained["server"]
+    target = f" to {server}" if server else ""
+    lines = [
+        f"{explained['outcome']}{target}: {explained['reason']}",
+        f"route {explained['route']}, service {explained['service']}, "
+        f"customer {explained['customer'] or '-'}, "
+        f"configuration {explained['configuration']}",
+        f"by the figures of {explained['host']}, "
+        f"{explained['figure_seconds']} s old",
+    ]
+    rows = [
+        [title for title, _ in _CANDIDATE_COLUMNS],
+        *(
+            [_format_cell(row[key]) for _, key in _CANDIDATE_COLUMNS]
+            for row in explained["candidates"]
+        ),
+    ]
+    widths = [max(map(len, column)) for column in zip(*rows)]
+    lines += [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths))
+        for row in rows
+    ]
+    return "\n".join(escape(line.rstrip()) for line in lines)
+
+
+def _format_cell(value: t.Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
