Pass on the list of servers and hosts within a large region

Cause: each host watched the store for the changes of servers and hosts. Calls to the store grow with the hosts and were the largest price at 83 and 127 hosts.

Change: in a region of more than 11 hosts the two readers of the operator's records watch these records, too, and send what a watch returns to the others (`fleet_relay`). A host that hears nothing for its former interval between watches, or misses a revision, watches the store as before, so that the bounds that rest on this interval stay.

--- a/src/sesamefold/entry/host.py
+++ b/src/sesamefold/entry/host.py
@@ -20,6 +20,7 @@
 from sesamefold.entry import dispatch
 from sesamefold.entry import election
 from sesamefold.entry import explanations
+from sesamefold.entry import fleet_relay
 from sesamefold.entry import follower
 from sesamefold.entry import frontend
 from sesamefold.entry import loads
@@ -275,10 +276,11 @@
         await self._listen(self.settings.listen_address, self.frontend.handle)
 
     async def _open_relay(self) -> None:
-        """Prepare the relay of the operator's records.
+        """Prepare the relays of what hosts read from the store.
 
         Without its listener, the host serves, but other hosts cannot fetch
-        records from it.
+        records from it. Those of the servers and the hosts are relayed as
+        well.
         """
         self.peer_session = transport.make_session(budget=self.answer_budget)
         self.relay = operator_relay.OperatorRelay(
@@ -290,6 +292,14 @@
             self.catalog,
             self.decisions,
         )
+        self.fleet_relay = fleet_relay.FleetRelay(
+            self.settings.host,
+            self.channel,
+            self.members,
+            self.relay,
+            self.decisions,
+        )
+        self.fleet_relay.on_source.append(self.metrics.count_fleet_changes)
         try:
             await self._listen(
                 self.channel.get_address(),
@@ -374,6 +384,7 @@
             (self.members, self.election, self.versions),
             self.decisions,
             self.relay,
+            self.fleet_relay,
         ).run()
 
     @mode.Service.task
--- a/src/sesamefold/entry/metrics.py
+++ b/src/sesamefold/entry/metrics.py
@@ -32,6 +32,13 @@
             ("code",),
             registry=self.registry,
         )
+        self.fleet_changes = prometheus_client.Counter(
+            "sesamefold_fleet_changes",
+            "Batches of changes of servers and hosts in a large region, by "
+            "source: reader, relay or store.",
+            ("source",),
+            registry=self.registry,
+        )
         self.server_notices = prometheus_client.Counter(
             "sesamefold_server_notices",
             "Notices of servers by kind: leaving, resting or replaced.",
@@ -69,6 +76,10 @@
         outcome = "sent" if sent else "refused"
         self.room_seconds.labels(outcome).observe(seconds)
 
+    def count_fleet_changes(self, source: str) -> None:
+        """Count a batch of changes of servers and hosts."""
+        self.fleet_changes.labels(source).inc()
+
     def count_notice(self, kind: str) -> None:
         """Count a notice of a server: "leaving", "resting" or "replaced"."""
         self.server_notices.labels(kind).inc()
--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -269,6 +269,38 @@
         self.put_server_entry(third.id, address)
         await self.check_whole(streams)
 
+    async def test_successor_that_waits_in_a_queue_is_kept(self) -> None:
+        """Guards against runs that leave a queue just before their turn.
+
+        The successor's server sends nothing for these streams, but data for
+        others, and a third server could take them.
+        """
+        configuration = make_slow_configuration(3)
+        for route in configuration["routes"]:
+            route["max_attempts"] = 3
+        self.store.put("op/config", configuration)
+        await self.wait_until(
+            lambda: self.host.catalog.require_configuration().version == 3
+        )
+        streams = await self.start_streams()
+        await self.add_other()
+        silence(self.first, 3.5)
+        silence(self.other, 60.0)
+        await self.wait_until(lambda: len(self.other.runs) == STREAMS)
+        third = platform_engine.PlatformEngine("i-2")
+        third.stream_events = EVENTS
+        address = await platform_fixtures.start_server(
+            self.stack, third.handle
+        )
+        self.put_server_entry(third.id, address)
+        for _ in range(20):
+            self.host.placement.record_activity(
+                self.host.catalog.servers[self.other.id]
+            )
+            await asyncio.sleep(0.1)
+        self.assertEqual([], third.runs)
+        await self.check_whole(streams)
+
     async def test_other_server_is_gone_in_a_new_configuration(self) -> None:
         """Guards against streams that are given up for a removed server."""
         await self.add_other()
