Let the turns of servers follow their weights

Change: `EvenDraw` takes the weights of the interpretation of old load, as the draw did before, so that a server's turns are in proportion to them.

--- a/src/sesamefold/entry/balancing.py
+++ b/src/sesamefold/entry/balancing.py
@@ -50,20 +50,20 @@
     ) -> topology.Server:
         """Return a server without a cache, drawn evenly.
 
-        Candidates in the data centre of this host are preferred while they
-        are as large a part of all candidates as of all servers.
+        Those in the data centre of this host that have as much room as the
+        servers have on average are preferred.
         """
-        candidates = self.find_candidates(servers, math.inf, True)
+        weights = self.weigh_servers(servers, math.inf, True)
+        mean = sum(weights) / len(weights)
         near = [
-            candidate and server.data_centre == self.data_centre
-            for server, candidate in zip(servers, candidates)
+            (
+                weight * (server.data_centre == self.data_centre)
+                if weight >= mean
+                else 0.0
+            )
+            for server, weight in zip(servers, weights)
         ]
-        near_servers = sum(s.data_centre == self.data_centre for s in servers)
-        if any(near) and sum(near) * len(servers) >= near_servers * sum(
-            candidates
-        ):
-            candidates = near
-        return self._draw(servers, candidates, "plain")
+        return self._draw(servers, near if any(near) else weights, "plain")
 
     def draw_engines(
         self,
@@ -79,34 +79,34 @@
         """
         if not servers:
             return []
-        candidates = self.find_candidates(servers, memory_tokens, same_region)
+        weights = self.weigh_servers(servers, memory_tokens, same_region)
         drawn = self._draw(
-            servers, candidates, "local" if same_region else "remote"
+            servers, weights, "local" if same_region else "remote"
         )
         return [drawn] + [
             server
-            for server, candidate in zip(servers, candidates)
-            if server.id in likely and candidate and server is not drawn
+            for server, weight in zip(servers, weights)
+            if server.id in likely and weight > 0 and server is not drawn
         ]
 
     def _draw(
         self,
         servers: t.Sequence[topology.Server],
-        candidates: t.Sequence[bool],
+        weights: t.Sequence[float],
         group: str,
     ) -> topology.Server:
-        """Return the candidate whose turn it is in a group of servers."""
+        """Return the server whose turn it is in a group of servers."""
         key = (servers[0].service, group)
         draw = self._draws.setdefault(key, contention.EvenDraw())
-        return servers[draw.draw([s.id for s in servers], candidates)]
+        return servers[draw.draw([s.id for s in servers], weights)]
 
-    def find_candidates(
+    def weigh_servers(
         self,
         servers: t.Sequence[topology.Server],
         memory_tokens: float,
         same_region: bool,
-    ) -> t.List[bool]:
-        """Return the servers to which all hosts together send evenly.
+    ) -> t.List[float]:
+        """Return weights with which all hosts together fill servers evenly.
 
         `memory_tokens` is the memory of each server. The load that has come
         since the figures were taken follows from the load that they show: it
@@ -131,7 +131,7 @@
         run_seconds = self._run_seconds.get(
             servers[0].service, INITIAL_RUN_SECONDS
         )
-        return contention.find_candidates(
+        return contention.weigh_servers(
             slowed, sum(shares) * age / run_seconds
         )
 
--- a/src/sesamefold/entry/contention.py
+++ b/src/sesamefold/entry/contention.py
@@ -5,14 +5,14 @@
 latest figures; and more requests wait than there is room, so that each place
 that is freed is taken by the waiting requests of all hosts at once.
 
-`find_candidates` is the aggressive interpretation of old load figures by
-Dahlin ("Interpreting stale load information", IEEE TPDS 11(10), 2000): the
-requests that all hosts have probably sent since the figures were taken have
-filled the least loaded servers up to one level, and the next request goes to
-any of these servers. The older the figures, the closer the choice is to an
-even one; fresh figures lead to the least loaded servers. `EvenDraw` chooses
-among them such that a host gives each its turn. `compute_send_probability`
-divides the room that is left among the requests that wait for it.
+`weigh_servers` is the interpretation of old load figures by Dahlin
+("Interpreting stale load information", IEEE TPDS 11(10), 2000): servers are
+chosen such that the requests that all hosts have probably sent since the
+figures were taken fill them up to the same level. The older the figures, the
+closer the choice is to an even one; fresh figures lead to the least loaded
+servers. `EvenDraw` chooses by these weights such that a host gives each server
+its turn. `compute_send_probability` divides the room that is left among the
+requests that wait for it.
 """
 
 import itertools
@@ -22,15 +22,15 @@
 import attrs
 
 
-def find_candidates(loads: t.Sequence[float], arrivals: float) -> t.List[bool]:
-    """Return which servers may get the next request.
+def weigh_servers(loads: t.Sequence[float], arrivals: float) -> t.List[float]:
+    """Return the weight of each server in a choice.
 
     `loads` are those of the figures, as shares of a server's room, and
-    `arrivals` the load that has probably come to all servers since then. It
-    is thought of as filling the least loaded servers up to one level; those
-    below it, and the least loaded ones in any case, are candidates.
+    `arrivals` the load that has probably come to all servers since then. The
+    sum of the weights is `arrivals` if that is positive. If it is 0, only the
+    servers with the least load have a weight.
 
-        find_candidates([0.2, 0.5, 0.9], 0.5)  # [True, True, False]
+        weigh_servers([0.2, 0.5, 0.9], 0.5)  # [0.4, 0.1, 0.0]
     """
     ranked = sorted(loads)
     level = ranked[0]
@@ -44,20 +44,22 @@
         level = upper
     else:
         level += (arrivals - filled) / len(ranked)
-    return [load < level or load <= ranked[0] for load in loads]
+    weights = [max(0.0, level - load) for load in loads]
+    if any(weights):
+        return weights
+    return [float(load <= ranked[0]) for load in loads]
 
 
 @attrs.define(eq=False)
 class EvenDraw:
     """Chooses among servers such that each gets its share in turn.
 
-    A server's turn comes sooner the longer ago its last one is, counted in
-    requests that it could have got; servers that were chosen for other reasons
-    count as well. Hosts begin at different servers. Independent draws would
-    send two of a host's requests to one server and none to the next, in
-    addition to the randomness of the arrivals.
+    A server's turn comes once its shares of the requests add up; requests that
+    it gets for other reasons count as well. Hosts begin at different servers.
+    Independent draws would send two of a host's requests to one server and
+    none to the next, in addition to the randomness of the arrivals.
 
-        index = draw.draw(["i-1", "i-2"], [True, True])
+        index = draw.draw(["i-1", "i-2"], [0.5, 1.5])
         draw.record("i-2")  # the request was sent to this server
     """
 
@@ -67,30 +69,33 @@
     _offered: t.Dict[str, float] = attrs.field(factory=dict)
 
     def draw(
-        self, servers: t.Sequence[str], candidates: t.Sequence[bool]
+        self, servers: t.Sequence[str], weights: t.Sequence[float]
     ) -> int:
-        """Return the index of the candidate whose turn it is.
+        """Return the index of the server whose turn it is.
 
-        Nothing changes until `record`. There is one candidate at least.
+        Nothing changes until `record`. Servers without a weight are left out;
+        one at least has one.
         """
-        share = 1.0 / sum(candidates)
-        chosen = [
-            (index, server)
-            for index, (server, candidate) in enumerate(
-                zip(servers, candidates)
-            )
-            if candidate
-        ]
-        for _, server in chosen:
+        total = sum(weights)
+        self._offered = {
+            server: weight / total
+            for server, weight in zip(servers, weights)
+            if weight > 0
+        }
+        for server in self._offered:
             if server not in self._due:
                 self._due[server] = self.draw_start()
-        self._offered = {server: share for _, server in chosen}
-        return max(chosen, key=lambda pair: self._due[pair[1]])[0]
+        return servers.index(
+            max(
+                self._offered,
+                key=lambda server: self._due[server] + self._offered[server],
+            )
+        )
 
     def record(self, server: str) -> None:
         """Record that a request was sent to a server after the last draw.
 
-        One that was no candidate had no turn and loses none.
+        One that had no weight had no turn and loses none.
         """
         offered, self._offered = self._offered, {}
         if server not in offered:
