--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -88,6 +88,26 @@
             lambda: self.other.id in self.host.catalog.servers
         )
 
+    async def allow_three_servers(self) -> None:
+        """Put a configuration in force that lets a run try three servers."""
+        configuration = make_slow_configuration(3)
+        for route in configuration["routes"]:
+            route["max_attempts"] = 3
+        self.store.put("op/config", configuration)
+        await self.wait_until(
+            lambda: self.host.catalog.require_configuration().version == 3
+        )
+
+    async def add_third(self) -> platform_engine.PlatformEngine:
+        """Start a third server, put it on the list and return it."""
+        third = platform_engine.PlatformEngine("i-2")
+        third.stream_events = EVENTS
+        address = await platform_fixtures.start_server(
+            self.stack, third.handle
+        )
+        self.put_server_entry(third.id, address)
+        return third
+
     async def start_streams(self) -> t.List["asyncio.Task[str]"]:
         """Start streams at the first server and wait for their events."""
         address = ":".join(map(str, self.settings.listen_address))
@@ -249,24 +269,13 @@
 
         A third one, which the route allows, has room and could go on.
         """
-        configuration = make_slow_configuration(3)
-        for route in configuration["routes"]:
-            route["max_attempts"] = 3
-        self.store.put("op/config", configuration)
-        await self.wait_until(
-            lambda: self.host.catalog.require_configuration().version == 3
-        )
+        await self.allow_three_servers()
         streams = await self.start_streams()
         await self.add_other()
         silence(self.first, 60.0)
         silence(self.other, 60.0)
         await self.wait_until(lambda: self.other.runs)
-        third = platform_engine.PlatformEngine("i-2")
-        third.stream_events = EVENTS
-        address = await platform_fixtures.start_server(
-            self.stack, third.handle
-        )
-        self.put_server_entry(third.id, address)
+        await self.add_third()
         await self.check_whole(streams)
 
     async def test_successor_that_waits_in_a_queue_is_kept(self) -> None:
@@ -275,24 +284,13 @@
         The successor's server sends nothing for these streams, but data for
         others, and a third server could take them.
         """
-        configuration = make_slow_configuration(3)
-        for route in configuration["routes"]:
-            route["max_attempts"] = 3
-        self.store.put("op/config", configuration)
-        await self.wait_until(
-            lambda: self.host.catalog.require_configuration().version == 3
-        )
+        await self.allow_three_servers()
         streams = await self.start_streams()
         await self.add_other()
         silence(self.first, 3.5)
         silence(self.other, 60.0)
         await self.wait_until(lambda: len(self.other.runs) == STREAMS)
-        third = platform_engine.PlatformEngine("i-2")
-        third.stream_events = EVENTS
-        address = await platform_fixtures.start_server(
-            self.stack, third.handle
-        )
-        self.put_server_entry(third.id, address)
+        third = await self.add_third()
         for _ in range(20):
             self.host.placement.record_activity(
                 self.host.catalog.servers[self.other.id]
