Own the next successor before the wait for the one that it replaces

Cause: while a silent successor was cancelled, the next one was already sent but not owned by the stream. A caller that left in this moment left its run going on (GONE).

Change: the next one is owned first.

--- a/src/sesamefold/entry/successors.py
+++ b/src/sesamefold/entry/successors.py
@@ -95,8 +95,10 @@
         chosen = self.choose(claim)
         if isinstance(chosen, str):
             return chosen
-        await self.cancel()
+        replaced = self._task
+        # The new one is owned before the wait: the caller may leave in it.
         self._claim, self._task = claim, chosen
+        await _cancel(replaced)
         return None
 
     def get_server(self) -> t.Optional[topology.Server]:
@@ -148,11 +150,7 @@
     async def cancel(self) -> None:
         """Cancel the successor, which closes its connection."""
         task, self._task = self._task, None
-        if task is not None:
-            task.cancel()
-            await asyncio.wait({task})
-            if not task.cancelled():
-                task.exception()
+        await _cancel(task)
 
     async def finish(self) -> None:
         """Grant the stream to the successor and wait until it has ended.
@@ -163,3 +161,12 @@
         assert self._task is not None
         self._claim.granted.set()
         await self._task
+
+
+async def _cancel(task: t.Optional["asyncio.Task[None]"]) -> None:
+    """Cancel an attempt and wait for its end, whatever its outcome."""
+    if task is not None:
+        task.cancel()
+        await asyncio.wait({task})
+        if not task.cancelled():
+            task.exception()
--- a/tests/test_entry_successors.py
+++ b/tests/test_entry_successors.py
@@ -144,6 +144,34 @@
         with self.assertRaises(successors.TakenOver):
             await self.wait()
 
+    async def test_caller_that_leaves_meanwhile_ends_the_next_one(
+        self,
+    ) -> None:
+        """Guards against a run that goes on for a caller who left (GONE)."""
+        first_ends = asyncio.Event()
+
+        async def end_slowly(claim: successors.Claim) -> None:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                await first_ends.wait()
+
+        self.succession.choose = lambda claim: asyncio.create_task(
+            end_slowly(claim)
+        )
+        await self.start()
+        self.succession.choose = lambda claim: asyncio.create_task(
+            self.run_successor(claim)
+        )
+        replacing = asyncio.create_task(self.succession.replace())
+        await asyncio.sleep(0.01)
+        self.assertEqual(["begin"], self.steps)
+        replacing.cancel()
+        first_ends.set()
+        await asyncio.wait({replacing})
+        await self.succession.cancel()
+        self.assertEqual(["begin", "end"], self.steps)
+
     async def test_successor_goes_on_if_there_is_no_other(self) -> None:
         """Guards against the loss of the only server that may still answer."""
         await self.start()
