Test what three decisions of the list's relay guard against

Cause: decisions were taken out again on the landed code. Three failed no test: late messages (the two guards hide each other), messages of the same revision, and messages that arrive while a host's own watch waits.

--- a/tests/test_entry_fleet_relay.py
+++ b/tests/test_entry_fleet_relay.py
@@ -241,9 +241,38 @@
         await self.watch(HOSTS[5])
         for deliver in late:
             deliver()
-        self.assertEqual(
-            {"i-0"}, set(self.followers[HOSTS[5]].catalog.servers)
-        )
+        host = self.followers[HOSTS[5]]
+        self.assertEqual({"i-0"}, set(host.catalog.servers))
+        self.assertEqual(self.source.revision, host.fleet.revision)
+
+    async def test_message_of_the_same_revision_is_not_applied(self) -> None:
+        """Guards against a removal that is applied again after a return."""
+        host = self.followers[HOSTS[5]]
+        seen = mock.Mock(return_value=None)
+        host.listeners = (mock.Mock(apply_changes=seen),)
+        self.source.change(changes.ServerRemoved("i-0"))
+        await self.watch(HOSTS[5])
+        await self.watch(READERS[0])
+        seen.assert_called_once()
+
+    async def test_messages_during_a_long_watch_count(self) -> None:
+        """Guards against a watch of each host after the other.
+
+        The store answers a watch without changes only after its wait, and
+        readers are heard meanwhile.
+        """
+        fleet = self.followers[HOSTS[5]].fleet
+        revision = self.source.revision
+
+        def wait() -> None:
+            self.clock.now += 1.5
+            self.followers[READERS[0]].fleet.send(
+                revision, changes.Batch((), revision), self.clock.now
+            )
+
+        self.source.before_answer = wait
+        await self.watch(HOSTS[5])
+        self.assertEqual(self.clock.now, fleet.read_at)
 
     async def test_records_of_hosts_are_relayed(self) -> None:
         """Guards against members and leases that only readers know."""
