Show a host that frees parts by a configuration of the past

Review case 8 (MIXED): a script with two entry hosts, two engines and a store of kept parts; the host that frees is partitioned from the platform's store for 6 s while the isolation of a tenant is taken back.

--- a/review/bench2.py
+++ b/review/bench2.py
@@ -51,6 +51,7 @@
 "stream","engine","tenants","places","platform"]
 [zones]
 zone-a = "region-a"
+zone-b = "region-a"
 [listen_addrs]
 front = "{ip}:8005"
 ready = "{ip}:8002"
@@ -147,12 +148,14 @@
     version: int,
     routes: t.Sequence[t.Any],
     tenants: t.Sequence[t.Any],
+    services: t.Sequence[t.Any] = (),
 ) -> t.Dict[str, t.Any]:
-    """Return the operator's configuration."""
+    """Return the operator's configuration; `services` are additional ones."""
     return {
         "version": version,
         "routes": list(routes),
         "services": [
+            *services,
             {
                 "name": "llm",
                 "health_path": "/healthz",
@@ -380,7 +383,7 @@
             "tenant": headers.get("Sesamefold-Tenant-Name"),
             "salt": headers.get("Sesamefold-Cache-Salt"),
             "first_event": first,
-            "used": self._read_prompt(headers, model),
+            "used": await self.read_prompt(headers, model),
         }
         self.runs.append(run)
         self.record.write("run", **run)
@@ -407,7 +410,7 @@
             self.running.discard(run["request"])
         return response
 
-    def _read_prompt(
+    async def read_prompt(
         self, headers: t.Mapping[str, str], model: str
     ) -> t.List[t.Dict[str, str]]:
         """Keep a prompt's parts; return those kept before and their makers.
@@ -437,6 +440,58 @@
     transport.abort()
 
 
+class Link:
+    """A host's link to the store, which can be cut for a while.
+
+    While it is cut, no byte passes in either direction; bytes that are held
+    up arrive once it has healed, as with retransmissions.
+    """
+
+    def __init__(self) -> None:
+        self.open = asyncio.Event()
+        self.open.set()
+        self._tasks: t.Set["asyncio.Task[None]"] = set()
+
+    async def start(
+        self, stack: contextlib.AsyncExitStack, ip: str, target: str
+    ) -> str:
+        """Listen on a free port; return ip:port."""
+        host, _, port = target.partition(":")
+
+        async def pump(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(OSError):
+                while data := await reader.read(65536):
+                    await self.open.wait()
+                    writer.write(data)
+                    await writer.drain()
+                await self.open.wait()
+            writer.close()
+
+        async def connect(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self.open.wait()
+            upper = await asyncio.open_connection(host, int(port))
+            for task in (
+                asyncio.create_task(pump(reader, upper[1])),
+                asyncio.create_task(pump(upper[0], writer)),
+            ):
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+        server = await asyncio.start_server(connect, ip, 0)
+
+        def stop() -> None:
+            server.close()
+            for task in self._tasks:
+                task.cancel()
+
+        stack.callback(stop)
+        return "%s:%d" % server.sockets[0].getsockname()[:2]
+
+
 class EntryHost:
     """A process of the project's own program, as the deploy file runs it."""
 
@@ -575,11 +630,17 @@
             self.stack, self.store, f"{self.net}.{100 + len(self.engines)}"
         )
 
-    async def add_host(self, name: str) -> EntryHost:
-        """Start an entry host."""
-        host = EntryHost(name, f"{self.net}.{10 + len(self.hosts)}", self.record)
+    async def add_host(
+        self, name: str, link: t.Optional[Link] = None
+    ) -> EntryHost:
+        """Start an entry host, behind a link if there is one."""
+        ip = f"{self.net}.{10 + len(self.hosts)}"
+        host = EntryHost(name, ip, self.record)
         self.hosts.append(host)
-        host.configure(self.folder, self.store_address)
+        address = self.store_address
+        if link is not None:
+            address = await link.start(self.stack, ip, address)
+        host.configure(self.folder, address)
         await host.start()
         return host
 
