--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,7 +9,7 @@
 from sesamefold import rendezvous
 from standins import platform_context_store
 
-CUT_SECONDS = 6.0
+CUT_SECONDS = 5.5
 # Figures of nyaglaze: parts of up to 23,000 tokens of 18,432 bytes, over the
 # 48,000 Mbit/s of a store, twice as long between zones.
 SHARED_TOKENS = 23_000
@@ -179,7 +179,7 @@
 
     world.configure(make_configuration(2, True, address))
     isolated_at = world.record.now()
-    await asyncio.sleep(11.3)
+    await asyncio.sleep(11.6)
     world.record.write("stored", parts=len(store.stored_tokens))
     if world.trouble:
         world.record.write("cut", host=freeing)
