Free former shared context only while the configuration is confirmed

Cause: a host freed what customers had shared before by the configuration that it had, however old, while the next configuration could bring that space into force again and other hosts fetched from it.

Such a space is freed only while the configuration was confirmed 2.5 s ago at most, with that deadline in the call, and a shared space is fetched from only once it was confirmed for 3 s, from what was read of the store since then. Every free by an older configuration has ended by then.

--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -8,6 +8,7 @@
 from sesamefold.entry import changes
 from sesamefold.entry import clock
 from sesamefold.entry import decisions
+from sesamefold.entry import shared_spaces
 from sesamefold.entry import store
 from sesamefold.entry import topology
 from sesamefold import exceptions
@@ -101,6 +102,9 @@
     target_weights: t.Dict[str, int] = attrs.field(factory=dict)
     rollouts: t.Dict[str, RolloutOrder] = attrs.field(factory=dict)
     has_snapshot: bool = False
+    shared_space: shared_spaces.SharedSpace = attrs.field(
+        factory=shared_spaces.SharedSpace
+    )
     on_report: t.List[t.Callable[[topology.Server], None]] = attrs.field(
         factory=list
     )
@@ -131,6 +135,20 @@
     def confirm(self, at: float) -> None:
         """Record that the catalog was up to date at the time `at`."""
         self.confirmed_at = max(self.confirmed_at, at)
+        self._update_shared_space()
+        self.shared_space.confirm(at, self.read_time())
+
+    def _update_shared_space(self) -> None:
+        if self.configuration is not None:
+            changed = self.shared_space.record_configuration(
+                self.configuration, self.read_time()
+            )
+            if changed:
+                self.log.write(
+                    "shared_space",
+                    space=self.shared_space.name,
+                    version=self.configuration.version,
+                )
 
     def apply_snapshot(
         self, batch: changes.Batch, scope: store.Scope = store.Scope.ALL
@@ -323,6 +341,7 @@
             )
         elif configuration.version > known:
             self.configuration = configuration
+            self._update_shared_space()
             self.log.write(
                 "configuration",
                 version=configuration.version,
--- a/src/sesamefold/entry/context_stores.py
+++ b/src/sesamefold/entry/context_stores.py
@@ -7,9 +7,7 @@
 
 import asyncio
 import functools
-import hashlib
 import itertools
-import json
 import typing as t
 import urllib.parse
 
@@ -19,6 +17,7 @@
 from sesamefold.entry import clock
 from sesamefold.entry import decisions
 from sesamefold.entry import requests
+from sesamefold.entry import shared_spaces
 from sesamefold.entry import store_views
 from sesamefold.entry import topology
 from sesamefold import exceptions
@@ -67,8 +66,6 @@
 # Most parts that one call frees.
 MAX_PARTS_PER_FREE_CALL = 200
 _SALT_SEPARATOR = "/"
-# Begin of the name of a shared space; quoted names do not contain it.
-_SHARED_MARK = "*"
 
 
 def make_salt(
@@ -90,7 +87,9 @@
     """
     if customer is not None and customer.isolated:
         return _join_salt(version, model, _quote(customer.name))
-    return _join_salt(version, model, name_shared_space(isolated_customers))
+    return _join_salt(
+        version, model, shared_spaces.name_shared_space(isolated_customers)
+    )
 
 
 @functools.lru_cache(maxsize=1024)
@@ -98,18 +97,6 @@
     return _SALT_SEPARATOR.join((str(version), _quote(model), space))
 
 
-@functools.lru_cache(maxsize=64)
-def name_shared_space(isolated_customers: t.FrozenSet[str]) -> str:
-    """Return the part of a salt that names what customers share.
-
-    It is no quoted name of a customer.
-    """
-    if not isolated_customers:
-        return ""
-    names = json.dumps(sorted(isolated_customers))
-    return _SHARED_MARK + hashlib.sha256(names.encode()).hexdigest()[:16]
-
-
 def _quote(name: str) -> str:
     return urllib.parse.quote(name, safe="")
 
@@ -154,10 +141,12 @@
         store: topology.ContextStore,
         boot_epoch: int,
         parts: t.Sequence[t.Tuple[str, str]],
+        deadline: t.Optional[float] = None,
     ) -> None:
         """Free parts, each given as (salt, part id).
 
-        The call fails if the store has another boot epoch.
+        The call fails if the store has another boot epoch or gets it after
+        `deadline`, in seconds of the engines' clock.
         """
 
 
@@ -181,7 +170,8 @@
     `OLD_WEIGHTS_GRACE_SECONDS`. Each fetch has a deadline for the engine.
     Parts are freed, and written again after a store's restart, only when the
     deadlines of all such fetches have passed, including those that other
-    hosts ordered.
+    hosts ordered. `catalog.shared_space` bounds both while the shared space
+    changes.
     """
 
     host: str
@@ -195,8 +185,6 @@
     slowness: float = 1.0
     followed_addresses: t.Set[str] = attrs.field(factory=set)
     read_listeners: t.List[ReadListener] = attrs.field(factory=list)
-    _shared_space: t.Optional[str] = None
-    _shared_since: float = float("-inf")
     _rankings: t.Dict[str, t.Tuple[t.Set[str], t.List[str]]] = attrs.field(
         factory=dict
     )
@@ -233,10 +221,12 @@
             return 0
         salt = self._make_salt(call, prompt.model, version)
         views = self._list_usable_views(call, server, now)
+        fetch_start = self._get_fetch_start(salt)
         return sum(
             part.tokens
             for part in prompt.list_shared_parts()
-            if _find_holder(views, salt, part) is not None
+            if (holder := _find_holder(views, salt, part)) is not None
+            and holder.read_at >= fetch_start
         )
 
     def _make_salt(self, call: requests.Call, model: str, version: int) -> str:
@@ -309,6 +299,15 @@
         )
         return now <= superseded_at + OLD_WEIGHTS_GRACE_SECONDS
 
+    def _get_fetch_start(self, salt: str) -> float:
+        """Return when a store must have been read to fetch from it.
+
+        The space of one customer is never freed while its weights are used.
+        """
+        if shared_spaces.is_shared_space(parse_salt(salt)[2]):
+            return self.catalog.shared_space.get_fetch_start()
+        return float("-inf")
+
     def _add_transfers(
         self,
         plan: requests.ContextPlan,
@@ -328,17 +327,19 @@
             return plan
         fetches: t.List[t.Optional[requests.ContextFetch]] = []
         saves: t.List[t.Optional[str]] = []
+        fetch_start = self._get_fetch_start(plan.salt)
         for part in prompt.list_shared_parts():
             holder = _find_holder(views, plan.salt, part)
             target = None
             if holder is None:
                 target = self._choose_save_target(views, part, now)
             fetches.append(
-                holder
-                and requests.ContextFetch(
+                requests.ContextFetch(
                     holder.store.address,
                     holder.stored_parts[plan.salt, part.id],
                 )
+                if holder is not None and holder.read_at >= fetch_start
+                else None
             )
             saves.append(target and target.store.address)
         unshared_count = len(prompt.parts) - len(fetches)
@@ -496,55 +497,78 @@
         )
 
     async def _free_outdated(self, view: store_views.StoreView) -> None:
-        """Free context of outdated weights if this host ranks first."""
+        """Free outdated context if this host ranks first for the store."""
         first_follower = self.rank_followers(view.store)[:1]
         if self.host not in first_follower or view.boot_epoch is None:
             return
         now = self.read_time()
-        self._update_shared_space(now)
         salts = {salt for salt, _ in view.stored_parts}
-        outdated_salts = {s for s in salts if self._is_outdated(s, now)}
+        await self._free(
+            view, {s for s in salts if self._is_replaced(s, now)}, None
+        )
+        deadline = self.catalog.shared_space.get_free_deadline()
+        if now < deadline and view.engine_clock_offset is not None:
+            await self._free(
+                view,
+                {s for s in salts if self._is_shared_before(s, now)},
+                deadline + view.engine_clock_offset,
+            )
+
+    async def _free(
+        self,
+        view: store_views.StoreView,
+        salts: t.Set[str],
+        deadline: t.Optional[float],
+    ) -> None:
+        """Free parts of some salts; see `ContextStoreApi.free`."""
         outdated = list(
             itertools.islice(
-                (k for k in view.stored_parts if k[0] in outdated_salts),
+                (k for k in view.stored_parts if k[0] in salts),
                 MAX_PARTS_PER_FREE_CALL,
             )
         )
-        if outdated:
-            await self.store_api.free(view.store, view.boot_epoch, outdated)
-            self.log.write(
-                "context_freed",
-                store=view.store.address,
-                parts=len(outdated),
-                salts=sorted({salt for salt, _ in outdated}),
-            )
-
-    def _update_shared_space(self, now: float) -> None:
-        """Record since when the customers that share context are the same."""
-        configuration = self.catalog.configuration
-        if configuration is None:
+        if not outdated or view.boot_epoch is None:
             return
-        space = name_shared_space(configuration.isolated_customers)
-        if space != self._shared_space:
-            self._shared_space, self._shared_since = space, now
+        await self.store_api.free(
+            view.store, view.boot_epoch, outdated, deadline
+        )
+        self.log.write(
+            "context_freed",
+            store=view.store.address,
+            parts=len(outdated),
+            salts=sorted({salt for salt, _ in outdated}),
+            confirmed=round(self.read_time() - self.catalog.confirmed_at, 2),
+        )
 
-    def _is_outdated(self, salt: str, now: float) -> bool:
-        """Return whether no host lets engines fetch context of a salt.
+    def _is_replaced(self, salt: str, now: float) -> bool:
+        """Return whether no host fetches context of a salt's weights.
 
-        Only a newer version of the same model makes context outdated, or that
-        other customers are isolated than when it was made. Context with a salt
-        of another format is never outdated.
+        Only a newer version of the same model replaces weights. Context with a
+        salt of another format is never outdated.
         """
         try:
-            model, version, space = parse_salt(salt)
+            model, version, _ = parse_salt(salt)
         except ValueError:
             return False
         replaced_at = self.catalog.find_latest_supersession(model, version)
-        is_shared = space == "" or space.startswith(_SHARED_MARK)
-        if is_shared and self._shared_space not in (None, space):
-            replaced_at = min(replaced_at, self._shared_since)
         return now >= replaced_at + FREE_DELAY_SECONDS
 
+    def _is_shared_before(self, salt: str, now: float) -> bool:
+        """Return whether a salt names a space that was shared before.
+
+        A later configuration may bring that space into force again.
+        """
+        try:
+            _, _, space = parse_salt(salt)
+        except ValueError:
+            return False
+        shared = self.catalog.shared_space
+        return (
+            shared_spaces.is_shared_space(space)
+            and space != shared.name
+            and now >= shared.since + FREE_DELAY_SECONDS
+        )
+
 
 def _find_holder(
     views: t.Iterable[store_views.StoreView],
--- a/src/sesamefold/platform/stores.py
+++ b/src/sesamefold/platform/stores.py
@@ -58,12 +58,15 @@
         store: topology.ContextStore,
         boot_epoch: int,
         parts: t.Sequence[t.Tuple[str, str]],
+        deadline: t.Optional[float] = None,
     ) -> None:
         """Free parts, each as (salt, part), in one boot epoch of a store."""
-        body = {
+        body: t.Dict[str, t.Any] = {
             "parts": [list(part) for part in parts],
             "boot_epoch": boot_epoch,
         }
+        if deadline is not None:
+            body["until_ms"] = int(deadline * _MS_PER_SECOND)
         await self._call(
             store,
             "POST",
--- a/standins/platform_context_store.py
+++ b/standins/platform_context_store.py
@@ -146,6 +146,8 @@
         body = await request.json()
         if body.get("boot_epoch", self.boot_epoch) != self.boot_epoch:
             return web.Response(status=409)
+        if time.time() * 1000.0 >= body.get("until_ms", float("inf")):
+            return web.Response(status=409)
         self.free((salt, part) for salt, part in body["parts"])
         return self._respond({})
 
--- a/tests/test_engine_simulator.py
+++ b/tests/test_engine_simulator.py
@@ -5,8 +5,13 @@
 import time
 import unittest
 
+import aiohttp
+from aiohttp import test_utils
 import attrs
 
+from sesamefold.entry import topology
+from sesamefold import exceptions
+from sesamefold.platform import stores
 from standins import engine_simulator
 from standins import platform_context_store
 
@@ -211,6 +216,29 @@
         await fetching
         self.assertEqual(1, store.reads_of_freed_parts)
 
+    # Guards against a call that is held up on its way and frees what hosts
+    # have begun to fetch again meanwhile.
+    async def test_call_after_its_deadline_frees_nothing(self) -> None:
+        store = platform_context_store.ContextStore()
+        await store.save(self.KEY, 500)
+        server = test_utils.TestServer(store.build_app())
+        await server.start_server()
+        self.addAsyncCleanup(server.close)
+        session = aiohttp.ClientSession()
+        self.addAsyncCleanup(session.close)
+        client = stores.ContextStoreClient(session)
+        target = topology.ContextStore(
+            f"{server.host}:{server.port}", "dc-1", 1000
+        )
+        parts = [("1/", "a")]
+        with self.assertRaises(exceptions.StoreUnavailable):
+            await client.free(
+                target, store.boot_epoch, parts, time.time() - 0.1
+            )
+        self.assertIn(self.KEY, store.stored_tokens)
+        await client.free(target, store.boot_epoch, parts, time.time() + 5.0)
+        self.assertNotIn(self.KEY, store.stored_tokens)
+
     async def test_restart_fails_saves_in_progress(self) -> None:
         store = platform_context_store.ContextStore(tokens_per_second=10_000)
         saving = asyncio.create_task(store.save(self.KEY, 500))
--- a/tests/test_entry_context_stores.py
+++ b/tests/test_entry_context_stores.py
@@ -1,5 +1,6 @@
 """Fetching, saving and freeing cached context."""
 
+import itertools
 import typing as t
 import unittest
 
@@ -9,6 +10,7 @@
 from sesamefold.entry import clock as clocks
 from sesamefold.entry import context_stores
 from sesamefold.entry import requests
+from sesamefold.entry import shared_spaces
 from sesamefold.entry import store_views
 from sesamefold.entry import topology
 from sesamefold import exceptions
@@ -25,6 +27,7 @@
         self.batch = store_views.EventBatch(1, 0, 1, False, 50.0, ())
         self.snapshot = self.batch
         self.freed: t.List[t.Tuple[int, t.Tuple[t.Tuple[str, str], ...]]] = []
+        self.deadlines: t.List[t.Optional[float]] = []
 
     async def read_events(
         self, store: topology.ContextStore, position: int, seconds: float
@@ -43,11 +46,13 @@
         store: topology.ContextStore,
         boot_epoch: int,
         parts: t.Sequence[t.Tuple[str, str]],
+        deadline: t.Optional[float] = None,
     ) -> None:
         """Record the parts; raises `StoreUnavailable` as a store does."""
         if boot_epoch != self.batch.boot_epoch:
             raise exceptions.StoreUnavailable("another boot epoch")
         self.freed.append((boot_epoch, tuple(parts)))
+        self.deadlines.append(deadline)
 
 
 class ContextStoresTest(unittest.IsolatedAsyncioTestCase):
@@ -96,10 +101,8 @@
         change = changes.TargetWeightsChanged(model, version)
         self.catalog.apply_changes(changes.Batch((change,), version))
 
-    def make_plan(
-        self, model: str = "m", **customer: t.Any
-    ) -> requests.ContextPlan:
-        """Return the plan for a prompt of three parts, the last not shared."""
+    def make_call(self, model: str, **customer: t.Any) -> requests.Call:
+        """Return a call with a prompt of three parts, the last not shared."""
         parts = tuple(
             requests.PromptPart(name, 400) for name in ("aa", "bb", "cc")
         )
@@ -110,7 +113,7 @@
         )
         configuration = test_entry_catalog.make_configuration(1)
         now = clocks.read_time()
-        call = requests.Call(
+        return requests.Call(
             head,
             configuration.routes[2],
             "chat",
@@ -121,10 +124,22 @@
             now,
             now + 10,
         )
+
+    def make_plan(
+        self, model: str = "m", **customer: t.Any
+    ) -> requests.ContextPlan:
+        """Return the plan for such a call."""
+        call = self.make_call(model, **customer)
         plan = self.context_stores.plan_context(call, self.server)
         assert plan is not None
         return plan
 
+    def count_fetchable_tokens(self) -> int:
+        """Return the tokens that can be fetched for such a call."""
+        return self.context_stores.count_fetchable_tokens(
+            self.make_call("m"), self.server
+        )
+
     def test_stored_part_is_fetched_and_missing_part_is_saved(self) -> None:
         plan = self.make_plan()
         fetch = requests.ContextFetch(STORE.address, 400)
@@ -216,12 +231,118 @@
         self.apply_parts((shared, "bb", 400), ("1/m/b", "aa", 400))
         await self.context_stores._free_outdated(self.view)
         self.clock.now += context_stores.FREE_DELAY_SECONDS - 0.1
+        self.catalog.confirm(self.clock.now)
         await self.context_stores._free_outdated(self.view)
         self.assertEqual([], self.store.freed)
         self.clock.now += 0.2
         await self.context_stores._free_outdated(self.view)
         self.assertEqual([(1, (("1/m/", "aa"),))], self.store.freed)
 
+    # Guards against context that is freed while engines fetch it (MIXED): a
+    # host that is cut off from the platform's store does not know that a later
+    # configuration shares a former space again.
+    async def test_cut_off_host_frees_nothing_shared_before(self) -> None:
+        self.isolate()
+        self.isolate("b")
+        self.clock.now += context_stores.FREE_DELAY_SECONDS + 0.1
+        await self.context_stores._free_outdated(self.view)
+        self.assertEqual([], self.store.freed)
+        self.catalog.confirm(self.clock.now - 1.0)
+        await self.context_stores._free_outdated(self.view)
+        self.assertEqual([(1, (("1/m/", "aa"),))], self.store.freed)
+        # A call that arrives late must fail.
+        offset = self.view.engine_clock_offset or 0.0
+        age = shared_spaces.MAX_CONFIRMATION_AGE_SECONDS
+        self.assertEqual(
+            [self.catalog.confirmed_at + age + offset], self.store.deadlines
+        )
+
+    # Guards against a fetch under a space that other hosts, which read the
+    # latest configuration later, still free.
+    def test_returning_space_is_fetched_from_once_it_has_settled(self) -> None:
+        self.isolate("b")
+        self.clock.now += 60.0
+        self.isolate()
+        self.apply_parts()
+        self.assertFalse(any(self.make_plan().fetches))
+        self.assertEqual(0, self.count_fetchable_tokens())
+        self.clock.now += shared_spaces.SETTLING_SECONDS
+        self.catalog.confirm(self.clock.now - 0.1)
+        self.apply_parts()
+        self.assertFalse(any(self.make_plan().fetches))
+        self.catalog.confirm(self.clock.now)
+        self.assertTrue(any(self.make_plan().fetches))
+        self.assertEqual(400, self.count_fetchable_tokens())
+
+    def test_returning_space_is_fetched_from_only_after_a_read(self) -> None:
+        self.isolate("b")
+        self.isolate()
+        self.clock.now += shared_spaces.SETTLING_SECONDS - 0.1
+        self.apply_parts()
+        self.clock.now += 0.1
+        self.catalog.confirm(self.clock.now)
+        self.assertFalse(any(self.make_plan().fetches))
+        self.apply_parts()
+        self.assertTrue(any(self.make_plan().fetches))
+
+    # Two hosts read three configurations at different times, and one of them
+    # is cut off from some time on.
+    async def test_no_free_of_one_host_meets_a_fetch_of_another(self) -> None:
+        for lasted, delay, cut_after in itertools.product(
+            (12.0, 14.6), (0.0, 2.4), (0.0, 11.6, 14.3, 14.6, 60.0)
+        ):
+            with self.subTest(lasted=lasted, delay=delay, cut=cut_after):
+                await self.asyncSetUp()
+                await self.check_frees_and_fetches(lasted, delay, cut_after)
+
+    async def check_frees_and_fetches(
+        self, lasted: float, delay: float, cut_after: float
+    ) -> None:
+        """Isolate a customer for a time and compare what two hosts do.
+
+        The freeing host reads each configuration `delay` seconds late and
+        nothing from `cut_after` seconds after the first change on.
+        """
+        catalog = entry_fakes.make_catalog(self.clock)
+        freeing = attrs.evolve(self.context_stores, catalog=catalog)
+        began_at = self.clock.now
+        frees, fetches = [], []
+        while (elapsed := self.clock.now - began_at) < 25.0:
+            self.isolate(*(("b",) if elapsed < lasted else ()))
+            known_at = min(elapsed, cut_after) - delay
+            isolated = frozenset({"b"} if 0 <= known_at < lasted else ())
+            if elapsed <= cut_after:
+                catalog.configuration = attrs.evolve(
+                    test_entry_catalog.make_configuration(
+                        1 + (known_at >= 0) + (known_at >= lasted)
+                    ),
+                    isolated_customers=isolated,
+                )
+                catalog.confirm(self.clock.now - delay)
+            self.apply_parts()
+            known = len(self.store.freed)
+            await freeing._free_outdated(self.view)
+            offset = self.view.engine_clock_offset
+            frees += [
+                (
+                    self.clock.now,
+                    self.clock.now if deadline is None else deadline - offset,
+                )
+                for deadline in self.store.deadlines[known:]
+            ]
+            if any(self.make_plan().fetches) and elapsed >= lasted:
+                fetches.append(self.clock.now)
+            self.clock.now += 0.1
+        self.assertTrue(fetches)
+        for (freed_at, deadline), fetched_at in itertools.product(
+            frees, fetches
+        ):
+            self.assertFalse(
+                freed_at <= fetched_at + store_views.FETCH_TIMEOUT_SECONDS
+                and fetched_at <= deadline,
+                f"freed at {freed_at} to {deadline}, fetched at {fetched_at}",
+            )
+
     def test_nothing_is_transferred_outside_permitted_regions(self) -> None:
         plan = self.make_plan(regions=frozenset({"region-2"}))
         self.assertFalse(any(plan.fetches) or any(plan.saves))
