Let a request go on under the limits that hold then

Cause: an attempt after one that may have run took the customer as it was when the request came, and the list of isolated customers as it is now, so that it ran in the space that was made to leave this customer out.

Each attempt, also that of a silent stream's successor, now adopts the present isolation and permitted regions of the request's route and customer. It keeps route, service and key, which were settled when it ran first. The regions are the same cause on a related path (HOME).

--- a/src/sesamefold/entry/context_stores.py
+++ b/src/sesamefold/entry/context_stores.py
@@ -76,8 +76,10 @@
 ) -> str:
     """Return the salt: the namespace of the context of a model's weights.
 
-    An isolated customer has a namespace of its own. All others share one for
-    as long as `isolated_customers` are the same: what the requests of a
+    An isolated customer has a namespace of its own. `customer` may be from an
+    earlier configuration than `isolated_customers`, as for a stream that goes
+    on at another server; either can isolate it. All others share one for as
+    long as `isolated_customers` are the same: what the requests of a
     customer left there before it was isolated is not used any more. Engines
     find context only under the salt that it was saved with, and stores free it
     by salt and part alone. The salt therefore names the model: parts and
@@ -85,7 +87,9 @@
 
         make_salt(None, "org/model", 3) == "3/org%2Fmodel/"
     """
-    if customer is not None and customer.isolated:
+    if customer is not None and (
+        customer.isolated or customer.name in isolated_customers
+    ):
         return _join_salt(version, model, _quote(customer.name))
     return _join_salt(
         version, model, shared_spaces.name_shared_space(isolated_customers)
--- a/src/sesamefold/entry/dispatch.py
+++ b/src/sesamefold/entry/dispatch.py
@@ -181,6 +181,7 @@
 
         def check() -> None:
             self.shutdown.check(call)
+            self._update_limits(call)
             self._check_confirmation(call, response)
 
         return await queue.acquire(call, check)
@@ -203,6 +204,7 @@
             CAPACITY_WAIT_SHARE * call.route.first_byte_target,
         )
         while True:
+            self._update_limits(call)
             if not maybe_executed:
                 self._check_confirmation(call, response)
             if call.remaining() <= 0:
@@ -274,6 +276,26 @@
             )
             self._raise_final(response, call, error)
 
+    def _update_limits(self, call: requests.Call) -> None:
+        """Adopt the present limits on where a call may be served.
+
+        It keeps its route and its customer, whose key may have been withdrawn
+        since a run began, but not the regions and the isolation that they had
+        when it arrived. A customer that was isolated then remains so.
+        """
+        configuration = self.catalog.require_configuration()
+        if call.configuration_version == configuration.version:
+            return
+        regions = configuration.find_present_regions(call.route)
+        if regions != call.route.regions:
+            call.route = attrs.evolve(call.route, regions=regions)
+        if call.customer is not None:
+            customer = configuration.find_present_customer(call.customer)
+            call.customer = attrs.evolve(
+                customer,
+                isolated=customer.isolated or call.customer.isolated,
+            )
+
     def _is_confirmed(self, call: requests.Call) -> bool:
         """Return whether the call's API key, if any, is known to be valid."""
         if self.key_withdrawal_seconds is None or call.customer is None:
@@ -319,6 +341,7 @@
             return "the host shuts down"
         if not self._is_confirmed(call):
             return "the configuration is not confirmed"
+        self._update_limits(call)
         chosen = self.placement.choose_server(call)
         if chosen is None or not (
             response.started or self.placement.has_capacity(call, chosen[0])
--- a/src/sesamefold/entry/topology.py
+++ b/src/sesamefold/entry/topology.py
@@ -155,6 +155,25 @@
                 return route
         raise exceptions.UnknownPath(f"no route for {host}{path}")
 
+    @functools.cached_property
+    def _customers_by_name(self) -> t.Dict[str, Customer]:
+        return {c.name: c for c in self.customers.values()}
+
+    @functools.cached_property
+    def _routes_by_name(self) -> t.Dict[str, Route]:
+        return {route.name: route for route in self.routes}
+
+    def find_present_customer(self, known: Customer) -> Customer:
+        """Return a customer of an earlier configuration as it is in this one.
+
+        That is `known` if no key is left to it.
+        """
+        return self._customers_by_name.get(known.name, known)
+
+    def find_present_regions(self, known: Route) -> t.FrozenSet[str]:
+        """Return where a route of an earlier configuration may be served."""
+        return self._routes_by_name.get(known.name, known).regions
+
     def find_customer(
         self, route: Route, key: t.Optional[str]
     ) -> t.Optional[Customer]:
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -14,6 +14,7 @@
 from sesamefold.entry import room_queue
 from sesamefold.entry import topology
 from sesamefold import exceptions
+from sesamefold.platform import records
 from standins import platform_fixtures
 from standins import scripted_server
 from tests import entry_fakes
@@ -482,6 +483,67 @@
         )
         self.assertNotEqual(before[1], after[1])
 
+    async def test_a_stream_goes_on_under_the_limits_that_hold_then(
+        self,
+    ) -> None:
+        """Guards against the limits of the time at which a request came.
+
+        A customer is isolated, or may be served elsewhere only, while its
+        stream runs; then the stream's server breaks it off. The rest ran in
+        the cache that all other customers share since then (WALL), or in a
+        region that is no longer permitted (HOME).
+        """
+        away = ["region-9"]
+        shared, own = "4/model-1/", "4/model-1/customer-1"
+        isolated = {"isolated": True}
+        for number, (before, after, route, salts) in enumerate(
+            (
+                ({}, {}, {}, [shared, shared]),
+                ({}, isolated, {}, [shared, own]),
+                ({}, {**isolated, "api_keys": []}, {}, [shared, own]),
+                (isolated, {}, {}, [own, own]),
+                ({}, {"allowed_regions": away}, {}, [shared]),
+                ({}, {}, {"allowed_regions": away}, [shared]),
+            )
+        ):
+            with self.subTest(before=before, after=after, route=route):
+                request_id = f"r-{number}"
+                self.configure(before, {})
+                faults = ["cut"]
+                for engine in self.engines:
+                    engine.weights = {platform_fixtures.MODEL: 4}
+                    self.host.catalog.update_weights(engine.id, engine.weights)
+                    engine.faults, engine.event_seconds = faults, 0.5
+                    engine.runs.clear()
+                calling = asyncio.create_task(
+                    self.call("/resumable/", request_id, headers=PROMPT)
+                )
+                await self.wait_until(self.list_runs)
+                self.configure(after, route)
+                if len(salts) > 1:
+                    self.assertEqual(200, (await calling)[0])
+                else:
+                    with self.assertRaises(aiohttp.ClientPayloadError):
+                        await calling
+                runs = sorted(self.list_runs(), key=lambda r: r.began_at)
+                self.assertEqual(
+                    salts, [r.headers["Sesamefold-Cache-Salt"] for r in runs]
+                )
+
+    def configure(
+        self, tenant: t.Dict[str, t.Any], route: t.Dict[str, t.Any]
+    ) -> None:
+        """Apply a configuration with fields of the customer and all routes."""
+        version = self.host.catalog.require_configuration().version + 1
+        body = platform_fixtures.make_configuration(version)
+        body["tenants"][0].update(tenant)
+        for item in body["routes"]:
+            item.update(route)
+        change = records.decode_record(
+            "op/config", json.dumps(body).encode(), version
+        )
+        self.host.catalog.apply_changes(changes.Batch((change,), version))
+
     async def test_a_mismatch_refusal_updates_the_known_weights(self) -> None:
         for engine in self.engines:
             engine.weights = {platform_fixtures.MODEL: 5}
--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -159,6 +159,22 @@
         silence(self.first, 2.2)
         await self.check_only_first_runs(streams)
 
+    async def test_other_server_is_excluded_meanwhile(self) -> None:
+        """Guards against a successor in a region that is excluded since.
+
+        The customer was permitted there when its streams began (HOME).
+        """
+        streams = await self.start_streams()
+        await self.add_other()
+        configuration = make_slow_configuration(3)
+        configuration["tenants"][0]["allowed_regions"] = ["region-9"]
+        self.store.put("op/config", configuration)
+        await self.wait_until(
+            lambda: self.host.catalog.require_configuration().version == 3
+        )
+        silence(self.first, 1.2)
+        await self.check_only_first_runs(streams)
+
     async def test_other_server_rests(self) -> None:
         """Guards against streams that are given up for a resting server."""
         streams = await self.start_streams()
