Break off a success that ends before its request

Callers could get a part of an answer as a whole one (MIXED): a server that closes with a part of an upload on its way sends the end of its answer first and a reset later. Cause: a body without a length was whole if its connection ended without an error, whether or not the server had received the request; a short upload waits in the system's buffer, so that the reset was never noticed.

At the server's end, bytes of the request that its system has not acknowledged now break off a success without a length. Failures may come early and are passed on. A status below 100 was no answer before; it has a reason of its own now.

--- a/src/sesamefold/exchanges.py
+++ b/src/sesamefold/exchanges.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import collections
+import fcntl
 import itertools
 import re
+import struct
+import termios
 import time
 import typing as t
 import weakref
@@ -25,6 +28,8 @@
 # The begin of a head. Within another head it shows that the first one was cut
 # off, so that its fields would count as those of the second.
 _STATUS_LINE = re.compile(r"HTTP/1\.[01] [0-9]{3}")
+# Format of the counter that the system returns for a connection.
+_COUNTER = struct.Struct("i")
 _connection_numbers = itertools.count(1)
 
 IdReader = t.Callable[["multidict.MultiMapping[str]"], t.Optional[str]]
@@ -85,8 +90,9 @@
     No caller of the client gets an answer that is not shown to be that of its
     request. Without an identity, all answers that arrive while the request
     waits are accepted. `is_first` says whether the connection has carried no
-    other request, and `was_reset` whether it was lost with an error before
-    the answer was complete.
+    other request, `was_reset` whether it was lost with an error before the
+    answer was complete, and `ended_early` whether the server sent no more
+    before it had received the whole request.
 
     What the process holds of the answer counts as `holding` until the exchange
     ends or, with `keeps_answer`, until `close`; it is None for an answer that
@@ -101,6 +107,7 @@
     carrier: t.Optional["_Carrier"] = None
     is_first: bool = False
     was_reset: bool = False
+    ended_early: bool = False
     holding: t.Optional[memory.Holding] = None
     passed_bytes: int = 0
     is_kept: bool = False
@@ -120,15 +127,22 @@
             response.close()
             raise
         self.response = response
-        if self.was_reset:
-            self._break_body(response)
+        self._check_end()
         return response
 
     def record_reset(self) -> None:
         """Record that the connection was lost with an error."""
         self.was_reset = True
-        if self.response is not None:
-            self._break_body(self.response)
+        self._check_end()
+
+    def record_early_end(self) -> None:
+        """Record the end of the answer before that of the request.
+
+        A server that closes its connection with a part of the request on the
+        way sends the end of its answer first and a reset for that part.
+        """
+        self.ended_early = True
+        self._check_end()
 
     def begin(self, carrier: "_Carrier") -> None:
         """Begin on a connection."""
@@ -177,19 +191,27 @@
                 self.identity.request_id if self.identity else None,
             )
 
-    def _break_body(self, response: aiohttp.ClientResponse) -> None:
-        """Let reads of a body that its connection ends fail.
+    def _check_end(self) -> None:
+        """Let reads of a body fail that its connection has ended wrongly.
 
         The HTTP client takes any loss of the connection as the regular end
-        of a body without a length.
+        of a body without a length. A failure may be sent before the request
+        is complete, a success may not.
         """
-        if ends_with_connection(response):
-            response.content.set_exception(
-                aiohttp.ClientPayloadError("the connection was reset")
-            )
+        if self.response is None or not ends_with_connection(self.response):
+            return
+        if self.was_reset:
+            reason = "the connection was reset"
+        elif self.ended_early and 200 <= self.response.status < 300:
+            reason = "the answer ended before the request"
+        else:
+            return
+        self.response.content.set_exception(aiohttp.ClientPayloadError(reason))
 
     def _check_answer(self, response: aiohttp.ClientResponse) -> None:
         assert self.carrier is not None
+        if response.status < 100:
+            self._reject("the answer has no valid status", None)
         if response.status < 200:
             self._reject("the answer switches to another protocol", None)
         if self.identity is None:
@@ -352,8 +374,24 @@
 
     def eof_received(self) -> t.Optional[bool]:
         """Tell the HTTP client that the server sends no more."""
+        if self._exchange is not None and self._count_unsent_bytes():
+            self._exchange.record_early_end()
         return t.cast(t.Optional[bool], self._handler.eof_received())
 
+    def _count_unsent_bytes(self) -> int:
+        """Return the bytes of the request that the server has not received.
+
+        Those are counted that the server's system has not acknowledged, as far
+        as this system tells.
+        """
+        unsent = self._transport.get_write_buffer_size()
+        connection = self._transport.get_extra_info("socket")
+        try:
+            data = fcntl.ioctl(connection, termios.TIOCOUTQ, _COUNTER.pack(0))
+            return unsent + t.cast(int, _COUNTER.unpack(data)[0])
+        except (OSError, TypeError, ValueError):
+            return unsent
+
     def connection_lost(self, exc: t.Optional[Exception]) -> None:
         """Tell the HTTP client that the connection is closed."""
         if exc is not None and self._exchange is not None:
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -10,6 +10,11 @@
 
 # Pause after each piece of a step that is written in pieces.
 PIECE_PAUSE_SECONDS = 0.002
+# Time between the end of what the server sends and the end of its connection.
+HALF_CLOSE_SECONDS = 0.02
+# Receive buffer of a connection. A request that is longer than this and the
+# buffers of the reader has not arrived before the server reads its body.
+RECEIVE_BUFFER_BYTES = 8192
 
 
 @attrs.frozen
@@ -38,12 +43,17 @@
 
     With `executes`, it runs the request before the first step. With `closes`,
     it closes the connection after the last one, with `resets` it resets it.
+    With `early`, it reads only the head of the request before the first step,
+    and the body after the last one if it does not end the connection. With
+    `half_closes`, it sends no more `HALF_CLOSE_SECONDS` before that.
     """
 
     steps: t.Tuple[Step, ...]
     executes: bool = True
     closes: bool = False
     resets: bool = False
+    early: bool = False
+    half_closes: bool = False
 
 
 class ScriptedServer:
@@ -66,7 +76,12 @@
         self._tasks: t.Set["asyncio.Task[t.Any]"] = set()
 
     async def __aenter__(self) -> "t.Self":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        listener = socket.socket()
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        listener.bind(("127.0.0.1", 0))
+        self._server = await asyncio.start_server(self._serve, sock=listener)
         self.address = "%s:%d" % self._server.sockets[0].getsockname()
         return self
 
@@ -85,38 +100,50 @@
         self._tasks.add(task)
         self.connections += 1
         try:
-            while request_id := await self._read_request(reader):
-                if await self._play(request_id, writer):
+            while request := await self._read_head(reader):
+                request_id, body_bytes = request
+                script = self.scripts.pop(0)
+                if not script.early:
+                    await reader.readexactly(body_bytes)
+                self.received.append(request_id)
+                await self._play(script, request_id, writer)
+                if script.closes or script.resets:
                     return
+                if script.early:
+                    await reader.readexactly(body_bytes)
         except OSError:
             self.closed_by_peer += 1
         finally:
             self._tasks.discard(task)
             writer.close()
 
-    async def _read_request(self, reader: asyncio.StreamReader) -> str:
-        """Read a request and return its id, "" when the caller has closed."""
+    async def _read_head(
+        self, reader: asyncio.StreamReader
+    ) -> t.Optional[t.Tuple[str, int]]:
+        """Return the id of a request and the bytes of its body.
+
+        None when the caller has closed.
+        """
         try:
             head = await reader.readuntil(b"\r\n\r\n")
         except asyncio.IncompleteReadError:
             self.closed_by_peer += 1
-            return ""
+            return None
         fields = dict(
             (name.lower(), value.strip())
             for name, _, value in (
                 line.partition(b":") for line in head.split(b"\r\n")[1:-2]
             )
         )
-        await reader.readexactly(int(fields.get(b"content-length", b"0")))
-        request_id = fields[self._id_header].decode()
-        self.received.append(request_id)
-        return request_id
+        return (
+            fields[self._id_header].decode(),
+            int(fields.get(b"content-length", b"0")),
+        )
 
     async def _play(
-        self, request_id: str, writer: asyncio.StreamWriter
-    ) -> bool:
-        """Play the next script and return whether it ends the connection."""
-        script = self.scripts.pop(0)
+        self, script: Script, request_id: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Play a script."""
         if script.executes:
             self.executed.append(request_id)
         names = {"id": request_id, "earlier": (["none"] + self.received)[-2]}
@@ -127,9 +154,11 @@
             data = text.encode()[step.start : step.stop]
             await _write(writer, data, step)
             await asyncio.sleep(step.pause_seconds)
+        if script.half_closes:
+            writer.write_eof()
+            await asyncio.sleep(HALF_CLOSE_SECONDS)
         if script.resets:
             _reset(writer)
-        return script.closes or script.resets
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -99,14 +99,14 @@
         await self.session.close()
         await self.server.__aexit__()
 
-    async def send(self, request_id: str) -> bytes:
+    async def send(self, request_id: str, body: bytes = b"x") -> bytes:
         """Send a request and return the body of its answer."""
         head = requests.RequestHead(
             request_id, multidict.CIMultiDict({ID_HEADER: request_id})
         )
         route: t.Any = None
         call = requests.Call(
-            head, route, "chat", None, "POST", "/", b"x", 0.0, 60.0
+            head, route, "chat", None, "POST", "/", body, 0.0, 60.0
         )
         server = entry_fakes.make_server("i-1", address=self.server.address)
         added = requests.AddedHeaders("i-1", 5.0, None, 0)
@@ -116,10 +116,10 @@
             ) as reply:
                 return await reply.read_body()
 
-    async def find_outcome(self, request_id: str) -> t.Any:
+    async def find_outcome(self, request_id: str, body: bytes = b"x") -> t.Any:
         """Return the body of the answer or the class of the error."""
         try:
-            return await self.send(request_id)
+            return await self.send(request_id, body)
         except exceptions.RoutingError as error:
             return type(error)
 
@@ -326,6 +326,19 @@
         self.assertEqual(1, self.server.connections)
         self.assertEqual([], self.strays)
 
+    # Guards against the answer of a server in trouble that callers would get
+    # as one: the HTTP client takes any status of three digits for final.
+    async def test_answer_without_a_valid_status_is_no_answer(self) -> None:
+        for status in ("000", "099"):
+            with self.subTest(status=status):
+                text = make_answer().replace("200 OK", f"{status} OK")
+                self.assertEqual(
+                    [exceptions.ForeignReply], await self.play(script(text))
+                )
+                self.assertEqual(
+                    "the answer has no valid status", self.strays[-1].reason
+                )
+
     async def test_switch_to_another_protocol_is_no_answer(self) -> None:
         """Guards against a reply that hands the connection over."""
         (outcome,) = await self.play(
@@ -448,6 +461,47 @@
                         )
 
 
+class EarlyAnswerTest(UpstreamCase):
+    """Answers without a length that come before the request is complete."""
+
+    UPLOAD = bytes(300_000)
+    SUCCESS = make_answer().replace("Content-Length: 13\r\n", "")
+    FAILURE = SUCCESS.replace("200 OK", "413 Too Large")
+
+    async def get_outcome(self, text: str, **script: t.Any) -> t.Any:
+        """Return the body or the error of a request with a long body."""
+        self.server.scripts = [
+            scripted_server.Script((scripted_server.Step(text),), **script)
+        ]
+        return await self.rig.find_outcome("r-1", self.UPLOAD)
+
+    async def test_part_before_a_reset_is_no_answer(self) -> None:
+        outcome = await self.get_outcome(self.SUCCESS, early=True, resets=True)
+        self.assertIs(exceptions.ReplyBroken, outcome)
+
+    # Guards against a part that is taken for a whole answer (MIXED): a server
+    # that closes with a part of the request on its way sends the end of its
+    # answer first, and a reset for each further part.
+    async def test_part_before_an_end_and_a_reset_is_no_answer(self) -> None:
+        outcome = await self.get_outcome(
+            self.SUCCESS, early=True, half_closes=True, resets=True
+        )
+        self.assertIs(exceptions.ReplyBroken, outcome)
+
+    async def test_answer_after_the_whole_request_is_whole(self) -> None:
+        for script in ({"closes": True}, {"half_closes": True}):
+            with self.subTest(**script):
+                outcome = await self.get_outcome(self.SUCCESS, **script)
+                self.assertEqual(b"answer to r-1", outcome)
+                self.assertFalse(self.strays)
+
+    async def test_early_failure_is_passed_on(self) -> None:
+        outcome = await self.get_outcome(
+            self.FAILURE, early=True, half_closes=True
+        )
+        self.assertEqual(b"answer to r-1", outcome)
+
+
 class OwnEnginesTest(unittest.IsolatedAsyncioTestCase):
     """The same reports before engines of the product's own interface."""
 
