--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -132,11 +132,15 @@
             )
         return self.configuration
 
-    def confirm(self, at: float) -> None:
-        """Record that the catalog was up to date at the time `at`."""
+    def confirm(self, at: float, complete: bool = False) -> None:
+        """Record that the catalog was up to date at the time `at`.
+
+        `complete` says whether all configurations since the confirmation
+        before were applied, not only the latest.
+        """
         self.confirmed_at = max(self.confirmed_at, at)
         self._update_shared_space()
-        self.shared_space.confirm(at, self.read_time())
+        self.shared_space.confirm(at, self.read_time(), complete)
 
     def _update_shared_space(self) -> None:
         if self.configuration is not None:
--- a/src/sesamefold/entry/context_stores.py
+++ b/src/sesamefold/entry/context_stores.py
@@ -570,7 +570,7 @@
         return (
             shared_spaces.is_shared_space(space)
             and space != shared.name
-            and now >= shared.since + FREE_DELAY_SECONDS
+            and now >= shared.unbroken_since + FREE_DELAY_SECONDS
         )
 
 
--- a/src/sesamefold/entry/follower.py
+++ b/src/sesamefold/entry/follower.py
@@ -158,7 +158,7 @@
                 self.relay.records.apply_changes(
                     batch.operator_records, batch.revision
                 )
-            self.catalog.confirm(started)
+            self.catalog.confirm(started, complete=True)
         if self.fleet is not None:
             self.fleet.record_read(batch.revision, started)
             if self._reads_for_others():
--- a/src/sesamefold/entry/operator_relay.py
+++ b/src/sesamefold/entry/operator_relay.py
@@ -289,7 +289,7 @@
         else:
             self._catalog.apply_changes(batch)
             self.records.apply_changes(batch.operator_records, batch.revision)
-        self._catalog.confirm(started_at)
+        self._catalog.confirm(started_at, not complete)
         if digest != self.records.digest:
             self._announce()
 
--- a/tests/test_entry_operator_relay.py
+++ b/tests/test_entry_operator_relay.py
@@ -4,6 +4,7 @@
 import json
 import typing as t
 import unittest
+import unittest.mock
 from unittest import mock
 
 from sesamefold.entry import catalog
@@ -218,6 +219,20 @@
         for name in self.names:
             self.assertLess(self.get_age(name), 1.0)
 
+    # Guards against a host that takes the latest configuration for the only
+    # one since its last confirmation (see `shared_spaces`).
+    async def test_only_readers_confirm_that_they_missed_nothing(self) -> None:
+        await self.run_for(1.2)
+        confirmed = {name: unittest.mock.Mock() for name in self.names}
+        for name, space in confirmed.items():
+            self.catalogs[name].shared_space = space
+        self.store.put("dc-2")
+        await self.run_for(1.2)
+        self.check_records("dc-1", "dc-2")
+        for name, space in confirmed.items():
+            complete = {call.args[2] for call in space.confirm.mock_calls}
+            self.assertEqual(name in self.readers, True in complete)
+
     async def test_storm_of_changes_is_learnt(self) -> None:
         await self.run_for(1.2)
         for number in range(50):
