Let positions in the store's history carry its era

When the store returned from a copy, hosts took what was written then for outdated: its revisions had been given out before. A configuration written right after the return never came into force on a host whose watch got no 410. A holder's lease could be another host's by then, its fencing token be lower than one that engines had seen, and a host that the copy named as the last holder ordered without a wait; so did a process that was started again in its wait.

The client of the store joins era and revision to one number that rises. Watches, conditions and leases of an earlier era fail without a call. A new holder always waits, unless the same process was the holder in the same era. Servers and evacuations that the copy lacks remain for 5 s, and deleted servers do not come back with old reports.

--- a/src/sesamefold/entry/catalog.py
+++ b/src/sesamefold/entry/catalog.py
@@ -8,6 +8,7 @@
 from sesamefold.entry import changes
 from sesamefold.entry import clock
 from sesamefold.entry import decisions
+from sesamefold.entry import positions
 from sesamefold.entry import shared_spaces
 from sesamefold.entry import store
 from sesamefold.entry import topology
@@ -16,6 +17,11 @@
 # Time after the end of a store outage within which live servers whose reports
 # expired during the outage report again. The platform states 2 s.
 EXPIRY_GRACE_SECONDS = 2.2
+# Time after the return of the store from a copy in which records that the copy
+# lacks are taken for not written again yet.
+RETURN_GRACE_SECONDS = 5.0
+# Deleted servers that are remembered, for reports in a copy from before.
+MAX_DELETED_SERVERS = 1000
 # Time without an answer of the store that counts as an outage. A watch is
 # answered within 1.5 s and starts within 1.3 s of the previous one.
 MAX_CONTACT_GAP_SECONDS = 3.0
@@ -88,6 +94,11 @@
     expired during a store outage stays usable for `EXPIRY_GRACE_SECONDS` after
     the outage. A draining server stays draining until it restarts.
 
+    A store that returns from a copy shows older records, or none, until they
+    are written again. For `RETURN_GRACE_SECONDS`, servers and evacuations that
+    it lacks remain. A server that was deleted before does not come back with a
+    report of that time.
+
     The callbacks in `on_report` are called with a server after each accepted
     report, those in `on_removal` with the id of each server that is deleted.
     """
@@ -113,6 +124,15 @@
         factory=dict
     )
     _removal_deadlines: t.Dict[str, float] = attrs.field(factory=dict)
+    # When data centres whose evacuation a copy of the store lacks are used
+    # again.
+    _evacuation_ends: t.Dict[str, float] = attrs.field(factory=dict)
+    _era: t.Optional[int] = None
+    _returned_until: float = float("-inf")
+    # Era of the deletion and the last report of deleted servers.
+    _deleted: t.Dict[str, t.Tuple[int, topology.Server]] = attrs.field(
+        factory=dict
+    )
     _reconnected_at: float = float("-inf")
     _last_contact_at: float = attrs.field(init=False)
     _contact_since: float = attrs.field(init=False)
@@ -161,12 +181,15 @@
 
         Those that the scope of the read does not cover remain.
         """
+        self._update_era(batch.revision)
         if scope is not store.Scope.FLEET:
-            self.evacuated_data_centres = {
+            evacuated = {
                 change.data_centre
                 for change in batch.changes
                 if isinstance(change, changes.EvacuationRequested)
             }
+            for data_centre in self.evacuated_data_centres - evacuated:
+                self._end_evacuation(data_centre)
             ordered = {
                 change.service
                 for change in batch.changes
@@ -206,8 +229,38 @@
         """Return since when the store has answered, without an outage."""
         return self._contact_since
 
+    def _update_era(self, position: int) -> None:
+        """Notice that the store has returned from a copy."""
+        era = positions.get_era(position)
+        if self._era is not None and era > self._era:
+            now = self.read_time()
+            self._reconnected_at = self._contact_since = now
+            self._returned_until = now + RETURN_GRACE_SECONDS
+            self.log.write(
+                "store_returned",
+                era=era,
+                previous_era=self._era,
+                revision=positions.get_revision(position),
+            )
+        self._era = max(era, self._era or 0)
+
+    def _end_evacuation(self, data_centre: str) -> None:
+        """Use a data centre again, after a return of the store not at once."""
+        if self.read_time() < self._returned_until:
+            self._evacuation_ends[data_centre] = self._returned_until
+            self.log.write(
+                "evacuation_kept",
+                data_centre=data_centre,
+                until=self._returned_until,
+            )
+        elif data_centre in self.evacuated_data_centres:
+            self._evacuation_ends.pop(data_centre, None)
+            self.evacuated_data_centres.discard(data_centre)
+            self.log.write("evacuation_ended", data_centre=data_centre)
+
     def apply_changes(self, batch: changes.Batch) -> None:
         """Apply changes in their order."""
+        self._update_era(batch.revision)
         now = self.read_time()
         for change in batch.changes:
             self._apply_change(change, now)
@@ -221,10 +274,10 @@
             self._accept_configuration(change)
         elif isinstance(change, changes.EvacuationRequested):
             self.evacuated_data_centres.add(change.data_centre)
+            self._evacuation_ends.pop(change.data_centre, None)
             self.log.write("evacuation", data_centre=change.data_centre)
         elif isinstance(change, changes.EvacuationEnded):
-            self.evacuated_data_centres.discard(change.data_centre)
-            self.log.write("evacuation_ended", data_centre=change.data_centre)
+            self._end_evacuation(change.data_centre)
         elif isinstance(change, changes.TargetWeightsChanged):
             known = self.target_weights.get(change.model, 0)
             if change.version > known:
@@ -358,12 +411,11 @@
 
     def _apply_report(self, server: topology.Server, now: float) -> None:
         known = self.servers.get(server.id)
+        if known is None and self._is_deleted(server):
+            self.log.write("server_report_outdated", server=server.id)
+            return
         if known is not None:
-            older = (server.started_at, server.sequence) < (
-                known.started_at,
-                known.sequence,
-            )
-            if older:
+            if _get_age_key(server) < _get_age_key(known):
                 return
             same_incarnation = server.started_at == known.started_at
             if same_incarnation and known.draining and not server.draining:
@@ -392,18 +444,34 @@
         server = self.servers.get(server_id)
         if server is None:
             return
-        if (
-            not server.draining
-            and now < self._reconnected_at + EXPIRY_GRACE_SECONDS
-        ):
-            until = self._reconnected_at + EXPIRY_GRACE_SECONDS
+        until = max(
+            self._reconnected_at + EXPIRY_GRACE_SECONDS, self._returned_until
+        )
+        if not server.draining and now < until:
             self._removal_deadlines.setdefault(server_id, until)
             self.log.write("server_lapsed", server=server_id, until=until)
             return
         self._delete_server(server_id)
 
+    def _is_deleted(self, server: topology.Server) -> bool:
+        """Return whether a report is from before a server was deleted.
+
+        Only a copy of the store can still show it.
+        """
+        if server.id not in self._deleted:
+            return False
+        era, last = self._deleted[server.id]
+        return (self._era or 0) > era and (
+            _get_age_key(server) <= _get_age_key(last)
+        )
+
     def _delete_server(self, server_id: str) -> None:
-        self.servers.pop(server_id, None)
+        server = self.servers.pop(server_id, None)
+        if server is not None:
+            self._deleted.pop(server_id, None)
+            self._deleted[server_id] = (self._era or 0, server)
+            if len(self._deleted) > MAX_DELETED_SERVERS:
+                del self._deleted[next(iter(self._deleted))]
         self._removal_deadlines.pop(server_id, None)
         self.log.write("server_removed", server=server_id)
         for listener in self.on_removal:
@@ -425,6 +493,10 @@
             i for i, at in self._removal_deadlines.items() if now >= at
         ]:
             self._delete_server(server_id)
+        for data_centre in [
+            d for d, at in self._evacuation_ends.items() if now >= at
+        ]:
+            self._end_evacuation(data_centre)
         return [
             server
             for server in self.servers.values()
@@ -432,3 +504,8 @@
             and not server.draining
             and server.data_centre not in self.evacuated_data_centres
         ]
+
+
+def _get_age_key(server: topology.Server) -> t.Tuple[int, int]:
+    """Return what orders the reports of a server by age."""
+    return server.started_at, server.sequence
--- a/src/sesamefold/entry/election.py
+++ b/src/sesamefold/entry/election.py
@@ -8,6 +8,7 @@
 from sesamefold.entry import changes
 from sesamefold.entry import clock
 from sesamefold.entry import decisions
+from sesamefold.entry import positions
 from sesamefold.entry import store
 from sesamefold import exceptions
 
@@ -36,9 +37,10 @@
     The holder sends orders only while its own clock shows that the lease is
     valid. A new holder first waits until the orders of the previous one are
     `handover_pause_seconds` old, also if it loses the lease meanwhile and
-    acquires it again. The hosts elect a holder even while there is
-    nothing to order, so that this wait is over when new target weights are
-    set; `vacant` says that no host holds the lease.
+    acquires it again, or if its process is started again. A store that has
+    returned from a copy may not know the previous holder. The hosts elect a
+    holder even while there is nothing to order, so that this wait is over when
+    new target weights are set; `vacant` says that no host holds the lease.
     """
 
     host: str
@@ -52,6 +54,9 @@
     _active_from: float = float("inf")
     _active_until: float = float("-inf")
     _handover_until: float = float("-inf")
+    # Era of the store in which this process was elected last, None if it may
+    # have been without knowing.
+    _elected_era: t.Optional[int] = None
     _stopping: bool = False
     _renewals: t.Set["asyncio.Task[None]"] = attrs.field(factory=set)
 
@@ -105,15 +110,22 @@
     async def _campaign(self) -> None:
         started = self.read_time()
         previous = await self._read_records()
-        if HOLDER_KEY in previous:
+        name = self.host.encode()
+        holder = previous.get(HOLDER_KEY)
+        # This host's own record without its lease is that of an earlier
+        # process, or of a write that took effect in a later era.
+        if holder is not None and holder.value != name:
             return
         last = previous.get(LAST_HOLDER_KEY)
         lease = await self.records.grant_lease(LEASE_SECONDS)
-        name = self.host.encode()
+        elected_era, self._elected_era = self._elected_era, None
         fencing_token: t.Optional[int]
         try:
             fencing_token = await self.records.write(
-                {HOLDER_KEY: 0, LAST_HOLDER_KEY: last.revision if last else 0},
+                {
+                    HOLDER_KEY: holder.revision if holder else 0,
+                    LAST_HOLDER_KEY: last.revision if last else 0,
+                },
                 [
                     store.Write(HOLDER_KEY, name, lease),
                     store.Write(LAST_HOLDER_KEY, name),
@@ -130,14 +142,37 @@
                 )
                 return
         now = self.read_time()
-        pause = self.handover_pause_seconds + HANDOVER_MARGIN_SECONDS
-        if last is None or last.value == name:
-            pause = max(0.0, self._handover_until - now)
+        era = positions.get_era(fencing_token)
+        pause = self._compute_pause(last, elected_era, era, now)
+        self._elected_era = era
         self._lease, self._fencing_token = lease, fencing_token
         self._active_from = self._handover_until = now + pause
         self._active_until = started + SAFE_LEASE_SHARE * LEASE_SECONDS
         self.log.write("elected", fence=fencing_token, pause=round(pause, 2))
 
+    def _compute_pause(
+        self,
+        last: t.Optional[store.HostRecord],
+        elected_era: t.Optional[int],
+        era: int,
+        now: float,
+    ) -> float:
+        """Return how long this host waits before its first order.
+
+        `last` is the record of the last holder, which there is none of before
+        the first holder and after a return of the store from an earlier copy.
+        This process was elected before in `elected_era`, and now in `era`.
+        """
+        if last is None and not era:
+            return 0.0
+        if (
+            last is not None
+            and last.value == self.host.encode()
+            and era == elected_era
+        ):
+            return max(0.0, self._handover_until - now)
+        return self.handover_pause_seconds + HANDOVER_MARGIN_SECONDS
+
     async def _read_records(self) -> t.Dict[str, store.HostRecord]:
         records = await self.records.list_records(KEY_PREFIX)
         return {record.key: record for record in records}
--- a/src/sesamefold/entry/store.py
+++ b/src/sesamefold/entry/store.py
@@ -29,6 +29,9 @@
 class RecordSource(t.Protocol):
     """Read access to all records of the platform store.
 
+    All revisions are positions (`positions`): they rise also when the store
+    returns from a copy.
+
     They are written by the operator, the backend servers and the entry hosts.
     Methods raise `exceptions.PlatformUnavailable` if the store does not
     answer in time.
@@ -42,7 +45,8 @@
     ) -> changes.Batch:
         """Return the changes after a revision, waiting up to `seconds`.
 
-        Raises `exceptions.HistoryLost` if the store no longer has them all.
+        Raises `exceptions.HistoryLost` if the store no longer has them all or
+        has returned from a copy since.
         """
 
     async def decode(
@@ -78,6 +82,9 @@
 class HostRecordStore(t.Protocol):
     """Access to the records of the entry hosts and to their leases.
 
+    Revisions and ids of leases are positions (`positions`). A lease of an
+    earlier era has ended.
+
     Methods raise `exceptions.PlatformUnavailable` if the call failed without
     an effect. Methods that write raise `exceptions.OutcomeUnknown` if the
     call may have taken effect.
--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -11,6 +11,7 @@
 import attrs
 
 from sesamefold.entry import changes
+from sesamefold.entry import positions
 from sesamefold.entry import store
 from sesamefold import exceptions
 from sesamefold.platform import records
@@ -81,12 +82,30 @@
 
 
 Reporter = t.Callable[[Transfer], None]
+FaultReporter = t.Callable[[str], None]
 
 
 def _ignore_transfer(transfer: Transfer) -> None:
     """Report nothing; for clients without a log."""
 
 
+def _ignore_fault(reason: str) -> None:
+    """Report nothing; for clients without a log."""
+
+
+@attrs.frozen
+class _Reply:
+    """The status and the decoded body of a reply, and the era it came in."""
+
+    status: int
+    body: t.Any
+    era: int
+
+    def make_position(self, revision: int) -> int:
+        """Return the position of a revision, or the id of a lease, in it."""
+        return positions.make_position(self.era, revision)
+
+
 @attrs.define
 class _Progress:
     """How much of a reply has arrived, on the clock of the event loop.
@@ -147,12 +166,20 @@
 
     Implements `store.RecordSource` and `store.HostRecordStore`. `report` is
     called with each reply that was large or slow, and with those to calls of
-    `GET` that did not arrive.
+    `GET` that did not arrive, `report_fault` once with the reason why a reply
+    was not used whose era is none.
+
+    Revisions and the ids of leases are positions, as the store gives them out
+    again when it returns from a copy. `era` is the latest one of any reply,
+    None before the first.
     """
 
     session: aiohttp.ClientSession
     address: str
     report: Reporter = _ignore_transfer
+    report_fault: FaultReporter = _ignore_fault
+    era: t.Optional[int] = None
+    _fault_reported: bool = False
     _failures: t.Counter[str] = attrs.field(factory=collections.Counter)
 
     async def read_all(
@@ -163,14 +190,17 @@
         The batch has the revision of the first page that was read.
         """
         items: t.List[JsonObject] = []
-        revisions = []
+        found_at = []
         for prefix in _RANGES[scope]:
-            found, revision = await self._read_range(prefix)
+            found, position = await self._read_range(prefix)
             items += found
-            revisions.append(revision)
+            found_at.append(position)
+        _check_one_era(found_at)
         # Ranges are read one after another. A watch from the revision of the
         # first one returns what changed meanwhile.
-        return await _make_batch(items, revisions[0])
+        return await _make_batch(
+            items, found_at[0], positions.get_era(found_at[0])
+        )
 
     async def watch(
         self,
@@ -182,21 +212,33 @@
 
         Raises `exceptions.HistoryLost`.
         """
+        self._check_watched_era(after, self.era)
         params = {
             "path_prefix": _WATCHED_PREFIXES[scope],
-            "after": str(after),
+            "after": str(positions.get_revision(after)),
             "wait_ms": str(int(seconds * _MS_PER_SECOND)),
         }
-        status, body = await self._call(
+        reply = await self._call(
             "GET", "/kv-watch", params, None, seconds + WATCH_MARGIN_SECONDS
         )
-        if status == 410:
+        self._check_watched_era(after, reply.era)
+        if reply.status == 410:
             raise exceptions.HistoryLost("the store no longer has the history")
-        _check_status(status == 200, status)
+        _check_status(reply.status == 200, reply.status)
+        as_of = reply.make_position(int(reply.body["as_of"]))
         return await _make_batch(
-            body["events"], max(after, int(body["as_of"]))
+            reply.body["events"], max(after, as_of), reply.era
         )
 
+    def _check_watched_era(self, after: int, era: t.Optional[int]) -> None:
+        """Raise `exceptions.HistoryLost` for a position of another era.
+
+        The store answers as if the position were its own if it has given out
+        the revision again.
+        """
+        if positions.get_era(after) != era:
+            raise exceptions.HistoryLost("the store returned from a copy")
+
     async def decode(
         self, operator_records: t.Iterable[changes.OperatorRecord]
     ) -> t.Tuple[changes.Change, ...]:
@@ -209,14 +251,15 @@
 
     async def list_records(self, prefix: str) -> t.List[store.HostRecord]:
         """Return the records whose keys begin with `prefix`."""
-        items, _ = await self._read_range(prefix)
+        items, position = await self._read_range(prefix)
+        era = positions.get_era(position)
         return [
             store.HostRecord(
                 item["key"],
                 _decode_value(item),
-                item["revision"],
-                item["created"],
-                item["lease"],
+                positions.make_position(era, item["revision"]),
+                positions.make_position(era, item["created"]),
+                item["lease"] and positions.make_position(era, item["lease"]),
             )
             for item in items
         ]
@@ -224,26 +267,27 @@
     async def _read_range(
         self, prefix: str
     ) -> t.Tuple[t.List[JsonObject], int]:
-        """Return all items under a prefix and the revision of the first page.
+        """Return all items under a prefix and the position of the first page.
 
-        The pages are no consistent snapshot. A watch from the revision of the
+        The pages are no consistent snapshot. A watch from the position of the
         first page returns what changed while the others were read.
         """
         items: t.List[JsonObject] = []
-        revision: t.Optional[int] = None
+        found_at: t.List[int] = []
         for _ in itertools.count():
             params = {"path_prefix": prefix}
             if items:
                 params["after"] = items[-1]["key"]
-            status, body = await self._call(
+            reply = await self._call(
                 "GET", "/kv-range", params, None, CALL_TIMEOUT_SECONDS
             )
-            _check_status(status == 200, status)
-            items.extend(body["items"])
-            revision = body["as_of"] if revision is None else revision
-            if not body.get("has_more") or not body["items"]:
+            _check_status(reply.status == 200, reply.status)
+            items.extend(reply.body["items"])
+            found_at.append(reply.make_position(int(reply.body["as_of"])))
+            if not reply.body.get("has_more") or not reply.body["items"]:
                 break
-        return items, int(revision or 0)
+        _check_one_era(found_at)
+        return items, found_at[0]
 
     async def write(
         self, expected: t.Mapping[str, int], writes: t.Sequence[store.Write]
@@ -252,59 +296,87 @@
 
         `expected` maps keys to the revisions that they must have, 0 for a key
         that must not exist. Raises `exceptions.LeaseExpired` and
-        `exceptions.VersionConflict`.
+        `exceptions.VersionConflict`, also for those of an earlier era.
         """
+        era = self.era
+        if any(p and positions.get_era(p) != era for p in expected.values()):
+            raise exceptions.VersionConflict(", ".join(expected), 0, 0)
+        for write in writes:
+            self._check_lease(write.lease)
         body = {
             "expected": [
-                {"key": key, "revision": revision}
-                for key, revision in expected.items()
+                {"key": key, "revision": positions.get_revision(position)}
+                for key, position in expected.items()
             ],
             "writes": [
                 {
                     "key": write.key,
                     "value": base64.b64encode(write.value).decode(),
-                    "lease": write.lease,
+                    "lease": positions.get_revision(write.lease),
                 }
                 for write in writes
             ],
             "deletes": [],
         }
-        status, reply = await self._post("/kv-txn", body)
-        if status == 404:
+        reply = await self._post("/kv-txn", body)
+        if era is not None and reply.era != era and reply.status == 200:
+            raise exceptions.OutcomeUnknown(
+                "the store returned from a copy before the write"
+            )
+        if reply.status == 404:
             raise exceptions.LeaseExpired("the lease has ended")
-        if status == 412:
+        if reply.status == 412:
+            items = reply.body["items"]
             raise exceptions.VersionConflict(
                 ", ".join(expected),
                 0,
-                reply["items"][0]["revision"] if reply["items"] else 0,
+                reply.make_position(items[0]["revision"]) if items else 0,
             )
-        _check_status(status == 200, status)
-        return int(reply["revision"])
+        _check_status(reply.status == 200, reply.status)
+        return reply.make_position(int(reply.body["revision"]))
 
     async def grant_lease(self, seconds: float) -> int:
         """Return the id of a new lease that ends `seconds` from now."""
-        status, reply = await self._post(
+        reply = await self._post(
             "/kv-lease", {"ttl_ms": int(seconds * _MS_PER_SECOND)}
         )
-        _check_status(status == 200, status)
-        return int(reply["lease"])
+        _check_status(reply.status == 200, reply.status)
+        return reply.make_position(int(reply.body["lease"]))
 
     async def renew_lease(self, lease: int) -> None:
         """Extend a lease; raises `exceptions.LeaseExpired`."""
-        status, _ = await self._post(f"/kv-keep/{lease}", None)
-        if status == 404:
+        self._check_lease(lease)
+        reply = await self._post(
+            f"/kv-keep/{positions.get_revision(lease)}", None
+        )
+        self._check_lease(lease)
+        if reply.status == 404:
             raise exceptions.LeaseExpired("the lease has ended")
-        _check_status(status == 200, status)
+        _check_status(reply.status == 200, reply.status)
+
+    def _check_lease(self, lease: int) -> None:
+        """Raise `exceptions.LeaseExpired` for a lease of an earlier era.
+
+        The store may have given out its id again, to another host.
+        """
+        if lease and positions.get_era(lease) != self.era:
+            raise exceptions.LeaseExpired("the store returned from a copy")
 
     async def revoke_lease(self, lease: int) -> None:
-        """End a lease, which removes its records."""
-        await self._call(
-            "DELETE", f"/kv-lease-end/{lease}", {}, None, CALL_TIMEOUT_SECONDS
-        )
+        """End a lease, which removes its records.
 
-    async def _post(
-        self, path: str, body: t.Optional[JsonObject]
-    ) -> t.Tuple[int, t.Any]:
+        One of an earlier era is left to end by itself.
+        """
+        if positions.get_era(lease) == self.era:
+            await self._call(
+                "DELETE",
+                f"/kv-lease-end/{positions.get_revision(lease)}",
+                {},
+                None,
+                CALL_TIMEOUT_SECONDS,
+            )
+
+    async def _post(self, path: str, body: t.Optional[JsonObject]) -> _Reply:
         return await self._call("POST", path, {}, body, CALL_TIMEOUT_SECONDS)
 
     async def _call(
@@ -314,8 +386,8 @@
         params: t.Mapping[str, str],
         body: t.Optional[JsonObject],
         seconds: float,
-    ) -> t.Tuple[int, t.Any]:
-        """Return the status and the decoded body of the reply to a call.
+    ) -> _Reply:
+        """Return the reply to a call.
 
         The head of the reply must arrive within `seconds`, and the body must
         keep arriving from then on.
@@ -346,13 +418,14 @@
                 ) as response,
             ):
                 progress.record_head()
+                era = self._read_era(response.headers.get(wire.STORE_ERA))
                 data = await _read_body(response, progress)
                 if response.status in _REJECTION_STATUSES:
                     raise exceptions.PlatformUnavailable(
                         f"the store answered {response.status}"
                     )
                 decoded = wire.decode(data) if data else None
-                return response.status, decoded
+                return _Reply(response.status, decoded, era)
         except transport.CALL_ERRORS as error:
             reason = transport.describe_error(error)
             message = f"store: {reason}"
@@ -363,6 +436,25 @@
             if method == "GET":
                 self._report_read(path, params, progress, reason)
 
+    def _read_era(self, text: t.Optional[str]) -> int:
+        """Return the era of a reply, that of the latest one without a header.
+
+        Raises `ValueError` for a header that is no era or an earlier one.
+        """
+        known = self.era or 0
+        if text is None:
+            self.era = known
+            return known
+        era = int(text) if text.isascii() and text.isdigit() else -1
+        if not known <= era <= positions.MAX_ERA:
+            reason = f"the store's era is {text[:40]!r} after {known}"
+            if not self._fault_reported:
+                self._fault_reported = True
+                self.report_fault(reason)
+            raise ValueError(reason)
+        self.era = era
+        return era
+
     def _report_read(
         self,
         path: str,
@@ -401,6 +493,14 @@
     return b"".join(chunks)
 
 
+def _check_one_era(found_at: t.Sequence[int]) -> None:
+    """Raise `exceptions.PlatformUnavailable` for reads of several eras."""
+    if len(set(map(positions.get_era, found_at))) > 1:
+        raise exceptions.PlatformUnavailable(
+            "the store returned from a copy during the read"
+        )
+
+
 def _check_status(succeeded: bool, status: int) -> None:
     """Raise `exceptions.PlatformUnavailable` unless a call succeeded."""
     if not succeeded:
@@ -417,20 +517,24 @@
 
 
 async def _make_batch(
-    events: t.Sequence[JsonObject], revision: int
+    events: t.Sequence[JsonObject], revision: int, era: int
 ) -> changes.Batch:
     """Return the changes that items or events of the store stand for.
 
-    Records under any key that belongs neither to the operator nor to the
-    servers are the entry hosts' own.
+    `revision` is a position, those of the events are of its era. Records under
+    any key that belongs neither to the operator nor to the servers are the
+    entry hosts' own.
     """
     values = [
         None if event.get("removed") else _decode_value(event)
         for event in events
     ]
+    found_at = [
+        positions.make_position(era, event["revision"]) for event in events
+    ]
     decoded = [
-        await _decode_change(event["key"], value, event["revision"])
-        for event, value in zip(events, values)
+        await _decode_change(event["key"], value, position)
+        for event, value, position in zip(events, values, found_at)
         if event["key"].startswith(_PLATFORM_PREFIXES)
     ]
     host_records = (
@@ -439,8 +543,8 @@
         if not event["key"].startswith(_PLATFORM_PREFIXES)
     )
     operator_records = (
-        changes.OperatorRecord(event["key"], value, event["revision"])
-        for event, value in zip(events, values)
+        changes.OperatorRecord(event["key"], value, position)
+        for event, value, position in zip(events, values, found_at)
         if event["key"].startswith(wire.OPERATIONS_PREFIX)
     )
     return changes.Batch(
--- a/src/sesamefold/platform/daemon.py
+++ b/src/sesamefold/platform/daemon.py
@@ -51,8 +51,11 @@
         def report_transfer(transfer: client.Transfer) -> None:
             log.write("store_transfer", **attrs.asdict(transfer))
 
+        def report_fault(reason: str) -> None:
+            log.write("store_era_rejected", reason=reason)
+
         store_client = client.StoreClient(
-            session, settings.store_address, report_transfer
+            session, settings.store_address, report_transfer, report_fault
         )
         platform = entry_host.PlatformAdapters(
             store_client,
--- a/src/sesamefold/platform/wire.py
+++ b/src/sesamefold/platform/wire.py
@@ -51,6 +51,10 @@
 
 WAIT_MS = "Wait-Ms"
 
+# Header of all answers of the platform's store. It rises by one when the store
+# returns from a copy.
+STORE_ERA = "Store-Era"
+
 # Keys of records in the platform's store.
 
 OPERATIONS_PREFIX = "op/"
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -4,7 +4,7 @@
 import base64
 import collections
 import contextlib
-import itertools
+import copy
 import json
 import time
 import typing as t
@@ -24,6 +24,17 @@
     lease: int
 
 
+@attrs.frozen
+class StoreCopy:
+    """What a store keeps, as of one instant."""
+
+    revision: int
+    items: t.Mapping[str, _Item]
+    history: t.Sequence[t.Dict[str, t.Any]]
+    leases: t.Mapping[int, t.Tuple[float, float]]
+    last_lease: int
+
+
 @attrs.define
 class PlatformStore:
     """A key-value store in memory, with faults that tests set.
@@ -35,6 +46,7 @@
     0, is the rate at which the body of each reply is sent, and `stall_after`,
     unless 0, the number of its bytes after which it stops for a minute.
     `sent_keys` counts how often the value of each key was sent to readers.
+    Unless `era` is None, all answers have it in the header `Store-Era`.
     """
 
     error_status: int = 0
@@ -46,14 +58,13 @@
     calls: t.List[str] = attrs.field(factory=list)
     sent_keys: t.Counter[str] = attrs.field(factory=collections.Counter)
     revision: int = 1
+    era: t.Optional[int] = None
     _items: t.Dict[str, _Item] = attrs.field(factory=dict)
     _history: t.List[t.Dict[str, t.Any]] = attrs.field(factory=list)
     _dropped_revision: int = 0
     _leases: t.Dict[int, t.Tuple[float, float]] = attrs.field(factory=dict)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _lease_ids: t.Iterator[int] = attrs.field(
-        factory=lambda: itertools.count(100)
-    )
+    _last_lease: int = 99
 
     def put(self, key: str, body: t.Any, lease: int = 0) -> int:
         """Write a value and return the new revision.
@@ -83,6 +94,29 @@
         self._history.clear()
         self._changed.set()
 
+    def take_copy(self) -> "StoreCopy":
+        """Return a copy of all records, their history and the leases."""
+        return StoreCopy(
+            self.revision,
+            copy.deepcopy(self._items),
+            list(self._history),
+            dict(self._leases),
+            self._last_lease,
+        )
+
+    def return_from(self, saved: "StoreCopy") -> None:
+        """Go back to a copy and begin the next era.
+
+        What was written since is gone, and its revisions and ids of leases are
+        given out again. Watches that wait go on or get 410.
+        """
+        self.revision, self._last_lease = saved.revision, saved.last_lease
+        self._items = copy.deepcopy(saved.items)
+        self._history = list(saved.history)
+        self._leases = dict(saved.leases)
+        self.era = (self.era or 0) + 1
+        self._changed.set()
+
     def build_app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(middlewares=[self._apply_faults])
@@ -102,6 +136,15 @@
         self.calls.append(f"{request.method} {request.path}")
         if self.silent:
             await asyncio.sleep(60.0)
+        response = await self._answer(request, handler)
+        if self.era is not None and not response.prepared:
+            response.headers["Store-Era"] = str(self.era)
+        return response
+
+    async def _answer(
+        self, request: web.Request, handler: t.Any
+    ) -> web.StreamResponse:
+        """Return the response, or one that a fault calls for."""
         if self.error_status:
             return web.Response(status=self.error_status)
         self._expire_leases()
@@ -193,7 +236,7 @@
         after = int(request.query["after"])
         deadline = time.monotonic() + int(request.query["wait_ms"]) / 1000
         while True:
-            if after < self._dropped_revision:
+            if not self._dropped_revision <= after <= self.revision:
                 return web.Response(status=410)
             events = [
                 e
@@ -237,7 +280,8 @@
 
     async def _grant_lease(self, request: web.Request) -> web.Response:
         seconds = (await request.json())["ttl_ms"] / 1000
-        lease = next(self._lease_ids)
+        self._last_lease += 1
+        lease = self._last_lease
         self._leases[lease] = (seconds, time.monotonic() + seconds)
         return web.json_response({"lease": lease, "ttl_ms": seconds * 1000})
 
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -242,11 +242,13 @@
 class StoreCase(unittest.IsolatedAsyncioTestCase):
     """Test case with a platform store and a client of it."""
 
+    store_era: t.Optional[int] = None
+
     async def asyncSetUp(self) -> None:
         """Start the store."""
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
-        self.store = platform_store.PlatformStore()
+        self.store = platform_store.PlatformStore(era=self.store_era)
         self.address = await platform_fixtures.start_server(
             self.stack, self.store.build_app()
         )
--- a/tests/test_entry_election.py
+++ b/tests/test_entry_election.py
@@ -6,6 +6,7 @@
 
 from sesamefold.entry import changes
 from sesamefold.entry import election
+from sesamefold.entry import positions
 from sesamefold import exceptions
 from sesamefold.platform import client
 from tests import entry_fakes
@@ -18,11 +19,12 @@
         """Start a store and create two candidates."""
         await super().asyncSetUp()
         self.clock = entry_fakes.FakeClock()
-        self.first, self.second = (
-            election.Election(
-                name, self.client, 3.0, entry_fakes.make_log(), self.clock
-            )
-            for name in ("a", "b")
+        self.first, self.second = map(self.make_candidate, ("a", "b"))
+
+    def make_candidate(self, name: str) -> election.Election:
+        """Return a candidate, as it is when its process starts."""
+        return election.Election(
+            name, self.client, 3.0, entry_fakes.make_log(), self.clock
         )
 
     async def test_second_candidate_acquires_no_held_lease(
@@ -77,6 +79,92 @@
         self.second._active_until = self.clock.now + 10
         self.assertTrue(self.second.may_send_orders())
 
+    async def test_restarted_process_waits_as_any_new_holder(self) -> None:
+        """Guards against a wait that a new process does not know of (ONE).
+
+        The last holder on record is this host, but its process was started
+        again during the wait for the orders of another host.
+        """
+        await self.first.campaign()
+        self.store.remove(election.HOLDER_KEY)
+        await self.second.campaign()
+        restarted = self.make_candidate("b")
+        await restarted.campaign()
+        self.assertTrue(restarted.holds_lease())
+        self.assertFalse(restarted.may_send_orders())
+        self.clock.now += 3.0 + election.HANDOVER_MARGIN_SECONDS
+        restarted._active_until = self.clock.now + 10
+        self.assertTrue(restarted.may_send_orders())
+
+    async def test_election_without_an_answer_is_no_reason_not_to_wait(
+        self,
+    ) -> None:
+        """Guards against a record of this host that skips the wait (ONE).
+
+        The host was the holder before another one. The answer to its next
+        election is lost, and so are the reads after it.
+        """
+        await self.first.campaign()
+        self.first._resign("test")
+        self.store.remove(election.HOLDER_KEY)
+        await self.second.campaign()
+        self.store.remove(election.HOLDER_KEY)
+        self.store.lose_answers, self.store.lossy_path_prefix = True, "/kv-txn"
+        with unittest.mock.patch.object(
+            election.Election,
+            "_find_fencing_token",
+            side_effect=exceptions.PlatformUnavailable("store: lost"),
+        ):
+            await self.first.campaign()
+        self.store.lose_answers = False
+        self.assertFalse(self.first.holds_lease())
+        await self.first.campaign()
+        self.assertTrue(self.first.holds_lease())
+        self.assertFalse(self.first.may_send_orders())
+
+    async def test_copy_of_the_store_does_not_know_the_last_holder(
+        self,
+    ) -> None:
+        """Guards against two holders after the store returned (ONE).
+
+        The copy names this process as the last holder, or none at all, though
+        another host was the holder until the return.
+        """
+        self.store.era = 1
+        for holds_before in (False, True):
+            with self.subTest(holds_before=holds_before):
+                first = self.make_candidate("a")
+                if holds_before:
+                    await first.campaign()
+                    self.clock.now += 60.0
+                saved = self.store.take_copy()
+                first._resign("test")
+                self.store.remove(election.HOLDER_KEY)
+                await self.second.campaign()
+                token = self.second._fencing_token or 0
+                self.second._resign("test")
+                self.store.return_from(saved)
+                await self.client.list_records("")
+                await first.campaign()
+                self.assertTrue(first.holds_lease())
+                self.assertFalse(first.may_send_orders())
+                self.assertGreater(first._fencing_token or 0, token)
+                first._resign("test")
+
+    async def test_lease_of_an_earlier_era_has_ended(self) -> None:
+        """Guards against a lease whose id another host has by now."""
+        self.store.era = 1
+        saved = self.store.take_copy()
+        await self.first.campaign()
+        lease = self.first._lease or 0
+        self.store.return_from(saved)
+        other = await self.grant()
+        self.assertEqual(
+            positions.get_revision(lease), positions.get_revision(other)
+        )
+        await self.first._renew(lease)
+        self.assertFalse(self.first.holds_lease())
+
     async def test_holder_frozen_past_its_lease_has_no_token(
         self,
     ) -> None:
