Keep the names of shared spaces and the parts of salts

The name of the shared space lost its cache when it moved to a module of its own, and each choice of an engine parses a salt since. Both are computed once now.

--- a/src/sesamefold/entry/context_stores.py
+++ b/src/sesamefold/entry/context_stores.py
@@ -105,6 +105,7 @@
     return urllib.parse.quote(name, safe="")
 
 
+@functools.lru_cache(maxsize=1024)
 def parse_salt(salt: str) -> t.Tuple[str, int, str]:
     """Return the model, the weight version and the space that a salt names.
 
--- a/src/sesamefold/entry/shared_spaces.py
+++ b/src/sesamefold/entry/shared_spaces.py
@@ -1,5 +1,6 @@
 """The space of cached context that the customers share, and since when."""
 
+import functools
 import hashlib
 import json
 import typing as t
@@ -26,6 +27,7 @@
 _SHARED_MARK = "*"
 
 
+@functools.lru_cache(maxsize=64)
 def name_shared_space(isolated_customers: t.FrozenSet[str]) -> str:
     """Return the part of a salt that names what customers share.
 
