Do not take ids of leases for revisions

Cause: since the ids of leases were packed as revisions are, and the store's ids are larger than that allows; the error ended the task that keeps the lease. The stand-in gave out small ids.

Ids of leases are kept beside their era and may have 64 bits, the stand-in gives out large ones, and a revision that is out of range fails its call. The soak draws returns of the store and isolated customers, and checks fencing tokens.

The new test of a large id fails with the packing before.

--- a/src/sesamefold/entry/positions.py
+++ b/src/sesamefold/entry/positions.py
@@ -6,10 +6,10 @@
 than all earlier ones, and a position serves as a fencing token.
 """
 
-# Revisions of an era, enough for 80 years at 400 writes per second. Positions
-# of the first 8,192 eras are exact in JSON, whose numbers have 53 bits.
-_REVISIONS_PER_ERA = 2**40
-MAX_ERA = 2**13 - 1
+# Revisions of an era. Positions of the first 32 eras are exact in JSON, whose
+# numbers have 53 bits, and those of all eras in whole numbers of 64 bits.
+_REVISIONS_PER_ERA = 2**48
+MAX_ERA = 2**14 - 1
 
 
 def make_position(era: int, revision: int) -> int:
--- a/src/sesamefold/entry/store.py
+++ b/src/sesamefold/entry/store.py
@@ -82,8 +82,7 @@
 class HostRecordStore(t.Protocol):
     """Access to the records of the entry hosts and to their leases.
 
-    Revisions and ids of leases are positions (`positions`). A lease of an
-    earlier era has ended.
+    Revisions are positions (`positions`). A lease of an earlier era has ended.
 
     Methods raise `exceptions.PlatformUnavailable` if the call failed without
     an effect. Methods that write raise `exceptions.OutcomeUnknown` if the
--- a/src/sesamefold/platform/client.py
+++ b/src/sesamefold/platform/client.py
@@ -52,6 +52,8 @@
 # Largest reply of the store: a watch may return many values of up to a
 # megabyte.
 MAX_REPLY_BYTES = 32 * 1024 * 1024
+# Bits of the store's ids of leases.
+_LEASE_ID_BITS = 64
 # Statuses with which the store rejects a call without executing it.
 _REJECTION_STATUSES = (429, 503)
 
@@ -101,9 +103,15 @@
     body: t.Any
     era: int
 
-    def make_position(self, revision: int) -> int:
-        """Return the position of a revision, or the id of a lease, in it."""
-        return positions.make_position(self.era, revision)
+    def make_position(self, revision: t.Any) -> int:
+        """Return the position of a revision of the era.
+
+        Raises `exceptions.PlatformUnavailable` for one that is out of range.
+        """
+        try:
+            return positions.make_position(self.era, int(revision))
+        except ValueError as error:
+            raise exceptions.PlatformUnavailable(f"store: {error}") from error
 
 
 @attrs.define
@@ -169,9 +177,9 @@
     `GET` that did not arrive, `report_fault` once with the reason why a reply
     was not used whose era is none.
 
-    Revisions and the ids of leases are positions, as the store gives them out
-    again when it returns from a copy. `era` is the latest one of any reply,
-    None before the first.
+    Revisions are positions, and the ids of leases have the era as well, since
+    the store gives them out again when it returns from a copy. `era` is the
+    latest one of any reply, None before the first.
     """
 
     session: aiohttp.ClientSession
@@ -225,7 +233,7 @@
         if reply.status == 410:
             raise exceptions.HistoryLost("the store no longer has the history")
         _check_status(reply.status == 200, reply.status)
-        as_of = reply.make_position(int(reply.body["as_of"]))
+        as_of = reply.make_position(reply.body["as_of"])
         return await _make_batch(
             reply.body["events"], max(after, as_of), reply.era
         )
@@ -259,7 +267,7 @@
                 _decode_value(item),
                 positions.make_position(era, item["revision"]),
                 positions.make_position(era, item["created"]),
-                item["lease"] and positions.make_position(era, item["lease"]),
+                item["lease"] and _make_lease(era, item["lease"]),
             )
             for item in items
         ]
@@ -283,7 +291,7 @@
             )
             _check_status(reply.status == 200, reply.status)
             items.extend(reply.body["items"])
-            found_at.append(reply.make_position(int(reply.body["as_of"])))
+            found_at.append(reply.make_position(reply.body["as_of"]))
             if not reply.body.get("has_more") or not reply.body["items"]:
                 break
         _check_one_era(found_at)
@@ -312,7 +320,7 @@
                 {
                     "key": write.key,
                     "value": base64.b64encode(write.value).decode(),
-                    "lease": positions.get_revision(write.lease),
+                    "lease": _get_lease_id(write.lease),
                 }
                 for write in writes
             ],
@@ -333,7 +341,7 @@
                 reply.make_position(items[0]["revision"]) if items else 0,
             )
         _check_status(reply.status == 200, reply.status)
-        return reply.make_position(int(reply.body["revision"]))
+        return reply.make_position(reply.body["revision"])
 
     async def grant_lease(self, seconds: float) -> int:
         """Return the id of a new lease that ends `seconds` from now."""
@@ -341,14 +349,12 @@
             "/kv-lease", {"ttl_ms": int(seconds * _MS_PER_SECOND)}
         )
         _check_status(reply.status == 200, reply.status)
-        return reply.make_position(int(reply.body["lease"]))
+        return _make_lease(reply.era, int(reply.body["lease"]))
 
     async def renew_lease(self, lease: int) -> None:
         """Extend a lease; raises `exceptions.LeaseExpired`."""
         self._check_lease(lease)
-        reply = await self._post(
-            f"/kv-keep/{positions.get_revision(lease)}", None
-        )
+        reply = await self._post(f"/kv-keep/{_get_lease_id(lease)}", None)
         self._check_lease(lease)
         if reply.status == 404:
             raise exceptions.LeaseExpired("the lease has ended")
@@ -359,7 +365,7 @@
 
         The store may have given out its id again, to another host.
         """
-        if lease and positions.get_era(lease) != self.era:
+        if lease and _get_lease_era(lease) != self.era:
             raise exceptions.LeaseExpired("the store returned from a copy")
 
     async def revoke_lease(self, lease: int) -> None:
@@ -367,10 +373,10 @@
 
         One of an earlier era is left to end by itself.
         """
-        if positions.get_era(lease) == self.era:
+        if _get_lease_era(lease) == self.era:
             await self._call(
                 "DELETE",
-                f"/kv-lease-end/{positions.get_revision(lease)}",
+                f"/kv-lease-end/{_get_lease_id(lease)}",
                 {},
                 None,
                 CALL_TIMEOUT_SECONDS,
@@ -493,6 +499,22 @@
     return b"".join(chunks)
 
 
+def _make_lease(era: int, lease_id: int) -> int:
+    """Return the id of a lease with its era.
+
+    The store's ids are no revisions and may have up to 64 bits.
+    """
+    return era << _LEASE_ID_BITS | lease_id
+
+
+def _get_lease_id(lease: int) -> int:
+    return lease & (1 << _LEASE_ID_BITS) - 1
+
+
+def _get_lease_era(lease: int) -> int:
+    return lease >> _LEASE_ID_BITS
+
+
 def _check_one_era(found_at: t.Sequence[int]) -> None:
     """Raise `exceptions.PlatformUnavailable` for reads of several eras."""
     if len(set(map(positions.get_era, found_at))) > 1:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -64,7 +64,8 @@
     _dropped_revision: int = 0
     _leases: t.Dict[int, t.Tuple[float, float]] = attrs.field(factory=dict)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _last_lease: int = 99
+    # Ids of leases are large, unlike revisions.
+    _last_lease: int = 2**63
 
     def put(self, key: str, body: t.Any, lease: int = 0) -> int:
         """Write a value and return the new revision.
@@ -88,6 +89,11 @@
         item = self._items.get(key)
         return base64.b64decode(item.value) if item else None
 
+    def list_keys(self, prefix: str) -> t.List[str]:
+        """Return the keys that begin with a prefix."""
+        self._expire_leases()
+        return [key for key in self._items if key.startswith(prefix)]
+
     def drop_history(self) -> None:
         """Drop the history, so that watches of older revisions get 410."""
         self._dropped_revision = self.revision
--- a/tests/test_entry_election.py
+++ b/tests/test_entry_election.py
@@ -6,7 +6,6 @@
 
 from sesamefold.entry import changes
 from sesamefold.entry import election
-from sesamefold.entry import positions
 from sesamefold import exceptions
 from sesamefold.platform import client
 from tests import entry_fakes
@@ -159,9 +158,7 @@
         lease = self.first._lease or 0
         self.store.return_from(saved)
         other = await self.grant()
-        self.assertEqual(
-            positions.get_revision(lease), positions.get_revision(other)
-        )
+        self.assertNotEqual(lease, other)
         await self.first._renew(lease)
         self.assertFalse(self.first.holds_lease())
 
--- a/tests/test_entry_store_return.py
+++ b/tests/test_entry_store_return.py
@@ -20,12 +20,12 @@
 
     def test_later_era_is_greater_than_any_revision_before(self) -> None:
         position = positions.make_position(3, 17)
-        self.assertGreater(position, positions.make_position(2, 2**40 - 1))
+        self.assertGreater(position, positions.make_position(2, 2**48 - 1))
         self.assertEqual(
             (3, 17),
             (positions.get_era(position), positions.get_revision(position)),
         )
-        for era, revision in ((-1, 0), (0, -1), (2**13, 0), (0, 2**40)):
+        for era, revision in ((-1, 0), (0, -1), (2**14, 0), (0, 2**48)):
             with self.assertRaises(ValueError):
                 positions.make_position(era, revision)
 
@@ -64,6 +64,22 @@
         with self.assertRaises(exceptions.PlatformUnavailable):
             await reading
 
+    # Guards against leases that hosts cannot hold: the store's ids of leases are
+    # larger than any revision.
+    async def test_lease_with_a_large_id_is_held(self) -> None:
+        lease = await self.client.grant_lease(5.0)
+        await self.client.write({"x": 0}, [store.Write("x", b"1", lease)])
+        await self.client.renew_lease(lease)
+        (record,) = await self.client.list_records("x")
+        self.assertEqual(lease, record.lease)
+        await self.client.revoke_lease(lease)
+        self.assertIsNone(self.store.get("x"))
+
+    async def test_revision_out_of_range_fails_the_call(self) -> None:
+        self.store.revision = 2**48
+        with self.assertRaises(exceptions.PlatformUnavailable):
+            await self.client.read_all()
+
     # Guards against a condition that another record fulfils by chance.
     async def test_write_expects_no_revision_of_an_earlier_era(self) -> None:
         saved = self.store.take_copy()
@@ -91,7 +107,7 @@
         self.client.report_fault = faults
         self.store.era = 4
         await self.client.read_all()
-        for era in (3, "x", "-5", "4.0", "", 2**13):
+        for era in (3, "x", "-5", "4.0", "", 2**14):
             with self.subTest(era=era):
                 self.store.era = era  # type: ignore[assignment]
                 with self.assertRaises(exceptions.PlatformUnavailable):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -101,6 +101,26 @@
         )
 
 
+class OrderInvariantTest(unittest.TestCase):
+    """The invariant on fencing tokens, on made-up orders."""
+
+    def test_orders_of_two_holders_are_found(self) -> None:
+        """Guards against a soak that passes although ONE is broken."""
+        for orders, violations in (
+            ((("a", 1), ("a", 1), ("b", 2)), 0),
+            ((("a", 2), ("b", 1)), 1),
+            ((("a", 2), ("b", 2)), 1),
+        ):
+            with self.subTest(orders=orders):
+                found = soak_invariants.find_order_violations(
+                    [
+                        {"holder": holder, "fence_token": token}
+                        for holder, token in orders
+                    ]
+                )
+                self.assertEqual(violations, len(list(found)))
+
+
 class LostResponseTest(unittest.TestCase):
     """The invariant on requests without an answer, on made-up ones."""
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,11 +4,13 @@
 engines. Their connections go through loopback proxies. Faults are chosen by
 a seed: connections that are delayed, reset, or cut in one or both
 directions; processes that are paused, killed, or stopped and restarted; a
-store that refuses calls, loses answers or drops its history; servers that
+store that refuses calls, loses answers, drops its history or returns from a
+copy; servers that
 refuse requests, break off responses, restart, announce that they leave, ask
 for a rest, ignore orders, or fall silent and go on; revoked API keys; grown
 configurations; new target versions of the weights; a store of context that
-restarts or whose connections are disrupted; hosts with a queue for room, and
+restarts or whose connections are disrupted; customers that are isolated for a
+while; hosts with a queue for room, and
 servers that say how long work takes; prompts with a part that crashes
 each server which begins to answer them.
 Prints one JSON line for each seed, and exits with status 1 if an invariant
@@ -65,6 +67,9 @@
 SECOND_API_KEY = "another-key"
 # The customer with the second key; its context is isolated.
 ISOLATED_CUSTOMER = "customer-2"
+# A customer without requests that is isolated at times, which changes the
+# space that the others share.
+SILENT_CUSTOMER = "customer-3"
 SHARED_TOKENS = 200
 # Contract with which requests wait in a queue for room.
 PRESSURE_CONTRACT = "pressure"
@@ -84,6 +89,10 @@
 # how long there are, seconds.
 DEADLY_SHARE = 0.06
 DEADLY_SECONDS = 8.0
+# Time for which a store is away before it returns from a copy, and the longest
+# time until the operator and the servers have written their records again.
+STORE_RETURN_SECONDS = 0.3
+MAX_REWRITE_SECONDS = 0.8
 # Routes by which a configuration may grow.
 ADDED_ROUTES = 900
 ENGINE_FAULTS = (
@@ -128,6 +137,8 @@
         self._sent_requests: t.Dict[str, soak_invariants.SentRequest] = {}
         self._config_version = 1
         self._added_routes = 0
+        self._silent_isolated = False
+        self._orders: t.List[t.List[t.Dict[str, t.Any]]] = []
         self._target_version = 1
         self._superseded_at: t.Dict[int, float] = {}
         self._second_key_revoked_at = float("inf")
@@ -176,7 +187,7 @@
 
     async def _start(self) -> None:
         self._tasks: t.Set["asyncio.Task[None]"] = set()
-        self.store = platform_store.PlatformStore()
+        self.store = platform_store.PlatformStore(era=1)
         store_address = await platform_fixtures.start_server(
             self._stack, self.store.build_app()
         )
@@ -306,7 +317,13 @@
                 else []
             ),
         }
-        configuration["tenants"].append(isolated)
+        silent = {
+            **isolated,
+            "name": SILENT_CUSTOMER,
+            "isolated": self._silent_isolated,
+            "api_keys": [],
+        }
+        configuration["tenants"] += [isolated, silent]
         configuration["services"].append(
             {
                 "name": "cache",
@@ -339,6 +356,7 @@
         # A restarted server keeps its weights, a new one has the newest.
         if not engine.weights or self._random.random() < 0.5:
             engine.weights = {platform_fixtures.MODEL: self._target_version}
+        self._orders.append(engine.orders[:])
         engine.orders.clear()
         engine.simulator.crash()
         self._publish_server_entry(engine, link)
@@ -430,6 +448,7 @@
             (
                 self._disrupt_store,
                 self._disrupt_store_link,
+                self._return_store,
                 self._disrupt_engine_link,
                 self._queue_engine_faults,
                 self._restart_engine,
@@ -485,6 +504,34 @@
         self.store.error_status = 0
         self.store.silent = self.store.lose_answers = False
 
+    async def _return_store(self, seconds: float) -> None:
+        """Let the store return from a copy that is `seconds` old.
+
+        What the operator and the servers have written since is written again
+        a little later, and entries of servers that have ended are removed.
+        """
+        saved = self.store.take_copy()
+        await asyncio.sleep(seconds)
+        self.store.error_status = 503
+        await asyncio.sleep(STORE_RETURN_SECONDS)
+        self.store.return_from(saved)
+        self.store.error_status = 0
+        await asyncio.sleep(self._random.uniform(0.0, MAX_REWRITE_SECONDS))
+        rewrites: t.List[t.Callable[[], None]] = [
+            self._put_configuration,
+            self._put_target_version,
+            *(
+                functools.partial(self._publish_server_entry, engine, link)
+                for engine, link in self.engines
+            ),
+        ]
+        self._random.shuffle(rewrites)
+        for rewrite in rewrites:
+            rewrite()
+        running = {f"servers/{engine.id}" for engine, _ in self.engines}
+        for key in set(self.store.list_keys("servers/")) - running:
+            self.store.remove(key)
+
     async def _disrupt_store_link(self, seconds: float) -> None:
         await self._disrupt_link(
             self._random.choice(self.hosts).store_link, seconds
@@ -596,8 +643,12 @@
             await self._start_process(host)
 
     async def _change_keys(self, seconds: float) -> None:
-        """Revoke the second key for good, or just publish a new version."""
+        """Revoke the second key for good, or just publish a new version.
+
+        The version may isolate the silent customer or not.
+        """
         self._config_version += 1
+        self._silent_isolated = self._random.random() < 0.5
         self._added_routes = self._random.choice((0, ADDED_ROUTES))
         if (
             self._second_key_revoked_at == float("inf")
@@ -661,6 +712,9 @@
                         self._disruptions[link.address],
                     )
                 )
+        self._orders += [engine.orders for engine, _ in self.engines]
+        for orders in self._orders:
+            self.violations += soak_invariants.find_order_violations(orders)
         self.violations += soak_invariants.find_excess_crashes(
             itertools.chain.from_iterable(e.runs for e, _ in self.engines),
             self._sent_requests,
--- a/tools/soak_invariants.py
+++ b/tools/soak_invariants.py
@@ -272,6 +272,27 @@
     return any(d.began_at <= end and d.ended_at >= start for d in disruptions)
 
 
+def find_order_violations(
+    orders: t.Sequence[t.Mapping[str, t.Any]],
+) -> t.Iterator[str]:
+    """Yield the violations in the orders that one server accepted.
+
+    Fencing tokens never fall, and one token belongs to one holder.
+    """
+    for before, after in itertools.pairwise(orders):
+        if after["fence_token"] < before["fence_token"]:
+            yield (
+                f"an order of {after['holder']} has a lower fencing token"
+                f" than one of {before['holder']} before"
+            )
+    holders: t.Dict[int, t.Set[str]] = collections.defaultdict(set)
+    for order in orders:
+        holders[order["fence_token"]].add(order["holder"])
+    for token, names in holders.items():
+        if len(names) > 1:
+            yield f"{sorted(names)} sent orders with the token {token}"
+
+
 def find_expired_weights(
     runs: t.Iterable[platform_engine.Run],
     superseded_at: t.Mapping[int, float],
