--- a/tests/test_entry_store_return.py
+++ b/tests/test_entry_store_return.py
@@ -64,8 +64,8 @@
         with self.assertRaises(exceptions.PlatformUnavailable):
             await reading
 
-    # Guards against leases that hosts cannot hold: the store's ids of leases are
-    # larger than any revision.
+    # Guards against leases that hosts cannot hold: the store's ids of leases
+    # are larger than any revision.
     async def test_lease_with_a_large_id_is_held(self) -> None:
         lease = await self.client.grant_lease(5.0)
         await self.client.write({"x": 0}, [store.Write("x", b"1", lease)])
