--- a/src/sesamefold/entry/shared_spaces.py
+++ b/src/sesamefold/entry/shared_spaces.py
@@ -12,13 +12,13 @@
 # Age of the last confirmation of the configuration up to which context of
 # other shared spaces is freed. Watches are answered within a part of it while
 # servers report.
-MAX_CONFIRMATION_AGE_SECONDS = 1.0
+MAX_CONFIRMATION_AGE_SECONDS = 0.5
 # Time from the reading of a configuration with another shared space until
 # context is fetched from that space. It may have been in force before, and a
 # host that has not read the configuration frees its context for
 # `MAX_CONFIRMATION_AGE_SECONDS`. The rest covers late events of the stores
 # and the drift of clocks.
-SETTLING_SECONDS = MAX_CONFIRMATION_AGE_SECONDS + 0.5
+SETTLING_SECONDS = MAX_CONFIRMATION_AGE_SECONDS + 0.3
 # Time between two confirmations in which another space cannot have been in
 # force for long enough for a host to free the context of this one, which it
 # does after `context_stores.FREE_DELAY_SECONDS` of 14.5 s.
