--- a/tests/test_entry_store_return.py
+++ b/tests/test_entry_store_return.py
@@ -12,7 +12,7 @@
 from tests import entry_fakes
 from tests import test_entry_catalog
 
-PROMPT_PATH = "/safe/"
+SAFE_PATH = "/safe/"
 
 
 class PositionTest(unittest.TestCase):
@@ -233,9 +233,9 @@
         self.store.put("op/config", platform_fixtures.make_configuration(4))
         for number in range(40):
             self.store.put(f"sesamefold/x/{number}", {})
-        self.assertEqual(200, (await self.call(PROMPT_PATH, "r-1"))[0])
+        self.assertEqual(200, (await self.call(SAFE_PATH, "r-1"))[0])
         await self.wait_for_version(4)
-        self.assertEqual(200, (await self.call(PROMPT_PATH, "r-2"))[0])
+        self.assertEqual(200, (await self.call(SAFE_PATH, "r-2"))[0])
         key = f"{store.MEMBERS_PREFIX}{self.host.settings.host}"
         await self.wait_until(lambda: self.store.get(key) is not None)
 
