--- a/review/14/case.py
+++ b/review/14/case.py
@@ -21,9 +21,9 @@
 from standins import platform_fixtures  # noqa: E402
 
 HOSTS = 2
-STREAMS_PER_HOST = 6
-# On each of these streams: all streams of a machine take a tenth of its link.
-BYTES_PER_SECOND = 2_000_000
+STREAMS_PER_HOST = 24
+# On each of these streams: those of a machine take a fifth of its link.
+BYTES_PER_SECOND = 1_000_000
 STREAM_TIMEOUT_MS = 12_000
 LOOK_TIMEOUT_MS = 800
 LOOK_DEADLINE_MS = 1_500
