--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,6 @@
 """A non-idempotent request that ran is answered 503, and runs once more.
 
-One of seven servers fails a part of its requests after it has run them, with
+One of eight servers fails a part of its requests after it has run them, with
 status 503 and without `Sesamefold-Not-Executed`. The entry host passes this
 status on, which promises the client that the request has not run.
 """
@@ -20,8 +20,8 @@
 from standins import platform_fixtures  # noqa: E402
 
 HOSTS = 2
-SERVERS = 7
-# One server of seven fails this share of its requests.
+SERVERS = 8
+# One server of eight fails this share of its requests.
 FAILING_SHARE = 0.45
 ORDERS = 400
 ORDERS_PER_SECOND = 40
