Answer a failure that reads as a refusal with 502

Cause: a refusal is told from a failure by the server's header, but a failure was passed on with its status, and callers read the promise from the status alone (408, 421, 429, 503). The head of a reply now says whether its status reads as a refusal; such a failure becomes code 1216 with 502, without the seal. It promises nothing, so callers no longer repeat what must not run twice.

--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -142,10 +142,17 @@
     async def forward_failure(self, failure: RunFailed) -> None:
         """Forward a server's own failure to the caller.
 
-        Raises `exceptions.AnswerCut` if the response has started.
+        Raises `exceptions.AnswerCut` if the response has started, and
+        `exceptions.ReplyBroken` if the caller would take the failure for a
+        promise that no server has executed the request.
         """
         if self.started:
             raise exceptions.AnswerCut(str(failure))
+        if failure.head.is_refusal:
+            raise exceptions.ReplyBroken(
+                f"the server failed with status {failure.head.status}, but "
+                "does not state that it did not execute the request"
+            )
         await self._send_complete(failure.head, failure.body)
 
     async def _send_complete(
--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -250,6 +250,7 @@
     """The decoded head of a backend server's reply.
 
     `not_executed` is the server's promise that it did not execute the request;
+    `is_refusal` says that callers read such a promise from the status alone.
     `mismatched` says that this is because it is not the server that the
     request names or because it has other weights. `server_id` is the id of
     the server that replied, None if it does not say. `sealed` says whether the
@@ -269,6 +270,7 @@
     content_length: t.Optional[int]
     forwarded: Headers
     load: t.Optional[ReportedLoad] = None
+    is_refusal: bool = False
     mismatched: bool = False
     server_id: t.Optional[str] = None
     leaving: bool = False
--- a/src/sesamefold/platform/headers.py
+++ b/src/sesamefold/platform/headers.py
@@ -23,6 +23,8 @@
 _RETRY_AFTER = "Retry-After"
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
+# Statuses that tell callers that a request was not executed and never will be.
+_REFUSAL_STATUSES = (408, _MISDIRECTED_STATUS, 429, _UNAVAILABLE_STATUS)
 _NO_ADDRESS = "-"
 # Time that work takes on a server's machine when it is as usual.
 _USUAL_PERCENT = 100
@@ -158,6 +160,7 @@
                 headers, _FORWARDED_REPLY_NAMES, set()
             ),
             load=_parse_load(headers.get(wire.SERVER_LOAD)),
+            is_refusal=status in _REFUSAL_STATUSES,
             mismatched=status == _MISDIRECTED_STATUS,
             server_id=headers.get(wire.SERVER_ID),
             leaving=_parse_leaving(headers, ignored),
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -159,6 +159,25 @@
         )
         self.assertEqual((502, '{"code":1216}', 1), outcome)
 
+    async def test_failure_of_a_run_is_not_passed_on_as_a_refusal(
+        self,
+    ) -> None:
+        """Guards against a request that runs twice because its caller is told
+        that it has not run.
+        """
+        for status in ("408 Late", "429 Busy", "503 Failed"):
+            failure = make_script(
+                HEAD.format(status=status, fields=SEAL) + "failed", **CLOSE
+            )
+            for path in ("/unsafe/", "/stream/"):
+                with self.subTest(status, path=path):
+                    outcome = await self.get_outcome(path, failure)
+                    self.assertEqual((502, '{"code":1216}', 1), outcome)
+            for path in ("/safe/", "/resumable/"):
+                with self.subTest(status, path=path):
+                    outcome = await self.get_outcome(path, failure, failure)
+                    self.assertEqual((502, '{"code":1216}', 2), outcome)
+
     async def test_refusal_lets_the_request_run_elsewhere(self) -> None:
         refusal = scripted_server.Script(
             (scripted_server.Step(f"{REFUSAL}full"),),
