Split streams without a step for each line

Cause: the buffer of events took a step in Python for each blank line, 65 ms for 1 MB on the event loop, and only one unfinished event was bounded, which blank lines never are. The last end of an event and the last id are now looked for from behind (1.5 ms for 1 MB), and 256 KiB without an event that has a new id end the attempt. So the cost no longer depends on what the bytes hold, and they end long before the deadline.

--- a/src/sesamefold/entry/deliveries.py
+++ b/src/sesamefold/entry/deliveries.py
@@ -300,7 +300,7 @@
         """Return the events that a chunk completes."""
         previous_id = self.buffer.last_event_id
         whole_events = self.buffer.feed(chunk)
-        self.reply.kept_bytes = len(self.buffer.partial)
+        self.reply.kept_bytes = self.buffer.count_partial_bytes()
         if self.buffer.last_event_id != previous_id:
             self.silence_seconds = 0.0
             self.next_check_seconds = SERVER_SILENCE_SECONDS
--- a/src/sesamefold/entry/events.py
+++ b/src/sesamefold/entry/events.py
@@ -1,16 +1,15 @@
 """Splitting of a stream of server-sent events at event boundaries."""
 
-import re
 import typing as t
 
 from sesamefold import exceptions
 
-# A blank line ends an event.
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
-# Size of an event above which the stream counts as malformed. Events of
-# engines hold a few tokens.
+# Size of an event, and bytes since the last event with a new id, above which
+# the stream counts as malformed. Events of engines hold a few tokens.
 MAX_EVENT_BYTES = 256 * 1024
-_ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+# A blank line ends an event. The line before it may end in any way.
+_EVENT_ENDS = (b"\n\n", b"\n\r\n")
+_ID_FIELD = b"id:"
 
 
 class EventBuffer:
@@ -22,16 +21,20 @@
         buffer = EventBuffer()
         whole = buffer.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
         # whole == b"id: 1\\ndata: a\\n\\n", buffer.last_event_id == "1"
+
+    The event loop serves no other request while a chunk is split, so that no
+    step is taken for each line or event: a faulty server may send blank lines
+    as fast as its connection takes them.
     """
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
+        self._idle_bytes = 0
         self.last_event_id: t.Optional[str] = None
 
-    @property
-    def partial(self) -> bytes:
-        """Return the bytes received after the last whole event."""
-        return self._partial
+    def count_partial_bytes(self) -> int:
+        """Return the number of bytes after the last whole event."""
+        return len(self._partial)
 
     def finish(self) -> bytes:
         """Return blank lines behind the last event, at the stream's end.
@@ -40,24 +43,46 @@
         """
         if self._partial.strip(b"\r\n"):
             raise exceptions.ReplyBroken("the stream ends within an event")
-        rest, self._partial = self._partial, b""
+        rest = bytes(self._partial)
+        self._partial.clear()
         return rest
 
     def feed(self, data: bytes) -> bytes:
         """Add a chunk and return the events that it completes, else b"".
 
-        Raises `exceptions.ReplyBroken` for an event that is too large.
+        Raises `exceptions.ReplyBroken` for an event that is too large, and
+        for too many bytes without an event that has a new id.
         """
-        data = self._partial + data
-        end = 0
-        for match in _EVENT_END.finditer(data):
-            end = match.end()
-        whole, self._partial = data[:end], data[end:]
-        if len(self._partial) > MAX_EVENT_BYTES:
+        # The end of an event may have begun in the chunk before.
+        searched = max(0, len(self._partial) - max(map(len, _EVENT_ENDS)))
+        self._partial += data
+        end = max(
+            (
+                position + len(mark)
+                for mark in _EVENT_ENDS
+                if (position := self._partial.rfind(mark, searched)) >= 0
+            ),
+            default=0,
+        )
+        whole = bytes(self._partial[:end])
+        del self._partial[:end]
+        event_id = _find_last_id(whole)
+        if event_id is None or event_id == self.last_event_id:
+            self._idle_bytes += len(data)
+        else:
+            self.last_event_id = event_id
+            self._idle_bytes = len(self._partial)
+        if self._idle_bytes > MAX_EVENT_BYTES:
             raise exceptions.ReplyBroken(
-                f"an event exceeds {MAX_EVENT_BYTES} bytes"
+                f"{MAX_EVENT_BYTES} bytes lead to no event with a new id"
             )
-        ids = _ID_LINE.findall(whole)
-        if ids:
-            self.last_event_id = ids[-1].decode("latin-1").strip()
         return whole
+
+
+def _find_last_id(whole_events: bytes) -> t.Optional[str]:
+    """Return the id in the last line that has one, None without one."""
+    start = whole_events.rfind(b"\n" + _ID_FIELD) + 1
+    if not whole_events.startswith(_ID_FIELD, start):
+        return None
+    line, *_ = whole_events[start:].split(b"\n", 1)
+    return line[len(_ID_FIELD) :].decode("latin-1").strip()
--- a/tests/test_entry_deliveries.py
+++ b/tests/test_entry_deliveries.py
@@ -158,3 +158,63 @@
         with self.assertRaises(exceptions.ReplyBroken):
             for _ in range(events.MAX_EVENT_BYTES):
                 buffer.feed(b"data: " + b"x" * 1000)
+
+
+class EventBufferTest(unittest.TestCase):
+    """Splitting of what a faulty server sends."""
+
+    def feed_until_broken(self, chunk: bytes) -> int:
+        """Return the bytes after which a stream counts as broken."""
+        buffer = events.EventBuffer()
+        buffer.feed(b"id: 1\ndata: a\n\n")
+        size = 0
+        with self.assertRaises(exceptions.ReplyBroken):
+            while size <= 2 * events.MAX_EVENT_BYTES:
+                size += len(chunk)
+                buffer.feed(chunk)
+        return size
+
+    def test_bytes_that_lead_to_no_event_break_the_stream(self) -> None:
+        """Guards against a stream that takes memory or time without end."""
+        for name, line in (
+            ("an event without end", b"x"),
+            ("blank lines", b"\n"),
+            ("blank lines with returns", b"\r\n"),
+            ("comments", b":\n\n"),
+            ("events without an id", b"data: x\n\n"),
+            ("one event again and again", b"id: 1\ndata: a\n\n"),
+        ):
+            for count in (1, 1000):
+                with self.subTest(name, count=count):
+                    size = self.feed_until_broken(line * count)
+                    self.assertGreater(size, events.MAX_EVENT_BYTES)
+
+    def test_stream_of_many_events_is_whole(self) -> None:
+        """Guards against a bound on a stream that moves on."""
+        buffer = events.EventBuffer()
+        event = b": comment\n\nid: %d\r\ndata: x\r\n\r\n"
+        stream = b"".join(event % number for number in range(20_000))
+        whole = b"".join(
+            buffer.feed(stream[start : start + 7])
+            for start in range(0, len(stream), 7)
+        )
+        self.assertEqual(stream, whole)
+        self.assertEqual("19999", buffer.last_event_id)
+        self.assertEqual(b"", buffer.finish())
+
+    def test_id_of_the_last_whole_event_is_known(self) -> None:
+        """Guards against a stream that goes on at a wrong event."""
+        for stream, event_id in (
+            (b"id: 1\n\nid: 2\n", "1"),
+            (b"id:7\r\ndata: x\r\n\r\nid: 8\r\n\r", "7"),
+            (b"id: 1\ndata: id: 3\n\n", "1"),
+            (b"data: x\nid:  4 \n\n\n\ni", "4"),
+            (b"data: x\n\n", None),
+            (b"", None),
+        ):
+            for size in (1, 3, 100):
+                with self.subTest(stream=stream, size=size):
+                    buffer = events.EventBuffer()
+                    for start in range(0, len(stream), size):
+                        buffer.feed(stream[start : start + size])
+                    self.assertEqual(event_id, buffer.last_event_id)
