Bound the bytes of an answer beside its body

While one server sent chunks of one byte or interim responses without end, 3 and 14 of 100 look-ups at sound servers were served, the slowest took over 4 s (CONFIG).

An answer may now have 64 KiB beside its body, a sixteenth of the body and 4 KiB for each second, which covers a large body in chunks of 128 bytes and the events of the fastest engine in a chunk each. At most 16 KiB are read from a connection at a time, so that other connections are served in between.

Two cases of test_entry_endless_streams failed before. LostConnectionTest passes the buffer that the constructor takes now.

--- a/src/sesamefold/exchanges.py
+++ b/src/sesamefold/exchanges.py
@@ -18,9 +18,17 @@
 from sesamefold import exceptions
 from sesamefold import memory
 
-# Bytes that may arrive while neither the head of an answer is complete nor its
-# body grows. Three times what the HTTP client buffers before it stops reading.
-MAX_OVERHEAD_BYTES = 768 * 1024
+# Bytes that are read from a connection at a time. Other connections wait while
+# they are parsed, and small chunks or interim responses take 0.3 us a byte.
+READ_BYTES = 16 * 1024
+# Further such bytes: a share of the body, enough for chunks of 128 bytes, and
+# head and the framing of chunks. The HTTP client takes a step in Python for
+# each, so that small ones without end would stop all other requests.
+MAX_OVERHEAD_BYTES = 64 * 1024
+# Further such bytes: a share of the body, enough for chunks of 128 bytes, and
+# for each second those of the fastest engine's events, in a chunk each.
+OVERHEAD_SHARE = 1 / 16
+OVERHEAD_BYTES_PER_SECOND = 4 * 1024
 # Latest requests of a connection whose ids may not be sent on it again.
 REMEMBERED_REQUESTS = 64
 
@@ -239,11 +247,13 @@
         return self.response.content.total_bytes if self.response else 0
 
 
-class _Carrier(asyncio.Protocol):
+class _Carrier(asyncio.BufferedProtocol):
     """Owner of a connection, between its transport and the HTTP client.
 
     Bytes reach the HTTP client only while an exchange is open. Those that
     arrive at another time, or that lead to no answer, end the connection.
+    They are read into `buffer`, which all connections share, since none keeps
+    it beyond `buffer_updated`.
     """
 
     def __init__(
@@ -251,11 +261,13 @@
         transport: asyncio.Transport,
         handler: t.Any,
         report: Reporter,
+        buffer: memoryview,
     ) -> None:
         self.exchanges = 0
         self._transport = transport
         self._handler = handler
         self._report = report
+        self._buffer = buffer
         self._number = next(_connection_numbers)
         # None for a connection that was lost before it could be used.
         peer = transport.get_extra_info("peername") or ("unknown", 0)
@@ -265,8 +277,10 @@
         self._request_ids: t.Deque[str] = collections.deque(
             maxlen=REMEMBERED_REQUESTS
         )
+        self._began_at = self._opened_at
+        self._received_bytes = 0
         self._body_bytes = 0
-        self._overhead_bytes = 0
+        self._bytes_since_growth = 0
         transport.set_protocol(self)
 
     def may_carry(self, exchange: Exchange) -> bool:
@@ -288,7 +302,8 @@
         """Open an exchange; the connection carries no other until `end`."""
         self._exchange = exchange
         exchange.begin(self)
-        self._body_bytes = self._overhead_bytes = 0
+        self._began_at = time.monotonic()
+        self._received_bytes = self._body_bytes = self._bytes_since_growth = 0
 
     def end(self) -> None:
         """Close the exchange; its answer is complete or was given up."""
@@ -329,7 +344,15 @@
         )
         self._transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the memory into which bytes are read."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass the bytes on that were read."""
+        self._receive(bytes(self._buffer[:nbytes]))
+
+    def _receive(self, data: bytes) -> None:
         """Pass bytes on to the HTTP client while an exchange is open."""
         if self._exchange is None:
             self.discard("bytes arrived while no request was waiting")
@@ -342,14 +365,26 @@
             return
         exchange = self._exchange
         body_bytes = exchange.count_body_bytes()
-        overhead_bytes = self._count_overhead(len(data), body_bytes)
-        if overhead_bytes > MAX_OVERHEAD_BYTES:
+        self._received_bytes += len(data)
+        if self._received_bytes - body_bytes > self._limit_overhead(
+            body_bytes
+        ):
             self.discard(
                 "the bytes lead to no answer",
                 exchange.identity.request_id if exchange.identity else None,
             )
-        else:
-            exchange.record_held(body_bytes + overhead_bytes)
+            return
+        exchange.record_held(
+            body_bytes + self._count_since_growth(len(data), body_bytes)
+        )
+
+    def _limit_overhead(self, body_bytes: int) -> float:
+        """Return how many bytes may be no part of a body of this size."""
+        return (
+            MAX_OVERHEAD_BYTES
+            + OVERHEAD_SHARE * body_bytes
+            + OVERHEAD_BYTES_PER_SECOND * (time.monotonic() - self._began_at)
+        )
 
     def _split_after_head(self, data: bytes) -> t.Iterable[bytes]:
         """Return the data in one part or, behind a head, in two.
@@ -364,13 +399,13 @@
         head, end, rest = data.partition(_HEAD_END)
         return (head + end, rest) if end and rest else (data,)
 
-    def _count_overhead(self, size: int, body_bytes: int) -> int:
+    def _count_since_growth(self, size: int, body_bytes: int) -> int:
         """Return the bytes since the answer's body last grew."""
         if body_bytes > self._body_bytes:
-            self._body_bytes, self._overhead_bytes = body_bytes, 0
+            self._body_bytes, self._bytes_since_growth = body_bytes, 0
         else:
-            self._overhead_bytes += size
-        return self._overhead_bytes
+            self._bytes_since_growth += size
+        return self._bytes_since_growth
 
     def eof_received(self) -> t.Optional[bool]:
         """Tell the HTTP client that the server sends no more."""
@@ -423,6 +458,7 @@
         super().__init__(**options)
         self.budget = budget
         self._report_stray = report
+        self._buffer = memoryview(bytearray(READ_BYTES))
         self._exchanges: t.MutableMapping[aiohttp.ClientRequest, Exchange] = (
             weakref.WeakKeyDictionary()
         )
@@ -453,5 +489,8 @@
         if isinstance(protocol, _Carrier):
             return protocol
         return _Carrier(
-            connection.transport, connection.protocol, self._report_stray
+            connection.transport,
+            connection.protocol,
+            self._report_stray,
+            self._buffer,
         )
--- a/tests/test_entry_endless_streams.py
+++ b/tests/test_entry_endless_streams.py
@@ -13,6 +13,10 @@
     "Sesamefold-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
     "Connection: close\r\n\r\n"
 )
+CHUNKED_HEAD = STREAM_HEAD.replace(
+    "Connection: close", "Transfer-Encoding: chunked"
+)
+PIECE_BYTES = 16384
 STREAMS = 8
 LOOK_UPS = 60
 LOOK_UP_INTERVAL_SECONDS = 0.05
@@ -63,17 +67,16 @@
         status = await self.call("/look/x", f"look-{number}")
         return status, time.monotonic() - started_at
 
-    # Guards against a host that serves nothing else while it splits what one
+    # Guards against a host that serves nothing else while it reads what one
     # server sends (CONFIG: no answers at the timeout of other routes).
-    async def test_bytes_without_an_event_leave_other_requests_in_time(
-        self,
-    ) -> None:
+    async def check_look_ups(self, first: str, repeated: str) -> None:
+        piece = repeated * (PIECE_BYTES // len(repeated))
         self.faulty.scripts = [
             scripted_server.Script(
                 (
-                    scripted_server.Step(STREAM_HEAD),
+                    scripted_server.Step(first),
                     scripted_server.Step(
-                        "\n" * 16384, endless=True, piece_bytes=16384
+                        piece, endless=True, piece_bytes=len(piece)
                     ),
                 )
             )
@@ -92,3 +95,12 @@
         self.assertLess(max(s for _, s in results), TIMEOUT_SECONDS)
         ended = await asyncio.gather(*streams, return_exceptions=True)
         self.assertNotIn(200, ended)
+
+    async def test_look_ups_beside_blank_lines(self) -> None:
+        await self.check_look_ups(STREAM_HEAD, "\n")
+
+    async def test_look_ups_beside_small_chunks(self) -> None:
+        await self.check_look_ups(CHUNKED_HEAD, "1\r\n\n\r\n")
+
+    async def test_look_ups_beside_interim_responses(self) -> None:
+        await self.check_look_ups("", "HTTP/1.1 100\r\n\r\n")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -357,7 +357,9 @@
         """Guards against an error of this process for one of the server."""
         connection = unittest.mock.Mock()
         connection.get_extra_info.return_value = None
-        carrier = exchanges._Carrier(connection, None, lambda stray: None)
+        carrier = exchanges._Carrier(
+            connection, None, lambda stray: None, memoryview(bytearray(1))
+        )
         self.assertEqual("unknown:0", carrier.address)
 
 
@@ -385,6 +387,7 @@
             ("trailers", chunked + "0\r\n", "X: y\r\n"),
             ("body with a length", sized + "99999999999\r\n\r\n", "x"),
             ("chunks", chunked, "5\r\nabcde\r\n"),
+            ("smallest chunks", chunked, "1\r\nx\r\n"),
             ("body without a length", sized[:-16] + "\r\n", "x"),
         )
         for name, first, repeated in table:
@@ -410,6 +413,28 @@
                     while self.server.closed_by_peer == closed:
                         await asyncio.sleep(0.01)
 
+    async def test_small_chunks_of_a_sound_answer_are_whole(self) -> None:
+        """Guards against a bound on framing that hits sound servers.
+
+        Large bodies come in chunks of 128 bytes, and events in one each.
+        """
+        for text, count in (("x" * 128, 60_000), ("id: 1\ndata: x\n\n", 8000)):
+            chunk = f"{len(text):x}\r\n{text}\r\n"
+            with self.subTest(text=text):
+                self.server.scripts = [
+                    scripted_server.Script(
+                        (
+                            scripted_server.Step(f"{STREAM_HEAD}\r\n"),
+                            scripted_server.Step(
+                                chunk * 100, repeat=count // 100
+                            ),
+                            scripted_server.Step("0\r\n\r\n"),
+                        )
+                    )
+                ]
+                outcome = await self.find_outcome("r-1")
+                self.assertEqual(text.encode() * count, outcome)
+
     async def test_endless_bytes_behind_an_answer_leave_it_whole(
         self,
     ) -> None:
