--- a/standins/endless_server.py
+++ b/standins/endless_server.py
@@ -71,13 +71,17 @@
     def iterate_pieces(self) -> t.Iterator[bytes]:
         """Yield the pieces behind the begin, without end."""
         numbers = itertools.count(1)
+        if "{n}" not in self.unit:
+            yield from itertools.repeat(self._make_piece(numbers))
         while True:
-            count = max(1, _PIECE_BYTES // (len(self.unit) or 1))
-            text = "".join(
-                self.unit.replace("{n}", str(next(numbers)))
-                for _ in range(count)
-            )
-            yield (self._frame(text) if self.chunk_bytes else text).encode()
+            yield self._make_piece(numbers)
+
+    def _make_piece(self, numbers: t.Iterator[int]) -> bytes:
+        count = max(1, _PIECE_BYTES // len(self.unit))
+        text = "".join(
+            self.unit.replace("{n}", str(next(numbers))) for _ in range(count)
+        )
+        return (self._frame(text) if self.chunk_bytes else text).encode()
 
     def _frame(self, text: str) -> str:
         size = self.chunk_bytes
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -63,7 +63,8 @@
     503), "rest" (the same with `retry_after` as the header `Retry-After`),
     "misdirect" (not executed, status 421, as from another instance),
     "reset" (executed, connection reset without a response), "fail" (executed,
-    status 500), "foreign" (the request ID of another request in the
+    status 500), "fail-unavailable" (executed, status 503 without the statement
+    that it was not), "foreign" (the request ID of another request in the
     response), "unsealed" (no response seal), "cut" (a stream reset after its
     first event), "unframed" (a body with neither a length nor chunks, which
     the close of the connection ends), "cut-unframed" (the same, reset before
@@ -220,8 +221,9 @@
         }
         if fault != "unsealed":
             headers["Sesamefold-Response-Seal"] = RESPONSE_SEAL
-        if fault == "fail":
-            return web.Response(status=500, headers=headers, body=b"failed")
+        if fault in ("fail", "fail-unavailable"):
+            status = 500 if fault == "fail" else 503
+            return web.Response(status=status, headers=headers, body=b"failed")
         if fault in ("unframed", "cut-unframed"):
             return await self._send_unframed(request, headers, fault)
         if (
--- a/tools/flood.py
+++ b/tools/flood.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -34,6 +35,8 @@
 BYTES_PER_SECOND = 1_000_000
 LOOK_UPS_PER_SECOND = 20
 TIMEOUT_MS = 800
+# Interval of the servers' reports to the store.
+REPORT_SECONDS = 1.2
 # Least share of the look-ups that must be served, and the most by which the
 # slowest of a hundred may be slower than without a flood, seconds.
 MIN_SERVED_SHARE = 0.98
@@ -93,11 +96,8 @@
                 "ledger",
             ),
         }
-        for server_id, (address, service) in addresses.items():
-            entry = platform_fixtures.make_server_entry(
-                address, service=service, slots=64
-            )
-            store.put(f"servers/{server_id}", entry)
+        publishing = asyncio.create_task(_publish_entries(store, addresses))
+        self._stack.callback(publishing.cancel)
         store.put("op/config", _make_configuration())
         self._session = await self._stack.enter_async_context(
             aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
@@ -235,6 +235,20 @@
     return configuration
 
 
+async def _publish_entries(
+    store: platform_store.PlatformStore,
+    addresses: t.Dict[str, t.Tuple[str, str]],
+) -> None:
+    """Write the servers' entries again and again, as servers do."""
+    for sequence in itertools.count(1):
+        for server_id, (address, service) in addresses.items():
+            entry = platform_fixtures.make_server_entry(
+                address, service=service, slots=64, seq=sequence
+            )
+            store.put(f"servers/{server_id}", entry)
+        await asyncio.sleep(REPORT_SECONDS)
+
+
 def _find_slowest(seconds: t.Sequence[float]) -> float:
     """Return the 99th percentile."""
     return sorted(seconds)[int(0.99 * (len(seconds) - 1))]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,13 +5,13 @@
 seed: connections that are delayed, reset, or cut in one or both directions;
 processes that are paused, killed, or stopped and restarted; a store that
 refuses calls, loses answers, drops its history or returns from a copy; servers
-that refuse requests, break off responses, restart, announce that they leave,
-ask for a rest, ignore orders, or fall silent and go on; revoked API keys;
-grown configurations; new target versions of the weights; a store of context
-that restarts or whose connections are disrupted; customers that are isolated
-for a while; hosts with a queue for room, and servers that say how long work
-takes; prompts with a part that crashes each server which begins to answer
-them.
+that refuse requests, fail with the status of a refusal, break off responses,
+restart, announce that they leave, ask for a rest, ignore orders, or fall
+silent and go on; revoked API keys; grown configurations; new target versions
+of the weights; a store of context that restarts or whose connections are
+disrupted; customers that are isolated for a while; hosts with a queue for
+room, and servers that say how long work takes; prompts with a part that
+crashes each server which begins to answer them.
 Prints one JSON line for each seed, and exits with status 1 if an invariant
 was violated.
 
@@ -99,6 +99,7 @@
     "misdirect",
     "reset",
     "fail",
+    "fail-unavailable",
     "foreign",
     "unsealed",
     "cut",
