--- a/src/sesamefold/entry/requests.py
+++ b/src/sesamefold/entry/requests.py
@@ -250,9 +250,9 @@
     """The decoded head of a backend server's reply.
 
     `not_executed` is the server's promise that it did not execute the request;
-    `is_refusal` says that callers read such a promise from the status alone.
     `mismatched` says that this is because it is not the server that the
-    request names or because it has other weights. `server_id` is the id of
+    request names or because it has other weights. `is_refusal` says that
+    callers read such a promise from the status alone. `server_id` is the id of
     the server that replied, None if it does not say. `sealed` says whether the
     reply carries the server's seal, without which a success is not genuine.
     `content_encoded` says whether the body has a content encoding.
--- a/src/sesamefold/exchanges.py
+++ b/src/sesamefold/exchanges.py
@@ -21,9 +21,9 @@
 # Bytes that are read from a connection at a time. Other connections wait while
 # they are parsed, and small chunks or interim responses take 0.3 us a byte.
 READ_BYTES = 16 * 1024
-# Further such bytes: a share of the body, enough for chunks of 128 bytes, and
-# head and the framing of chunks. The HTTP client takes a step in Python for
-# each, so that small ones without end would stop all other requests.
+# Bytes that an answer may have beside those of its body: interim responses,
+# its head and the framing of chunks. The HTTP client takes a step in Python
+# for each, so that small ones without end would stop all other requests.
 MAX_OVERHEAD_BYTES = 64 * 1024
 # Further such bytes: a share of the body, enough for chunks of 128 bytes, and
 # for each second those of the fastest engine's events, in a chunk each.
