Let the soak tell a server that was replaced from one that was cut

The check excuses only a server that fell silent, whose run was abandoned, and beside which another run began within that silence; any other cut of a sound server is still a violation, which a table of six cases shows.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -176,6 +176,39 @@
                     [], self.find_violations(status=200, **excuse)
                 )
 
+    def test_only_a_silent_server_may_be_replaced(self) -> None:
+        """Guards against a soak that excuses a host that leaves servers."""
+        run = platform_engine.Run(
+            "r-1", "POST", "/stream/x", {}, b"body", 1, 10.1
+        )
+        for excused, abandoned_at, silence, successor in (
+            (True, 10.7, (10.2, 10.6), {"fault": "cut"}),
+            (False, 10.7, (10.2, 10.6), {}),
+            (False, 10.7, (10.2, 10.6), None),
+            (False, 10.7, (10.2, 10.4), {"fault": "cut"}),
+            (False, float("inf"), (10.2, 10.6), {"fault": "cut"}),
+            (False, 10.4, (10.2, 10.6), {"fault": "cut"}),
+        ):
+            attempts = [
+                soak_invariants.Attempt(
+                    attrs.evolve(run, abandoned_at=abandoned_at),
+                    (),
+                    (),
+                    (soak_invariants.Disruption(*silence),),
+                )
+            ]
+            if successor is not None:
+                later = attrs.evolve(run, began_at=10.5, **successor)
+                attempts.append(soak_invariants.Attempt(later, (), ()))
+            request = soak_invariants.SentRequest(
+                "/stream/", "key", 10.0, ended_at=10.8, status=200
+            )
+            found = list(
+                soak_invariants.find_lost_response(request, attempts, ())
+            )
+            with self.subTest(excused=excused, abandoned_at=abandoned_at):
+                self.assertEqual(excused, not found)
+
     def test_request_without_answer_is_found(self) -> None:
         """Guards against a soak that passes although LOST is broken."""
         self.assertEqual(
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -710,6 +710,7 @@
                         run,
                         engine.simulator.crash_times,
                         self._disruptions[link.address],
+                        self._silences[link.address],
                     )
                 )
         self._orders += [engine.orders for engine, _ in self.engines]
